--- /dev/null
+++ b/crates/cw_types/src/config.rs
@@ -0,0 +1,106 @@
+//! The typed view of a snapshot.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snafu::Snafu;
+
+use crate::ModelVersion;
+use crate::Priority;
+use crate::PriorityName;
+use crate::Record;
+use crate::RecordKey;
+use crate::RecordKind;
+use crate::Revision;
+use crate::Route;
+use crate::RouteName;
+use crate::Snapshot;
+use crate::Target;
+use crate::TargetId;
+use crate::Workspace;
+use crate::WorkspaceId;
+
+/// A record that this process cannot read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("record {key}: {reason}"))]
+pub struct ConfigError {
+    /// The record.
+    pub key: RecordKey,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// The configuration in force, as the deciding code reads it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// The snapshot's revision.
+    pub revision: Revision,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteName, Route>,
+    /// Workspaces by id.
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    /// Priorities by name.
+    pub priorities: BTreeMap<PriorityName, Priority>,
+    /// Model versions by record name.
+    pub versions: BTreeMap<String, ModelVersion>,
+    /// Targets by id.
+    pub targets: BTreeMap<TargetId, Target>,
+}
+
+impl Config {
+    /// Reads every record of `snapshot`; those that cannot be read are returned beside the rest.
+    pub fn read(snapshot: &Snapshot) -> (Self, Vec<ConfigError>) {
+        let mut config = Self {
+            revision: snapshot.revision,
+            ..Self::default()
+        };
+        let mut errors = Vec::new();
+        for (key, (_, record)) in &snapshot.records {
+            if let Err(reason) = config.insert(record) {
+                errors.push(ConfigError {
+                    key: key.clone(),
+                    reason,
+                });
+            }
+        }
+        (config, errors)
+    }
+
+    /// Returns the workspace whose API key this is.
+    pub fn workspace_of(&self, key: &str) -> Option<(&WorkspaceId, &Workspace)> {
+        let owns = |workspace: &Workspace| {
+            workspace
+                .keys
+                .iter()
+                .fold(false, |found, hash| hash.matches(key) | found)
+        };
+        self.workspaces
+            .iter()
+            .find(|(_, workspace)| owns(workspace))
+    }
+
+    fn insert(&mut self, record: &Record) -> Result<(), String> {
+        let name = record.name.as_str();
+        match record.kind {
+            RecordKind::Route => put(&mut self.routes, name, record),
+            RecordKind::Workspace => put(&mut self.workspaces, name, record),
+            RecordKind::Priority => put(&mut self.priorities, name, record),
+            RecordKind::ModelVersion => put(&mut self.versions, name, record),
+            RecordKind::Target => put(&mut self.targets, name, record),
+        }
+    }
+}
+
+fn put<K, V>(map: &mut BTreeMap<K, V>, name: &str, record: &Record) -> Result<(), String>
+where
+    K: std::str::FromStr + Ord,
+    K::Err: std::fmt::Display,
+    V: DeserializeOwned,
+{
+    let key = name.parse().map_err(|error: K::Err| error.to_string())?;
+    let body = serde_json::from_value(Value::Object(record.body.clone()))
+        .map_err(|error| error.to_string())?;
+    map.insert(key, body);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cw_types/src/error_kind.rs
@@ -0,0 +1,285 @@
+//! The closed list of error kinds, and the table from kind to answer.
+
+use std::fmt;
+
+use cw_macro::data;
+
+/// Whether a request that failed was run.
+#[data(Copy, Eq, Hash)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// It was not run, and will not be: proven.
+    No,
+    /// Nobody can tell any more.
+    Unknown,
+    /// It was started, and part of its answer may have been delivered.
+    Partly,
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+            Ran::Partly => "partly",
+        })
+    }
+}
+
+/// Every way in which a caller's request can end other than by its whole answer.
+#[data(Copy, Eq, Hash, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request is malformed: bad JSON, an unknown field, a value out of range.
+    BadRequest,
+    /// The body is larger than the entry takes.
+    TooLarge,
+    /// The API key is missing or matches no workspace.
+    Unauthorized,
+    /// The workspace may not use this route.
+    Forbidden,
+    /// No route serves this model or service.
+    UnknownModel,
+    /// The generation asked for is not known to this workspace.
+    UnknownGeneration,
+    /// The workspace is over its quota.
+    OverQuota,
+    /// Every target is busy and the request would miss its deadline in the queue.
+    Overloaded,
+    /// No live target has the model version.
+    NoTarget,
+    /// The process is starting or draining.
+    NotReady,
+    /// What the request needs of the key-value service cannot be had now.
+    StoreUnavailable,
+    /// The deadline passed before the request was run.
+    Expired,
+    /// The idempotency key was used before with another request.
+    KeyReused,
+    /// Another call with this idempotency key is still in progress elsewhere.
+    InProgress,
+    /// The request crashed the targets that ran it.
+    CrashesTargets,
+    /// A request that may run once was dispatched, and its outcome is not known.
+    OutcomeUnknown,
+    /// The generation cannot be continued; its output so far is final.
+    GenerationLost,
+    /// The target answered with an error of its own.
+    TargetFailed,
+    /// The caller cancelled the request.
+    Cancelled,
+    /// A defect of this system.
+    Internal,
+}
+
+/// One row of the table: kind, HTTP status, code, whether it ran, whether to call again, message.
+type Row = (ErrorKind, u16, &'static str, Ran, bool, &'static str);
+
+/// The answer to each kind.
+const TABLE: [Row; 20] = [
+    (
+        ErrorKind::BadRequest,
+        422,
+        "bad_request",
+        Ran::No,
+        false,
+        "the request is malformed",
+    ),
+    (
+        ErrorKind::TooLarge,
+        413,
+        "too_large",
+        Ran::No,
+        false,
+        "the request body is too large",
+    ),
+    (
+        ErrorKind::Unauthorized,
+        401,
+        "unauthorized",
+        Ran::No,
+        false,
+        "a valid API key is needed",
+    ),
+    (
+        ErrorKind::Forbidden,
+        403,
+        "forbidden",
+        Ran::No,
+        false,
+        "the workspace may not use this route",
+    ),
+    (
+        ErrorKind::UnknownModel,
+        404,
+        "unknown_model",
+        Ran::No,
+        false,
+        "no route has this name",
+    ),
+    (
+        ErrorKind::UnknownGeneration,
+        404,
+        "unknown_generation",
+        Ran::Unknown,
+        false,
+        "no such generation",
+    ),
+    (
+        ErrorKind::OverQuota,
+        429,
+        "over_quota",
+        Ran::No,
+        true,
+        "the workspace is over its quota",
+    ),
+    (
+        ErrorKind::Overloaded,
+        503,
+        "overloaded",
+        Ran::No,
+        true,
+        "every target is busy",
+    ),
+    (
+        ErrorKind::NoTarget,
+        503,
+        "no_target",
+        Ran::No,
+        true,
+        "no live target serves this route",
+    ),
+    (
+        ErrorKind::NotReady,
+        503,
+        "not_ready",
+        Ran::No,
+        true,
+        "this process is not ready",
+    ),
+    (
+        ErrorKind::StoreUnavailable,
+        503,
+        "store_unavailable",
+        Ran::No,
+        true,
+        "the key-value service is unavailable",
+    ),
+    (
+        ErrorKind::Expired,
+        504,
+        "expired",
+        Ran::No,
+        true,
+        "the deadline passed before the request was run",
+    ),
+    (
+        ErrorKind::KeyReused,
+        422,
+        "key_reused",
+        Ran::No,
+        false,
+        "the idempotency key belongs to another request",
+    ),
+    (
+        ErrorKind::InProgress,
+        409,
+        "in_progress",
+        Ran::Partly,
+        true,
+        "a call with this idempotency key is in progress",
+    ),
+    (
+        ErrorKind::CrashesTargets,
+        422,
+        "crashes_targets",
+        Ran::Partly,
+        false,
+        "the request crashed the targets that ran it",
+    ),
+    (
+        ErrorKind::OutcomeUnknown,
+        409,
+        "outcome_unknown",
+        Ran::Unknown,
+        false,
+        "the request was dispatched and its outcome is unknown",
+    ),
+    (
+        ErrorKind::GenerationLost,
+        502,
+        "generation_lost",
+        Ran::Partly,
+        false,
+        "the generation cannot be continued",
+    ),
+    (
+        ErrorKind::TargetFailed,
+        502,
+        "target_failed",
+        Ran::Partly,
+        false,
+        "the target answered with an error",
+    ),
+    (
+        ErrorKind::Cancelled,
+        409,
+        "cancelled",
+        Ran::Partly,
+        false,
+        "the request was cancelled",
+    ),
+    (
+        ErrorKind::Internal,
+        500,
+        "internal",
+        Ran::Unknown,
+        false,
+        "internal error",
+    ),
+];
+
+impl ErrorKind {
+    /// Every kind, in the order of the table.
+    pub fn all() -> impl Iterator<Item = ErrorKind> {
+        TABLE.iter().map(|row| row.0)
+    }
+
+    fn row(self) -> &'static Row {
+        TABLE
+            .iter()
+            .find(|row| row.0 == self)
+            .expect("the table has a row for each kind")
+    }
+
+    /// Returns the HTTP status of the answer.
+    pub fn status(self) -> u16 {
+        self.row().1
+    }
+
+    /// Returns the code that programs read.
+    pub fn code(self) -> &'static str {
+        self.row().2
+    }
+
+    /// Returns whether a request that ends this way was run, when nothing more exact is known.
+    pub fn ran(self) -> Ran {
+        self.row().3
+    }
+
+    /// Returns whether the answer carries `Retry-After`.
+    pub fn is_retryable(self) -> bool {
+        self.row().4
+    }
+
+    /// Returns the sentence that people read.
+    pub fn message(self) -> &'static str {
+        self.row().5
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
--- /dev/null
+++ b/crates/cw_types/src/lib.rs
@@ -0,0 +1,69 @@
+//! Ids, units, records and error kinds that every other crate speaks in.
+//!
+//! Start with these:
+//!
+//! - [`TargetId`], [`WorkspaceId`], [`GenerationId`] and their kin: newtypes for names and numbers.
+//! - [`Time`]: the present, as the argument that every deciding function takes.
+//! - [`ByteSize`], [`Rate`] and the [`units`] adapters: quantities written with their units.
+//! - [`Record`] and [`Snapshot`]: what operators accept, and [`Config`], the typed view of it.
+//! - [`ErrorKind`]: the closed list of what can be answered, with [`Ran`] beside each.
+
+mod byte_size;
+mod config;
+mod error_kind;
+mod id;
+mod key_hash;
+mod name;
+mod number;
+mod rate;
+mod record;
+mod snapshot;
+mod time;
+pub mod units;
+
+pub use byte_size::ByteSize;
+pub use config::Config;
+pub use config::ConfigError;
+pub use error_kind::ErrorKind;
+pub use error_kind::Ran;
+pub use id::AttemptId;
+pub use id::GenerationId;
+pub use id::IdError;
+pub use key_hash::KeyHash;
+pub use name::Actor;
+pub use name::AdapterName;
+pub use name::ChangeId;
+pub use name::HostId;
+pub use name::ModelName;
+pub use name::NameError;
+pub use name::PriorityName;
+pub use name::RegionId;
+pub use name::RouteName;
+pub use name::TargetId;
+pub use name::VersionName;
+pub use name::WorkspaceId;
+pub use name::ZoneId;
+pub use number::AttemptNo;
+pub use number::FencingNumber;
+pub use number::Incarnation;
+pub use number::Revision;
+pub use number::SchemaVersion;
+pub use number::TokenCount;
+pub use number::TokenId;
+pub use number::TokenIndex;
+pub use rate::Rate;
+pub use record::ModelVersion;
+pub use record::Priority;
+pub use record::Quota;
+pub use record::Record;
+pub use record::RecordKey;
+pub use record::RecordKind;
+pub use record::Recovery;
+pub use record::Route;
+pub use record::RouteTarget;
+pub use record::Target;
+pub use record::TargetKind;
+pub use record::Workspace;
+pub use snapshot::Change;
+pub use snapshot::Snapshot;
+pub use time::Time;
--- /dev/null
+++ b/crates/cw_types/src/units.rs
@@ -0,0 +1,37 @@
+//! `serde_with` adapters for quantities written with their units.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serializer;
+use serde::de::Error;
+use serde_with::DeserializeAs;
+use serde_with::SerializeAs;
+
+/// A `Duration` written as `"250ms"`, `"4s"` or `"1h 30m"`.
+#[derive(Clone, Copy, Debug)]
+pub struct Span;
+
+impl SerializeAs<Duration> for Span {
+    fn serialize_as<S: Serializer>(span: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&humantime::format_duration(*span))
+    }
+}
+
+impl<'de> DeserializeAs<'de, Duration> for Span {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_span(&text).map_err(D::Error::custom)
+    }
+}
+
+/// Parses a duration written with its unit.
+///
+/// # Errors
+///
+/// Returns the text of what is expected when `text` has no unit or is not a number.
+pub fn parse_span(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text)
+        .map_err(|_| format!("expected a duration such as \"250ms\" or \"4s\", found {text:?}"))
+}
--- /dev/null
+++ b/crates/cyclamenwharfctl/src/main.rs
@@ -0,0 +1,2 @@
+//! stub
+fn main() {}
