Fix the borders: messages, service traits, settings and the daemon's frame

Cause: several hands write the roles at once and need one set of shared types. Conclusion: entry, agent, control, stand-ins and routing can now be written side by side.

--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -1,1 +1,25 @@
-//! stub
+//! The platform's services behind traits.
+//!
+//! - [`KeyValue`]: compare-and-swap, leases and watches.
+//! - [`HostList`]: which hosts are live and which are leaving.
+//! - [`WeightStore`]: how fast model weights may be read.
+//!
+//! Each is one trait, so that another deployment's service is one more implementation.
+
+mod host_list;
+mod key_value;
+mod weight_store;
+
+pub use host_list::Host;
+pub use host_list::HostList;
+pub use host_list::HostRole;
+pub use host_list::HostState;
+pub use key_value::KeyValue;
+pub use key_value::LeaseId;
+pub use key_value::ModRevision;
+pub use key_value::StoreError;
+pub use key_value::Swap;
+pub use key_value::Versioned;
+pub use key_value::WatchEvent;
+pub use weight_store::WeightInfo;
+pub use weight_store::WeightStore;
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -1,1 +1,48 @@
-//! stub
+//! Messages between the processes of the system.
+//!
+//! Bodies are MessagePack by `rmp-serde`; a stream of [`Frame`]s is length-delimited. Paths are
+//! constants of [`path`]. Nothing here decides anything.
+//!
+//! - [`Dispatch`] asks an agent to run an attempt; the answer is a stream of [`Frame`]s.
+//! - [`Attach`], [`Ack`] and [`Cancel`] refer to an attempt by id alone.
+//! - [`Report`] goes from an agent to a relay, [`Batch`] from a relay to the other entries.
+//! - [`Order`] goes from the planner to an agent.
+
+mod codec;
+mod dispatch;
+mod frame;
+mod load;
+mod order;
+pub mod path;
+mod report;
+
+pub use codec::FrameCodec;
+pub use codec::WireError;
+pub use codec::decode;
+pub use codec::encode;
+pub use dispatch::Ack;
+pub use dispatch::Attach;
+pub use dispatch::Call;
+pub use dispatch::CallHead;
+pub use dispatch::Cancel;
+pub use dispatch::Cancelled;
+pub use dispatch::Dispatch;
+pub use dispatch::Generate;
+pub use dispatch::Message;
+pub use dispatch::Prompt;
+pub use dispatch::Sampling;
+pub use dispatch::Work;
+pub use frame::Failure;
+pub use frame::Finish;
+pub use frame::Frame;
+pub use frame::Reason;
+pub use frame::Token;
+pub use load::Load;
+pub use order::Order;
+pub use order::OrderAnswer;
+pub use order::OrderKind;
+pub use report::Batch;
+pub use report::CrashReport;
+pub use report::Fingerprint;
+pub use report::Report;
+pub use report::TargetState;
--- /dev/null
+++ b/crates/cw_wire/src/path.rs
@@ -0,0 +1,21 @@
+//! Paths of the interfaces between processes.
+
+/// `POST` of a [`crate::Dispatch`] to an agent; answered by frames.
+pub const ATTEMPTS: &str = "/peer/v1/attempts";
+/// `POST` of an [`crate::Attach`] to an agent; answered by frames.
+pub const ATTACH: &str = "/peer/v1/attach";
+/// `POST` of an [`crate::Ack`] to an agent.
+pub const ACK: &str = "/peer/v1/ack";
+/// `POST` of a [`crate::Cancel`] to an agent; answered by [`crate::Cancelled`].
+pub const CANCEL: &str = "/peer/v1/cancel";
+/// `POST` of an [`crate::Order`] to an agent; answered by [`crate::OrderAnswer`].
+pub const ORDERS: &str = "/peer/v1/orders";
+/// `POST` of a [`crate::Report`] to an entry that relays.
+pub const REPORTS: &str = "/peer/v1/reports";
+/// `POST` of a [`crate::Batch`] to an entry.
+pub const BATCHES: &str = "/peer/v1/batches";
+/// `POST` of the revision a process has, to an entry; answered by a newer snapshot or none.
+pub const CONFIG: &str = "/peer/v1/config";
+
+/// The header that carries the secret shared by the processes.
+pub const SECRET_HEADER: &str = "x-cyclamenwharf-secret";
--- /dev/null
+++ b/crates/cyclamenwharf/src/json_log.rs
@@ -0,0 +1,109 @@
+//! Logs as JSON lines.
+//!
+//! `simplelog` cannot write JSON itself, so this is one of its loggers: it takes part in
+//! `simplelog::CombinedLogger` and carries the key-value fields of `log`.
+
+use std::io::Write;
+use std::sync::Mutex;
+
+use chrono::SecondsFormat;
+use chrono::Utc;
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+use log::kv::Error;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use serde_json::Map;
+use simplelog::CombinedLogger;
+use simplelog::Config;
+use simplelog::SharedLogger;
+
+/// A logger that writes one JSON object a line.
+pub struct JsonLog {
+    level: LevelFilter,
+    out: Mutex<Box<dyn Write + Send>>,
+}
+
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = value
+            .to_u64()
+            .map(serde_json::Value::from)
+            .unwrap_or_else(|| value.to_string().into());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+impl JsonLog {
+    /// Returns a logger that writes to `out`.
+    pub fn new(level: LevelFilter, out: Box<dyn Write + Send>) -> Box<Self> {
+        Box::new(Self {
+            level,
+            out: Mutex::new(out),
+        })
+    }
+
+    /// Makes a logger to standard error the logger of this process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has a logger already.
+    pub fn install(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+        CombinedLogger::init(vec![Self::new(level, Box::new(std::io::stderr()))])
+    }
+
+    fn line(record: &Record<'_>) -> String {
+        let mut fields = Map::new();
+        let time = Utc::now().to_rfc3339_opts(SecondsFormat::Micros, true);
+        fields.insert("time".to_owned(), time.into());
+        fields.insert("level".to_owned(), record.level().as_str().into());
+        fields.insert("module".to_owned(), record.target().into());
+        fields.insert("message".to_owned(), record.args().to_string().into());
+        // A field that cannot be written is left out; the line itself is worth more.
+        let _ = record.key_values().visit(&mut Fields(&mut fields));
+        serde_json::Value::Object(fields).to_string()
+    }
+}
+
+impl Log for JsonLog {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let line = Self::line(record);
+        if let Ok(mut out) = self.out.lock() {
+            // A log that cannot be written must not stop the process.
+            let _ = writeln!(out, "{line}");
+        }
+    }
+
+    fn flush(&self) {
+        if let Ok(mut out) = self.out.lock() {
+            let _ = out.flush();
+        }
+    }
+}
+
+impl SharedLogger for JsonLog {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        self
+    }
+}
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -1,1 +1,46 @@
-//! stub
+//! The daemon as a library: an entry and an agent, each with its settings.
+//!
+//! - [`EntrySettings`] and [`AgentSettings`] are read and checked before anything starts.
+//! - [`Entry::start`] and [`Agent::start`] run a role on the present runtime and return a handle.
+//! - [`Clock`] is the only source of the present time; deciding code gets it as an argument.
+
+mod agent;
+mod clock;
+mod control;
+mod entry;
+mod health;
+mod json_log;
+mod peer_client;
+mod settings;
+mod start_error;
+mod supervisor;
+
+pub use agent::Agent;
+pub use agent::AgentHandle;
+pub use clock::Clock;
+pub use control::Control;
+pub use control::ControlParts;
+pub use control::SharedView;
+pub use entry::Entry;
+pub use entry::EntryHandle;
+pub use health::Health;
+pub use json_log::JsonLog;
+pub use peer_client::PeerClient;
+pub use peer_client::PeerError;
+pub use settings::AgentListen;
+pub use settings::AgentSettings;
+pub use settings::EngineSettings;
+pub use settings::EntryListen;
+pub use settings::EntrySettings;
+pub use settings::LimitSettings;
+pub use settings::LogLevel;
+pub use settings::LogSettings;
+pub use settings::PlatformSettings;
+pub use settings::RecoverySettings;
+pub use settings::Role;
+pub use settings::SecretSettings;
+pub use settings::SettingsError;
+pub use settings::TargetSettings;
+pub use settings::read;
+pub use start_error::StartError;
+pub use supervisor::Supervisor;
--- /dev/null
+++ b/crates/cyclamenwharf/src/main.rs
@@ -0,0 +1,118 @@
+//! The daemon: `cyclamenwharf entry|agent --settings FILE`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use cyclamenwharf::Agent;
+use cyclamenwharf::AgentSettings;
+use cyclamenwharf::Entry;
+use cyclamenwharf::EntrySettings;
+use cyclamenwharf::JsonLog;
+use log::error;
+use log::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The TOML file with the settings");
+    Command::new("cyclamenwharf")
+        .about("Serves long generations on engines that fail")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("entry")
+                .about("Takes callers' requests")
+                .arg(settings.clone()),
+        )
+        .subcommand(
+            Command::new("agent")
+                .about("Runs attempts on the one target beside it")
+                .arg(settings),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("entry", args)) => run_entry(args),
+        Some(("agent", args)) => run_agent(args),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn file(args: &ArgMatches) -> &PathBuf {
+    args.get_one("settings").expect("clap requires it")
+}
+
+fn refuse(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn run_entry(args: &ArgMatches) -> ExitCode {
+    let settings = match EntrySettings::read(file(args)) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    serve(settings.log.level.into(), async {
+        let entry = Entry::start(settings).await.map_err(|e| e.to_string())?;
+        info!(callers = entry.callers.to_string(); "the entry has started");
+        wait_for_signal().await;
+        info!("the entry is draining");
+        entry.drain().await;
+        Ok(())
+    })
+}
+
+fn run_agent(args: &ArgMatches) -> ExitCode {
+    let settings = match AgentSettings::read(file(args)) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    serve(settings.log.level.into(), async {
+        let agent = Agent::start(settings).await.map_err(|e| e.to_string())?;
+        info!(peers = agent.peers.to_string(); "the agent has started");
+        wait_for_signal().await;
+        info!("the agent is draining");
+        agent.drain().await;
+        Ok(())
+    })
+}
+
+fn serve(level: log::LevelFilter, work: impl Future<Output = Result<(), String>>) -> ExitCode {
+    if let Err(error) = JsonLog::install(level) {
+        return refuse(&error);
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return refuse(&error),
+    };
+    match runtime.block_on(work) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn wait_for_signal() {
+    let mut terminate = signal(SignalKind::terminate()).expect("the runtime handles signals");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("the runtime handles signals");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/peer_client.rs
@@ -0,0 +1,187 @@
+//! Calls to other processes of the system.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_wire::Frame;
+use cw_wire::FrameCodec;
+use cw_wire::WireError;
+use cw_wire::path::SECRET_HEADER;
+use futures::Stream;
+use futures::StreamExt;
+use futures::TryStreamExt;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio_util::codec::FramedRead;
+use tokio_util::io::StreamReader;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A call that failed.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// No connection could be made: the call had no effect.
+    #[snafu(display("cannot connect to {peer}: {message}"))]
+    Connect {
+        /// The process called.
+        peer: SocketAddr,
+        /// What happened.
+        message: String,
+    },
+    /// The connection broke after the call may have been read.
+    #[snafu(display("the connection to {peer} broke: {message}"))]
+    Broken {
+        /// The process called.
+        peer: SocketAddr,
+        /// What happened.
+        message: String,
+    },
+    /// No answer came in time.
+    #[snafu(display("no answer from {peer} in {limit:?}"))]
+    Timeout {
+        /// The process called.
+        peer: SocketAddr,
+        /// The limit.
+        limit: Duration,
+    },
+    /// The process refused the call.
+    #[snafu(display("{peer} answered {status}"))]
+    Status {
+        /// The process called.
+        peer: SocketAddr,
+        /// The HTTP status.
+        status: StatusCode,
+    },
+    /// A message could not be read or written.
+    #[snafu(display("{source}"))]
+    Wire {
+        /// The cause.
+        source: WireError,
+    },
+}
+
+/// A client for the interfaces between processes, with its own pool of connections.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    secret: String,
+}
+
+impl PeerClient {
+    /// Returns a client that shows `secret` to its peers.
+    pub fn new(secret: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            secret: secret.to_owned(),
+        }
+    }
+
+    /// Returns a client with a pool of its own, whose first call makes a new connection.
+    ///
+    /// An old connection can go silent for good while new ones work.
+    #[must_use]
+    pub fn fresh(&self) -> Self {
+        Self::new(&self.secret)
+    }
+
+    /// Sends a message and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`]; only `Connect` and `Status` mean that the call had no effect.
+    pub async fn call<M, A>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<A, PeerError>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        let work = async {
+            let response = self.post(peer, path, message).await?;
+            let body = response.into_body().collect().await.map_err(|error| {
+                let message = error.to_string();
+                PeerError::Broken { peer, message }
+            })?;
+            cw_wire::decode(&body.to_bytes()).context(WireSnafu)
+        };
+        tokio::time::timeout(limit, work)
+            .await
+            .unwrap_or(Err(PeerError::Timeout { peer, limit }))
+    }
+
+    /// Sends a message and returns the frames that answer it.
+    ///
+    /// The limit is for the head of the answer; the frames themselves have none.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`]; only `Connect` and `Status` mean that the call had no effect.
+    pub async fn frames<M: Serialize>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<impl Stream<Item = Result<Frame, WireError>> + Send + Unpin + use<M>, PeerError>
+    {
+        let response = tokio::time::timeout(limit, self.post(peer, path, message))
+            .await
+            .unwrap_or(Err(PeerError::Timeout { peer, limit }))?;
+        let bytes = response
+            .into_body()
+            .into_data_stream()
+            .map_err(std::io::Error::other)
+            .boxed();
+        Ok(FramedRead::new(
+            StreamReader::new(bytes),
+            FrameCodec::default(),
+        ))
+    }
+
+    async fn post<M: Serialize>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &M,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let body = cw_wire::encode(message).context(WireSnafu)?;
+        let request = Request::post(format!("http://{peer}{path}"))
+            .header(SECRET_HEADER, &self.secret)
+            .body(Full::new(body))
+            .map_err(|error| {
+                let message = error.to_string();
+                PeerError::Connect { peer, message }
+            })?;
+        let response = self.client.request(request).await.map_err(|error| {
+            let message = error.to_string();
+            match error.is_connect() {
+                true => PeerError::Connect { peer, message },
+                false => PeerError::Broken { peer, message },
+            }
+        })?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            status => Err(PeerError::Status { peer, status }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -0,0 +1,143 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use cw_macro::data;
+use cw_types::ByteSize;
+use cw_types::HostId;
+use cw_types::RegionId;
+use cw_types::ZoneId;
+use cw_types::units::Span;
+use serde_with::serde_as;
+
+use super::LogSettings;
+use super::PlatformSettings;
+use super::SecretSettings;
+use super::SettingsError;
+
+/// Settings of an entry.
+#[data]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// This host.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// The region of that zone.
+    pub region: RegionId,
+    /// Where it listens.
+    pub listen: EntryListen,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
+    /// Secrets shared with other processes.
+    pub secrets: SecretSettings,
+    /// Limits on callers.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// How lost attempts are noticed.
+    #[serde(default)]
+    pub recovery: RecoverySettings,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Where an entry listens.
+#[data(Eq)]
+#[serde(deny_unknown_fields)]
+pub struct EntryListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other processes of the system.
+    pub peers: SocketAddr,
+    /// For operators, metrics and health checks.
+    pub admin: SocketAddr,
+}
+
+/// Limits on callers.
+#[serde_as]
+#[data(Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// The largest body.
+    pub body: ByteSize,
+    /// The most requests that wait for a target.
+    pub queue: u32,
+    /// The most bytes of requests that wait for a target.
+    pub queue_bytes: ByteSize,
+    /// How long a caller may be gone before its generation is cancelled.
+    #[serde_as(as = "Span")]
+    pub absence: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body: ByteSize::mib(4),
+            queue: 1024,
+            queue_bytes: ByteSize::mib(64),
+            absence: Duration::from_secs(30),
+        }
+    }
+}
+
+/// How lost attempts are noticed and replaced.
+#[serde_as]
+#[data(Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RecoverySettings {
+    /// Silence after which a route with `recovery = "latency"` acts.
+    #[serde_as(as = "Span")]
+    pub latency_silence: Duration,
+    /// Silence after which a route with `recovery = "thrift"` acts.
+    #[serde_as(as = "Span")]
+    pub thrift_silence: Duration,
+    /// How long an engine may produce nothing for an attempt that has begun its output.
+    #[serde_as(as = "Span")]
+    pub stall: Duration,
+    /// How long the head of an agent's answer may take.
+    #[serde_as(as = "Span")]
+    pub head: Duration,
+    /// The most attempts of one generation.
+    pub attempts: u32,
+}
+
+impl Default for RecoverySettings {
+    fn default() -> Self {
+        Self {
+            latency_silence: Duration::from_millis(600),
+            thrift_silence: Duration::from_millis(1500),
+            stall: Duration::from_millis(2500),
+            head: Duration::from_millis(1000),
+            attempts: 8,
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads and checks an entry's settings.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and what is expected.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let settings: Self = super::read(file)?;
+        let error = |key, expected| SettingsError::Value {
+            file: file.to_owned(),
+            key,
+            expected,
+        };
+        if settings.secrets.peers.is_empty() {
+            return Err(error("secrets.peers", "expected one secret or two"));
+        }
+        if settings.platform.key_value.is_empty() {
+            return Err(error("platform.key_value", "expected at least one address"));
+        }
+        if settings.recovery.attempts == 0 {
+            return Err(error("recovery.attempts", "expected at least 1"));
+        }
+        Ok(settings)
+    }
+}
