Stamp attempts with the life and age of their agent

An agent that restarted, or whose tombstones expired, cannot tell a late dispatch from a new one, so neither a cancel nor a refusal would prove that nothing runs later. Dispatch and Cancel now carry a stamp taken from the agent's own reports (incarnation and age), and Dispatch says whether it is a repeat. Load carries the age. Drain lets an operator's drain reach an agent.

--- a/crates/cw_wire/src/dispatch.rs
+++ b/crates/cw_wire/src/dispatch.rs
@@ -8,6 +8,7 @@
 use cw_types::AdapterName;
 use cw_types::AttemptId;
 use cw_types::GenerationId;
+use cw_types::Incarnation;
 use cw_types::ModelName;
 use cw_types::Ran;
 use cw_types::TokenCount;
@@ -102,11 +103,28 @@
     Call(Call),
 }
 
+/// When an attempt was made, on the clock of the agent that it is meant for.
+///
+/// An entry copies it from the newest report of the target that it has, once for each attempt, and
+/// sends the same one with each repeat and cancel. The agent refuses an attempt whose stamp is of
+/// another life or older than its tombstones, so an attempt that is late is never run anew.
+#[data(Copy, Eq)]
+pub struct Stamp {
+    /// The life of the agent that the entry believes in.
+    pub incarnation: Incarnation,
+    /// How old that life was, by [`crate::Load::age`].
+    pub age: Duration,
+}
+
 /// Asks an agent to run one attempt. A repeat attaches to the attempt that runs already.
 #[data]
 pub struct Dispatch {
     /// The attempt.
     pub id: AttemptId,
+    /// When the attempt was made; the same in each repeat.
+    pub stamp: Stamp,
+    /// Whether this dispatch may have been sent before.
+    pub repeat: bool,
     /// The workspace that asks.
     pub workspace: WorkspaceId,
     /// The weight of that workspace.
@@ -152,6 +170,15 @@
 pub struct Cancel {
     /// The attempt.
     pub id: AttemptId,
+    /// The stamp of its dispatch.
+    pub stamp: Stamp,
+}
+
+/// Tells an agent whether its target is to take new work.
+#[data(Copy, Eq)]
+pub struct Drain {
+    /// Whether the target is leaving.
+    pub leaving: bool,
 }
 
 /// The proof that answers a [`Cancel`].
--- a/crates/cw_wire/src/load.rs
+++ b/crates/cw_wire/src/load.rs
@@ -23,4 +23,6 @@
     pub prefill: TokenCount,
     /// The time between tokens, recent and smoothed.
     pub step: Duration,
+    /// The age of the agent's life when this was read; the source of a [`crate::Stamp`].
+    pub age: Duration,
 }
--- a/crates/cw_wire/src/path.rs
+++ b/crates/cw_wire/src/path.rs
@@ -8,6 +8,8 @@
 pub const ACK: &str = "/peer/v1/ack";
 /// `POST` of a [`crate::Cancel`] to an agent; answered by [`crate::Cancelled`].
 pub const CANCEL: &str = "/peer/v1/cancel";
+/// `POST` of a [`crate::Drain`] to an agent.
+pub const DRAIN: &str = "/peer/v1/drain";
 /// `POST` of an [`crate::Order`] to an agent; answered by [`crate::OrderAnswer`].
 pub const ORDERS: &str = "/peer/v1/orders";
 /// `POST` of a [`crate::Report`] to an entry that relays.
