Decide attempts, admission and orders at the agent

The attempt table keeps what a target runs, waits for and has ended; admission limits it by the time between tokens and the engine's cache; the order guard refuses orders of deposed planners.

--- /dev/null
+++ b/crates/cw_policy/src/admission/mod.rs
@@ -0,0 +1,12 @@
+//! What a target's agent lets run, and in which order.
+
+mod adaptive_limit;
+mod admission_control;
+mod fair_queue;
+
+pub use adaptive_limit::AdaptiveLimit;
+pub use admission_control::AdmissionControl;
+pub use admission_control::AdmissionLimits;
+pub use admission_control::Offer;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Ticket;
--- /dev/null
+++ b/crates/cw_policy/src/fencing.rs
@@ -0,0 +1,100 @@
+//! Which orders an agent passes on to its engine.
+
+use std::collections::BTreeMap;
+
+use cw_types::FencingNumber;
+use cw_wire::Order;
+use cw_wire::OrderAnswer;
+
+/// How many orders of one fencing number are remembered.
+const REMEMBERED: usize = 256;
+
+/// What to do with an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderStep {
+    /// Answer, without asking the engine.
+    Answer(OrderAnswer),
+    /// Pass it on to the engine.
+    Pass,
+}
+
+/// Guards an engine from orders of a deposed planner, also one that ignores fencing numbers.
+#[derive(Clone, Debug, Default)]
+pub struct OrderGuard {
+    highest: FencingNumber,
+    answers: BTreeMap<u64, OrderAnswer>,
+}
+
+impl OrderGuard {
+    /// Returns the highest fencing number seen.
+    pub fn highest(&self) -> FencingNumber {
+        self.highest
+    }
+
+    /// Decides about an order; `pinned` counts the live generations of a version to unload.
+    pub fn on_order(&mut self, order: &Order, pinned: u32) -> OrderStep {
+        if order.fencing < self.highest {
+            return self.fenced();
+        }
+        if order.fencing > self.highest {
+            self.highest = order.fencing;
+            self.answers.clear();
+        }
+        if let Some(answer) = self.answers.get(&order.sequence) {
+            return OrderStep::Answer(answer.clone());
+        }
+        if self.is_forgotten(order.sequence) {
+            let message = "the order is older than those remembered".to_owned();
+            return OrderStep::Answer(OrderAnswer::Failed { message });
+        }
+        if pinned > 0 {
+            let generations = pinned;
+            return OrderStep::Answer(OrderAnswer::Pinned { generations });
+        }
+        self.remember(order.sequence, OrderAnswer::Begun);
+        OrderStep::Pass
+    }
+
+    /// Takes in the engine's answer to an order that was passed on.
+    pub fn on_answer(&mut self, order: &Order, answer: &OrderAnswer) {
+        if order.fencing != self.highest {
+            return;
+        }
+        match answer {
+            // Nothing is known to be done, so a repeat is passed on again.
+            OrderAnswer::Failed { .. } => {
+                self.answers.remove(&order.sequence);
+            }
+            answer => self.remember(order.sequence, answer.clone()),
+        }
+    }
+
+    /// Takes in a higher number that the engine has seen.
+    pub fn on_highest(&mut self, highest: FencingNumber) {
+        if highest > self.highest {
+            self.highest = highest;
+            self.answers.clear();
+        }
+    }
+
+    fn fenced(&self) -> OrderStep {
+        let highest = self.highest;
+        OrderStep::Answer(OrderAnswer::Fenced { highest })
+    }
+
+    fn is_forgotten(&self, sequence: u64) -> bool {
+        let full = self.answers.len() >= REMEMBERED;
+        full && self
+            .answers
+            .keys()
+            .next()
+            .is_some_and(|&low| sequence < low)
+    }
+
+    fn remember(&mut self, sequence: u64, answer: OrderAnswer) {
+        self.answers.insert(sequence, answer);
+        while self.answers.len() > REMEMBERED {
+            self.answers.pop_first();
+        }
+    }
+}
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,10 +4,35 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
+//! - [`OrderGuard`]: which orders an agent passes on.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 
+mod admission;
+mod attempt;
+mod fencing;
 mod view;
 
+pub use admission::AdaptiveLimit;
+pub use admission::AdmissionControl;
+pub use admission::AdmissionLimits;
+pub use admission::FairQueue;
+pub use admission::Offer;
+pub use admission::Ticket;
+pub use attempt::AttemptAnswer;
+pub use attempt::AttemptLimits;
+pub use attempt::AttemptStep;
+pub use attempt::AttemptTable;
+pub use attempt::Chunk;
+pub use attempt::CrashLog;
+pub use attempt::End;
+pub use attempt::Flow;
+pub use attempt::Output;
+pub use attempt::ReadStep;
+pub use attempt::Reader;
+pub use attempt::TargetGate;
+pub use fencing::OrderGuard;
+pub use fencing::OrderStep;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
