--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,8 +4,10 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 
+pub mod slo;
 mod view;
 
 pub use view::EntryPeer;
--- /dev/null
+++ b/crates/cw_policy/src/slo/objective.rs
@@ -0,0 +1,117 @@
+//! What is promised.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use cw_macro::data;
+use cw_types::units::Span;
+use serde_with::serde_as;
+use snafu::Snafu;
+
+/// The kinds of promises.
+#[data(Copy, Eq, Hash, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Objective {
+    /// The first token comes in time.
+    FirstToken,
+    /// The next token comes in time.
+    TokenGap,
+    /// A stream goes on in time after its target was lost.
+    Resume,
+    /// An accepted request gets its whole answer.
+    Whole,
+    /// A refusal is proven: the request was not run.
+    Refusal,
+}
+
+/// Text that names no objective.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("unknown objective {text:?}"))]
+pub struct ObjectiveError {
+    /// The text found.
+    pub text: String,
+}
+
+impl Objective {
+    /// Every objective, in the order of reports.
+    pub const ALL: [Objective; 5] = [
+        Objective::FirstToken,
+        Objective::TokenGap,
+        Objective::Resume,
+        Objective::Whole,
+        Objective::Refusal,
+    ];
+
+    /// Returns the name used in metrics and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Objective::FirstToken => "first_token",
+            Objective::TokenGap => "token_gap",
+            Objective::Resume => "resume",
+            Objective::Whole => "whole",
+            Objective::Refusal => "refusal",
+        }
+    }
+}
+
+impl fmt::Display for Objective {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for Objective {
+    type Err = ObjectiveError;
+
+    fn from_str(text: &str) -> Result<Self, ObjectiveError> {
+        Objective::ALL
+            .into_iter()
+            .find(|objective| objective.as_str() == text)
+            .ok_or_else(|| ObjectiveError {
+                text: text.to_owned(),
+            })
+    }
+}
+
+/// The limits of time, and the fraction of events that must be good.
+#[serde_as]
+#[data]
+#[serde(default, deny_unknown_fields)]
+pub struct Objectives {
+    /// The first token's limit.
+    #[serde_as(as = "Span")]
+    pub first_token: Duration,
+    /// The limit between tokens.
+    #[serde_as(as = "Span")]
+    pub token_gap: Duration,
+    /// The limit from a loss until output goes on.
+    #[serde_as(as = "Span")]
+    pub resume: Duration,
+    /// The fraction of tokens, first and later ones, within their limit.
+    pub timely: f64,
+    /// The fraction of answers that are whole, resumes in time and refusals proven.
+    pub kept: f64,
+}
+
+impl Default for Objectives {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(1500),
+            token_gap: Duration::from_millis(78),
+            resume: Duration::from_secs(4),
+            timely: 0.95,
+            kept: 0.999,
+        }
+    }
+}
+
+impl Objectives {
+    /// Returns the fraction of events that must be good.
+    pub fn fraction(&self, objective: Objective) -> f64 {
+        match objective {
+            Objective::FirstToken | Objective::TokenGap => self.timely,
+            Objective::Resume | Objective::Whole | Objective::Refusal => self.kept,
+        }
+    }
+}
