--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -12,6 +12,7 @@
 mod json_log;
 mod peer_client;
 mod settings;
+mod slo_metrics;
 mod start_error;
 mod supervisor;
 
@@ -42,5 +43,7 @@
 pub use settings::SettingsError;
 pub use settings::TargetSettings;
 pub use settings::read;
+pub use slo_metrics::SharedSlo;
+pub use slo_metrics::SloMetrics;
 pub use start_error::StartError;
 pub use supervisor::Supervisor;
