Add clients of the key-value service, host list and weight store

The daemon could not reach the platform. Add HTTP clients that keep apart a call that had no effect (Unavailable) and one whose answer was lost (Lost); a write goes on to the next gateway only in the first case.

--- /dev/null
+++ b/crates/cw_store/src/etcd/json.rs
@@ -0,0 +1,238 @@
+//! The messages of the gateway, in protocol buffers' published JSON mapping.
+//!
+//! Bytes are base64 text, 64-bit numbers are text, and a field at its default is left out.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DisplayFromStr;
+use serde_with::base64::Base64;
+use serde_with::serde_as;
+use serde_with::skip_serializing_none;
+
+use crate::ModRevision;
+use crate::StoreError;
+use crate::Versioned;
+
+/// The head of every answer.
+#[serde_as]
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Header {
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) revision: i64,
+}
+
+#[serde_as]
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct KeyValuePair {
+    #[serde_as(as = "Base64")]
+    key: Vec<u8>,
+    #[serde_as(as = "Base64")]
+    value: Vec<u8>,
+    #[serde_as(as = "DisplayFromStr")]
+    create_revision: i64,
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) mod_revision: i64,
+}
+
+impl KeyValuePair {
+    pub(super) fn key(&self) -> Result<String, StoreError> {
+        String::from_utf8(self.key.clone()).map_err(|error| StoreError::Protocol {
+            message: error.to_string(),
+        })
+    }
+
+    pub(super) fn versioned(self) -> Result<Versioned, StoreError> {
+        Ok(Versioned {
+            key: self.key()?,
+            value: Bytes::from(self.value),
+            created: ModRevision(self.create_revision),
+            modified: ModRevision(self.mod_revision),
+        })
+    }
+}
+
+#[skip_serializing_none]
+#[derive(Debug, Serialize)]
+pub(super) struct RangeRequest {
+    pub(super) key: String,
+    pub(super) range_end: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct RangeResponse {
+    pub(super) kvs: Vec<KeyValuePair>,
+}
+
+/// What a transaction expects of its key.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Debug, Serialize)]
+pub(super) struct Compare {
+    key: String,
+    result: &'static str,
+    target: &'static str,
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    mod_revision: Option<i64>,
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    create_revision: Option<i64>,
+}
+
+impl Compare {
+    /// Expects that the key was last changed at `expected`, or does not exist.
+    pub(super) fn new(key: &str, expected: Option<ModRevision>) -> Self {
+        Self {
+            key: encode(key),
+            result: "EQUAL",
+            target: if expected.is_some() { "MOD" } else { "CREATE" },
+            mod_revision: expected.map(|revision| revision.0),
+            create_revision: expected.is_none().then_some(0),
+        }
+    }
+}
+
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Debug, Serialize)]
+pub(super) struct PutRequest {
+    pub(super) key: String,
+    pub(super) value: String,
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub(super) lease: Option<i64>,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) enum Operation {
+    #[serde(rename = "requestPut")]
+    Put(PutRequest),
+    #[serde(rename = "requestDeleteRange")]
+    Delete(RangeRequest),
+    #[serde(rename = "requestRange")]
+    Range(RangeRequest),
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct TxnRequest {
+    pub(super) compare: Vec<Compare>,
+    pub(super) success: Vec<Operation>,
+    pub(super) failure: Vec<Operation>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct OperationResponse {
+    #[serde(alias = "responseRange")]
+    pub(super) response_range: Option<RangeResponse>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct TxnResponse {
+    pub(super) header: Header,
+    pub(super) succeeded: bool,
+    pub(super) responses: Vec<OperationResponse>,
+}
+
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub(super) struct GrantRequest {
+    #[serde(rename = "TTL")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) ttl: u64,
+}
+
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub(super) struct LeaseRequest {
+    #[serde(rename = "ID")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) id: i64,
+}
+
+#[serde_as]
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) id: i64,
+    #[serde(rename = "TTL")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) ttl: u64,
+}
+
+/// One message of an answer that streams.
+#[derive(Debug, Deserialize)]
+pub(super) struct Streamed<T> {
+    pub(super) result: T,
+}
+
+#[serde_as]
+#[derive(Debug, Serialize)]
+pub(super) struct WatchCreate {
+    pub(super) key: String,
+    pub(super) range_end: String,
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) start_revision: i64,
+    pub(super) progress_notify: bool,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct WatchRequest {
+    pub(super) create_request: WatchCreate,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub(super) enum EventType {
+    #[default]
+    Put,
+    Delete,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Event {
+    #[serde(rename = "type")]
+    pub(super) kind: EventType,
+    pub(super) kv: KeyValuePair,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct WatchResponse {
+    pub(super) header: Header,
+    pub(super) canceled: bool,
+    pub(super) events: Vec<Event>,
+}
+
+/// The body of an answer that is an error.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct ErrorBody {
+    pub(super) code: i32,
+    pub(super) message: String,
+}
+
+/// Writes a key or value as base64.
+pub(super) fn encode(bytes: impl AsRef<[u8]>) -> String {
+    STANDARD.encode(bytes)
+}
+
+/// Returns the first key after all that begin with `prefix`, as base64.
+pub(super) fn range_end(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return encode(end);
+        }
+    }
+    // A single zero byte stands for "to the end" in etcd's interface.
+    encode([0])
+}
--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -5,15 +5,23 @@
 //! - [`WeightStore`]: how fast model weights may be read.
 //!
 //! Each is one trait, so that another deployment's service is one more implementation.
+//! [`EtcdGateway`], [`HttpHostList`] and [`HttpWeightStore`] are those of today's platform.
 
+mod etcd;
 mod host_list;
+mod http_client;
+mod http_host_list;
+mod http_weight_store;
 mod key_value;
 mod weight_store;
 
+pub use etcd::EtcdGateway;
 pub use host_list::Host;
 pub use host_list::HostList;
 pub use host_list::HostRole;
 pub use host_list::HostState;
+pub use http_host_list::HttpHostList;
+pub use http_weight_store::HttpWeightStore;
 pub use key_value::KeyValue;
 pub use key_value::LeaseId;
 pub use key_value::ModRevision;
