Add the messages of relays and configuration, and the record of a drain

A batch of whole reports is too large at 660 targets, processes have to tell which schemas they read, and a drain must be in force everywhere and never revert. Add compact loads, silences and process states to batches (new fields default), messages to pass on configuration, the answer to a report, and the record kind drain: it travels, is audited and is kept as any other record.

--- a/crates/cw_types/src/config.rs
+++ b/crates/cw_types/src/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use snafu::Snafu;
 
+use crate::Drain;
 use crate::ModelVersion;
 use crate::Priority;
 use crate::PriorityName;
@@ -46,6 +47,8 @@
     pub versions: BTreeMap<String, ModelVersion>,
     /// Targets by id.
     pub targets: BTreeMap<TargetId, Target>,
+    /// Drains by the name of the target or host.
+    pub drains: BTreeMap<String, Drain>,
 }
 
 impl Config {
@@ -80,6 +83,13 @@
             .find(|(_, workspace)| owns(workspace))
     }
 
+    /// Returns whether operators drain a target, by its own name or by its host's.
+    pub fn is_drained(&self, id: &TargetId) -> bool {
+        let host = self.targets.get(id).map(|target| target.host.as_str());
+        let named = |name: &str| self.drains.contains_key(name);
+        named(id.as_str()) || host.is_some_and(named)
+    }
+
     fn insert(&mut self, record: &Record) -> Result<(), String> {
         let name = record.name.as_str();
         match record.kind {
@@ -88,6 +98,7 @@
             RecordKind::Priority => put(&mut self.priorities, name, record),
             RecordKind::ModelVersion => put(&mut self.versions, name, record),
             RecordKind::Target => put(&mut self.targets, name, record),
+            RecordKind::Drain => put(&mut self.drains, name, record),
         }
     }
 }
--- a/crates/cw_types/src/lib.rs
+++ b/crates/cw_types/src/lib.rs
@@ -52,6 +52,7 @@
 pub use number::TokenId;
 pub use number::TokenIndex;
 pub use rate::Rate;
+pub use record::Drain;
 pub use record::ModelVersion;
 pub use record::Priority;
 pub use record::Quota;
--- a/crates/cw_types/src/record.rs
+++ b/crates/cw_types/src/record.rs
@@ -40,6 +40,8 @@
     ModelVersion,
     /// A [`Target`].
     Target,
+    /// A [`Drain`].
+    Drain,
 }
 
 impl fmt::Display for RecordKind {
@@ -50,6 +52,7 @@
             RecordKind::Priority => "priority",
             RecordKind::ModelVersion => "model_version",
             RecordKind::Target => "target",
+            RecordKind::Drain => "drain",
         })
     }
 }
@@ -72,6 +75,7 @@
             "priority" => Ok(RecordKind::Priority),
             "model_version" => Ok(RecordKind::ModelVersion),
             "target" => Ok(RecordKind::Target),
+            "drain" => Ok(RecordKind::Drain),
             _ => Err(RecordKeyError {
                 text: text.to_owned(),
             }),
@@ -141,7 +145,8 @@
     pub name: String,
     /// The version of the body's schema.
     pub schema: SchemaVersion,
-    /// The body: one of [`Route`], [`Workspace`], [`Priority`], [`ModelVersion`], [`Target`].
+    /// The body: one of [`Route`], [`Workspace`], [`Priority`], [`ModelVersion`], [`Target`],
+    /// [`Drain`].
     pub body: Map<String, Value>,
 }
 
@@ -318,3 +323,11 @@
     #[serde(default)]
     pub versions: BTreeMap<ModelName, BTreeSet<VersionName>>,
 }
+
+/// An operator's word that a target or host takes no new work. Its name is theirs.
+#[data(Default, Eq)]
+#[serde(default)]
+pub struct Drain {
+    /// Why, for other operators.
+    pub reason: String,
+}
--- a/crates/cw_wire/src/path.rs
+++ b/crates/cw_wire/src/path.rs
@@ -10,11 +10,11 @@
 pub const CANCEL: &str = "/peer/v1/cancel";
 /// `POST` of an [`crate::Order`] to an agent; answered by [`crate::OrderAnswer`].
 pub const ORDERS: &str = "/peer/v1/orders";
-/// `POST` of a [`crate::Report`] to an entry that relays.
+/// `POST` of a [`crate::Report`] to an entry that relays; answered by [`crate::ReportAnswer`].
 pub const REPORTS: &str = "/peer/v1/reports";
 /// `POST` of a [`crate::Batch`] to an entry.
 pub const BATCHES: &str = "/peer/v1/batches";
-/// `POST` of the revision a process has, to an entry; answered by a newer snapshot or none.
+/// `POST` of a [`crate::ConfigAsk`] to an entry; answered by [`crate::ConfigAnswer`].
 pub const CONFIG: &str = "/peer/v1/config";
 
 /// The header that carries the secret shared by the processes.
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -5,14 +5,21 @@
 use std::time::Duration;
 
 use cw_macro::data;
+use cw_types::Change;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::ModelName;
+use cw_types::Record;
+use cw_types::RecordKey;
+use cw_types::RecordKind;
 use cw_types::Revision;
+use cw_types::SchemaVersion;
+use cw_types::Snapshot;
 use cw_types::TargetId;
 use cw_types::VersionName;
 
 use crate::Load;
+use crate::LoadUpdate;
 
 /// A hash of what a request asks: workspace, model and prompt.
 #[data(Copy, Default, Eq, Hash, PartialOrd, Ord)]
@@ -64,6 +71,42 @@
     pub revision: Revision,
 }
 
+/// What a relay tells an agent that reported to it.
+#[data(Copy, Default, Eq)]
+#[serde(default)]
+pub struct ReportAnswer {
+    /// The configuration revision in force at the relay.
+    pub revision: Revision,
+    /// Whether operators drain the target or its host: it takes no new work.
+    pub drained: bool,
+}
+
+/// A target that a relay has not heard from for a while.
+#[data(Eq)]
+pub struct Silence {
+    /// The target.
+    pub target: TargetId,
+    /// The life that was last heard.
+    pub incarnation: Incarnation,
+    /// How long nothing has been heard.
+    pub quiet: Duration,
+}
+
+/// One entry, as it tells of itself.
+#[data(Eq)]
+pub struct ProcessState {
+    /// Its host.
+    pub host: HostId,
+    /// The number of this statement, which rises also over restarts.
+    pub sequence: u64,
+    /// How old the statement is.
+    pub age: Duration,
+    /// The configuration revision in force there.
+    pub revision: Revision,
+    /// The highest schema version that it reads of each kind of record.
+    pub schemas: BTreeMap<RecordKind, SchemaVersion>,
+}
+
 /// Reports that a relay passes on, each with its age at the relay.
 #[data]
 pub struct Batch {
@@ -75,4 +118,50 @@
     pub revision: Revision,
     /// The reports and their ages.
     pub reports: Vec<(Duration, Report)>,
+    /// Newer loads of targets whose reports were passed on before.
+    #[serde(default)]
+    pub loads: Vec<LoadUpdate>,
+    /// Targets that report to this relay and have fallen silent.
+    #[serde(default)]
+    pub silent: Vec<Silence>,
+    /// Entries.
+    #[serde(default)]
+    pub processes: Vec<ProcessState>,
+    /// Whether the relay passes on what other relays told it: such a batch goes no further.
+    #[serde(default)]
+    pub forwarded: bool,
+}
+
+/// Asks a peer for a newer configuration.
+#[data(Copy, Eq)]
+pub struct ConfigAsk {
+    /// The revision that the asking process has.
+    pub have: Revision,
+}
+
+/// The part of a configuration that changed between two revisions.
+#[data]
+pub struct ConfigDelta {
+    /// The revision that it applies to.
+    pub from: Revision,
+    /// The revision that it makes.
+    pub to: Revision,
+    /// The records that were written, with the revision that wrote each.
+    pub written: Vec<(Revision, Record)>,
+    /// The records that were removed.
+    pub removed: Vec<RecordKey>,
+    /// The changes between the two.
+    pub changes: Vec<Change>,
+}
+
+/// A peer's answer to a [`ConfigAsk`].
+#[data]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigAnswer {
+    /// The peer has nothing newer.
+    Current(Revision),
+    /// What changed.
+    Delta(ConfigDelta),
+    /// The whole.
+    Whole(Snapshot),
 }
