Choose a target by affinity, expected wait and distance

An entry needs one function that says where an attempt goes. `choose` filters by liveness, version, adapter and exclusion, weighs a short list (rendezvous order, random draws) by expected wait, distance and the part of the prompt that is not cached, and can be switched to the baselines round robin, least reported load and power of two choices.

Prefix overlap is not learned yet.

--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -5,7 +5,10 @@
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
+//! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
+pub mod prefix;
+pub mod routing;
 mod view;
 
 pub use view::EntryPeer;
--- /dev/null
+++ b/crates/cw_policy/src/routing/choice.rs
@@ -0,0 +1,36 @@
+//! The outcome of a decision.
+
+use cw_types::TargetId;
+use cw_types::Time;
+use rand::Rng;
+
+use super::Index;
+use super::Ledger;
+use super::Policy;
+use super::RouteRequest;
+use crate::View;
+
+/// What to do with an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it to this target.
+    Target(TargetId),
+    /// Every target that could run it has asked for patience: decide again then.
+    Wait {
+        /// When the first of them may be tried again.
+        until: Time,
+    },
+    /// No live target can run it.
+    NoTarget,
+}
+
+/// Chooses a target by the default policy, with an [`Index`] made for this one decision.
+pub fn choose(
+    now: Time,
+    view: &View,
+    request: &RouteRequest,
+    ledger: &Ledger,
+    rng: &mut impl Rng,
+) -> Choice {
+    Index::new(view).choose(now, Policy::default(), request, ledger, rng)
+}
--- /dev/null
+++ b/crates/cw_policy/src/routing/costs.rs
@@ -0,0 +1,36 @@
+//! What the parts of a decision weigh.
+
+use std::time::Duration;
+
+/// What the parts of a decision weigh, as time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Costs {
+    /// The time to process one prompt token that is not cached.
+    pub prefill: Duration,
+    /// How long an attempt holds its place, until some have ended.
+    pub hold: Duration,
+    /// The delay that a full target's batch adds over an empty one's.
+    pub batch: Duration,
+    /// The cost of another availability zone of the same region.
+    pub zone: Duration,
+    /// The cost of another region.
+    pub region: Duration,
+    /// The time over which a target that returned takes up its whole share.
+    pub ramp: Duration,
+    /// How far over the mean utilisation a target may be and still be preferred for its cache.
+    pub bound: f64,
+}
+
+impl Default for Costs {
+    fn default() -> Self {
+        Self {
+            prefill: Duration::from_micros(100),
+            hold: Duration::from_secs(4),
+            batch: Duration::from_millis(100),
+            zone: Duration::from_millis(2),
+            region: Duration::from_millis(60),
+            ramp: Duration::from_secs(10),
+            bound: 1.25,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -0,0 +1,222 @@
+//! The decision itself.
+
+use cw_types::TargetId;
+use cw_types::Time;
+use rand::Rng;
+use rand::RngExt;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Choice;
+use super::Index;
+use super::Ledger;
+use super::Policy;
+use super::RouteRequest;
+use super::estimate::estimate;
+use super::index::Candidate;
+use super::index::Member;
+use super::shortlist::Shortlist;
+use crate::prefix::Holder;
+
+/// How many targets of the rendezvous order are weighed.
+const WALK: usize = 8;
+
+/// How many targets drawn at random are weighed.
+const DRAWS: usize = 4;
+
+/// How many leading blocks of the prompt make the affinity.
+const AFFINITY_BLOCKS: usize = 4;
+
+/// The share of the prompt that the first of the rendezvous order is taken to have cached.
+const ASSUMED: f64 = 0.5;
+
+/// One decision in progress.
+struct Decision<'a> {
+    index: &'a Index,
+    now: Time,
+    request: &'a RouteRequest,
+    ledger: &'a Ledger,
+    /// The mean utilisation, beyond which a cache is not worth its queue.
+    bound: f64,
+}
+
+impl Index {
+    /// Chooses a target for `request`.
+    ///
+    /// A suspect target is chosen only when no other is left.
+    pub fn choose(
+        &self,
+        now: Time,
+        policy: Policy,
+        request: &RouteRequest,
+        ledger: &Ledger,
+        rng: &mut impl Rng,
+    ) -> Choice {
+        let group = self.group(&request.to);
+        let decision = Decision {
+            index: self,
+            now,
+            request,
+            ledger,
+            bound: group.utilisation * self.costs.bound + 0.1,
+        };
+        let alive = decision.among(&group.alive, policy, rng);
+        match alive {
+            Choice::NoTarget => decision.among(&group.suspect, policy, rng),
+            choice => choice,
+        }
+    }
+}
+
+impl Decision<'_> {
+    fn among(&self, members: &[Member], policy: Policy, rng: &mut impl Rng) -> Choice {
+        if members.is_empty() {
+            return Choice::NoTarget;
+        }
+        let chosen = match policy {
+            Policy::Affinity => self.affinity(members, rng),
+            Policy::RoundRobin => self.round_robin(members),
+            Policy::LeastReported => self.least_reported(members),
+            Policy::PowerOfTwo => self.power_of_two(members, rng),
+        };
+        match chosen.or_else(|| self.least_wait(members)) {
+            Some(at) => Choice::Target(self.index.candidates[at].id.clone()),
+            None => self.wait(members),
+        }
+    }
+
+    // -----------------------------------------------------------------------------------------
+
+    /// Returns the cheapest of a short list, unless all of it is full.
+    fn affinity(&self, members: &[Member], rng: &mut impl Rng) -> Option<usize> {
+        let mut list = Shortlist::new();
+        if self.request.wants_cache() {
+            let key = self.key();
+            for member in members {
+                let weight = xxh3_64_with_seed(&member.seed.to_le_bytes(), key);
+                list.offer(weight, member.at, WALK);
+            }
+        }
+        for _ in 0..DRAWS {
+            list.push(members[rng.random_range(0..members.len())].at);
+        }
+        let holders = self.ledger.overlap.holders(&self.request.blocks);
+        let first = list.iter().next();
+        let cost = |at: usize| self.cost(at, first == Some(at), &holders);
+        list.iter()
+            .filter(|&at| self.is_open(at))
+            .map(|at| (cost(at), at))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .filter(|(cost, _)| cost.is_finite())
+            .map(|(_, at)| at)
+    }
+
+    /// Returns what it costs to send the attempt to a candidate, in seconds.
+    fn cost(&self, at: usize, first: bool, holders: &[Holder]) -> f64 {
+        let candidate = &self.index.candidates[at];
+        let costs = &self.index.costs;
+        let estimate = estimate(self.now, candidate, self.ledger, costs);
+        let wait = estimate.wait.as_secs_f64() + self.distance(candidate);
+        if !self.request.wants_cache() {
+            return wait;
+        }
+        let known = holders
+            .iter()
+            .find(|holder| holder.target == candidate.id)
+            .map(|holder| holder.share);
+        let assumed = if first { ASSUMED } else { 0.0 };
+        let share = known.unwrap_or(assumed);
+        let share = if estimate.utilisation > self.bound.max(1.0) {
+            0.0
+        } else {
+            share
+        };
+        let tokens = self.request.tokens.0 as f64 * (1.0 - share);
+        wait + costs.prefill.as_secs_f64() * tokens
+    }
+
+    fn distance(&self, candidate: &Candidate) -> f64 {
+        let costs = &self.index.costs;
+        if candidate.region != self.request.region {
+            costs.region.as_secs_f64()
+        } else if candidate.zone != self.request.zone {
+            costs.zone.as_secs_f64()
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the hash by which all entries order the targets for this prompt alike.
+    fn key(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.request.workspace.as_str().as_bytes());
+        for block in self.request.blocks.iter().take(AFFINITY_BLOCKS) {
+            hash.update(&block.0.to_le_bytes());
+        }
+        hash.digest()
+    }
+
+    // -----------------------------------------------------------------------------------------
+
+    fn round_robin(&self, members: &[Member]) -> Option<usize> {
+        let turn = usize::try_from(self.ledger.turn()).unwrap_or_default();
+        (0..members.len())
+            .map(|step| members[(turn + step) % members.len()].at)
+            .find(|&at| self.is_open(at))
+    }
+
+    fn least_reported(&self, members: &[Member]) -> Option<usize> {
+        members
+            .iter()
+            .map(|member| member.at)
+            .filter(|&at| self.is_open(at))
+            .min_by_key(|&at| self.reported(at))
+    }
+
+    fn power_of_two(&self, members: &[Member], rng: &mut impl Rng) -> Option<usize> {
+        (0..2)
+            .map(|_| members[rng.random_range(0..members.len())].at)
+            .filter(|&at| self.is_open(at))
+            .min_by_key(|&at| self.reported(at))
+    }
+
+    fn reported(&self, at: usize) -> u32 {
+        let load = &self.index.candidates[at].load;
+        load.running.saturating_add(load.waiting)
+    }
+
+    /// Returns the candidate with the shortest expected wait, of all.
+    fn least_wait(&self, members: &[Member]) -> Option<usize> {
+        let wait = |at: usize| {
+            let candidate = &self.index.candidates[at];
+            estimate(self.now, candidate, self.ledger, &self.index.costs).wait
+        };
+        members
+            .iter()
+            .map(|member| member.at)
+            .filter(|&at| self.is_open(at))
+            .min_by_key(|&at| wait(at))
+    }
+
+    // -----------------------------------------------------------------------------------------
+
+    fn is_excluded(&self, id: &TargetId) -> bool {
+        self.request.excluded.contains(id)
+    }
+
+    fn is_open(&self, at: usize) -> bool {
+        let id = &self.index.candidates[at].id;
+        !self.is_excluded(id) && self.ledger.busy_until(id) <= self.now
+    }
+
+    /// Returns when the first busy target may be tried again.
+    fn wait(&self, members: &[Member]) -> Choice {
+        members
+            .iter()
+            .map(|member| &self.index.candidates[member.at].id)
+            .filter(|id| !self.is_excluded(id))
+            .map(|id| self.ledger.busy_until(id))
+            .min()
+            .map_or(Choice::NoTarget, |until| Choice::Wait { until })
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -0,0 +1,54 @@
+//! How loaded a target is now, from a report that is old.
+
+use std::time::Duration;
+
+use cw_types::Time;
+
+use super::Costs;
+use super::Ledger;
+use super::index::Candidate;
+
+/// The smallest share of its limit that a returned target takes.
+const RAMP_FLOOR: f64 = 0.1;
+
+/// How loaded a target is thought to be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Estimate {
+    /// Attempts there, in units of the target's limit.
+    pub(super) utilisation: f64,
+    /// How long a new attempt waits before it starts.
+    pub(super) wait: Duration,
+}
+
+/// Estimates the load of `candidate` from its report and what this entry sent since.
+pub(super) fn estimate(
+    now: Time,
+    candidate: &Candidate,
+    ledger: &Ledger,
+    costs: &Costs,
+) -> Estimate {
+    let load = &candidate.load;
+    let reported = f64::from(load.running) + f64::from(load.waiting);
+    let delta = f64::from(ledger.delta(&candidate.id, candidate.reported));
+    let outstanding = (reported + delta).max(0.0);
+    let limit = f64::from(load.limit.max(1)) * ramp(now, candidate, costs.ramp);
+    let hold = ledger.hold().unwrap_or(costs.hold);
+    let queued = (outstanding + 1.0 - limit).max(0.0);
+    let utilisation = outstanding / limit;
+    let prefill = costs.prefill.as_secs_f64() * load.prefill.0 as f64;
+    let batch = costs.batch.as_secs_f64() * utilisation.min(1.0);
+    let wait = hold.as_secs_f64() * queued / limit + prefill + batch;
+    Estimate {
+        utilisation,
+        wait: Duration::from_secs_f64(wait),
+    }
+}
+
+/// Returns the share of its limit that a target takes, which grows after its return.
+fn ramp(now: Time, candidate: &Candidate, ramp: Duration) -> f64 {
+    if ramp.is_zero() {
+        return 1.0;
+    }
+    let age = now.since(candidate.returned).as_secs_f64();
+    (age / ramp.as_secs_f64()).clamp(RAMP_FLOOR, 1.0)
+}
--- /dev/null
+++ b/crates/cw_policy/src/routing/index.rs
@@ -0,0 +1,174 @@
+//! What a decision needs of a view, worked out once.
+
+use std::collections::BTreeMap;
+
+use cw_types::AdapterName;
+use cw_types::ModelName;
+use cw_types::RegionId;
+use cw_types::RouteTarget;
+use cw_types::TargetId;
+use cw_types::TargetKind;
+use cw_types::Time;
+use cw_types::VersionName;
+use cw_types::ZoneId;
+use cw_wire::Load;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Costs;
+use crate::Liveness;
+use crate::TargetView;
+use crate::View;
+
+/// A target that may be chosen.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate {
+    pub(super) id: TargetId,
+    pub(super) zone: ZoneId,
+    pub(super) region: RegionId,
+    pub(super) load: Load,
+    pub(super) reported: Time,
+    pub(super) returned: Time,
+}
+
+/// A candidate's place in a group, with the hash of its id.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Member {
+    pub(super) seed: u64,
+    pub(super) at: usize,
+}
+
+/// The targets that hold one version, or that are one plain service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Group {
+    /// Those that report.
+    pub(super) alive: Vec<Member>,
+    /// Those that have not reported for a while.
+    pub(super) suspect: Vec<Member>,
+    /// The mean load in units of the limit, of those that report.
+    pub(super) utilisation: f64,
+}
+
+/// The live targets of a view, by what they can run.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    pub(super) candidates: Vec<Candidate>,
+    pub(super) costs: Costs,
+    models: BTreeMap<ModelName, BTreeMap<VersionName, Group>>,
+    services: BTreeMap<String, Group>,
+    adapters: BTreeMap<ModelName, BTreeMap<VersionName, Vec<AdapterName>>>,
+    empty: Group,
+}
+
+impl Index {
+    /// Works out what decisions need of `view`.
+    pub fn new(view: &View) -> Self {
+        let mut index = Self::default();
+        for version in view.config.versions.values() {
+            index
+                .adapters
+                .entry(version.model.clone())
+                .or_default()
+                .entry(version.version.clone())
+                .or_default()
+                .extend(version.adapters.iter().cloned());
+        }
+        for (id, target) in &view.targets {
+            index.insert(id, target);
+        }
+        index.average();
+        index
+    }
+
+    /// Sets what the parts of a decision weigh.
+    #[must_use]
+    pub fn with_costs(mut self, costs: Costs) -> Self {
+        self.costs = costs;
+        self
+    }
+
+    // -----------------------------------------------------------------------------------------
+
+    fn insert(&mut self, id: &TargetId, view: &TargetView) {
+        if !matches!(view.liveness, Liveness::Alive | Liveness::Suspect) {
+            return;
+        }
+        let member = Member {
+            seed: xxh3_64(id.as_str().as_bytes()),
+            at: self.candidates.len(),
+        };
+        self.candidates.push(Candidate {
+            id: id.clone(),
+            zone: view.target.zone.clone(),
+            region: view.target.region.clone(),
+            load: view.load,
+            reported: view.reported,
+            returned: view.returned,
+        });
+        if let TargetKind::Service { service } = &view.target.kind {
+            let group = self.services.entry(service.clone()).or_default();
+            group.insert(member, view.liveness);
+            return;
+        }
+        for (model, versions) in &view.versions {
+            let groups = self.models.entry(model.clone()).or_default();
+            for version in versions {
+                let group = groups.entry(version.clone()).or_default();
+                group.insert(member, view.liveness);
+            }
+        }
+    }
+
+    fn average(&mut self) {
+        let candidates = &self.candidates;
+        let models = self.models.values_mut().flat_map(BTreeMap::values_mut);
+        for group in models.chain(self.services.values_mut()) {
+            let loads = group.alive.iter().map(|member| &candidates[member.at].load);
+            let (busy, limit) = loads.fold((0, 0), |(busy, limit), load| {
+                let outstanding = u64::from(load.running) + u64::from(load.waiting);
+                (busy + outstanding, limit + u64::from(load.limit.max(1)))
+            });
+            group.utilisation = busy as f64 / limit.max(1) as f64;
+        }
+    }
+
+    /// Returns the targets that can run what a request is for.
+    pub(super) fn group(&self, to: &RouteTarget) -> &Group {
+        let found = match to {
+            RouteTarget::Service { service } => self.services.get(service),
+            RouteTarget::Model {
+                model,
+                version,
+                adapter,
+            } => self
+                .models
+                .get(model)
+                .and_then(|versions| versions.get(version))
+                .filter(|_| self.has_adapter(model, version, adapter.as_ref())),
+        };
+        found.unwrap_or(&self.empty)
+    }
+
+    fn has_adapter(
+        &self,
+        model: &ModelName,
+        version: &VersionName,
+        adapter: Option<&AdapterName>,
+    ) -> bool {
+        let Some(adapter) = adapter else {
+            return true;
+        };
+        self.adapters
+            .get(model)
+            .and_then(|versions| versions.get(version))
+            .is_some_and(|adapters| adapters.contains(adapter))
+    }
+}
+
+impl Group {
+    fn insert(&mut self, member: Member, liveness: Liveness) {
+        match liveness {
+            Liveness::Alive => self.alive.push(member),
+            _ => self.suspect.push(member),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/tests/routing/filters.rs
@@ -0,0 +1,116 @@
+//! Which targets may be chosen at all.
+
+use std::time::Duration;
+
+use crate::fixtures::engine;
+use crate::fixtures::id;
+use crate::fixtures::now;
+use crate::fixtures::request;
+use crate::fixtures::view;
+use cw_policy::Liveness;
+use cw_policy::routing::Choice;
+use cw_policy::routing::Index;
+use cw_policy::routing::Ledger;
+use cw_policy::routing::Policy;
+use cw_policy::routing::choose;
+use cw_types::RouteTarget;
+use cw_types::TargetKind;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const POLICIES: [Policy; 4] = [
+    Policy::Affinity,
+    Policy::RoundRobin,
+    Policy::LeastReported,
+    Policy::PowerOfTwo,
+];
+
+#[rstest]
+#[case(Liveness::Down)]
+#[case(Liveness::Leaving)]
+#[case(Liveness::Gone)]
+fn a_target_that_takes_no_work_is_never_chosen(#[case] liveness: Liveness) {
+    let mut view = view(3);
+    for number in [0, 2] {
+        view.targets.get_mut(&id(number)).unwrap().liveness = liveness;
+    }
+    let index = Index::new(&view);
+    for policy in POLICIES {
+        for seed in 0..20 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let choice = index.choose(now(), policy, &request("w"), &Ledger::default(), &mut rng);
+            assert_eq!(choice, Choice::Target(id(1)), "{policy:?}, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_suspect_target_is_chosen_only_when_no_other_is_left() {
+    let mut view = view(2);
+    view.targets.get_mut(&id(0)).unwrap().liveness = Liveness::Suspect;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let ledger = Ledger::default();
+
+    let both = choose(now(), &view, &request("w"), &ledger, &mut rng);
+    let other = choose(
+        now(),
+        &view,
+        &request("w").without(id(1)),
+        &ledger,
+        &mut rng,
+    );
+
+    assert_eq!(both, Choice::Target(id(1)));
+    assert_eq!(other, Choice::Target(id(0)));
+}
+
+#[test]
+fn versions_adapters_and_services_are_hard_filters() {
+    let mut view = view(4);
+    let mut service = engine(9);
+    service.versions.clear();
+    service.target.kind = TargetKind::Service {
+        service: "tiles".to_owned(),
+    };
+    view.targets.insert(id(9), service);
+    let mut rng = SmallRng::seed_from_u64(2);
+    let ledger = Ledger::default();
+    let to = |version: &str, adapter: Option<&str>| RouteTarget::Model {
+        model: "m".parse().unwrap(),
+        version: version.parse().unwrap(),
+        adapter: adapter.map(|name| name.parse().unwrap()),
+    };
+    let mut ask = |to: RouteTarget| {
+        let mut request = request("w");
+        request.to = to;
+        choose(now(), &view, &request, &ledger, &mut rng)
+    };
+
+    assert_eq!(ask(to("v2", None)), Choice::NoTarget);
+    assert_eq!(ask(to("v1", Some("glaze"))), Choice::NoTarget);
+    let service = |name: &str| RouteTarget::Service {
+        service: name.to_owned(),
+    };
+    assert_eq!(ask(service("tiles")), Choice::Target(id(9)));
+    assert_eq!(ask(service("loans")), Choice::NoTarget);
+}
+
+#[test]
+fn busy_targets_are_left_alone_until_they_may_be_tried_again() {
+    let view = view(2);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut ledger = Ledger::default();
+    let first = Duration::from_millis(200);
+    for (number, retry) in [(0, first), (1, Duration::from_millis(500))] {
+        ledger.dispatched(now(), &id(number));
+        ledger.refused(now(), &id(number), retry);
+    }
+
+    let at_once = choose(now(), &view, &request("w"), &ledger, &mut rng);
+    let later = choose(now() + first, &view, &request("w"), &ledger, &mut rng);
+
+    let until = now() + first;
+    assert_eq!(at_once, Choice::Wait { until });
+    assert_eq!(later, Choice::Target(id(0)));
+}
--- /dev/null
+++ b/crates/cw_policy/tests/routing/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the choice of a target.
+
+mod filters;
+mod fixtures;
