--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -6,11 +6,16 @@
 //!
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
+//! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
+//! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
 mod admission;
 mod attempt;
 mod fencing;
+pub mod prefix;
+pub mod routing;
+pub mod slo;
 mod view;
 
 pub use admission::AdaptiveLimit;
