Run attempts at the agent

The agent listens for peers, keeps the attempt table of cw_policy, runs attempts on its engine or plain service, streams frames with heartbeats, watches its target, follows the host list and reports to three relays. Orders are guarded by fencing number and by pinned generations.

--- /dev/null
+++ b/crates/cyclamenwharf/src/agent/engine_client.rs
@@ -0,0 +1,180 @@
+//! Calls to the target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_types::AttemptId;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// How long a connection to the target may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest answer to a control call, in bytes.
+const ANSWER_MAX: usize = 4 << 20;
+
+/// A call to the target that failed.
+#[derive(Debug, Snafu)]
+pub(super) enum EngineError {
+    /// No connection could be made: the call had no effect.
+    #[snafu(display("cannot connect to the target: {message}"))]
+    Connect {
+        /// What happened.
+        message: String,
+    },
+    /// The connection broke after the call may have been read.
+    #[snafu(display("the connection to the target broke: {message}"))]
+    Broken {
+        /// What happened.
+        message: String,
+    },
+    /// No answer came in time.
+    #[snafu(display("no answer from the target in {limit:?}"))]
+    Timeout {
+        /// The limit.
+        limit: Duration,
+    },
+}
+
+/// A client of the one target.
+///
+/// Each call makes a connection of its own: a broken one then says something about its call alone,
+/// and a call that never had a connection is known not to have been read.
+#[derive(Clone, Debug)]
+pub(super) struct EngineClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl EngineClient {
+    /// Returns a client of the target at `address`.
+    pub(super) fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, address }
+    }
+
+    /// Sends a call and returns the head of the answer, with its body to be read.
+    ///
+    /// # Errors
+    ///
+    /// Only `Connect` means that the call had no effect.
+    pub(super) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(body))
+            .map_err(|error| EngineError::Connect {
+                message: error.to_string(),
+            })?;
+        request.headers_mut().extend(headers);
+        self.client.request(request).await.map_err(|error| {
+            let message = error.to_string();
+            match error.is_connect() {
+                true => EngineError::Connect { message },
+                false => EngineError::Broken { message },
+            }
+        })
+    }
+
+    /// Posts JSON and returns the head of the answer, with its body to be read.
+    ///
+    /// # Errors
+    ///
+    /// Only `Connect` means that the call had no effect.
+    pub(super) async fn post<M: Serialize>(
+        &self,
+        path: &str,
+        message: &M,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let body = serde_json::to_vec(message).map_err(|error| EngineError::Connect {
+            message: error.to_string(),
+        })?;
+        let json = http::HeaderValue::from_static("application/json");
+        let headers = HeaderMap::from_iter([(CONTENT_TYPE, json)]);
+        self.send(Method::POST, path, headers, body.into()).await
+    }
+
+    /// Sends a control call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Only `Connect` means that the call had no effect.
+    pub(super) async fn control<M: Serialize>(
+        &self,
+        path: &str,
+        message: Option<&M>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), EngineError> {
+        let work = async {
+            let response = match message {
+                Some(message) => self.post(path, message).await?,
+                None => self.get(path).await?,
+            };
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_MAX)
+                .collect()
+                .await
+                .map_err(|error| EngineError::Broken {
+                    message: error.to_string(),
+                })?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::time::timeout(limit, work)
+            .await
+            .unwrap_or(Err(EngineError::Timeout { limit }))
+    }
+
+    /// Tells the engine to stop an attempt.
+    pub(super) async fn abort(&self, id: AttemptId, limit: Duration) -> Result<(), EngineError> {
+        let message = super::engine_json::Abort {
+            request_id: id.to_string(),
+        };
+        self.control("/v1/abort", Some(&message), limit)
+            .await
+            .map(drop)
+    }
+
+    /// Returns whether the target takes connections.
+    pub(super) async fn connect(&self) -> Result<(), EngineError> {
+        let connection = tokio::net::TcpStream::connect(self.address);
+        match tokio::time::timeout(CONNECT_TIMEOUT, connection).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => Err(EngineError::Connect {
+                message: error.to_string(),
+            }),
+            Err(_) => Err(EngineError::Timeout {
+                limit: CONNECT_TIMEOUT,
+            }),
+        }
+    }
+
+    async fn get(&self, path: &str) -> Result<Response<Incoming>, EngineError> {
+        self.send(Method::GET, path, HeaderMap::new(), Bytes::new())
+            .await
+    }
+}
--- a/crates/cyclamenwharf/src/agent/mod.rs
+++ b/crates/cyclamenwharf/src/agent/mod.rs
@@ -1,46 +1,27 @@
 //! The agent beside one target.
+//!
+//! [`Agent::start`] wires the parts together: servers for peers and operators, the attempt table
+//! of `cw_policy` with one task per running attempt, a monitor of the target and a reporter.
 
-use std::net::SocketAddr;
+mod admin_api;
+mod agent_handle;
+mod agent_state;
+mod call_runner;
+mod engine_client;
+mod engine_json;
+mod frame_stream;
+mod generate_runner;
+mod host_watch;
+mod leaving;
+mod metrics;
+mod monitor;
+mod order_runner;
+mod peer_api;
+mod relays;
+mod reporter;
+mod server;
+mod signal;
+mod sse;
 
-use crate::AgentSettings;
-use crate::StartError;
-use crate::Supervisor;
-
-/// The agent beside one target.
-#[derive(Debug)]
-pub struct Agent;
-
-/// A running agent.
-#[derive(Debug)]
-pub struct AgentHandle {
-    /// Where it listens for other processes.
-    pub peers: SocketAddr,
-    /// Where it listens for operators.
-    pub admin: SocketAddr,
-    supervisor: Supervisor,
-}
-
-impl Agent {
-    /// Starts an agent on the present runtime.
-    ///
-    /// # Errors
-    ///
-    /// Fails when an address cannot be listened on.
-    pub async fn start(settings: AgentSettings) -> Result<AgentHandle, StartError> {
-        Ok(AgentHandle {
-            peers: settings.listen.peers,
-            admin: settings.listen.admin,
-            supervisor: Supervisor::new("agent"),
-        })
-    }
-}
-
-impl AgentHandle {
-    /// Takes no new work, and returns when all work in progress has ended.
-    pub async fn drain(&self) {}
-
-    /// Stops at once, as a killed process would.
-    pub fn kill(&self) {
-        self.supervisor.stop();
-    }
-}
+pub use agent_handle::Agent;
+pub use agent_handle::AgentHandle;
--- /dev/null
+++ b/crates/cyclamenwharf/src/agent/order_runner.rs
@@ -0,0 +1,95 @@
+//! Passes orders on to the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_policy::OrderStep;
+use cw_wire::Order;
+use cw_wire::OrderAnswer;
+use cw_wire::OrderKind;
+use http::StatusCode;
+
+use super::agent_state::AgentState;
+use super::agent_state::lock;
+use super::engine_json::OrderBody;
+use super::engine_json::OrderFenced;
+use super::engine_json::OrderState;
+use super::engine_json::OrderTaken;
+
+/// How long the engine may take to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs an order, or answers why not.
+pub(super) async fn run(state: &Arc<AgentState>, order: &Order) -> OrderAnswer {
+    if let OrderStep::Answer(answer) = admit(state, order) {
+        return answer;
+    }
+    let answer = pass(state, order).await;
+    lock(&state.orders).on_answer(order, &answer);
+    if let (OrderKind::Unload { model, version }, OrderAnswer::Failed { .. }) =
+        (&order.kind, &answer)
+    {
+        state.tell(|table, _| {
+            table.on_unloading(model, version, false);
+            Vec::new()
+        });
+    }
+    state.check.notify_one();
+    answer
+}
+
+/// Decides, and closes the version to new work in the same moment in which nothing is pinned.
+fn admit(state: &Arc<AgentState>, order: &Order) -> OrderStep {
+    let mut orders = lock(&state.orders);
+    state.decide(|table, _| {
+        let OrderKind::Unload { model, version } = &order.kind else {
+            return (orders.on_order(order, 0), Vec::new());
+        };
+        let step = orders.on_order(order, table.pinned(model, version));
+        if step == OrderStep::Pass {
+            table.on_unloading(model, version, true);
+        }
+        (step, Vec::new())
+    })
+}
+
+async fn pass(state: &Arc<AgentState>, order: &Order) -> OrderAnswer {
+    let body = OrderBody {
+        fencing: order.fencing,
+        sequence: order.sequence,
+        order: &order.kind,
+    };
+    let sent = state
+        .engine
+        .control("/v1/orders", Some(&body), ORDER_TIMEOUT)
+        .await;
+    match sent {
+        Ok((status, bytes)) => read(state, status, &bytes),
+        Err(error) => OrderAnswer::Failed {
+            message: error.to_string(),
+        },
+    }
+}
+
+fn read(state: &Arc<AgentState>, status: StatusCode, bytes: &[u8]) -> OrderAnswer {
+    let failed = || OrderAnswer::Failed {
+        message: String::from_utf8_lossy(bytes).into_owned(),
+    };
+    match status {
+        StatusCode::OK => match serde_json::from_slice::<OrderTaken>(bytes) {
+            Ok(taken) => match taken.state {
+                OrderState::Done => OrderAnswer::Done,
+                OrderState::Begun => OrderAnswer::Begun,
+            },
+            Err(_) => failed(),
+        },
+        StatusCode::CONFLICT => match serde_json::from_slice::<OrderFenced>(bytes) {
+            Ok(OrderFenced { highest }) => {
+                lock(&state.orders).on_highest(highest);
+                OrderAnswer::Fenced { highest }
+            }
+            Err(_) => failed(),
+        },
+        _ => failed(),
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/agent/reporter.rs
@@ -0,0 +1,67 @@
+//! Reports the target's state to relays.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_store::Host;
+use cw_wire::Report;
+use cw_wire::ReportAnswer;
+use cw_wire::path;
+use futures::future::join_all;
+use log::debug;
+use tokio::sync::watch;
+
+use super::agent_state::AgentState;
+use super::relays;
+use crate::PeerClient;
+
+/// How long a relay may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reports for as long as the agent lives, and at once when something changes.
+pub(super) async fn run(state: Arc<AgentState>, mut hosts: watch::Receiver<Arc<Vec<Host>>>) {
+    let secret = state.settings.secrets.peers.first();
+    let client = PeerClient::new(secret.map(String::as_str).unwrap_or_default());
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let list = hosts.borrow_and_update().clone();
+        send(&state, &client, &list, &report(&state, sequence)).await;
+        tokio::select! {
+            () = tokio::time::sleep(state.settings.engine.report) => {}
+            () = state.report.notified() => {}
+            Ok(()) = hosts.changed() => {}
+        }
+    }
+}
+
+fn report(state: &AgentState, sequence: u64) -> Report {
+    let revision = state.leaving().revision();
+    state.look(|table, now| Report {
+        target: state.settings.target.id.clone(),
+        host: state.settings.host.clone(),
+        incarnation: table.incarnation(),
+        sequence,
+        state: table.gate().state(),
+        load: table.load(now),
+        versions: table.gate().versions(),
+        crashes: table.crashes(),
+        revision,
+    })
+}
+
+async fn send(state: &Arc<AgentState>, client: &PeerClient, hosts: &[Host], report: &Report) {
+    let settings = &state.settings;
+    let relays = relays::choose(hosts, &settings.region, &settings.target.id);
+    let calls = relays
+        .iter()
+        .map(|host| client.call(host.peers, path::REPORTS, report, TIMEOUT));
+    for answer in join_all(calls).await {
+        match answer {
+            Ok(ReportAnswer { revision, drained }) => {
+                state.set_leaving(|leaving| leaving.on_relay(revision, drained));
+            }
+            Err(error) => debug!("a relay did not take a report: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/agent/server.rs
@@ -0,0 +1,42 @@
+//! Starts the agent's servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::ApiDescription;
+use dropshot::ConfigDropshot;
+use dropshot::HandlerTaskMode;
+use dropshot::HttpServer;
+use dropshot::ServerBuilder;
+
+use super::agent_state::AgentState;
+use crate::StartError;
+
+/// The largest message from a peer, in bytes.
+const MESSAGE_MAX: usize = 16 << 20;
+
+/// Starts a server.
+///
+/// # Errors
+///
+/// Fails when `address` cannot be listened on.
+pub(super) fn start(
+    address: SocketAddr,
+    api: ApiDescription<Arc<AgentState>>,
+    state: &Arc<AgentState>,
+) -> Result<HttpServer<Arc<AgentState>>, StartError> {
+    let config = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: MESSAGE_MAX,
+        // An event is taken in whole even when its sender does not wait for the answer.
+        default_handler_task_mode: HandlerTaskMode::Detached,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    ServerBuilder::new(api, Arc::clone(state), log)
+        .config(config)
+        .start()
+        .map_err(|error| StartError {
+            message: format!("{address}: {error}"),
+        })
+}
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod health;
 mod json_log;
+mod peer_auth;
 mod peer_client;
 mod settings;
 mod slo_metrics;
--- /dev/null
+++ b/crates/cyclamenwharf/tests/agent/attempts.rs
@@ -0,0 +1,293 @@
+//! Attempts on an engine.
+
+use std::time::Duration;
+
+use cw_types::ByteSize;
+use cw_types::Ran;
+use cw_types::TargetKind;
+use cw_types::TokenCount;
+use cw_types::TokenId;
+use cw_types::TokenIndex;
+use cw_wire::Ack;
+use cw_wire::Attach;
+use cw_wire::Cancel;
+use cw_wire::Cancelled;
+use cw_wire::Failure;
+use cw_wire::Finish;
+use cw_wire::Frame;
+use cw_wire::Reason;
+use cw_wire::Work;
+use cw_wire::path;
+use cyclamenwharf::PeerClient;
+use cyclamenwharf::PeerError;
+use futures::StreamExt;
+use rstest::rstest;
+use serde_json::json;
+
+use super::fake_engine::FakeEngine;
+use super::fixtures::HANG;
+use super::fixtures::Rig;
+use super::fixtures::attempt;
+use super::fixtures::generate;
+use super::fixtures::next;
+use super::fixtures::tokens;
+use super::fixtures::until;
+use super::fixtures::within;
+
+fn is_not_run(frame: Option<Frame>, expected: Reason) -> bool {
+    matches!(frame, Some(Frame::NotRun { reason, .. }) if reason == expected)
+}
+
+#[rstest]
+#[tokio::test]
+async fn tokens_pass_from_the_engine_to_the_entry() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut work = generate();
+    work.so_far = vec![TokenId(50), TokenId(51)];
+    let mut dispatch = rig.dispatch(attempt(1, 2));
+    dispatch.from = TokenIndex(2);
+    dispatch.work = Work::Generate(work);
+
+    let mut frames = rig.send(&dispatch).await;
+    let call = engine.received().await;
+    call.accept(4);
+    call.token(52);
+    let accepted = next(&mut frames).await;
+    let first = tokens(&mut frames).await;
+    call.finish();
+
+    assert!(matches!(accepted, Some(Frame::Accepted { cached, .. }) if cached == TokenCount(4)));
+    assert_eq!(first, (2, vec![52]));
+    let done = Frame::Done {
+        finish: Finish::Stop,
+        next: TokenIndex(3),
+    };
+    assert_eq!(next(&mut frames).await, Some(done));
+    assert_eq!(next(&mut frames).await, None);
+    assert_eq!(call.body["request_id"], json!(attempt(1, 2).to_string()));
+    assert_eq!(call.body["output_so_far"], json!([50, 51]));
+    assert_eq!(call.body["max_tokens"], json!(998));
+    assert_eq!(call.body["seed"], json!(7));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_repeated_dispatch_attaches_and_replays() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut dispatch = rig.dispatch(attempt(1, 1));
+    let mut first = rig.send(&dispatch).await;
+    let call = engine.received().await;
+    call.token(1);
+    call.token(2);
+    next(&mut first).await;
+    tokens(&mut first).await;
+    drop(first);
+
+    dispatch.repeat = true;
+    dispatch.from = TokenIndex(1);
+    let mut second = rig.send(&dispatch).await;
+    let accepted = next(&mut second).await;
+    let replayed = tokens(&mut second).await;
+    call.token(3);
+
+    assert!(matches!(accepted, Some(Frame::Accepted { .. })));
+    assert_eq!(replayed, (1, vec![2]));
+    assert_eq!(tokens(&mut second).await, (2, vec![3]));
+    assert!(!engine.has_call());
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_generation_is_found_by_its_workspace_only() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let _frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let call = engine.received().await;
+    call.token(1);
+    let attach = |workspace: &str| Attach {
+        generation: attempt(1, 1).generation,
+        workspace: workspace.parse().unwrap(),
+        from: TokenIndex(0),
+    };
+
+    let mut own = rig.frames(path::ATTACH, &attach("partagez")).await;
+    let mut foreign = rig.frames(path::ATTACH, &attach("office")).await;
+
+    assert!(matches!(next(&mut own).await, Some(Frame::Accepted { .. })));
+    assert_eq!(tokens(&mut own).await, (0, vec![1]));
+    assert!(is_not_run(next(&mut foreign).await, Reason::Unknown));
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_attempt_cancelled_before_it_was_seen_never_runs() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let id = attempt(1, 1);
+    let stamp = rig.stamp();
+
+    let cancelled: Cancelled = rig.call(path::CANCEL, &Cancel { id, stamp }).await;
+    let mut frames = rig.send(&rig.dispatch(id)).await;
+
+    assert_eq!(cancelled.ran, Ran::No);
+    assert!(is_not_run(next(&mut frames).await, Reason::Cancelled));
+    assert!(!engine.has_call());
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_cancel_reaches_the_engine() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let id = attempt(1, 1);
+    let stamp = rig.stamp();
+    let mut frames = rig.send(&rig.dispatch(id)).await;
+    let call = engine.received().await;
+
+    let cancelled: Cancelled = rig.call(path::CANCEL, &Cancel { id, stamp }).await;
+
+    assert_eq!(cancelled.ran, Ran::Partly);
+    let frame = next(&mut frames).await;
+    assert!(matches!(
+        frame,
+        Some(Frame::Failed {
+            failure: Failure::Cancelled,
+            ..
+        })
+    ));
+    let shared = engine.shared.clone();
+    until(|| *shared.aborted.lock().unwrap() == [id.to_string()]).await;
+    until(|| call.is_closed()).await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn the_death_of_the_engine_is_told_at_once() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let call = engine.received().await;
+    call.token(1);
+    next(&mut frames).await;
+    tokens(&mut frames).await;
+
+    call.break_off();
+
+    let failed = Frame::Failed {
+        failure: Failure::TargetLost,
+        ran: Ran::Partly,
+        next: TokenIndex(1),
+    };
+    assert_eq!(next(&mut frames).await, Some(failed));
+}
+
+#[rstest]
+#[tokio::test]
+async fn heartbeats_tell_how_long_the_engine_is_quiet() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let _call = engine.received().await;
+
+    let mut beats = Vec::new();
+    while beats.len() < 3 {
+        match within(frames.next()).await.flatten() {
+            Some(Frame::Heartbeat { quiet }) => beats.push(quiet),
+            other => panic!("expected a heartbeat, found {other:?}"),
+        }
+    }
+
+    assert!(beats.is_sorted(), "{beats:?}");
+    assert!(beats[2] > beats[0], "{beats:?}");
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_wrong_secret_is_refused() {
+    let engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let stranger = PeerClient::new("guess");
+    let dispatch = rig.dispatch(attempt(1, 1));
+
+    let answer = stranger
+        .frames(rig.agent.peers, path::ATTEMPTS, &dispatch, HANG)
+        .await;
+
+    assert!(matches!(answer.err(), Some(PeerError::Status { status, .. }) if status == 401));
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_attempt_of_an_earlier_life_is_not_run_and_its_outcome_is_open() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut late = rig.dispatch(attempt(1, 1));
+    late.stamp.incarnation.0 -= 1;
+    let mut repeated = rig.dispatch(attempt(2, 1));
+    repeated.stamp.incarnation.0 -= 1;
+    repeated.repeat = true;
+    let cancel = Cancel {
+        id: attempt(3, 1),
+        stamp: late.stamp,
+    };
+
+    let mut first = rig.send(&late).await;
+    let mut second = rig.send(&repeated).await;
+    let cancelled: Cancelled = rig.call(path::CANCEL, &cancel).await;
+
+    assert!(is_not_run(next(&mut first).await, Reason::Expired));
+    let frame = next(&mut second).await;
+    assert!(matches!(
+        frame,
+        Some(Frame::Failed {
+            ran: Ran::Unknown,
+            ..
+        })
+    ));
+    assert_eq!(cancelled.ran, Ran::Unknown);
+    assert!(!engine.has_call());
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_slow_entry_holds_the_engine_back_and_gets_everything() {
+    let mut engine = FakeEngine::start();
+    let kind = TargetKind::Engine;
+    let rig = Rig::start_with(engine.server.local_addr(), kind, |settings| {
+        settings.engine.running = 8;
+        settings.engine.kept = ByteSize::kib(64);
+    })
+    .await;
+    let mut frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let call = engine.received().await;
+    let count = 20_000;
+    for id in 0..count {
+        call.token(id);
+    }
+    call.finish();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(kept_bytes(&rig).await < 64 << 10);
+
+    let mut received = Vec::new();
+    while let Some(frame) = next(&mut frames).await {
+        if let Frame::Tokens { first, tokens } = frame {
+            assert_eq!(first.0, received.len() as u64);
+            received.extend(tokens.iter().map(|token| token.id.0));
+            let id = attempt(1, 1);
+            let next = TokenIndex(received.len() as u64);
+            rig.call::<_, ()>(path::ACK, &Ack { id, next }).await;
+        }
+    }
+
+    assert!(received.iter().copied().eq(0..count));
+}
+
+async fn kept_bytes(rig: &Rig) -> u64 {
+    let text = super::reports::text(rig.agent.admin, "/metrics").await;
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("cyclamenwharf_agent_kept_bytes "));
+    line.unwrap().parse().unwrap()
+}
--- /dev/null
+++ b/crates/cyclamenwharf/tests/agent/calls.rs
@@ -0,0 +1,112 @@
+//! Attempts on a plain service.
+
+use bytes::Bytes;
+use cw_types::Ran;
+use cw_types::TargetKind;
+use cw_types::TokenIndex;
+use cw_wire::Dispatch;
+use cw_wire::Failure;
+use cw_wire::Finish;
+use cw_wire::Frame;
+use cw_wire::Work;
+use rstest::rstest;
+use serde_json::json;
+
+use super::fake_engine::FakeEngine;
+use super::fixtures::Rig;
+use super::fixtures::attempt;
+use super::fixtures::call;
+use super::fixtures::dispatch;
+use super::fixtures::next;
+
+async fn start(engine: &FakeEngine) -> Rig {
+    let service = "notices".to_owned();
+    let kind = TargetKind::Service { service };
+    Rig::start_with(engine.server.local_addr(), kind, |_| {}).await
+}
+
+fn notice(rig: &Rig) -> Dispatch {
+    let mut dispatch = dispatch(attempt(1, 1), rig.stamp(), Work::Call(call()));
+    dispatch.idempotent = false;
+    dispatch
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_answer_passes_from_the_service_to_the_entry() {
+    let mut service = FakeEngine::start();
+    let rig = start(&service).await;
+
+    let mut frames = rig.send(&notice(&rig)).await;
+    let call = service.received().await;
+    call.bytes(Bytes::from_static(b"sent"));
+    drop_after(call);
+
+    assert!(matches!(
+        next(&mut frames).await,
+        Some(Frame::Accepted { .. })
+    ));
+    let head = next(&mut frames).await;
+    assert!(matches!(head, Some(Frame::Head { status: 200, .. })));
+    let body = Frame::Body {
+        offset: 0,
+        bytes: Bytes::from_static(b"sent"),
+    };
+    assert_eq!(next(&mut frames).await, Some(body));
+    let done = Frame::Done {
+        finish: Finish::Stop,
+        next: TokenIndex(4),
+    };
+    assert_eq!(next(&mut frames).await, Some(done));
+}
+
+/// Ends the answer of a call.
+fn drop_after(call: super::fake_engine::Received) {
+    assert_eq!(call.body, json!({"amount": 12}));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_service_lost_after_the_call_was_sent_leaves_the_outcome_open() {
+    let mut service = FakeEngine::start();
+    let rig = start(&service).await;
+
+    let mut frames = rig.send(&notice(&rig)).await;
+    let call = service.received().await;
+    call.break_off();
+
+    let mut last = None;
+    while let Some(frame) = next(&mut frames).await {
+        last = Some(frame);
+    }
+    let failed = Frame::Failed {
+        failure: Failure::TargetLost,
+        ran: Ran::Unknown,
+        next: TokenIndex(0),
+    };
+    assert_eq!(last, Some(failed));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_repeated_call_reaches_the_service_once() {
+    let mut service = FakeEngine::start();
+    let rig = start(&service).await;
+    let mut again = notice(&rig);
+    again.repeat = true;
+
+    let _first = rig.send(&notice(&rig)).await;
+    let call = service.received().await;
+    let mut second = rig.send(&again).await;
+    call.bytes(Bytes::from_static(b"sent"));
+    drop(call);
+
+    let mut bodies = Vec::new();
+    while let Some(frame) = next(&mut second).await {
+        if let Frame::Body { bytes, .. } = frame {
+            bodies.push(bytes);
+        }
+    }
+    assert_eq!(bodies.concat(), b"sent");
+    assert!(!service.has_call());
+}
--- /dev/null
+++ b/crates/cyclamenwharf/tests/agent/orders.rs
@@ -0,0 +1,76 @@
+//! Orders to an engine that ignores fencing numbers.
+
+use cw_types::FencingNumber;
+use cw_wire::Frame;
+use cw_wire::Order;
+use cw_wire::OrderAnswer;
+use cw_wire::OrderKind;
+use cw_wire::Reason;
+use cw_wire::Work;
+use cw_wire::path;
+use rstest::rstest;
+
+use super::fake_engine::FakeEngine;
+use super::fixtures::Rig;
+use super::fixtures::attempt;
+use super::fixtures::generate;
+use super::fixtures::next;
+
+fn unload(fencing: u64, sequence: u64) -> Order {
+    Order {
+        fencing: FencingNumber(fencing),
+        sequence,
+        kind: OrderKind::Unload {
+            model: "ledger".parse().unwrap(),
+            version: "v1".parse().unwrap(),
+        },
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_deposed_planner_is_refused_and_a_repeat_is_not_passed_on() {
+    let engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+
+    let done: OrderAnswer = rig.call(path::ORDERS, &unload(5, 1)).await;
+    let again: OrderAnswer = rig.call(path::ORDERS, &unload(5, 1)).await;
+    let fenced: OrderAnswer = rig.call(path::ORDERS, &unload(4, 9)).await;
+
+    assert_eq!(done, OrderAnswer::Done);
+    assert_eq!(again, OrderAnswer::Done);
+    let highest = FencingNumber(5);
+    assert_eq!(fenced, OrderAnswer::Fenced { highest });
+    assert_eq!(engine.shared.orders.lock().unwrap().len(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_version_is_not_unloaded_under_a_generation() {
+    let mut engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let call = engine.received().await;
+
+    let pinned: OrderAnswer = rig.call(path::ORDERS, &unload(5, 1)).await;
+    call.finish();
+    while next(&mut frames).await.is_some() {}
+    let done: OrderAnswer = rig.call(path::ORDERS, &unload(5, 2)).await;
+    let mut late = rig.send(&rig.dispatch(attempt(2, 1))).await;
+    let mut other = generate();
+    other.version = "v2".parse().unwrap();
+    let mut dispatch = rig.dispatch(attempt(3, 1));
+    dispatch.work = Work::Generate(other);
+    let _other = rig.send(&dispatch).await;
+    engine.received().await;
+
+    assert_eq!(pinned, OrderAnswer::Pinned { generations: 1 });
+    assert_eq!(done, OrderAnswer::Done);
+    assert!(matches!(
+        next(&mut late).await,
+        Some(Frame::NotRun {
+            reason: Reason::WrongVersion,
+            ..
+        })
+    ));
+}
