Test the attempt table by random histories against an oracle

The first long run found that a late first dispatch, arriving at a restarted agent after a repeat had run in the earlier life, was answered as not run. An agent cannot know; so the rule is now written at Dispatch that an entry which repeats a dispatch no longer heeds the answer to the first.

--- /dev/null
+++ b/crates/cw_policy/tests/attempt/cases.rs
@@ -0,0 +1,1 @@
+//! Focused cases.
--- /dev/null
+++ b/crates/cw_policy/tests/attempt/fixtures.rs
@@ -0,0 +1,143 @@
+//! Messages and tables that the tests share.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_policy::AdmissionLimits;
+use cw_policy::AttemptLimits;
+use cw_policy::AttemptTable;
+use cw_policy::Chunk;
+use cw_types::AttemptId;
+use cw_types::AttemptNo;
+use cw_types::ByteSize;
+use cw_types::GenerationId;
+use cw_types::Incarnation;
+use cw_types::ModelName;
+use cw_types::Time;
+use cw_types::TokenCount;
+use cw_types::TokenId;
+use cw_types::TokenIndex;
+use cw_types::VersionName;
+use cw_wire::Call;
+use cw_wire::CallHead;
+use cw_wire::Dispatch;
+use cw_wire::Fingerprint;
+use cw_wire::Generate;
+use cw_wire::Load;
+use cw_wire::Prompt;
+use cw_wire::Sampling;
+use cw_wire::Stamp;
+use cw_wire::Token;
+use cw_wire::Work;
+
+/// The limits of the tests: small, so that all of them are met.
+pub(crate) fn limits() -> AttemptLimits {
+    AttemptLimits {
+        admission: AdmissionLimits {
+            running: 3,
+            waiting: 2,
+            reserve: 1,
+            step: Duration::from_millis(78),
+        },
+        kept: ByteSize(3000),
+        retention: Duration::from_secs(10),
+        tombstone: Duration::from_secs(100),
+    }
+}
+
+/// Returns the versions that the target holds.
+pub(crate) fn versions() -> BTreeMap<ModelName, BTreeSet<VersionName>> {
+    let version = "v1".parse().unwrap();
+    BTreeMap::from([("ledger".parse().unwrap(), BTreeSet::from([version]))])
+}
+
+/// Returns the table of one life, whose target is up.
+pub(crate) fn table(now: Time, life: u64) -> AttemptTable {
+    let mut table = AttemptTable::new(Incarnation(life), limits());
+    table.on_load(now, now, Load::default(), versions());
+    table
+}
+
+/// Returns a moment, in milliseconds.
+pub(crate) fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
+/// Returns the stamp of an attempt made in `life` at `now`.
+pub(crate) fn stamp(life: u64, now: Time) -> Stamp {
+    Stamp {
+        incarnation: Incarnation(life),
+        age: now.since(Time::default()),
+    }
+}
+
+/// Returns the id of an attempt.
+pub(crate) fn attempt(generation: u128, attempt: u32) -> AttemptId {
+    AttemptId {
+        generation: GenerationId(generation),
+        attempt: AttemptNo(attempt),
+    }
+}
+
+/// Returns a dispatch of a generation.
+pub(crate) fn dispatch(id: AttemptId, stamp: Stamp) -> Dispatch {
+    Dispatch {
+        id,
+        stamp,
+        repeat: false,
+        workspace: "partagez".parse().unwrap(),
+        weight: 1,
+        rank: 1,
+        idempotent: true,
+        resumed: false,
+        patience: Duration::from_secs(5),
+        fingerprint: Fingerprint(id.generation.0 as u64),
+        from: TokenIndex(0),
+        work: Work::Generate(Generate {
+            model: "ledger".parse().unwrap(),
+            version: "v1".parse().unwrap(),
+            adapter: None,
+            prompt: Prompt::Text("who owes whom".to_owned()),
+            sampling: Sampling {
+                seed: 7,
+                temperature: 0.0,
+                top_p: 1.0,
+                stop: Vec::new(),
+            },
+            so_far: Vec::new(),
+            max_tokens: TokenCount(1000),
+        }),
+    }
+}
+
+/// Returns a dispatch of a call that may run once.
+pub(crate) fn notice(id: AttemptId, stamp: Stamp) -> Dispatch {
+    Dispatch {
+        idempotent: false,
+        work: Work::Call(Call {
+            head: CallHead {
+                method: "POST".to_owned(),
+                path: "/notices".to_owned(),
+                headers: BTreeMap::new(),
+            },
+            body: Bytes::new(),
+        }),
+        ..dispatch(id, stamp)
+    }
+}
+
+/// Returns the token that an attempt produces at an index.
+pub(crate) fn token(id: AttemptId, index: u64) -> Token {
+    let number = (id.generation.0 as u32) << 20 | id.attempt.0 << 16 | index as u32;
+    Token {
+        id: TokenId(number),
+        text: "word ".to_owned(),
+    }
+}
+
+/// Returns one token as output.
+pub(crate) fn chunk(id: AttemptId, index: u64) -> Chunk {
+    Chunk::Tokens(vec![token(id, index)])
+}
--- /dev/null
+++ b/crates/cw_policy/tests/attempt/histories.rs
@@ -0,0 +1,76 @@
+//! Random histories against the oracle.
+//!
+//! `PROPTEST_CASES=100000` makes a longer run, `CYCLAMENWHARF_SEED=2` another one.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
+
+use super::world::Op;
+use super::world::World;
+
+/// The longest history.
+const STEPS_MAX: usize = 160;
+/// The longest pause that is drawn often, in milliseconds.
+const SHORT: u32 = 6_000;
+/// The longest pause, in milliseconds: beyond the life of a tombstone.
+const LONG: u32 = 130_000;
+
+fn op() -> impl Strategy<Value = Op> {
+    let n = any::<u8>;
+    prop_oneof![
+        6 => n().prop_map(Op::Send),
+        2 => n().prop_map(Op::Cancel),
+        8 => n().prop_map(Op::Deliver),
+        1 => n().prop_map(Op::Lose),
+        2 => n().prop_map(Op::Accept),
+        1 => n().prop_map(Op::Refuse),
+        6 => (n(), 1..40_u8).prop_map(|(n, count)| Op::Produce(n, count)),
+        2 => n().prop_map(Op::Finish),
+        1 => n().prop_map(Op::Break),
+        1 => Just(Op::Crash),
+        2 => Just(Op::Up),
+        1 => any::<bool>().prop_map(Op::Leaving),
+        8 => n().prop_map(Op::Read),
+        2 => n().prop_map(Op::Leave),
+        2 => n().prop_map(Op::Ack),
+        2 => (0..SHORT).prop_map(Op::Pass),
+        1 => (0..LONG).prop_map(Op::Pass),
+        2 => Just(Op::Report),
+        1 => Just(Op::Restart),
+    ]
+}
+
+fn seed() -> u64 {
+    let seed = std::env::var("CYCLAMENWHARF_SEED").ok();
+    seed.and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
+#[rstest]
+fn every_history_keeps_the_promises() {
+    let seed = seed();
+    println!("seed: {seed}");
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+
+    let history = |ops: Vec<Op>| {
+        let mut world = World::new();
+        for op in &ops {
+            world.step(op).map_err(TestCaseError::fail)?;
+        }
+        world.settle().map_err(TestCaseError::fail)
+    };
+
+    let result = TestRunner::new_with_rng(config, rng).run(&vec(op(), 1..STEPS_MAX), history);
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/crates/cw_wire/src/dispatch.rs
+++ b/crates/cw_wire/src/dispatch.rs
@@ -117,6 +117,9 @@
 }
 
 /// Asks an agent to run one attempt. A repeat attaches to the attempt that runs already.
+///
+/// Once an entry has sent a repeat, it no longer heeds the answers to earlier dispatches of the
+/// attempt: an agent that restarted between the two takes the late first one for the only one.
 #[data]
 pub struct Dispatch {
     /// The attempt.
