--- a/crates/cw_policy/tests/attempt/fixtures.rs
+++ b/crates/cw_policy/tests/attempt/fixtures.rs
@@ -41,7 +41,7 @@
             reserve: 1,
             step: Duration::from_millis(78),
         },
-        kept: ByteSize(3000),
+        kept: ByteSize(15_000),
         retention: Duration::from_secs(10),
         tombstone: Duration::from_secs(100),
     }
--- a/crates/cw_policy/tests/attempt/histories.rs
+++ b/crates/cw_policy/tests/attempt/histories.rs
@@ -12,6 +12,8 @@
 use super::world::Op;
 use super::world::World;
 
+/// How many histories are drawn unless `PROPTEST_CASES` says otherwise.
+const CASES: u32 = 1024;
 /// The longest history.
 const STEPS_MAX: usize = 160;
 /// The longest pause that is drawn often, in milliseconds.
@@ -28,7 +30,7 @@
         1 => n().prop_map(Op::Lose),
         2 => n().prop_map(Op::Accept),
         1 => n().prop_map(Op::Refuse),
-        6 => (n(), 1..40_u8).prop_map(|(n, count)| Op::Produce(n, count)),
+        6 => (n(), 1..90_u8).prop_map(|(n, count)| Op::Produce(n, count)),
         2 => n().prop_map(Op::Finish),
         1 => n().prop_map(Op::Break),
         1 => Just(Op::Crash),
@@ -44,19 +46,20 @@
     ]
 }
 
-fn seed() -> u64 {
-    let seed = std::env::var("CYCLAMENWHARF_SEED").ok();
-    seed.and_then(|text| text.parse().ok()).unwrap_or(1)
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
 }
 
 #[rstest]
 fn every_history_keeps_the_promises() {
-    let seed = seed();
+    let seed = number("CYCLAMENWHARF_SEED").unwrap_or(1);
     println!("seed: {seed}");
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let cases = number("PROPTEST_CASES").unwrap_or(CASES.into());
     let config = ProptestConfig {
+        cases: u32::try_from(cases).unwrap_or(u32::MAX),
         failure_persistence: None,
         ..ProptestConfig::default()
     };
