--- /dev/null
+++ b/crates/cw_testkit/src/caller/answer.rs
@@ -0,0 +1,91 @@
+//! What a caller has received.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cw_types::TokenId;
+use serde_json::Value;
+
+use super::Event;
+
+/// Tokens that came in one event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When they came.
+    pub at: Instant,
+    /// How many tokens the caller had then.
+    pub tokens: usize,
+}
+
+/// What a caller has received of one generation.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answer {
+    /// The tokens.
+    pub ids: Vec<TokenId>,
+    /// The text.
+    pub text: String,
+    /// When tokens came.
+    pub arrivals: Vec<Arrival>,
+    /// The id of the last event.
+    pub last_id: Option<String>,
+    /// How the output ended, if it is whole.
+    pub finish: Option<String>,
+    /// Whether the stream was closed as it should be.
+    pub closed: bool,
+    /// The error that ended the stream.
+    pub error: Option<Value>,
+}
+
+impl Answer {
+    /// Returns whether the whole answer came.
+    pub fn is_whole(&self) -> bool {
+        self.finish.is_some() && self.closed && self.error.is_none()
+    }
+
+    /// Adds an event of a stream.
+    pub fn push(&mut self, event: &Event) {
+        self.last_id = event.id.clone().or(self.last_id.take());
+        let Some(data) = &event.data else {
+            self.closed = true;
+            return;
+        };
+        if let Some(error) = data.get("error") {
+            self.error = Some(error.clone());
+            return;
+        }
+        self.take(data);
+        if !self.ids.is_empty() && self.arrivals.last().map(|a| a.tokens) != Some(self.ids.len()) {
+            self.arrivals.push(Arrival {
+                at: event.at,
+                tokens: self.ids.len(),
+            });
+        }
+    }
+
+    /// Adds what a body or an event holds.
+    pub fn take(&mut self, data: &Value) {
+        let choice = &data["choices"][0];
+        let ids = choice["token_ids"].as_array().into_iter().flatten();
+        let id = |value: &Value| u32::try_from(value.as_u64()?).ok().map(TokenId);
+        self.ids.extend(ids.filter_map(id));
+        let message = choice["delta"]["content"].as_str();
+        let text = choice["text"].as_str().or(message).or(choice["message"]["content"].as_str());
+        self.text.push_str(text.unwrap_or_default());
+        if let Some(finish) = choice["finish_reason"].as_str() {
+            self.finish = Some(finish.to_owned());
+        }
+    }
+
+    /// Returns when the first token came.
+    pub fn first_at(&self) -> Option<Instant> {
+        self.arrivals.first().map(|arrival| arrival.at)
+    }
+
+    /// Returns how long after `moment` the next token came.
+    pub fn resumed_after(&self, moment: Instant) -> Option<Duration> {
+        self.arrivals
+            .iter()
+            .find(|arrival| arrival.at > moment)
+            .map(|arrival| arrival.at - moment)
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/caller/client.rs
@@ -0,0 +1,217 @@
+//! The client.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use snafu::Snafu;
+
+use super::Answer;
+use super::Ask;
+use super::Reading;
+
+/// Where completions are asked for.
+const COMPLETIONS: &str = "/v1/completions";
+
+/// A call that did not end in an answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The connection could not be made or broke.
+    #[snafu(display("the connection broke: {message}"))]
+    Broken {
+        /// What happened.
+        message: String,
+    },
+    /// The call was refused.
+    #[snafu(display("refused with {status}: {body}"))]
+    Refused {
+        /// The HTTP status.
+        status: StatusCode,
+        /// The body.
+        body: Value,
+        /// `Retry-After`, where it is given.
+        retry: Option<Duration>,
+    },
+}
+
+impl CallError {
+    pub(super) fn broken(error: impl std::fmt::Display) -> Self {
+        let message = error.to_string();
+        CallError::Broken { message }
+    }
+
+    /// Returns what the refusal says of whether the request was run.
+    pub fn ran(&self) -> Option<&str> {
+        match self {
+            CallError::Refused { body, .. } => body["error"]["ran"].as_str(),
+            CallError::Broken { .. } => None,
+        }
+    }
+
+    /// Returns the code of the refusal.
+    pub fn code(&self) -> Option<&str> {
+        match self {
+            CallError::Refused { body, .. } => body["error"]["code"].as_str(),
+            CallError::Broken { .. } => None,
+        }
+    }
+}
+
+/// A whole answer of any kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// A caller of one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    /// The entry.
+    pub entry: SocketAddr,
+    /// The API key.
+    pub key: String,
+}
+
+impl Caller {
+    /// Returns a caller with connections of its own.
+    pub fn new(entry: SocketAddr, key: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            entry,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Returns the same caller at another entry.
+    #[must_use]
+    pub fn at(&self, entry: SocketAddr) -> Self {
+        let mut caller = self.clone();
+        caller.entry = entry;
+        caller
+    }
+
+    /// Asks for a generation and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn ask(&self, ask: &Ask) -> Result<Answer, CallError> {
+        if ask.stream {
+            return self.open(ask).await?.finish().await;
+        }
+        let response = self.post(ask).await?;
+        let body = response.into_body().collect().await.map_err(CallError::broken)?;
+        let value: Value = serde_json::from_slice(&body.to_bytes()).map_err(CallError::broken)?;
+        let mut answer = Answer {
+            closed: true,
+            error: value.get("error").cloned(),
+            ..Answer::default()
+        };
+        answer.take(&value);
+        Ok(answer)
+    }
+
+    /// Asks for a generation and returns its stream.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn open(&self, ask: &Ask) -> Result<Reading, CallError> {
+        let response = self.post(ask).await?;
+        Ok(Reading::new(response.into_body()))
+    }
+
+    /// Makes any call and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection cannot be made or breaks.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &BTreeMap<String, String>,
+        body: impl Into<Bytes>,
+    ) -> Result<Reply, CallError> {
+        let response = self.send(method, path, headers, body.into()).await?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(CallError::broken)?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    async fn post(&self, ask: &Ask) -> Result<Response<Incoming>, CallError> {
+        let body = Bytes::from(ask.body().to_string());
+        let response = self.send(Method::POST, COMPLETIONS, &ask.headers, body).await?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            status => refusal(status, response).await,
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &BTreeMap<String, String>,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, CallError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entry))
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(body)).map_err(CallError::broken)?;
+        self.client.request(request).await.map_err(CallError::broken)
+    }
+}
+
+async fn refusal(
+    status: StatusCode,
+    response: Response<Incoming>,
+) -> Result<Response<Incoming>, CallError> {
+    let retry = response.headers().get("retry-after");
+    let seconds = retry.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = response.into_body().collect().await.map_err(CallError::broken)?;
+    Err(CallError::Refused {
+        status,
+        body: serde_json::from_slice(&body.to_bytes()).unwrap_or_default(),
+        retry: seconds.map(Duration::from_secs),
+    })
+}
--- /dev/null
+++ b/crates/cw_testkit/src/caller/reading.rs
@@ -0,0 +1,121 @@
+//! Server-sent events.
+
+use std::time::Instant;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+
+use super::Answer;
+use super::CallError;
+
+/// The end of a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// One server-sent event.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    /// Its id.
+    pub id: Option<String>,
+    /// Its data, or nothing for the closing event.
+    pub data: Option<Value>,
+    /// When it was read.
+    pub at: Instant,
+}
+
+/// A stream that is being read.
+#[derive(Debug)]
+pub struct Reading {
+    body: Incoming,
+    buffer: BytesMut,
+    /// What has been read so far.
+    pub answer: Answer,
+}
+
+impl Reading {
+    /// Starts to read a body.
+    pub(super) fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buffer: BytesMut::new(),
+            answer: Answer::default(),
+        }
+    }
+
+    /// Returns the next event, or nothing at the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or an event is not one.
+    pub async fn next(&mut self) -> Result<Option<Event>, CallError> {
+        loop {
+            if let Some(event) = self.take_event()? {
+                self.answer.push(&event);
+                return Ok(Some(event));
+            }
+            let Some(frame) = self.body.frame().await else {
+                return Ok(None);
+            };
+            let frame = frame.map_err(CallError::broken)?;
+            self.buffer.extend(frame.data_ref().into_iter().flatten());
+        }
+    }
+
+    /// Reads until the answer has `tokens` tokens or the stream ends.
+    ///
+    /// # Errors
+    ///
+    /// See [`Reading::next`].
+    pub async fn read_tokens(&mut self, tokens: usize) -> Result<(), CallError> {
+        while self.answer.ids.len() < tokens && self.next().await?.is_some() {}
+        Ok(())
+    }
+
+    /// Reads to the end.
+    ///
+    /// # Errors
+    ///
+    /// See [`Reading::next`].
+    pub async fn finish(mut self) -> Result<Answer, CallError> {
+        while self.next().await?.is_some() {}
+        Ok(self.answer)
+    }
+
+    fn take_event(&mut self) -> Result<Option<Event>, CallError> {
+        loop {
+            let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
+                return Ok(None);
+            };
+            let block = self.buffer.split_to(end);
+            self.buffer.advance(2);
+            if let Some(event) = parse(&block)? {
+                return Ok(Some(event));
+            }
+        }
+    }
+}
+
+/// Reads one block of lines; one without data is a comment.
+fn parse(block: &[u8]) -> Result<Option<Event>, CallError> {
+    let mut id = None;
+    let mut data = None;
+    for line in block.split(|byte| *byte == b'\n') {
+        if let Some(text) = line.strip_prefix(b"id:") {
+            id = Some(String::from_utf8_lossy(text).trim().to_owned());
+        }
+        if let Some(text) = line.strip_prefix(b"data:") {
+            data = Some(text.trim_ascii());
+        }
+    }
+    let Some(data) = data else {
+        return Ok(None);
+    };
+    let data = match data {
+        DONE => None,
+        data => Some(serde_json::from_slice(data).map_err(CallError::broken)?),
+    };
+    let at = Instant::now();
+    Ok(Some(Event { id, data, at }))
+}
--- /dev/null
+++ b/crates/cw_testkit/src/deployment/node.rs
@@ -0,0 +1,115 @@
+//! The processes of a deployment.
+
+use std::net::SocketAddr;
+
+use cyclamenwharf::Agent;
+use cyclamenwharf::AgentHandle;
+use cyclamenwharf::AgentSettings;
+use cyclamenwharf::Entry;
+use cyclamenwharf::EntryHandle;
+use cyclamenwharf::EntrySettings;
+use tokio::sync::Mutex;
+
+use super::RigError;
+
+/// An entry that can be killed and started again where it was.
+#[derive(Debug)]
+pub struct EntryNode {
+    /// Its settings, with the addresses that it has.
+    pub settings: EntrySettings,
+    handle: Mutex<Option<EntryHandle>>,
+}
+
+impl EntryNode {
+    /// Starts an entry.
+    pub(super) async fn start(mut settings: EntrySettings) -> Result<Self, RigError> {
+        let handle = Entry::start(settings.clone()).await.map_err(RigError::new)?;
+        settings.listen.callers = handle.callers;
+        settings.listen.peers = handle.peers;
+        settings.listen.admin = handle.admin;
+        Ok(Self {
+            settings,
+            handle: Mutex::new(Some(handle)),
+        })
+    }
+
+    /// Returns where callers reach it.
+    pub fn callers(&self) -> SocketAddr {
+        self.settings.listen.callers
+    }
+
+    /// Kills it.
+    pub async fn kill(&self) {
+        if let Some(handle) = self.handle.lock().await.take() {
+            handle.kill();
+        }
+    }
+
+    /// Lets it end all its work, and returns when it has.
+    pub async fn drain(&self) {
+        if let Some(handle) = self.handle.lock().await.as_ref() {
+            handle.drain().await;
+        }
+    }
+
+    /// Starts a killed one again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its ports were taken meanwhile.
+    pub async fn restart(&self) -> Result<(), RigError> {
+        self.kill().await;
+        let mut place = self.handle.lock().await;
+        let handle = Entry::start(self.settings.clone()).await;
+        *place = Some(handle.map_err(RigError::new)?);
+        Ok(())
+    }
+}
+
+/// The agent of a target, which can be killed and started again where it was.
+#[derive(Debug)]
+pub struct TargetNode {
+    /// Its settings, with the addresses that it has.
+    pub settings: AgentSettings,
+    handle: Mutex<Option<AgentHandle>>,
+}
+
+impl TargetNode {
+    /// Starts an agent.
+    pub(super) async fn start(mut settings: AgentSettings) -> Result<Self, RigError> {
+        let handle = Agent::start(settings.clone()).await.map_err(RigError::new)?;
+        settings.listen.peers = handle.peers;
+        settings.listen.admin = handle.admin;
+        Ok(Self {
+            settings,
+            handle: Mutex::new(Some(handle)),
+        })
+    }
+
+    /// Kills it.
+    pub async fn kill(&self) {
+        if let Some(handle) = self.handle.lock().await.take() {
+            handle.kill();
+        }
+    }
+
+    /// Lets it end all its work, and returns when it has.
+    pub async fn drain(&self) {
+        if let Some(handle) = self.handle.lock().await.as_ref() {
+            handle.drain().await;
+        }
+    }
+
+    /// Starts a killed one again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its ports were taken meanwhile.
+    pub async fn restart(&self) -> Result<(), RigError> {
+        self.kill().await;
+        let mut place = self.handle.lock().await;
+        let handle = Agent::start(self.settings.clone()).await;
+        *place = Some(handle.map_err(RigError::new)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/deployment/records.rs
@@ -0,0 +1,129 @@
+//! The records of a deployment.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cw_types::KeyHash;
+use cw_types::ModelVersion;
+use cw_types::Priority;
+use cw_types::Record;
+use cw_types::RecordKind;
+use cw_types::Recovery;
+use cw_types::Revision;
+use cw_types::Route;
+use cw_types::RouteTarget;
+use cw_types::SchemaVersion;
+use cw_types::Snapshot;
+use cw_types::Target;
+use cw_types::TargetId;
+use cw_types::Workspace;
+use serde::Serialize;
+use serde_json::Value;
+
+use super::rig_spec::MODEL;
+use super::rig_spec::ROUTE_LATENCY;
+use super::rig_spec::ROUTE_THRIFT;
+use super::rig_spec::RigSpec;
+use super::rig_spec::SERVICE;
+use super::rig_spec::SERVICE_ONCE;
+use super::rig_spec::VERSION;
+
+/// The priority of all routes.
+const PRIORITY: &str = "normal";
+/// The priority above it.
+const PRIORITY_HIGH: &str = "high";
+/// How long a request may wait before its first token.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Returns the API key of a workspace.
+pub fn api_key(workspace: usize) -> String {
+    format!("key-of-workspace-{workspace}")
+}
+
+/// Returns all records of a deployment with these targets.
+pub(super) fn snapshot(spec: &RigSpec, targets: BTreeMap<TargetId, Target>) -> Snapshot {
+    let mut records = vec![
+        record(RecordKind::Priority, PRIORITY, &Priority { rank: 1 }),
+        record(RecordKind::Priority, PRIORITY_HIGH, &Priority { rank: 2 }),
+        record(RecordKind::ModelVersion, "settlement-v1", &version(spec)),
+        record(RecordKind::Route, ROUTE_LATENCY, &model(Recovery::Latency)),
+        record(RecordKind::Route, ROUTE_THRIFT, &model(Recovery::Thrift)),
+        record(RecordKind::Route, SERVICE, &service(SERVICE, true)),
+        record(RecordKind::Route, SERVICE_ONCE, &service(SERVICE_ONCE, false)),
+    ];
+    for number in 0..spec.workspaces {
+        let name = format!("workspace-{number}");
+        records.push(record(RecordKind::Workspace, &name, &workspace(spec, number)));
+    }
+    for (id, target) in targets {
+        records.push(record(RecordKind::Target, id.as_str(), &target));
+    }
+    let revision = Revision(1);
+    Snapshot {
+        revision,
+        records: records
+            .into_iter()
+            .map(|record| (record.key(), (revision, record)))
+            .collect(),
+        ..Snapshot::default()
+    }
+}
+
+fn version(spec: &RigSpec) -> ModelVersion {
+    ModelVersion {
+        model: MODEL.parse().expect("a valid name"),
+        version: VERSION.parse().expect("a valid name"),
+        weights: "settlement-v1".to_owned(),
+        adapters: BTreeSet::new(),
+        targets: u32::try_from(spec.engines).unwrap_or(u32::MAX),
+        keep: Duration::ZERO,
+    }
+}
+
+fn model(recovery: Recovery) -> Route {
+    let to = RouteTarget::Model {
+        model: MODEL.parse().expect("a valid name"),
+        version: VERSION.parse().expect("a valid name"),
+        adapter: None,
+    };
+    route(to, recovery, true)
+}
+
+fn service(name: &str, idempotent: bool) -> Route {
+    let to = RouteTarget::Service {
+        service: name.to_owned(),
+    };
+    route(to, Recovery::Latency, idempotent)
+}
+
+fn route(to: RouteTarget, recovery: Recovery, idempotent: bool) -> Route {
+    Route {
+        to,
+        workspaces: BTreeSet::new(),
+        priority: PRIORITY.parse().expect("a valid name"),
+        recovery,
+        idempotent,
+        patience: PATIENCE,
+    }
+}
+
+fn workspace(spec: &RigSpec, number: usize) -> Workspace {
+    Workspace {
+        keys: vec![KeyHash::of(&api_key(number))],
+        quota: spec.quota.clone(),
+        weight: 1,
+    }
+}
+
+fn record<T: Serialize>(kind: RecordKind, name: &str, body: &T) -> Record {
+    let Ok(Value::Object(body)) = serde_json::to_value(body) else {
+        panic!("every record is an object");
+    };
+    Record {
+        kind,
+        name: name.to_owned(),
+        schema: SchemaVersion(1),
+        body,
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -0,0 +1,105 @@
+//! How large a deployment is.
+
+use cw_types::Quota;
+use cw_types::Rate;
+use cyclamenwharf::EngineSettings;
+use cyclamenwharf::LimitSettings;
+use cyclamenwharf::RecoverySettings;
+
+use crate::EngineTimings;
+
+/// The model that every engine has.
+pub const MODEL: &str = "settlement";
+/// The version of it.
+pub const VERSION: &str = "v1";
+/// The route whose lost attempts are recovered for latency.
+pub const ROUTE_LATENCY: &str = "settlement";
+/// The route whose lost attempts are recovered for little extra work.
+pub const ROUTE_THRIFT: &str = "settlement-thrift";
+/// The plain service whose calls may be repeated.
+pub const SERVICE: &str = "ledger";
+/// The plain service whose calls may run once.
+pub const SERVICE_ONCE: &str = "notices";
+
+/// How large a deployment is, and how its parts are set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RigSpec {
+    /// The number of entries.
+    pub entries: usize,
+    /// The number of engines.
+    pub engines: usize,
+    /// The number of plain services, in turn [`SERVICE`] and [`SERVICE_ONCE`].
+    pub services: usize,
+    /// The number of availability zones, over which everything is spread in turn.
+    pub zones: usize,
+    /// The number of workspaces.
+    pub workspaces: usize,
+    /// The quota of each.
+    pub quota: Quota,
+    /// How fast engines are.
+    pub timings: EngineTimings,
+    /// The agents' limits.
+    pub agent: EngineSettings,
+    /// The entries' limits.
+    pub limits: LimitSettings,
+    /// How entries notice lost attempts.
+    pub recovery: RecoverySettings,
+}
+
+impl Default for RigSpec {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 4,
+            services: 2,
+            zones: 2,
+            workspaces: 2,
+            quota: Quota {
+                concurrent: 100_000,
+                requests: Rate(1e6),
+                tokens: Rate(1e9),
+            },
+            timings: EngineTimings::default(),
+            agent: EngineSettings::default(),
+            limits: LimitSettings::default(),
+            recovery: RecoverySettings::default(),
+        }
+    }
+}
+
+impl RigSpec {
+    /// Sets the number of entries.
+    #[must_use]
+    pub fn with_entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Sets the number of engines.
+    #[must_use]
+    pub fn with_engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    /// Sets the number of plain services.
+    #[must_use]
+    pub fn with_services(mut self, count: usize) -> Self {
+        self.services = count;
+        self
+    }
+
+    /// Sets the number of availability zones.
+    #[must_use]
+    pub fn with_zones(mut self, count: usize) -> Self {
+        self.zones = count.max(1);
+        self
+    }
+
+    /// Sets how fast engines are.
+    #[must_use]
+    pub fn with_timings(mut self, timings: EngineTimings) -> Self {
+        self.timings = timings;
+        self
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/deployment/settings_files.rs
@@ -0,0 +1,27 @@
+//! The settings files of an example deployment.
+
+use std::io;
+use std::path::Path;
+
+use super::Rig;
+
+/// Writes one settings file for each process of a deployment, and the key of its first caller.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn write_settings(rig: &Rig, directory: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(directory)?;
+    for entry in &rig.entries {
+        write(directory, entry.settings.host.as_str(), &entry.settings)?;
+    }
+    for node in rig.agents.iter().chain(&rig.service_agents) {
+        write(directory, node.settings.target.id.as_str(), &node.settings)?;
+    }
+    Ok(())
+}
+
+fn write<T: serde::Serialize>(directory: &Path, name: &str, settings: &T) -> io::Result<()> {
+    let text = toml::to_string_pretty(settings).map_err(io::Error::other)?;
+    std::fs::write(directory.join(format!("{name}.toml")), text)
+}
--- /dev/null
+++ b/crates/cw_testkit/src/etcd/faults.rs
@@ -0,0 +1,16 @@
+//! What goes wrong in the key-value stand-in.
+
+use std::time::Duration;
+
+/// Faults that are switched on and off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Whether every call is refused as unavailable.
+    pub down: bool,
+    /// How much longer each call takes.
+    pub slow: Duration,
+    /// How many of the next writes take effect and lose their answer.
+    pub lost: u32,
+    /// Whether watches say nothing.
+    pub silent: bool,
+}
--- /dev/null
+++ b/crates/cw_testkit/src/etcd/key_value.rs
@@ -0,0 +1,135 @@
+//! The stand-in's handle.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use bytes::Bytes;
+use cyclamenwharf::Clock;
+use tokio::sync::watch;
+
+use crate::server::Gate;
+use crate::server::HttpServer;
+
+use super::Backup;
+use super::StoreFaults;
+use super::tree::Tree;
+
+/// What the server and the handle share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    pub(super) changed: watch::Sender<u64>,
+    tree: Mutex<Tree>,
+    faults: Mutex<StoreFaults>,
+    calls: Mutex<BTreeMap<String, u64>>,
+}
+
+impl Shared {
+    pub(super) fn tree(&self) -> MutexGuard<'_, Tree> {
+        self.tree.lock().expect("no panic under this lock")
+    }
+
+    pub(super) fn faults(&self) -> MutexGuard<'_, StoreFaults> {
+        self.faults.lock().expect("no panic under this lock")
+    }
+
+    pub(super) fn count(&self, path: &str) {
+        let mut calls = self.calls.lock().expect("no panic under this lock");
+        *calls.entry(path.to_owned()).or_default() += 1;
+    }
+
+    /// Returns whether the answer of a write is lost now.
+    pub(super) fn take_lost(&self) -> bool {
+        let mut faults = self.faults();
+        let due = faults.lost > 0;
+        faults.lost = faults.lost.saturating_sub(1);
+        due
+    }
+}
+
+/// A stand-in for the key-value service.
+#[derive(Debug)]
+pub struct KeyValue {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    gate: Gate,
+    _server: HttpServer,
+}
+
+impl KeyValue {
+    /// Starts an empty service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            clock: Clock::default(),
+            changed: watch::Sender::new(0),
+            tree: Mutex::default(),
+            faults: Mutex::default(),
+            calls: Mutex::default(),
+        });
+        let gate = Gate::default();
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = HttpServer::start(address, gate.clone(), Arc::clone(&shared)).await?;
+        Ok(Self {
+            address: server.address,
+            shared,
+            gate,
+            _server: server,
+        })
+    }
+
+    // ---- Keys
+
+    /// Writes a key, whatever it holds.
+    pub fn put(&self, key: &str, value: impl Into<Bytes>) {
+        let key = Bytes::copy_from_slice(key.as_bytes());
+        self.shared.tree().put(key, value.into(), 0);
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Reads a key.
+    pub fn get(&self, key: &str) -> Option<Bytes> {
+        let found = self.shared.tree().range(key.as_bytes(), &[]);
+        found.into_iter().next().map(|(_, entry)| entry.value)
+    }
+
+    // ---- Faults
+
+    /// Changes what goes wrong.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *self.shared.faults() = faults;
+    }
+
+    /// Returns the switch that makes the service answer nothing.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Returns a copy of the keys.
+    pub fn backup(&self) -> Backup {
+        self.shared.tree().backup()
+    }
+
+    /// Goes back to an older state, as a service that is restored from a backup does.
+    pub fn restore(&self, backup: &Backup) {
+        self.shared.tree().restore(backup);
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
+    // ---- Observation
+
+    /// Returns the number of calls by path; a watch counts once.
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        let calls = self.shared.calls.lock();
+        calls.expect("no panic under this lock").clone()
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/etcd/tree.rs
@@ -0,0 +1,212 @@
+//! Keys, revisions and leases.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_types::Time;
+
+/// One key's value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Entry {
+    pub(super) value: Bytes,
+    pub(super) created: i64,
+    pub(super) modified: i64,
+    pub(super) version: i64,
+    pub(super) lease: i64,
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Change {
+    pub(super) revision: i64,
+    pub(super) key: Bytes,
+    /// The new value, or nothing if the key is gone.
+    pub(super) entry: Option<Entry>,
+}
+
+/// What a key must be for a transaction to succeed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Field {
+    Version(i64),
+    Created(i64),
+    Modified(i64),
+    Value(Bytes),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Lease {
+    ttl: Duration,
+    end: Time,
+}
+
+/// The whole state at some moment, to restore it later.
+#[derive(Clone, Debug, Default)]
+pub struct Backup {
+    entries: BTreeMap<Bytes, Entry>,
+    revision: i64,
+}
+
+/// Keys, revisions and leases.
+#[derive(Debug)]
+pub(super) struct Tree {
+    entries: BTreeMap<Bytes, Entry>,
+    pub(super) revision: i64,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+    history: Vec<Change>,
+}
+
+impl Default for Tree {
+    fn default() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            revision: 1,
+            leases: BTreeMap::new(),
+            next_lease: 7_000_001,
+            history: Vec::new(),
+        }
+    }
+}
+
+/// Returns whether `key` is within a range as etcd writes it.
+pub(super) fn covers(from: &[u8], end: &[u8], key: &[u8]) -> bool {
+    match end {
+        [] => key == from,
+        [0] => key >= from,
+        end => key >= from && key < end,
+    }
+}
+
+impl Tree {
+    // ---- Keys
+
+    /// Returns the entries of a range, in order.
+    pub(super) fn range(&self, from: &[u8], end: &[u8]) -> Vec<(Bytes, Entry)> {
+        self.entries
+            .iter()
+            .filter(|(key, _)| covers(from, end, key))
+            .map(|(key, entry)| (key.clone(), entry.clone()))
+            .collect()
+    }
+
+    /// Returns whether a key is as expected; a missing key has zeros in all its numbers.
+    pub(super) fn matches(&self, key: &[u8], field: &Field) -> bool {
+        let entry = self.entries.get(key);
+        match field {
+            Field::Version(n) => entry.map_or(0, |entry| entry.version) == *n,
+            Field::Created(n) => entry.map_or(0, |entry| entry.created) == *n,
+            Field::Modified(n) => entry.map_or(0, |entry| entry.modified) == *n,
+            Field::Value(value) => entry.is_some_and(|entry| entry.value == *value),
+        }
+    }
+
+    /// Writes a key at the revision after the present one; fails without the lease.
+    pub(super) fn put(&mut self, key: Bytes, value: Bytes, lease: i64) -> bool {
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return false;
+        }
+        self.revision += 1;
+        let before = self.entries.get(&key);
+        let entry = Entry {
+            value,
+            created: before.map_or(self.revision, |entry| entry.created),
+            modified: self.revision,
+            version: before.map_or(1, |entry| entry.version + 1),
+            lease,
+        };
+        self.entries.insert(key.clone(), entry.clone());
+        self.note(key, Some(entry));
+        true
+    }
+
+    /// Removes a range, and returns how many keys it had.
+    pub(super) fn delete(&mut self, from: &[u8], end: &[u8]) -> usize {
+        let keys: Vec<Bytes> = self.range(from, end).into_iter().map(|(key, _)| key).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in &keys {
+            self.entries.remove(key);
+            self.note(key.clone(), None);
+        }
+        keys.len()
+    }
+
+    /// Returns the changes of a range from a revision on.
+    pub(super) fn changes(&self, from: &[u8], end: &[u8], since: i64) -> Vec<Change> {
+        self.history
+            .iter()
+            .filter(|change| change.revision >= since && covers(from, end, &change.key))
+            .cloned()
+            .collect()
+    }
+
+    fn note(&mut self, key: Bytes, entry: Option<Entry>) {
+        let revision = self.revision;
+        self.history.push(Change {
+            revision,
+            key,
+            entry,
+        });
+    }
+
+    // ---- Leases
+
+    /// Grants a lease.
+    pub(super) fn grant(&mut self, now: Time, ttl: Duration) -> i64 {
+        let id = self.next_lease;
+        self.next_lease += 1;
+        let end = now + ttl;
+        self.leases.insert(id, Lease { ttl, end });
+        id
+    }
+
+    /// Keeps a lease alive, and returns its time to live if it has not lapsed.
+    pub(super) fn keep_alive(&mut self, now: Time, id: i64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.end = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease and removes its keys; returns whether it existed.
+    pub(super) fn revoke(&mut self, id: i64) -> bool {
+        let existed = self.leases.remove(&id).is_some();
+        let bound = |(key, entry): (&Bytes, &Entry)| (entry.lease == id).then(|| key.clone());
+        let keys: Vec<Bytes> = match existed {
+            true => self.entries.iter().filter_map(bound).collect(),
+            false => Vec::new(),
+        };
+        for key in keys {
+            self.delete(&key, &[]);
+        }
+        existed
+    }
+
+    /// Ends the leases whose time is over; returns whether there were any.
+    pub(super) fn expire(&mut self, now: Time) -> bool {
+        let over = |(id, lease): (&i64, &Lease)| (lease.end <= now).then_some(*id);
+        let ids: Vec<i64> = self.leases.iter().filter_map(over).collect();
+        ids.iter().for_each(|id| {
+            self.revoke(*id);
+        });
+        !ids.is_empty()
+    }
+
+    // ---- Backups
+
+    /// Returns a copy of the keys.
+    pub(super) fn backup(&self) -> Backup {
+        Backup {
+            entries: self.entries.clone(),
+            revision: self.revision,
+        }
+    }
+
+    /// Goes back to an older state, as a service that is restored from a backup does.
+    pub(super) fn restore(&mut self, backup: &Backup) {
+        self.entries = backup.entries.clone();
+        self.revision = backup.revision;
+        self.history.retain(|change| change.revision <= backup.revision);
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/model_engine/batch.rs
@@ -0,0 +1,204 @@
+//! Continuous batching.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::EngineCounters;
+use super::EngineFaults;
+use super::EngineTimings;
+use super::job::Job;
+use super::job::Progress;
+use super::prefix_cache::CacheChange;
+use super::prefix_cache::PrefixCache;
+
+/// What the engine does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// There is nothing to do.
+    Idle,
+    /// Compute for so long, then call [`Batch::finish`].
+    Compute(Duration),
+    /// Die.
+    Crash,
+}
+
+/// A priority, with lower numbers first, and the order of arrival within it.
+type Turn = (i64, u64);
+
+/// The waiting and the running requests of one engine.
+#[derive(Debug)]
+pub(super) struct Batch {
+    timings: EngineTimings,
+    waiting: BTreeMap<Turn, Job>,
+    running: Vec<Job>,
+    cache: PrefixCache,
+    changes: Vec<CacheChange>,
+    arrivals: u64,
+    step: Duration,
+}
+
+impl Batch {
+    /// Returns an empty batch.
+    pub(super) fn new(timings: EngineTimings) -> Self {
+        Self {
+            timings,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            cache: PrefixCache::default(),
+            changes: Vec::new(),
+            arrivals: 0,
+            step: Duration::ZERO,
+        }
+    }
+
+    // ---- Requests
+
+    /// Takes a request, unless the queue is full.
+    pub(super) fn push(&mut self, job: Job, priority: i64) -> bool {
+        if self.waiting.len() >= self.timings.queue || job.size() > self.timings.capacity {
+            return false;
+        }
+        self.arrivals += 1;
+        self.waiting.insert((priority, self.arrivals), job);
+        true
+    }
+
+    /// Ends a request.
+    pub(super) fn abort(&mut self, id: &str, counters: &mut EngineCounters) {
+        self.remove(counters, |job| job.id == id);
+    }
+
+    fn remove(&mut self, counters: &mut EngineCounters, mut gone: impl FnMut(&Job) -> bool) {
+        let waited = self.waiting.len();
+        self.waiting.retain(|_, job| !gone(job));
+        counters.cancelled += (waited - self.waiting.len()) as u64;
+        let ended: Vec<Job> = self.running.extract_if(.., |job| gone(job)).collect();
+        counters.cancelled += ended.len() as u64;
+        for job in ended {
+            self.end(job, counters);
+        }
+    }
+
+    // ---- Steps
+
+    /// Admits requests and returns what to do next.
+    pub(super) fn begin(&mut self, counters: &mut EngineCounters) -> Step {
+        self.remove(counters, Job::is_cancelled);
+        let mut prefill = 0;
+        while let Some(job) = self.next_job() {
+            if job.poison {
+                counters.crashes += 1;
+                counters.count_run(&job.id, 0, 0);
+                return Step::Crash;
+            }
+            prefill += self.admit(job, counters);
+        }
+        if self.running.is_empty() {
+            return Step::Idle;
+        }
+        let sequences = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let decode = self.timings.step + self.timings.sequence * sequences;
+        self.step = decode + self.timings.prefill * u32::try_from(prefill).unwrap_or(u32::MAX);
+        Step::Compute(self.step)
+    }
+
+    /// Ends a step: each running request gets a token.
+    pub(super) fn finish(&mut self, faults: &EngineFaults, counters: &mut EngineCounters) {
+        if faults.stalled {
+            return;
+        }
+        let last = self.running.len().saturating_sub(1);
+        let mut over = Vec::new();
+        for (index, mut job) in std::mem::take(&mut self.running).into_iter().enumerate() {
+            let progress = match faults.reversed && index < last {
+                true => Progress::Blocked,
+                false => job.advance(),
+            };
+            match progress {
+                Progress::Over => over.push(job),
+                Progress::On | Progress::Blocked => self.running.push(job),
+            }
+        }
+        for job in over {
+            self.end(job, counters);
+        }
+    }
+
+    fn next_job(&mut self) -> Option<Job> {
+        let (turn, job) = self.waiting.first_key_value()?;
+        let room = self.running.len() < self.timings.batch;
+        let fits = self.used() + job.size() <= self.timings.capacity;
+        let turn = *turn;
+        (room && fits).then(|| self.waiting.remove(&turn)).flatten()
+    }
+
+    fn admit(&mut self, job: Job, counters: &mut EngineCounters) -> u64 {
+        let total = job.tokens.len() as u64;
+        // The last token is always computed, for its output is the next one.
+        let cached = self.cache.lookup(&job.tokens).min(total.saturating_sub(1));
+        counters.count_run(&job.id, total - cached, cached);
+        let begun = (job.tokens.len() - job.prompt) as u64;
+        let expected = job.source.ids(begun);
+        if job.tokens[job.prompt..] != expected {
+            counters.wrong += 1;
+        }
+        self.keep(&job);
+        job.send_usage(cached);
+        self.running.push(job);
+        total - cached
+    }
+
+    fn end(&mut self, job: Job, counters: &mut EngineCounters) {
+        counters.count_output(&job.id, job.generated);
+        self.keep(&job);
+    }
+
+    fn keep(&mut self, job: &Job) {
+        let room = self.timings.capacity.saturating_sub(self.used());
+        let changes = self.cache.store(&job.tokens, room);
+        self.changes.extend(changes);
+    }
+
+    // ---- State
+
+    /// Counts the output of everything that runs, because the engine dies.
+    pub(super) fn count_lost(&mut self, counters: &mut EngineCounters) {
+        for job in self.running.drain(..) {
+            counters.count_output(&job.id, job.generated);
+        }
+    }
+
+    /// Returns the cache's changes since the last call.
+    pub(super) fn take_changes(&mut self) -> Vec<CacheChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the number of running requests.
+    pub(super) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of waiting requests.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the prompt tokens that wait.
+    pub(super) fn prefill(&self) -> u64 {
+        self.waiting.values().map(|job| job.tokens.len() as u64).sum()
+    }
+
+    /// Returns the tokens in the cache, those of running requests included.
+    pub(super) fn cached(&self) -> u64 {
+        (self.used() + self.cache.tokens()).min(self.timings.capacity)
+    }
+
+    /// Returns the time of the last step.
+    pub(super) fn step(&self) -> Duration {
+        self.step
+    }
+
+    fn used(&self) -> u64 {
+        self.running.iter().map(Job::size).sum()
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/model_engine/event_log.rs
@@ -0,0 +1,79 @@
+//! Cache events, which come late and with gaps.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use cw_types::Time;
+use serde::Serialize;
+
+use super::prefix_cache::CacheChange;
+
+/// The most events kept.
+const KEPT: usize = 4096;
+/// The most events in one answer.
+const PAGE: usize = 512;
+
+/// One event.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct CacheEvent {
+    sequence: u64,
+    kind: &'static str,
+    blocks: Vec<u64>,
+}
+
+/// A page of events.
+#[derive(Debug, Serialize)]
+pub(super) struct CachePage {
+    next: u64,
+    gap: bool,
+    events: Vec<CacheEvent>,
+}
+
+/// The last events.
+#[derive(Debug, Default)]
+pub(super) struct EventLog {
+    events: VecDeque<(Time, CacheEvent)>,
+    last: u64,
+}
+
+impl EventLog {
+    /// Notes a change; every `loss`-th is lost.
+    pub(super) fn push(&mut self, now: Time, change: CacheChange, loss: u64) {
+        self.last += 1;
+        if loss > 0 && self.last.is_multiple_of(loss) {
+            return;
+        }
+        let (kind, blocks) = match change {
+            CacheChange::Stored(blocks) => ("stored", blocks),
+            CacheChange::Removed(blocks) => ("removed", blocks),
+        };
+        let sequence = self.last;
+        let event = CacheEvent {
+            sequence,
+            kind,
+            blocks,
+        };
+        self.events.push_back((now, event));
+        if self.events.len() > KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the events after `after` that are at least `lag` old.
+    pub(super) fn page(&self, now: Time, after: u64, lag: Duration) -> CachePage {
+        let events: Vec<CacheEvent> = self
+            .events
+            .iter()
+            .filter(|(at, event)| event.sequence > after && now.since(*at) >= lag)
+            .map(|(_, event)| event.clone())
+            .take(PAGE)
+            .collect();
+        let expected = after + 1..;
+        let whole = expected.zip(&events).all(|(n, event)| event.sequence == n);
+        CachePage {
+            next: events.last().map_or(after, |event| event.sequence),
+            gap: !whole || after > self.last,
+            events,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/model_engine/orders.rs
@@ -0,0 +1,114 @@
+//! Orders: what the engine has loaded.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cw_types::AdapterName;
+use cw_types::ModelName;
+use cw_types::VersionName;
+use cw_wire::OrderKind;
+
+use super::api::Versions;
+
+/// What an order leads to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum OrderStep {
+    /// It is done.
+    Done,
+    /// It has begun before.
+    Begun,
+    /// These weights are to be read, then [`Loaded::finish`] is called.
+    Read(String),
+    /// Refused: a higher number was seen.
+    Fenced(u64),
+    /// Refused.
+    Refused(String),
+}
+
+/// A model and a version of it.
+pub(super) type VersionKey = (ModelName, VersionName);
+
+/// What an engine has loaded, and the highest fencing number that it has seen.
+#[derive(Debug, Default)]
+pub(super) struct Loaded {
+    /// The versions that are ready.
+    pub(super) versions: Versions,
+    adapters: BTreeMap<VersionKey, BTreeSet<AdapterName>>,
+    loading: BTreeSet<VersionKey>,
+    highest: u64,
+}
+
+impl Loaded {
+    /// Returns an engine with these versions.
+    pub(super) fn new(versions: Versions) -> Self {
+        Self {
+            versions,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether a request can be served.
+    pub(super) fn has(&self, key: &VersionKey, adapter: Option<&AdapterName>) -> bool {
+        let version = self.versions.get(&key.0).is_some_and(|all| all.contains(&key.1));
+        let adapter = adapter.is_none_or(|name| {
+            self.adapters.get(key).is_some_and(|all| all.contains(name))
+        });
+        version && adapter
+    }
+
+    /// Takes an order; an engine that is not `fenced` ignores its number.
+    pub(super) fn order(&mut self, fencing: u64, fenced: bool, order: OrderKind) -> OrderStep {
+        if fenced && fencing < self.highest {
+            return OrderStep::Fenced(self.highest);
+        }
+        self.highest = self.highest.max(fencing);
+        match order {
+            OrderKind::Load {
+                model,
+                version,
+                weights,
+            } => self.load((model, version), weights),
+            OrderKind::Unload { model, version } => self.unload(&(model, version)),
+            OrderKind::LoadAdapter {
+                model,
+                version,
+                adapter,
+            } => self.load_adapter((model, version), adapter),
+            OrderKind::Role { .. } => OrderStep::Done,
+        }
+    }
+
+    /// Ends the loading of a version.
+    pub(super) fn finish(&mut self, key: VersionKey, success: bool) {
+        self.loading.remove(&key);
+        if success {
+            self.versions.entry(key.0).or_default().insert(key.1);
+        }
+    }
+
+    fn load(&mut self, key: VersionKey, weights: String) -> OrderStep {
+        if self.has(&key, None) {
+            return OrderStep::Done;
+        }
+        match self.loading.insert(key) {
+            true => OrderStep::Read(weights),
+            false => OrderStep::Begun,
+        }
+    }
+
+    fn unload(&mut self, key: &VersionKey) -> OrderStep {
+        if let Some(all) = self.versions.get_mut(&key.0) {
+            all.remove(&key.1);
+        }
+        self.adapters.remove(key);
+        OrderStep::Done
+    }
+
+    fn load_adapter(&mut self, key: VersionKey, adapter: AdapterName) -> OrderStep {
+        if !self.has(&key, None) {
+            return OrderStep::Refused(format!("{} {} is not loaded", key.0, key.1));
+        }
+        self.adapters.entry(key).or_default().insert(adapter);
+        OrderStep::Done
+    }
+}
--- /dev/null
+++ b/crates/cw_testkit/src/server/gate.rs
@@ -0,0 +1,51 @@
+//! The switch that pauses a stand-in.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+#[derive(Debug, Default)]
+struct State {
+    closed: bool,
+    wakers: Vec<Waker>,
+}
+
+/// A switch shared by all parts of one stand-in: while it is closed, none of them makes progress.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    state: Arc<Mutex<State>>,
+}
+
+impl Gate {
+    /// Stops everything behind the gate; sockets stay as they are.
+    pub fn close(&self) {
+        self.state.lock().expect("no panic under this lock").closed = true;
+    }
+
+    /// Lets everything go on.
+    pub fn open(&self) {
+        let mut state = self.state.lock().expect("no panic under this lock");
+        state.closed = false;
+        state.wakers.drain(..).for_each(Waker::wake);
+    }
+
+    /// Is ready when the gate is open.
+    pub fn poll_open(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.state.lock().expect("no panic under this lock");
+        if !state.closed {
+            return Poll::Ready(());
+        }
+        if !state.wakers.iter().any(|known| known.will_wake(cx.waker())) {
+            state.wakers.push(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+
+    /// Returns when the gate is open.
+    pub async fn wait(&self) {
+        poll_fn(|cx| self.poll_open(cx)).await;
+    }
+}
