--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -6,7 +6,10 @@
 //!
 //! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
+//! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
+pub mod prefix;
+pub mod routing;
 pub mod slo;
 mod view;
 
--- a/crates/cw_wire/src/load_update.rs
+++ b/crates/cw_wire/src/load_update.rs
@@ -116,9 +116,13 @@
         Duration::from_millis(u64::from(self.age) * AGE_MILLIS)
     }
 
-    /// Unpacks the load of a target whose cache holds `capacity` tokens.
-    pub fn load(&self, capacity: TokenCount) -> Load {
+    /// Unpacks the load; what the update leaves out is taken from the load last passed on whole.
+    ///
+    /// The age stays the older one: a stamp made of it is refused sooner, never later.
+    pub fn load(&self, whole: &Load) -> Load {
+        let capacity = whole.capacity;
         Load {
+            age: whole.age,
             running: self.running,
             waiting: self.waiting,
             limit: self.limit,
