Test the stand-ins by themselves; a killed engine breaks its streams

Cause: a killed engine ended its batch before its connections were cut, so a stream that was cut looked like one that had ended well. Change: connections break first.

--- a/crates/cw_testkit/src/caller/client.rs
+++ b/crates/cw_testkit/src/caller/client.rs
@@ -129,8 +129,12 @@
         if ask.stream {
             return self.open(ask).await?.finish().await;
         }
-        let response = self.post(ask).await?;
-        let body = response.into_body().collect().await.map_err(CallError::broken)?;
+        let response = self.post(&ask.headers, &ask.body()).await?;
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(CallError::broken)?;
         let value: Value = serde_json::from_slice(&body.to_bytes()).map_err(CallError::broken)?;
         let mut answer = Answer {
             closed: true,
@@ -147,7 +151,17 @@
     ///
     /// See [`CallError`].
     pub async fn open(&self, ask: &Ask) -> Result<Reading, CallError> {
-        let response = self.post(ask).await?;
+        let response = self.post(&ask.headers, &ask.body()).await?;
+        Ok(Reading::new(response.into_body()))
+    }
+
+    /// Asks for a generation with a body of one's own and returns its stream.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn open_body(&self, body: &Value) -> Result<Reading, CallError> {
+        let response = self.post(&BTreeMap::new(), body).await?;
         Ok(Reading::new(response.into_body()))
     }
 
@@ -173,9 +187,13 @@
         })
     }
 
-    async fn post(&self, ask: &Ask) -> Result<Response<Incoming>, CallError> {
-        let body = Bytes::from(ask.body().to_string());
-        let response = self.send(Method::POST, COMPLETIONS, &ask.headers, body).await?;
+    async fn post(
+        &self,
+        headers: &BTreeMap<String, String>,
+        body: &Value,
+    ) -> Result<Response<Incoming>, CallError> {
+        let body = Bytes::from(body.to_string());
+        let response = self.send(Method::POST, COMPLETIONS, headers, body).await?;
         match response.status() {
             StatusCode::OK => Ok(response),
             status => refusal(status, response).await,
@@ -198,7 +216,10 @@
             request = request.header(name, value);
         }
         let request = request.body(Full::new(body)).map_err(CallError::broken)?;
-        self.client.request(request).await.map_err(CallError::broken)
+        self.client
+            .request(request)
+            .await
+            .map_err(CallError::broken)
     }
 }
 
@@ -208,7 +229,11 @@
 ) -> Result<Response<Incoming>, CallError> {
     let retry = response.headers().get("retry-after");
     let seconds = retry.and_then(|value| value.to_str().ok()?.parse().ok());
-    let body = response.into_body().collect().await.map_err(CallError::broken)?;
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(CallError::broken)?;
     Err(CallError::Refused {
         status,
         body: serde_json::from_slice(&body.to_bytes()).unwrap_or_default(),
--- a/crates/cw_testkit/src/model_engine/batch.rs
+++ b/crates/cw_testkit/src/model_engine/batch.rs
@@ -89,6 +89,7 @@
             if job.poison {
                 counters.crashes += 1;
                 counters.count_run(&job.id, 0, 0);
+                self.running.push(job);
                 return Step::Crash;
             }
             prefill += self.admit(job, counters);
@@ -185,7 +186,10 @@
 
     /// Returns the prompt tokens that wait.
     pub(super) fn prefill(&self) -> u64 {
-        self.waiting.values().map(|job| job.tokens.len() as u64).sum()
+        self.waiting
+            .values()
+            .map(|job| job.tokens.len() as u64)
+            .sum()
     }
 
     /// Returns the tokens in the cache, those of running requests included.
--- a/crates/cw_testkit/src/model_engine/engine.rs
+++ b/crates/cw_testkit/src/model_engine/engine.rs
@@ -128,8 +128,9 @@
             return;
         };
         running.stop.cancel();
-        running.life.end();
+        // Connections break before their streams end, or they would seem to have ended well.
         running.server.kill().await;
+        running.life.end();
     }
 
     /// Starts a killed engine again, with a new boot number and empty memory.
--- /dev/null
+++ b/crates/cw_testkit/tests/engine.rs
@@ -0,0 +1,235 @@
+//! The stand-in engine by itself.
+
+mod common;
+
+use common::call;
+use common::engine;
+use common::fast;
+use common::soon;
+use common::until;
+use cw_testkit::Answer;
+use cw_testkit::Ask;
+use cw_testkit::Caller;
+use cw_testkit::Engine;
+use cw_testkit::EngineFaults;
+use cw_testkit::MODEL;
+use cw_testkit::POISON;
+use cw_testkit::Reading;
+use cw_testkit::VERSION;
+use cw_types::TokenId;
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+fn body(prompt: &str, tokens: u64, so_far: &[TokenId]) -> Value {
+    json!({
+        "model": MODEL,
+        "version": VERSION,
+        "prompt": prompt,
+        "max_tokens": tokens,
+        "seed": 7,
+        "stream": true,
+        "return_token_ids": true,
+        "request_id": format!("{prompt}/1"),
+        "output_so_far": so_far,
+    })
+}
+
+async fn open(engine: &Engine, body: &Value) -> Reading {
+    let caller = Caller::new(engine.address, "-");
+    soon(caller.open_body(body)).await.expect("it is accepted")
+}
+
+async fn run(engine: &Engine, body: &Value) -> Answer {
+    soon(open(engine, body).await.finish())
+        .await
+        .expect("the stream is whole")
+}
+
+async fn load(engine: &Engine) -> Value {
+    let reply = call(engine.address, Method::GET, "/v1/load", &json!(null)).await;
+    reply.json()
+}
+
+fn expected(prompt: &str, tokens: u64) -> Vec<TokenId> {
+    Ask::new("-", prompt, tokens).expected(MODEL, VERSION)
+}
+
+#[tokio::test]
+async fn output_is_a_pure_function_of_the_request() {
+    let engine = engine(fast()).await;
+
+    let answer = run(&engine, &body("a ledger", 20, &[])).await;
+
+    assert!(answer.is_whole());
+    assert_eq!(answer.ids, expected("a ledger", 20));
+    assert_eq!(answer.finish.as_deref(), Some("length"));
+}
+
+#[tokio::test]
+async fn output_goes_on_after_the_output_so_far() {
+    let engine = engine(fast()).await;
+    let whole = expected("a ledger", 20);
+
+    let answer = run(&engine, &body("a ledger", 8, &whole[..12])).await;
+
+    assert_eq!(answer.ids, whole[12..]);
+    assert_eq!(engine.counters().wrong, 0);
+}
+
+#[tokio::test]
+async fn a_wrong_output_so_far_is_counted() {
+    let engine = engine(fast()).await;
+    let other = expected("another ledger", 12);
+
+    run(&engine, &body("a ledger", 8, &other)).await;
+
+    assert_eq!(engine.counters().wrong, 1);
+}
+
+#[tokio::test]
+async fn a_known_prefix_is_not_computed_again() {
+    let engine = engine(fast()).await;
+    let prompt = "a long ledger ".repeat(40);
+
+    run(&engine, &body(&prompt, 1, &[])).await;
+    let first = engine.counters();
+    run(&engine, &body(&prompt, 1, &[])).await;
+    let second = engine.counters();
+
+    assert_eq!(first.cached, 0);
+    assert!(second.prompt - first.prompt <= 16);
+    assert!(second.cached >= 100);
+}
+
+#[tokio::test]
+async fn a_killed_engine_breaks_its_streams_and_comes_back_as_another_life() {
+    let engine = engine(fast()).await;
+    let mut reading = open(&engine, &body("a ledger", 100_000, &[])).await;
+    soon(reading.read_tokens(3)).await.expect("it streams");
+    let before = load(&engine).await;
+
+    engine.kill().await;
+    let broken = soon(reading.finish()).await;
+    engine.restart().await.expect("the port is free");
+    let after = load(&engine).await;
+
+    assert!(broken.is_err());
+    assert_eq!(before["boot"], 1);
+    assert_eq!(after["boot"], 2);
+    assert_eq!(after["running"], 0);
+}
+
+#[tokio::test]
+async fn a_paused_engine_goes_on_where_it_was() {
+    let engine = engine(fast()).await;
+    let mut reading = open(&engine, &body("a ledger", 200, &[])).await;
+    soon(reading.read_tokens(3)).await.expect("it streams");
+
+    engine.pause();
+    let quiet = async { while let Ok(Some(_)) = reading.next().await {} };
+    let silent = tokio::time::timeout(std::time::Duration::from_millis(700), quiet).await;
+    engine.wake();
+    let answer = soon(reading.finish()).await.expect("it goes on");
+
+    assert!(silent.is_err());
+    assert_eq!(answer.ids, expected("a ledger", 200));
+}
+
+#[tokio::test]
+async fn a_poisonous_prompt_crashes_the_engine_and_nothing_else_does() {
+    let engine = engine(fast()).await;
+    let bystander = open(&engine, &body("a ledger", 100_000, &[])).await;
+
+    let poison = open(&engine, &body(POISON, 4, &[])).await;
+    let ends = soon(futures::future::join(poison.finish(), bystander.finish())).await;
+    until(|| engine.counters().crashes == 1).await;
+
+    assert!(ends.0.is_err() && ends.1.is_err());
+}
+
+#[tokio::test]
+async fn a_closed_connection_cancels() {
+    let engine = engine(fast()).await;
+    let mut reading = open(&engine, &body("a ledger", 1_000_000, &[])).await;
+    soon(reading.read_tokens(3)).await.expect("it streams");
+
+    drop(reading);
+
+    until(|| engine.counters().cancelled == 1).await;
+    assert_eq!(load(&engine).await["running"], 0);
+}
+
+#[tokio::test]
+async fn an_abort_is_idempotent() {
+    let engine = engine(fast()).await;
+    let mut reading = open(&engine, &body("a ledger", 1_000_000, &[])).await;
+    soon(reading.read_tokens(3)).await.expect("it streams");
+    let abort = json!({ "request_id": "a ledger/1" });
+
+    let first = call(engine.address, Method::POST, "/v1/abort", &abort).await;
+    let second = call(engine.address, Method::POST, "/v1/abort", &abort).await;
+
+    assert_eq!((first.status.as_u16(), second.status.as_u16()), (200, 200));
+    assert_eq!(engine.counters().cancelled, 1);
+}
+
+#[tokio::test]
+async fn the_last_request_can_be_made_to_finish_first() {
+    let engine = engine(fast()).await;
+    engine.set_faults(EngineFaults {
+        reversed: true,
+        ..EngineFaults::default()
+    });
+    let first = open(&engine, &body("the first", 30, &[])).await;
+    let second = open(&engine, &body("the second", 30, &[])).await;
+
+    let second = soon(second.finish()).await.expect("it is whole");
+    let first = soon(first.finish()).await.expect("it is whole");
+
+    let end = |answer: &Answer| answer.arrivals.last().expect("it has tokens").at;
+    assert!(end(&second) < end(&first));
+    assert_eq!(first.ids, expected("the first", 30));
+}
+
+#[tokio::test]
+async fn an_order_with_an_old_fencing_number_is_refused() {
+    let spec = cw_testkit::EngineSpec {
+        fenced: true,
+        ..Default::default()
+    };
+    let engine = Engine::start(spec).await.expect("a port is free");
+    let order = |fencing: u64| {
+        let load = json!({ "load": { "model": MODEL, "version": "v2", "weights": "w" } });
+        json!({ "fencing": fencing, "sequence": 1, "order": load })
+    };
+
+    let newer = call(engine.address, Method::POST, "/v1/orders", &order(5)).await;
+    let older = call(engine.address, Method::POST, "/v1/orders", &order(4)).await;
+    until(|| engine.counters().fenced == 1).await;
+    let again = call(engine.address, Method::POST, "/v1/orders", &order(5)).await;
+
+    assert_eq!(newer.status.as_u16(), 200);
+    assert_eq!(older.status.as_u16(), 409);
+    assert_eq!(older.json(), json!({ "highest": 5 }));
+    assert_eq!(again.status.as_u16(), 200);
+}
+
+#[tokio::test]
+async fn cache_events_tell_their_gaps() {
+    let timings = cw_testkit::EngineTimings {
+        event_loss: 2,
+        ..fast()
+    };
+    let engine = engine(timings).await;
+    run(&engine, &body(&"one ledger ".repeat(20), 1, &[])).await;
+    run(&engine, &body(&"two ledger ".repeat(20), 1, &[])).await;
+    run(&engine, &body(&"six ledger ".repeat(20), 1, &[])).await;
+
+    let path = "/v1/cache/events?after=0";
+    let page = call(engine.address, Method::GET, path, &json!(null)).await;
+
+    let page = page.json();
+    assert_eq!(page["gap"], true);
+    assert_eq!(page["events"][0]["kind"], "stored");
+}
--- /dev/null
+++ b/crates/cw_testkit/tests/key_value.rs
@@ -0,0 +1,112 @@
+//! The key-value stand-in by itself, through the client that the daemon uses.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::soon;
+use cw_store::EtcdGateway;
+use cw_store::KeyValue as _;
+use cw_store::ModRevision;
+use cw_store::StoreError;
+use cw_store::Swap;
+use cw_store::WatchEvent;
+use cw_testkit::KeyValue;
+use cw_testkit::StoreFaults;
+use futures::StreamExt;
+
+async fn pair() -> (KeyValue, EtcdGateway) {
+    let service = KeyValue::start().await.expect("a port is free");
+    let client = EtcdGateway::new(vec![service.address]);
+    (service, client)
+}
+
+fn value(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+#[tokio::test]
+async fn a_swap_needs_the_expected_revision() {
+    let (_service, client) = pair().await;
+
+    let first = client.swap("k", None, value("a"), None).await;
+    let Ok(Swap::Done(revision)) = first else {
+        panic!("the key is new: {first:?}");
+    };
+    let stale = client.swap("k", None, value("b"), None).await;
+    let next = client.swap("k", Some(revision), value("c"), None).await;
+
+    let Ok(Swap::Conflict(Some(found))) = stale else {
+        panic!("the key exists: {stale:?}");
+    };
+    assert_eq!(found.value, value("a"));
+    assert_eq!(found.modified, revision);
+    assert!(matches!(next, Ok(Swap::Done(_))));
+}
+
+#[tokio::test]
+async fn a_lost_answer_has_had_its_effect() {
+    let (service, client) = pair().await;
+    service.set_faults(StoreFaults {
+        lost: 1,
+        ..StoreFaults::default()
+    });
+
+    let lost = client.swap("k", None, value("a"), None).await;
+
+    assert!(matches!(lost, Err(StoreError::Lost { .. })), "{lost:?}");
+    assert_eq!(service.get("k"), Some(value("a")));
+}
+
+#[tokio::test]
+async fn a_service_that_is_down_has_no_effect() {
+    let (service, client) = pair().await;
+    service.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+
+    let refused = client.swap("k", None, value("a"), None).await;
+
+    assert!(matches!(refused, Err(StoreError::Unavailable { .. })));
+    assert_eq!(service.get("k"), None);
+}
+
+#[tokio::test]
+async fn keys_of_a_lapsed_lease_vanish_and_watches_tell() {
+    let (_service, client) = pair().await;
+    let mut events = client.watch("k", ModRevision(0)).await.expect("it is up");
+    let lease = client
+        .grant(Duration::from_secs(1))
+        .await
+        .expect("it is up");
+
+    let put = client.swap("k/1", None, value("a"), Some(lease)).await;
+    let mut seen = Vec::new();
+    while seen.len() < 2 {
+        match soon(events.next()).await {
+            Some(Ok(WatchEvent::Put(found))) => seen.push(found.key),
+            Some(Ok(WatchEvent::Deleted { key, .. })) => seen.push(format!("-{key}")),
+            Some(Ok(WatchEvent::Progress(_))) => {}
+            other => panic!("the watch ended: {other:?}"),
+        }
+    }
+
+    assert!(matches!(put, Ok(Swap::Done(_))));
+    assert_eq!(seen, ["k/1", "-k/1"]);
+    assert_eq!(client.keep_alive(lease).await, Err(StoreError::Lapsed));
+}
+
+#[tokio::test]
+async fn a_restored_backup_forgets_later_writes() {
+    let (service, client) = pair().await;
+    service.put("k", "a");
+    let backup = service.backup();
+    service.put("k", "b");
+
+    service.restore(&backup);
+
+    let found = client.get("k").await.expect("it is up").expect("it exists");
+    assert_eq!(found.value, value("a"));
+}
