Keep window labels clear of the bars in the burn page

Cause: the page, rendered and looked at, had labels on top of tall bars and '1 entries read'. Change: a quarter of the height is left above the tallest bar; the count is named first.

--- a/crates/cyclamenwharfctl/src/slo/html.rs
+++ b/crates/cyclamenwharfctl/src/slo/html.rs
@@ -68,7 +68,7 @@
     put(
         out,
         format_args!(
-            "<h1>Service-level burn</h1><p>{} entries read. Worst condition: \
+            "<h1>Service-level burn</h1><p>Entries read: {}. Worst condition: \
              <span class=\"{}\">{worst}</span>. A rate of 1 spends the error budget exactly in \
              its period.</p>",
             report.read,
@@ -122,7 +122,7 @@
 fn plot(row: &Row) -> Result<String, String> {
     let mut svg = String::new();
     let rates = Window::ALL.map(|window| row.burn.rate(window).unwrap_or(0.0));
-    let top = rates.into_iter().fold(1.5, f64::max) * 1.1;
+    let top = rates.into_iter().fold(1.5, f64::max) * 1.25;
     draw(&mut svg, rates, top).map_err(|error| error.to_string())?;
     Ok(svg)
 }
--- a/crates/cyclamenwharfctl/src/slo/report.rs
+++ b/crates/cyclamenwharfctl/src/slo/report.rs
@@ -114,7 +114,7 @@
                 row.class.route, row.class.priority, row.objective, row.condition
             );
         }
-        let _ = write!(out, "{} entries read.", self.read);
+        let _ = write!(out, "Entries read: {}.", self.read);
         for remark in self.remarks() {
             let _ = write!(out, "\n{remark}");
         }
--- a/crates/cyclamenwharfctl/tests/slo_report.rs
+++ b/crates/cyclamenwharfctl/tests/slo_report.rs
@@ -64,7 +64,7 @@
     assert!(output.status.success(), "{output:?}");
     assert!(table.contains("16.00"), "80 % bad of 5 % allowed: {table}");
     assert!(table.contains("page"), "{table}");
-    assert!(table.contains("2 entries read"), "{table}");
+    assert!(table.contains("Entries read: 2"), "{table}");
     assert!(table.contains("could not be read"), "{table}");
     assert!(table.contains("The 3d window is incomplete"), "{table}");
 }
