--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -28,7 +28,6 @@
 pub use dispatch::Cancel;
 pub use dispatch::Cancelled;
 pub use dispatch::Dispatch;
-pub use dispatch::Drain;
 pub use dispatch::Generate;
 pub use dispatch::Message;
 pub use dispatch::Prompt;
