Decide membership and configuration in pure machines

Members judges targets by reports, batches and the host list; Grid and Relay pass reports on in two steps; accept, dry run, deltas and InForce decide what is in force and never go back. Operators are a record kind with hashed keys.

--- /dev/null
+++ b/crates/cw_policy/src/configuration/dry_run.rs
@@ -0,0 +1,186 @@
+//! What a change would break.
+
+use std::fmt;
+
+use cw_macro::data;
+use cw_types::Config;
+use cw_types::ConfigError;
+use cw_types::Route;
+use cw_types::RouteName;
+use cw_types::RouteTarget;
+use cw_types::Snapshot;
+use cw_types::TargetKind;
+use cw_types::VersionName;
+use cw_types::WorkspaceId;
+
+/// Something that a change would break.
+#[data(Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Breakage {
+    /// A record cannot be read.
+    Malformed {
+        /// The record, as `kind/name`.
+        record: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// A route would have no target.
+    NoTarget {
+        /// The route.
+        route: RouteName,
+    },
+    /// A route's priority does not exist.
+    NoPriority {
+        /// The route.
+        route: RouteName,
+    },
+    /// A route's model version has neither a record nor a target that holds it.
+    NoVersion {
+        /// The route.
+        route: RouteName,
+        /// The version.
+        version: VersionName,
+    },
+    /// A route names a workspace that does not exist.
+    NoWorkspace {
+        /// The route.
+        route: RouteName,
+        /// The workspace.
+        workspace: WorkspaceId,
+    },
+    /// A workspace's quota lets nothing through.
+    NoQuota {
+        /// The workspace.
+        workspace: WorkspaceId,
+    },
+    /// Live generations are pinned to a version that would go.
+    Pinned {
+        /// The version.
+        version: VersionName,
+        /// How many.
+        generations: u32,
+    },
+    /// Nobody could accept a change any more.
+    NoAccepter,
+}
+
+impl fmt::Display for Breakage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Breakage::Malformed { record, reason } => {
+                write!(f, "record {record} cannot be read: {reason}")
+            }
+            Breakage::NoTarget { route } => write!(f, "route {route} would have no target"),
+            Breakage::NoPriority { route } => write!(f, "route {route} would have no priority"),
+            Breakage::NoVersion { route, version } => {
+                write!(
+                    f,
+                    "route {route} names version {version}, which nothing holds"
+                )
+            }
+            Breakage::NoWorkspace { route, workspace } => {
+                write!(
+                    f,
+                    "route {route} names workspace {workspace}, which does not exist"
+                )
+            }
+            Breakage::NoQuota { workspace } => {
+                write!(f, "workspace {workspace} would have no quota")
+            }
+            Breakage::Pinned {
+                version,
+                generations,
+            } => write!(
+                f,
+                "{generations} generations are pinned to version {version}"
+            ),
+            Breakage::NoAccepter => f.write_str("no operator could accept changes any more"),
+        }
+    }
+}
+
+/// Returns what `next` breaks that `present` does not break already.
+pub fn dry_run(present: &Snapshot, next: &Snapshot) -> Vec<Breakage> {
+    let before = breakages(present);
+    let mut after = breakages(next);
+    after.retain(|breakage| !before.contains(breakage));
+    after
+}
+
+fn breakages(snapshot: &Snapshot) -> Vec<Breakage> {
+    let (config, errors) = Config::read(snapshot);
+    let mut found: Vec<_> = errors.into_iter().map(malformed).collect();
+    for (name, route) in &config.routes {
+        check_route(&config, name, route, &mut found);
+    }
+    for (id, workspace) in &config.workspaces {
+        let quota = &workspace.quota;
+        if quota.concurrent == 0 || quota.requests.0 == 0.0 || quota.tokens.0 == 0.0 {
+            let workspace = id.clone();
+            found.push(Breakage::NoQuota { workspace });
+        }
+    }
+    let accepts = |o: &cw_types::Operator| o.role == cw_types::OperatorRole::Accepter;
+    if !config.operators.is_empty() && !config.operators.values().any(accepts) {
+        found.push(Breakage::NoAccepter);
+    }
+    found
+}
+
+fn malformed(error: ConfigError) -> Breakage {
+    Breakage::Malformed {
+        record: error.key.to_string(),
+        reason: error.reason,
+    }
+}
+
+fn check_route(config: &Config, name: &RouteName, route: &Route, found: &mut Vec<Breakage>) {
+    let name = || name.clone();
+    if !has_target(config, route) {
+        found.push(Breakage::NoTarget { route: name() });
+    }
+    if !config.priorities.contains_key(&route.priority) {
+        found.push(Breakage::NoPriority { route: name() });
+    }
+    if let Some(version) = missing_version(config, route) {
+        let route = name();
+        found.push(Breakage::NoVersion { route, version });
+    }
+    for workspace in &route.workspaces {
+        if !config.workspaces.contains_key(workspace) {
+            found.push(Breakage::NoWorkspace {
+                route: name(),
+                workspace: workspace.clone(),
+            });
+        }
+    }
+}
+
+fn has_target(config: &Config, route: &Route) -> bool {
+    config
+        .targets
+        .iter()
+        .filter(|(id, _)| !config.is_drained(id))
+        .any(|(_, target)| match (&route.to, &target.kind) {
+            (RouteTarget::Model { .. }, TargetKind::Engine) => true,
+            (RouteTarget::Service { service }, TargetKind::Service { service: offered }) => {
+                service == offered
+            }
+            _ => false,
+        })
+}
+
+fn missing_version(config: &Config, route: &Route) -> Option<VersionName> {
+    let RouteTarget::Model { model, version, .. } = &route.to else {
+        return None;
+    };
+    let recorded = config
+        .versions
+        .values()
+        .any(|v| v.model == *model && v.version == *version && v.targets > 0);
+    let held = config.targets.values().any(|target| {
+        let versions = target.versions.get(model);
+        versions.is_some_and(|versions| versions.contains(version))
+    });
+    (!recorded && !held).then(|| version.clone())
+}
--- /dev/null
+++ b/crates/cw_policy/src/configuration/mod.rs
@@ -0,0 +1,34 @@
+//! What operators propose and accept, and what of it is in force.
+//!
+//! - [`Proposal`] is a change that waits; [`accept`] decides on it.
+//! - [`dry_run`] says what a change would break.
+//! - [`InForce`] holds the snapshot in force and never goes back.
+//! - [`make_delta`] and [`apply_delta`] pass a change on without the rest.
+
+mod accept;
+mod delta;
+mod diff;
+mod dry_run;
+mod in_force;
+mod proposal;
+mod watchers;
+
+pub use accept::Acceptance;
+pub use accept::Refusal;
+pub use accept::Verdict;
+pub use accept::accept;
+pub use delta::DeltaError;
+pub use delta::apply_delta;
+pub use delta::make_delta;
+pub use diff::RecordDiff;
+pub use diff::diff;
+pub use dry_run::Breakage;
+pub use dry_run::dry_run;
+pub use in_force::Alarm;
+pub use in_force::InForce;
+pub use in_force::Source;
+pub use in_force::Taking;
+pub use proposal::Edit;
+pub use proposal::Proposal;
+pub use proposal::ProposalState;
+pub use watchers::is_watcher;
--- /dev/null
+++ b/crates/cw_policy/src/membership/grid.rs
@@ -0,0 +1,75 @@
+//! Which entry passes a batch on to which others.
+
+use cw_types::HostId;
+use cw_types::TargetId;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::EntryPeer;
+
+/// The most entries that all send to each other directly.
+const DIRECT_MAX: usize = 16;
+
+/// The entries in groups of about the square root of their number.
+///
+/// Each sends what it hears to its own group, and what its group says to a share of all others.
+/// So news reaches all in two steps, and the messages of one entry grow as the square root of
+/// the number of entries. Groups and shares are chosen by hashing, so that one entry more or
+/// less moves only its own part, and views that differ a little still fit together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Grid {
+    /// The other entries of the own group.
+    pub near: Vec<EntryPeer>,
+    /// The entries of other groups to which this one passes on what its group says.
+    pub far: Vec<EntryPeer>,
+}
+
+impl Grid {
+    /// Arranges `entries` from the side of the one on `host`.
+    pub fn new(host: &HostId, entries: &[EntryPeer]) -> Self {
+        let groups = group_count(entries.len());
+        let own = group(host, groups);
+        let (near, rest): (Vec<_>, Vec<_>) = entries
+            .iter()
+            .filter(|entry| entry.host != *host)
+            .cloned()
+            .partition(|entry| group(&entry.host, groups) == own);
+        let chosen = |entry: &EntryPeer| {
+            let rank = |via: &HostId| weight(via.as_str(), entry.host.as_str());
+            let best = near.iter().map(|peer| rank(&peer.host)).max();
+            best.is_none_or(|best| rank(host) > best)
+        };
+        let far = rest.into_iter().filter(chosen).collect();
+        Self { near, far }
+    }
+}
+
+/// Returns the number of groups: a power of two, so that it seldom changes.
+fn group_count(entries: usize) -> usize {
+    if entries <= DIRECT_MAX {
+        return 1;
+    }
+    1 << (entries.isqrt().ilog2())
+}
+
+fn group(host: &HostId, groups: usize) -> usize {
+    (xxh3_64(host.as_str().as_bytes()) % groups as u64) as usize
+}
+
+fn weight(a: &str, b: &str) -> u64 {
+    xxh3_64(format!("{a}/{b}").as_bytes())
+}
+
+/// Returns the `count` entries to which the agent of `target` reports, the first choice first.
+pub fn relays_of<'a>(
+    target: &TargetId,
+    entries: &'a [EntryPeer],
+    count: usize,
+) -> Vec<&'a EntryPeer> {
+    let mut ranked: Vec<_> = entries.iter().collect();
+    ranked.sort_by_key(|entry| {
+        let weight = weight(entry.host.as_str(), target.as_str());
+        std::cmp::Reverse(weight)
+    });
+    ranked.truncate(count);
+    ranked
+}
--- /dev/null
+++ b/crates/cw_policy/src/membership/mod.rs
@@ -0,0 +1,36 @@
+//! Which targets and entries are there, and who passes on what is known of them.
+//!
+//! - [`Members`] judges targets by reports, batches and the host list.
+//! - [`Grid`] says which entry passes a batch on to which others.
+//! - [`Outbox`] gathers what the next batch carries.
+//! - [`Processes`] keeps what entries tell of themselves.
+
+mod grid;
+mod limits;
+mod member;
+mod members;
+mod outbox;
+mod processes;
+mod relay;
+
+pub use grid::Grid;
+pub use grid::relays_of;
+pub use limits::MembershipLimits;
+pub use members::HostMark;
+pub use members::Members;
+pub use members::Outcome;
+pub use outbox::Outbox;
+pub use processes::Processes;
+pub use relay::Relay;
+pub use relay::Sendings;
+pub use relay::Urgency;
+
+use std::time::Duration;
+
+use cw_types::Time;
+
+/// Returns the moment that lies `age` before `now`.
+fn ago(now: Time, age: Duration) -> Time {
+    let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    Time(now.0.saturating_sub(micros))
+}
--- /dev/null
+++ b/crates/cw_policy/src/membership/outbox.rs
@@ -0,0 +1,111 @@
+//! What the next batch carries.
+
+use std::collections::BTreeMap;
+
+use cw_types::HostId;
+use cw_types::Revision;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_wire::Batch;
+use cw_wire::LoadUpdate;
+use cw_wire::ProcessState;
+use cw_wire::Report;
+use cw_wire::Silence;
+use cw_wire::TargetHash;
+
+use super::ago;
+
+/// What the next batch carries: only the newest of each target and entry.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    reports: BTreeMap<TargetId, (Time, Report)>,
+    loads: BTreeMap<TargetHash, (Time, LoadUpdate)>,
+    silent: BTreeMap<(HostId, TargetId), Silence>,
+    processes: BTreeMap<HostId, (Time, ProcessState)>,
+}
+
+impl Outbox {
+    /// Adds a whole report that was made at `made`.
+    pub fn put_report(&mut self, made: Time, report: Report) {
+        let newer =
+            |old: &Report| (old.incarnation, old.sequence) < (report.incarnation, report.sequence);
+        let old = self.reports.get(&report.target);
+        if old.is_none_or(|(_, old)| newer(old)) {
+            self.loads.remove(&TargetHash::from(&report.target));
+            self.reports.insert(report.target.clone(), (made, report));
+        }
+    }
+
+    /// Adds a load that was reported at `made`.
+    pub fn put_load(&mut self, made: Time, update: LoadUpdate) {
+        let old = self.loads.get(&update.target);
+        if old.is_none_or(|(_, old)| old.sequence < update.sequence) {
+            self.loads.insert(update.target, (made, update));
+        }
+    }
+
+    /// Adds what a relay says of a silent target.
+    pub fn put_silence(&mut self, silence: Silence) {
+        let key = (silence.relay.clone(), silence.target.clone());
+        self.silent.insert(key, silence);
+    }
+
+    /// Adds what an entry said of itself at `made`.
+    pub fn put_process(&mut self, made: Time, state: ProcessState) {
+        let old = self.processes.get(&state.host);
+        if old.is_none_or(|(_, old)| old.sequence < state.sequence) {
+            self.processes.insert(state.host.clone(), (made, state));
+        }
+    }
+
+    /// Adds all that another relay's batch carries.
+    pub fn put_batch(&mut self, now: Time, batch: &Batch) {
+        for (age, report) in &batch.reports {
+            self.put_report(ago(now, *age), report.clone());
+        }
+        for update in &batch.loads {
+            self.put_load(ago(now, update.age()), *update);
+        }
+        for silence in &batch.silent {
+            self.put_silence(silence.clone());
+        }
+        for state in &batch.processes {
+            self.put_process(ago(now, state.age), state.clone());
+        }
+    }
+
+    /// Returns whether there is nothing to send.
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty()
+            && self.loads.is_empty()
+            && self.silent.is_empty()
+            && self.processes.is_empty()
+    }
+
+    /// Empties the outbox into a batch of the relay on `host`.
+    pub fn take(&mut self, now: Time, host: &HostId, revision: Revision) -> Batch {
+        let whole = std::mem::take(self);
+        let aged_load = |(made, mut update): (Time, LoadUpdate)| {
+            update.set_age(now.since(made));
+            update
+        };
+        let aged_state = |(made, mut state): (Time, ProcessState)| {
+            state.age = now.since(made);
+            state
+        };
+        Batch {
+            relay: host.clone(),
+            sequence: 0,
+            revision,
+            reports: whole
+                .reports
+                .into_values()
+                .map(|(made, report)| (now.since(made), report))
+                .collect(),
+            loads: whole.loads.into_values().map(aged_load).collect(),
+            silent: whole.silent.into_values().collect(),
+            processes: whole.processes.into_values().map(aged_state).collect(),
+            forwarded: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/membership/relay.rs
@@ -0,0 +1,244 @@
+//! What an entry passes on of the reports that it gets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cw_types::HostId;
+use cw_types::Revision;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_wire::Batch;
+use cw_wire::Load;
+use cw_wire::LoadUpdate;
+use cw_wire::ProcessState;
+use cw_wire::Report;
+use cw_wire::Silence;
+
+use super::Grid;
+use super::Members;
+use super::Outbox;
+
+/// How often each report is passed on whole, changed or not.
+const WHOLE_PERIOD: Duration = Duration::from_secs(120);
+
+/// How long a target's load may go unsent while it hardly changes.
+const LOAD_PERIOD: Duration = Duration::from_secs(4);
+
+/// How long a silent target is spoken of before it is forgotten.
+const SILENCE_MAX: Duration = Duration::from_secs(90);
+
+/// The period of batches among few entries.
+const SHORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// The period of batches among many entries.
+const LONG_PERIOD: Duration = Duration::from_secs(2);
+
+/// Entries times targets above which the longer period is kept.
+const MANY: usize = 2_500;
+
+/// A change of a load below this share of the limit, as a divisor, can wait.
+const LOAD_SHARE: u32 = 8;
+
+/// A target that reports here.
+#[derive(Clone, Debug)]
+struct Direct {
+    report: Report,
+    heard: Time,
+    /// The report that was last passed on whole, and when.
+    whole: Option<(Time, Report)>,
+    /// The load that was last passed on, and when.
+    load: (Time, Load),
+}
+
+/// The batches of one round.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sendings {
+    /// For each entry of the own group.
+    pub near: Option<Batch>,
+    /// For the entries of other groups.
+    pub far: Option<Batch>,
+}
+
+/// When what a report says has to be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// With the next round.
+    Round,
+    /// At once: the target takes work no more, or takes it again.
+    Now,
+}
+
+/// What an entry passes on of the reports that it gets.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    host: HostId,
+    fresh: Duration,
+    direct: BTreeMap<TargetId, Direct>,
+    near: Outbox,
+    far: Outbox,
+    sequence: u64,
+}
+
+impl Relay {
+    /// Returns the relay on `host`, which speaks of a silence after `fresh`.
+    pub fn new(host: HostId, fresh: Duration) -> Self {
+        Self {
+            host,
+            fresh,
+            direct: BTreeMap::new(),
+            near: Outbox::default(),
+            far: Outbox::default(),
+            sequence: 0,
+        }
+    }
+
+    /// Returns how often batches are sent.
+    pub fn period(entries: usize, targets: usize) -> Duration {
+        match entries * targets > MANY {
+            true => LONG_PERIOD,
+            false => SHORT_PERIOD,
+        }
+    }
+
+    /// Takes a report that came from its agent.
+    pub fn on_report(&mut self, now: Time, report: Report) -> Urgency {
+        let direct = self
+            .direct
+            .entry(report.target.clone())
+            .or_insert_with(|| Direct {
+                report: report.clone(),
+                heard: now,
+                whole: None,
+                load: (now, report.load),
+            });
+        let old = (direct.report.incarnation, direct.report.sequence);
+        if (report.incarnation, report.sequence) < old {
+            return Urgency::Round;
+        }
+        let changed = direct.report.state != report.state;
+        direct.heard = now;
+        direct.report = report;
+        match changed || direct.whole.is_none() {
+            true => Urgency::Now,
+            false => Urgency::Round,
+        }
+    }
+
+    /// Takes a batch of an entry of the own group, to be passed on.
+    pub fn on_batch(&mut self, now: Time, batch: &Batch) {
+        if !batch.forwarded {
+            self.far.put_batch(now, batch);
+        }
+    }
+
+    /// Adds what this process says of itself.
+    pub fn on_state(&mut self, now: Time, state: &ProcessState) {
+        self.near.put_process(now, state.clone());
+        self.far.put_process(now, state.clone());
+    }
+
+    /// Returns the batches of a round.
+    pub fn round(
+        &mut self,
+        now: Time,
+        members: &Members,
+        revision: Revision,
+        grid: &Grid,
+    ) -> Sendings {
+        let awake = members.awake();
+        self.direct
+            .retain(|_, direct| is_kept(now, awake, direct, members));
+        self.gather(now, awake);
+        self.sequence += 1;
+        let near = self.near.take(now, &self.host, revision);
+        let far = self.far.take(now, &self.host, revision);
+        let numbered = |batch: Batch, forwarded: bool| Batch {
+            sequence: self.sequence,
+            forwarded,
+            ..batch
+        };
+        Sendings {
+            near: (!grid.near.is_empty()).then(|| numbered(near, false)),
+            far: (!grid.far.is_empty()).then(|| numbered(far, true)),
+        }
+    }
+
+    /// Returns the targets that report here and have fallen silent.
+    pub fn silent(&self, now: Time, awake: Time) -> Vec<Silence> {
+        let quiet = |direct: &Direct| now.since(direct.heard.max(awake));
+        self.direct
+            .values()
+            .filter(|direct| quiet(direct) >= self.fresh)
+            .map(|direct| Silence {
+                relay: self.host.clone(),
+                target: direct.report.target.clone(),
+                incarnation: direct.report.incarnation,
+                quiet: quiet(direct),
+            })
+            .collect()
+    }
+
+    fn gather(&mut self, now: Time, awake: Time) {
+        for silence in self.silent(now, awake) {
+            self.near.put_silence(silence.clone());
+            self.far.put_silence(silence);
+        }
+        for direct in self.direct.values_mut() {
+            if needs_whole(now, direct) {
+                direct.whole = Some((now, direct.report.clone()));
+                direct.load = (now, direct.report.load);
+                self.near.put_report(direct.heard, direct.report.clone());
+                self.far.put_report(direct.heard, direct.report.clone());
+            } else if needs_load(now, direct) {
+                direct.load = (now, direct.report.load);
+                let update = to_update(now, direct);
+                self.near.put_load(direct.heard, update);
+                self.far.put_load(direct.heard, update);
+            }
+        }
+    }
+}
+
+/// Returns whether a target still reports here, or is silent everywhere as far as is known.
+///
+/// An agent may choose other relays, and this one must not be a witness against it then.
+fn is_kept(now: Time, awake: Time, direct: &Direct, members: &Members) -> bool {
+    let moved = |newest: &Report| newest.sequence > direct.report.sequence;
+    let quiet = now.since(direct.heard.max(awake));
+    let newest = members.report(&direct.report.target);
+    quiet < SILENCE_MAX && !newest.is_some_and(moved)
+}
+
+fn to_update(now: Time, direct: &Direct) -> LoadUpdate {
+    let report = &direct.report;
+    let age = now.since(direct.heard);
+    LoadUpdate::new(&report.target, report.sequence, age, &report.load)
+}
+
+/// Returns whether what a load update leaves out has changed.
+fn needs_whole(now: Time, direct: &Direct) -> bool {
+    let Some((sent, whole)) = &direct.whole else {
+        return true;
+    };
+    let report = &direct.report;
+    report.incarnation != whole.incarnation
+        || report.state != whole.state
+        || report.versions != whole.versions
+        || report.crashes != whole.crashes
+        || report.load.capacity != whole.load.capacity
+        || now.since(*sent) >= WHOLE_PERIOD
+}
+
+/// Returns whether the load has changed enough, or was last sent long enough ago.
+fn needs_load(now: Time, direct: &Direct) -> bool {
+    let (sent, old) = &direct.load;
+    let load = &direct.report.load;
+    if direct.heard <= *sent {
+        return false;
+    }
+    let step = load.limit.max(LOAD_SHARE) / LOAD_SHARE;
+    load.running.abs_diff(old.running) >= step
+        || load.waiting.abs_diff(old.waiting) >= step
+        || load.limit.abs_diff(old.limit) >= step
+        || now.since(*sent) >= LOAD_PERIOD
+}
--- a/crates/cw_types/src/config.rs
+++ b/crates/cw_types/src/config.rs
@@ -6,8 +6,10 @@
 use serde_json::Value;
 use snafu::Snafu;
 
+use crate::Actor;
 use crate::Drain;
 use crate::ModelVersion;
+use crate::Operator;
 use crate::Priority;
 use crate::PriorityName;
 use crate::Record;
@@ -21,6 +23,8 @@
 use crate::TargetId;
 use crate::Workspace;
 use crate::WorkspaceId;
+use crate::convert;
+use crate::current_schema;
 
 /// A record that this process cannot read.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -49,6 +53,8 @@
     pub targets: BTreeMap<TargetId, Target>,
     /// Drains by the name of the target or host.
     pub drains: BTreeMap<String, Drain>,
+    /// Operators by name.
+    pub operators: BTreeMap<Actor, Operator>,
 }
 
 impl Config {
@@ -60,7 +66,11 @@
         };
         let mut errors = Vec::new();
         for (key, (_, record)) in &snapshot.records {
-            if let Err(reason) = config.insert(record) {
+            let current = convert(record, current_schema(record.kind));
+            let outcome = current
+                .map_err(|error| error.to_string())
+                .and_then(|record| config.insert(&record));
+            if let Err(reason) = outcome {
                 errors.push(ConfigError {
                     key: key.clone(),
                     reason,
@@ -70,6 +80,31 @@
         (config, errors)
     }
 
+    /// Takes what `previous` made of a record that this configuration could not read.
+    pub fn keep(&mut self, key: &RecordKey, previous: &Self) {
+        let name = key.name.as_str();
+        match key.kind {
+            RecordKind::Route => copy(&mut self.routes, &previous.routes, name),
+            RecordKind::Workspace => copy(&mut self.workspaces, &previous.workspaces, name),
+            RecordKind::Priority => copy(&mut self.priorities, &previous.priorities, name),
+            RecordKind::ModelVersion => copy(&mut self.versions, &previous.versions, name),
+            RecordKind::Target => copy(&mut self.targets, &previous.targets, name),
+            RecordKind::Drain => copy(&mut self.drains, &previous.drains, name),
+            RecordKind::Operator => copy(&mut self.operators, &previous.operators, name),
+        }
+    }
+
+    /// Returns the operator whose key this is.
+    pub fn operator_of(&self, key: &str) -> Option<(&Actor, &Operator)> {
+        let owns = |operator: &Operator| {
+            operator
+                .keys
+                .iter()
+                .fold(false, |found, hash| hash.matches(key) | found)
+        };
+        self.operators.iter().find(|(_, operator)| owns(operator))
+    }
+
     /// Returns the workspace whose API key this is.
     pub fn workspace_of(&self, key: &str) -> Option<(&WorkspaceId, &Workspace)> {
         let owns = |workspace: &Workspace| {
@@ -99,10 +134,22 @@
             RecordKind::ModelVersion => put(&mut self.versions, name, record),
             RecordKind::Target => put(&mut self.targets, name, record),
             RecordKind::Drain => put(&mut self.drains, name, record),
+            RecordKind::Operator => put(&mut self.operators, name, record),
         }
     }
 }
 
+fn copy<K, V>(map: &mut BTreeMap<K, V>, previous: &BTreeMap<K, V>, name: &str)
+where
+    K: std::str::FromStr + Ord,
+    V: Clone,
+{
+    let Ok(key) = name.parse::<K>() else { return };
+    if let Some(value) = previous.get(&key) {
+        map.insert(key, value.clone());
+    }
+}
+
 fn put<K, V>(map: &mut BTreeMap<K, V>, name: &str, record: &Record) -> Result<(), String>
 where
     K: std::str::FromStr + Ord,
--- a/crates/cw_types/src/record.rs
+++ b/crates/cw_types/src/record.rs
@@ -42,6 +42,8 @@
     Target,
     /// A [`Drain`].
     Drain,
+    /// An [`Operator`].
+    Operator,
 }
 
 impl fmt::Display for RecordKind {
@@ -53,6 +55,7 @@
             RecordKind::ModelVersion => "model_version",
             RecordKind::Target => "target",
             RecordKind::Drain => "drain",
+            RecordKind::Operator => "operator",
         })
     }
 }
@@ -76,6 +79,7 @@
             "model_version" => Ok(RecordKind::ModelVersion),
             "target" => Ok(RecordKind::Target),
             "drain" => Ok(RecordKind::Drain),
+            "operator" => Ok(RecordKind::Operator),
             _ => Err(RecordKeyError {
                 text: text.to_owned(),
             }),
@@ -146,7 +150,7 @@
     /// The version of the body's schema.
     pub schema: SchemaVersion,
     /// The body: one of [`Route`], [`Workspace`], [`Priority`], [`ModelVersion`], [`Target`],
-    /// [`Drain`].
+    /// [`Drain`], [`Operator`].
     pub body: Map<String, Value>,
 }
 
@@ -331,3 +335,28 @@
     /// Why, for other operators.
     pub reason: String,
 }
+
+/// What an operator may do; each role includes those before it.
+#[data(Copy, Default, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum OperatorRole {
+    /// May see everything but secrets.
+    #[default]
+    Reader,
+    /// May propose changes.
+    Proposer,
+    /// May accept and reject changes.
+    Accepter,
+}
+
+/// A person or program that operates the system. Its name is the actor of audit entries.
+#[data(Eq)]
+pub struct Operator {
+    /// The hashes of its valid keys; two at once allow rotation.
+    pub keys: Vec<KeyHash>,
+    /// What it may do.
+    pub role: OperatorRole,
+    /// Whether it may accept what it proposed itself.
+    #[serde(default)]
+    pub alone: bool,
+}
--- a/crates/cw_types/src/snapshot.rs
+++ b/crates/cw_types/src/snapshot.rs
@@ -10,6 +10,9 @@
 use crate::RecordKey;
 use crate::Revision;
 
+/// How many changes a snapshot remembers.
+const CHANGES_MAX: usize = 512;
+
 /// One accepted change, kept with the snapshot as its audit entry.
 #[data(Eq)]
 pub struct Change {
@@ -37,3 +40,13 @@
     /// The most recent changes, oldest first.
     pub changes: Vec<Change>,
 }
+
+impl Snapshot {
+    /// Forgets the oldest changes beyond those that are remembered.
+    #[must_use]
+    pub fn trimmed(mut self) -> Self {
+        let surplus = self.changes.len().saturating_sub(CHANGES_MAX);
+        self.changes.drain(..surplus);
+        self
+    }
+}
--- a/crates/cw_wire/src/load_update.rs
+++ b/crates/cw_wire/src/load_update.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Says how old the report is.
+    pub fn set_age(&mut self, age: Duration) {
+        self.age = narrow(age.as_millis() as u64 / AGE_MILLIS);
+    }
+
     /// Returns how old the report is.
     pub fn age(&self) -> Duration {
         Duration::from_millis(u64::from(self.age) * AGE_MILLIS)
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -84,6 +84,8 @@
 /// A target that a relay has not heard from for a while.
 #[data(Eq)]
 pub struct Silence {
+    /// The relay.
+    pub relay: HostId,
     /// The target.
     pub target: TargetId,
     /// The life that was last heard.
