--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
+//! - [`configuration`]: what operators accept, and what of it is in force.
+//! - [`membership`]: which targets and entries are there, and who passes it on.
 //! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
@@ -15,6 +17,8 @@
 mod fencing;
 pub mod prefix;
 pub mod routing;
+pub mod configuration;
+pub mod membership;
 pub mod slo;
 mod view;
 
