--- a/crates/cw_testkit/src/caller/answer.rs
+++ b/crates/cw_testkit/src/caller/answer.rs
@@ -9,12 +9,14 @@
 use super::Event;
 
 /// Tokens that came in one event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
     /// When they came.
     pub at: Instant,
     /// How many tokens the caller had then.
     pub tokens: usize,
+    /// The target that made them, as the event's id names it.
+    pub target: Option<String>,
 }
 
 /// What a caller has received of one generation.
@@ -58,6 +60,7 @@
             self.arrivals.push(Arrival {
                 at: event.at,
                 tokens: self.ids.len(),
+                target: event.id.as_deref().and_then(target_of),
             });
         }
     }
@@ -84,11 +87,22 @@
         self.arrivals.first().map(|arrival| arrival.at)
     }
 
-    /// Returns how long after `moment` the next token came.
-    pub fn resumed_after(&self, moment: Instant) -> Option<Duration> {
-        self.arrivals
-            .iter()
-            .find(|arrival| arrival.at > moment)
-            .map(|arrival| arrival.at - moment)
+    /// Returns the target that served the stream at a moment.
+    pub fn target_at(&self, moment: Instant) -> Option<&str> {
+        let before = self.arrivals.iter().rev().find(|a| a.at <= moment)?;
+        before.target.as_deref()
     }
+
+    /// Returns how long after a fault the stream went on: the end of its longest gap since.
+    pub fn resumed_after(&self, fault: Instant) -> Option<Duration> {
+        let start = self.arrivals.iter().rposition(|a| a.at <= fault)?;
+        let gap = |pair: &&[Arrival]| pair[1].at - pair[0].at;
+        let longest = self.arrivals[start..].windows(2).max_by_key(gap)?;
+        Some(longest[1].at.saturating_duration_since(fault))
+    }
+}
+
+/// Reads the target from an event's id, `GENERATION/ATTEMPT/INDEX/TARGET/..`.
+fn target_of(id: &str) -> Option<String> {
+    id.split('/').nth(3).map(str::to_owned)
 }
--- /dev/null
+++ b/crates/cw_testkit/src/experiment/drive.rs
@@ -0,0 +1,61 @@
+//! Callers that run side by side.
+
+use std::time::Instant;
+
+use tokio::task::JoinSet;
+
+use crate::Answer;
+use crate::Ask;
+use crate::CallError;
+use crate::Caller;
+
+use super::Tally;
+
+/// One request and what became of it.
+#[derive(Debug)]
+pub(super) struct Stream {
+    /// The request.
+    pub(super) ask: Ask,
+    /// When it was sent.
+    pub(super) sent: Instant,
+    /// When its outcome was known.
+    pub(super) ended: Instant,
+    /// What became of it.
+    pub(super) outcome: Result<Answer, CallError>,
+}
+
+/// Requests that run side by side.
+#[derive(Debug, Default)]
+pub(super) struct Drive {
+    tasks: JoinSet<Stream>,
+}
+
+impl Drive {
+    /// Sends one more request.
+    pub(super) fn send(&mut self, caller: Caller, ask: Ask) {
+        self.tasks.spawn(async move {
+            let sent = Instant::now();
+            let outcome = caller.ask(&ask).await;
+            Stream {
+                ask,
+                sent,
+                ended: Instant::now(),
+                outcome,
+            }
+        });
+    }
+
+    /// Waits for all outcomes.
+    pub(super) async fn finish(self) -> Vec<Stream> {
+        self.tasks.join_all().await
+    }
+}
+
+/// Compares all answers with what they should be.
+pub(super) fn tally(streams: &[Stream]) -> Tally {
+    let mut tally = Tally::default();
+    for stream in streams {
+        tally.add(&stream.ask, &stream.outcome);
+    }
+    tally
+}
--- /dev/null
+++ b/crates/cw_testkit/src/experiment/mod.rs
@@ -0,0 +1,14 @@
+//! Measurements of a deployment on loopback.
+
+mod drive;
+mod engine_death;
+mod report;
+mod summary;
+mod tally;
+mod work;
+
+pub use engine_death::engine_death;
+pub use report::ExperimentError;
+pub use report::Report;
+pub use summary::Summary;
+pub use tally::Tally;
--- /dev/null
+++ b/crates/cw_testkit/src/experiment/report.rs
@@ -0,0 +1,66 @@
+//! Reports as JSON.
+
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::Value;
+use snafu::Snafu;
+
+/// An experiment that could not be run or written.
+#[derive(Debug, Snafu)]
+#[snafu(display("{message}"))]
+pub struct ExperimentError {
+    /// What happened.
+    pub message: String,
+}
+
+impl ExperimentError {
+    /// Returns an error with the text of another.
+    pub(super) fn new(error: impl std::fmt::Display) -> Self {
+        let message = error.to_string();
+        Self { message }
+    }
+}
+
+/// What an experiment found.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// The experiment.
+    pub experiment: String,
+    /// The command that made the report.
+    pub command: String,
+    /// How the deployment and the load were set.
+    pub setup: Value,
+    /// The findings, one row each.
+    pub rows: Vec<Value>,
+}
+
+impl Report {
+    /// Returns a report without findings.
+    pub fn new(experiment: &str, setup: Value) -> Self {
+        Self {
+            experiment: experiment.to_owned(),
+            command: format!(
+                "cargo run --release --bin cyclamenwharf-dev -- experiment {experiment}"
+            ),
+            setup,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a finding.
+    pub(super) fn push<T: Serialize>(&mut self, row: &T) {
+        let value = serde_json::to_value(row).expect("rows have string keys");
+        self.rows.push(value);
+    }
+
+    /// Writes the report to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn write(&self, file: &Path) -> Result<(), ExperimentError> {
+        let text = serde_json::to_string_pretty(self).map_err(ExperimentError::new)?;
+        std::fs::write(file, text + "\n").map_err(ExperimentError::new)
+    }
+}
--- a/crates/cw_testkit/src/lib.rs
+++ b/crates/cw_testkit/src/lib.rs
@@ -4,10 +4,12 @@
 //!   stand-ins with faults to switch on.
 //! - [`Rig`] runs them with entries and agents in one process.
 //! - [`Caller`] asks for generations and reads their streams.
+//! - [`experiment`] measures a deployment.
 
 mod caller;
 mod deployment;
 mod etcd;
+pub mod experiment;
 mod host_list;
 mod model_engine;
 mod plain_service;
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -11,6 +11,8 @@
 use cw_testkit::Rig;
 use cw_testkit::RigSpec;
 use cw_testkit::api_key;
+use cw_testkit::experiment;
+use cw_testkit::experiment::Report;
 use cw_testkit::write_settings;
 
 fn command() -> Command {
@@ -29,6 +31,31 @@
                 .about("Writes the settings files of a small deployment")
                 .arg(directory),
         )
+        .subcommand(experiment_command())
+}
+
+fn experiment_command() -> Command {
+    let json = Arg::new("json")
+        .long("json")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The file for the report");
+    let rounds = Arg::new("rounds")
+        .long("rounds")
+        .value_name("N")
+        .default_value("12")
+        .value_parser(value_parser!(usize))
+        .help("How often each fault is caused");
+    Command::new("experiment")
+        .about("Measures a deployment on loopback")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("engine-death")
+                .about("Kills engines in the middle of streams")
+                .arg(json)
+                .arg(rounds),
+        )
 }
 
 fn main() -> ExitCode {
@@ -38,6 +65,7 @@
         match matches.subcommand() {
             Some(("up", _)) => up().await,
             Some(("settings", args)) => settings(args).await,
+            Some(("experiment", args)) => measure(args).await,
             _ => Err("unknown command".to_owned()),
         }
     });
@@ -92,3 +120,23 @@
     rig.stop().await;
     written
 }
+
+async fn measure(args: &ArgMatches) -> Result<(), String> {
+    let (name, args) = args.subcommand().expect("clap requires it");
+    let file: &PathBuf = args.get_one("json").expect("clap requires it");
+    let rounds: usize = *args.get_one("rounds").expect("it has a default");
+    let report = run(name, rounds).await?;
+    report.write(file).map_err(|e| e.to_string())?;
+    for row in &report.rows {
+        println!("{row}");
+    }
+    Ok(())
+}
+
+async fn run(name: &str, rounds: usize) -> Result<Report, String> {
+    match name {
+        "engine-death" => experiment::engine_death(rounds).await,
+        _ => return Err(format!("unknown experiment {name}")),
+    }
+    .map_err(|error| error.to_string())
+}
--- a/crates/cw_testkit/src/model_engine/engine.rs
+++ b/crates/cw_testkit/src/model_engine/engine.rs
@@ -165,6 +165,12 @@
         self.lasting.counters().clone()
     }
 
+    /// Returns how many requests run or wait; none when it is dead.
+    pub async fn busy(&self) -> usize {
+        let lives = self.lives.lock().await;
+        lives.running.as_ref().map_or(0, |now| now.life.busy())
+    }
+
     // ---- Lives
 
     async fn begin(&self) -> io::Result<SocketAddr> {
--- a/crates/cw_testkit/src/model_engine/life.rs
+++ b/crates/cw_testkit/src/model_engine/life.rs
@@ -111,6 +111,12 @@
         state.batch.count_lost(&mut self.lasting.counters());
     }
 
+    /// Returns how many requests run or wait.
+    pub(super) fn busy(&self) -> usize {
+        let state = self.state();
+        state.batch.running() + state.batch.waiting()
+    }
+
     fn begin(&self) -> Step {
         let mut state = self.state();
         state.batch.begin(&mut self.lasting.counters())
