Take the packed load's missing parts from the last whole load

Cause: LoadUpdate::load takes the last whole load since a life's age was added. Change: the membership machine passes it.

--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -14,11 +14,11 @@
 
 mod admission;
 mod attempt;
+pub mod configuration;
 mod fencing;
+pub mod membership;
 pub mod prefix;
 pub mod routing;
-pub mod configuration;
-pub mod membership;
 pub mod slo;
 mod view;
 
--- a/crates/cw_policy/src/membership/member.rs
+++ b/crates/cw_policy/src/membership/member.rs
@@ -76,7 +76,7 @@
     /// Takes a newer load of the same life.
     pub(super) fn update(&mut self, update: &LoadUpdate, made: Time) {
         self.report.sequence = update.sequence;
-        self.report.load = update.load(self.report.load.capacity);
+        self.report.load = update.load(&self.report.load);
         self.made = self.made.max(made);
         self.silences.clear();
     }
--- a/crates/cw_testkit/src/caller/answer.rs
+++ b/crates/cw_testkit/src/caller/answer.rs
@@ -69,7 +69,10 @@
         let id = |value: &Value| u32::try_from(value.as_u64()?).ok().map(TokenId);
         self.ids.extend(ids.filter_map(id));
         let message = choice["delta"]["content"].as_str();
-        let text = choice["text"].as_str().or(message).or(choice["message"]["content"].as_str());
+        let text = choice["text"]
+            .as_str()
+            .or(message)
+            .or(choice["message"]["content"].as_str());
         self.text.push_str(text.unwrap_or_default());
         if let Some(finish) = choice["finish_reason"].as_str() {
             self.finish = Some(finish.to_owned());
--- a/crates/cw_testkit/src/caller/client.rs
+++ b/crates/cw_testkit/src/caller/client.rs
@@ -130,7 +130,11 @@
             return self.open(ask).await?.finish().await;
         }
         let response = self.post(ask).await?;
-        let body = response.into_body().collect().await.map_err(CallError::broken)?;
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(CallError::broken)?;
         let value: Value = serde_json::from_slice(&body.to_bytes()).map_err(CallError::broken)?;
         let mut answer = Answer {
             closed: true,
@@ -175,7 +179,9 @@
 
     async fn post(&self, ask: &Ask) -> Result<Response<Incoming>, CallError> {
         let body = Bytes::from(ask.body().to_string());
-        let response = self.send(Method::POST, COMPLETIONS, &ask.headers, body).await?;
+        let response = self
+            .send(Method::POST, COMPLETIONS, &ask.headers, body)
+            .await?;
         match response.status() {
             StatusCode::OK => Ok(response),
             status => refusal(status, response).await,
@@ -198,7 +204,10 @@
             request = request.header(name, value);
         }
         let request = request.body(Full::new(body)).map_err(CallError::broken)?;
-        self.client.request(request).await.map_err(CallError::broken)
+        self.client
+            .request(request)
+            .await
+            .map_err(CallError::broken)
     }
 }
 
@@ -208,7 +217,11 @@
 ) -> Result<Response<Incoming>, CallError> {
     let retry = response.headers().get("retry-after");
     let seconds = retry.and_then(|value| value.to_str().ok()?.parse().ok());
-    let body = response.into_body().collect().await.map_err(CallError::broken)?;
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(CallError::broken)?;
     Err(CallError::Refused {
         status,
         body: serde_json::from_slice(&body.to_bytes()).unwrap_or_default(),
--- a/crates/cw_testkit/src/deployment/node.rs
+++ b/crates/cw_testkit/src/deployment/node.rs
@@ -23,7 +23,9 @@
 impl EntryNode {
     /// Starts an entry.
     pub(super) async fn start(mut settings: EntrySettings) -> Result<Self, RigError> {
-        let handle = Entry::start(settings.clone()).await.map_err(RigError::new)?;
+        let handle = Entry::start(settings.clone())
+            .await
+            .map_err(RigError::new)?;
         settings.listen.callers = handle.callers;
         settings.listen.peers = handle.peers;
         settings.listen.admin = handle.admin;
@@ -77,7 +79,9 @@
 impl TargetNode {
     /// Starts an agent.
     pub(super) async fn start(mut settings: AgentSettings) -> Result<Self, RigError> {
-        let handle = Agent::start(settings.clone()).await.map_err(RigError::new)?;
+        let handle = Agent::start(settings.clone())
+            .await
+            .map_err(RigError::new)?;
         settings.listen.peers = handle.peers;
         settings.listen.admin = handle.admin;
         Ok(Self {
--- a/crates/cw_testkit/src/deployment/records.rs
+++ b/crates/cw_testkit/src/deployment/records.rs
@@ -50,11 +50,19 @@
         record(RecordKind::Route, ROUTE_LATENCY, &model(Recovery::Latency)),
         record(RecordKind::Route, ROUTE_THRIFT, &model(Recovery::Thrift)),
         record(RecordKind::Route, SERVICE, &service(SERVICE, true)),
-        record(RecordKind::Route, SERVICE_ONCE, &service(SERVICE_ONCE, false)),
+        record(
+            RecordKind::Route,
+            SERVICE_ONCE,
+            &service(SERVICE_ONCE, false),
+        ),
     ];
     for number in 0..spec.workspaces {
         let name = format!("workspace-{number}");
-        records.push(record(RecordKind::Workspace, &name, &workspace(spec, number)));
+        records.push(record(
+            RecordKind::Workspace,
+            &name,
+            &workspace(spec, number),
+        ));
     }
     for (id, target) in targets {
         records.push(record(RecordKind::Target, id.as_str(), &target));
--- a/crates/cw_testkit/src/deployment/rig.rs
+++ b/crates/cw_testkit/src/deployment/rig.rs
@@ -156,10 +156,16 @@
     }
 
     async fn start_entries(&mut self) -> Result<(), RigError> {
-        let settings: Vec<_> = (0..self.spec.entries).map(|n| self.entry_settings(n)).collect();
+        let settings: Vec<_> = (0..self.spec.entries)
+            .map(|n| self.entry_settings(n))
+            .collect();
         let starts = settings.into_iter().map(EntryNode::start);
         self.entries = try_join_all(starts).await?;
-        let hosts: Vec<Host> = self.entries.iter().map(|e| entry_host(&e.settings)).collect();
+        let hosts: Vec<Host> = self
+            .entries
+            .iter()
+            .map(|e| entry_host(&e.settings))
+            .collect();
         self.host_list.update(|list| list.extend(hosts));
         Ok(())
     }
@@ -177,11 +183,18 @@
         self.engines = try_join_all(engines).await.map_err(RigError::new)?;
         let services = (0..self.spec.services).map(|_| PlainService::start());
         self.services = try_join_all(services).await.map_err(RigError::new)?;
-        let settings: Vec<_> = (0..self.spec.engines).map(|n| self.engine_target(n)).collect();
+        let settings: Vec<_> = (0..self.spec.engines)
+            .map(|n| self.engine_target(n))
+            .collect();
         self.agents = try_join_all(settings.into_iter().map(TargetNode::start)).await?;
-        let settings: Vec<_> = (0..self.spec.services).map(|n| self.service_target(n)).collect();
+        let settings: Vec<_> = (0..self.spec.services)
+            .map(|n| self.service_target(n))
+            .collect();
         self.service_agents = try_join_all(settings.into_iter().map(TargetNode::start)).await?;
-        let hosts: Vec<Host> = self.targets().map(|node| target_host(&node.settings)).collect();
+        let hosts: Vec<Host> = self
+            .targets()
+            .map(|node| target_host(&node.settings))
+            .collect();
         self.host_list.update(|list| list.extend(hosts));
         Ok(())
     }
@@ -193,7 +206,12 @@
     fn write_records(&self) -> Result<(), RigError> {
         let targets: BTreeMap<TargetId, Target> = self
             .targets()
-            .map(|node| (node.settings.target.id.clone(), target_record(&node.settings)))
+            .map(|node| {
+                (
+                    node.settings.target.id.clone(),
+                    target_record(&node.settings),
+                )
+            })
             .collect();
         let snapshot = snapshot(&self.spec, targets);
         let bytes = serde_json::to_vec(&snapshot).map_err(RigError::new)?;
@@ -253,7 +271,12 @@
 
     fn engine_target(&self, number: usize) -> AgentSettings {
         let address = self.engines[number].address;
-        self.agent_settings(number, &format!("engine-{number}"), TargetKind::Engine, address)
+        self.agent_settings(
+            number,
+            &format!("engine-{number}"),
+            TargetKind::Engine,
+            address,
+        )
     }
 
     fn service_target(&self, number: usize) -> AgentSettings {
@@ -307,16 +330,28 @@
 }
 
 fn entry_host(settings: &EntrySettings) -> Host {
-    let place = (settings.host.clone(), settings.zone.clone(), settings.region.clone());
+    let place = (
+        settings.host.clone(),
+        settings.zone.clone(),
+        settings.region.clone(),
+    );
     host(place, HostRole::Entry, settings.listen.peers)
 }
 
 fn target_host(settings: &AgentSettings) -> Host {
-    let place = (settings.host.clone(), settings.zone.clone(), settings.region.clone());
+    let place = (
+        settings.host.clone(),
+        settings.zone.clone(),
+        settings.region.clone(),
+    );
     host(place, HostRole::Target, settings.listen.peers)
 }
 
-fn host((host, zone, region): (HostId, ZoneId, RegionId), role: HostRole, peers: SocketAddr) -> Host {
+fn host(
+    (host, zone, region): (HostId, ZoneId, RegionId),
+    role: HostRole,
+    peers: SocketAddr,
+) -> Host {
     Host {
         host,
         role,
--- a/crates/cw_testkit/src/etcd/routes.rs
+++ b/crates/cw_testkit/src/etcd/routes.rs
@@ -186,9 +186,7 @@
             None => missing,
         },
         "/v3/lease/grant" => Outcome::Written(grant(tree, now, &parse(body)?)),
-        "/v3/lease/keepalive" => {
-            Outcome::Read(parse::<LeaseBody>(body)?.keep_alive(tree, now))
-        }
+        "/v3/lease/keepalive" => Outcome::Read(parse::<LeaseBody>(body)?.keep_alive(tree, now)),
         "/v3/lease/revoke" | "/v3/kv/lease/revoke" => {
             match tree.revoke(parse::<LeaseBody>(body)?.id) {
                 true => Outcome::Written(json!({ "header": header(tree) })),
@@ -210,5 +208,8 @@
 }
 
 fn fail(status: StatusCode, code: u32, message: &str) -> Reply {
-    json_reply(status, &json!({ "error": message, "code": code, "message": message }))
+    json_reply(
+        status,
+        &json!({ "error": message, "code": code, "message": message }),
+    )
 }
--- a/crates/cw_testkit/src/etcd/tree.rs
+++ b/crates/cw_testkit/src/etcd/tree.rs
@@ -122,7 +122,11 @@
 
     /// Removes a range, and returns how many keys it had.
     pub(super) fn delete(&mut self, from: &[u8], end: &[u8]) -> usize {
-        let keys: Vec<Bytes> = self.range(from, end).into_iter().map(|(key, _)| key).collect();
+        let keys: Vec<Bytes> = self
+            .range(from, end)
+            .into_iter()
+            .map(|(key, _)| key)
+            .collect();
         if !keys.is_empty() {
             self.revision += 1;
         }
@@ -207,6 +211,7 @@
     pub(super) fn restore(&mut self, backup: &Backup) {
         self.entries = backup.entries.clone();
         self.revision = backup.revision;
-        self.history.retain(|change| change.revision <= backup.revision);
+        self.history
+            .retain(|change| change.revision <= backup.revision);
     }
 }
--- a/crates/cw_testkit/src/model_engine/batch.rs
+++ b/crates/cw_testkit/src/model_engine/batch.rs
@@ -185,7 +185,10 @@
 
     /// Returns the prompt tokens that wait.
     pub(super) fn prefill(&self) -> u64 {
-        self.waiting.values().map(|job| job.tokens.len() as u64).sum()
+        self.waiting
+            .values()
+            .map(|job| job.tokens.len() as u64)
+            .sum()
     }
 
     /// Returns the tokens in the cache, those of running requests included.
--- a/crates/cw_testkit/src/model_engine/job.rs
+++ b/crates/cw_testkit/src/model_engine/job.rs
@@ -93,7 +93,9 @@
 
     fn finish(&self, reason: &'static str) -> Progress {
         // There is room, and a reader that is gone is noticed later.
-        let _ = self.events.try_send(self.event("", &[], Some(reason), None));
+        let _ = self
+            .events
+            .try_send(self.event("", &[], Some(reason), None));
         let _ = self
             .events
             .try_send(Bytes::from_static(b"data: [DONE]\n\n"));
--- a/crates/cw_testkit/src/model_engine/orders.rs
+++ b/crates/cw_testkit/src/model_engine/orders.rs
@@ -49,10 +49,12 @@
 
     /// Returns whether a request can be served.
     pub(super) fn has(&self, key: &VersionKey, adapter: Option<&AdapterName>) -> bool {
-        let version = self.versions.get(&key.0).is_some_and(|all| all.contains(&key.1));
-        let adapter = adapter.is_none_or(|name| {
-            self.adapters.get(key).is_some_and(|all| all.contains(name))
-        });
+        let version = self
+            .versions
+            .get(&key.0)
+            .is_some_and(|all| all.contains(&key.1));
+        let adapter =
+            adapter.is_none_or(|name| self.adapters.get(key).is_some_and(|all| all.contains(name)));
         version && adapter
     }
 
--- a/crates/cw_testkit/src/server/http_server.rs
+++ b/crates/cw_testkit/src/server/http_server.rs
@@ -29,7 +29,10 @@
 /// What answers a stand-in's requests.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// Answers one request, or closes its connection.
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Result<Reply, Cut>>;
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Reply, Cut>>;
 }
 
 /// A running server.
@@ -58,7 +61,13 @@
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
         };
-        let accept = accept(listener, gate, handler, server.tasks.clone(), server.stop.clone());
+        let accept = accept(
+            listener,
+            gate,
+            handler,
+            server.tasks.clone(),
+            server.stop.clone(),
+        );
         let stop = server.stop.clone();
         server.tasks.spawn(async move {
             tokio::select! {
