--- a/crates/cw_wire/src/path.rs
+++ b/crates/cw_wire/src/path.rs
@@ -16,6 +16,8 @@
 pub const BATCHES: &str = "/peer/v1/batches";
 /// `POST` of a [`crate::ConfigAsk`] to an entry; answered by [`crate::ConfigAnswer`].
 pub const CONFIG: &str = "/peer/v1/config";
+/// `POST` of nothing to an entry; answered by a [`crate::Batch`] of all that it knows.
+pub const STATE: &str = "/peer/v1/state";
 
 /// The header that carries the secret shared by the processes.
 pub const SECRET_HEADER: &str = "x-cyclamenwharf-secret";
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/counted.rs
@@ -0,0 +1,89 @@
+//! A key-value service whose calls are counted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_store::KeyValue;
+use cw_store::LeaseId;
+use cw_store::ModRevision;
+use cw_store::StoreError;
+use cw_store::Swap;
+use cw_store::Versioned;
+use cw_store::WatchEvent;
+use futures::future::BoxFuture;
+use futures::stream::BoxStream;
+use prometheus::IntCounterVec;
+
+/// A key-value service whose calls are counted, since the platform counts and limits them.
+pub(super) struct Counted {
+    inner: Arc<dyn KeyValue>,
+    calls: IntCounterVec,
+}
+
+impl Counted {
+    /// Counts the calls to `inner`.
+    pub(super) fn new(inner: Arc<dyn KeyValue>, calls: IntCounterVec) -> Self {
+        Self { inner, calls }
+    }
+
+    fn count(&self, call: &str) {
+        self.calls.with_label_values(&[call]).inc();
+    }
+}
+
+impl KeyValue for Counted {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>> {
+        self.count("get");
+        self.inner.get(key)
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
+        self.count("list");
+        self.inner.list(prefix)
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Option<ModRevision>,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> BoxFuture<'a, Result<Swap, StoreError>> {
+        self.count("swap");
+        self.inner.swap(key, expected, value, lease)
+    }
+
+    fn remove<'a>(
+        &'a self,
+        key: &'a str,
+        expected: ModRevision,
+    ) -> BoxFuture<'a, Result<Swap, StoreError>> {
+        self.count("remove");
+        self.inner.remove(key, expected)
+    }
+
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
+        self.count("grant");
+        self.inner.grant(ttl)
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<Duration, StoreError>> {
+        self.count("keep_alive");
+        self.inner.keep_alive(lease)
+    }
+
+    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.count("revoke");
+        self.inner.revoke(lease)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: ModRevision,
+    ) -> BoxFuture<'a, Result<BoxStream<'static, Result<WatchEvent, StoreError>>, StoreError>> {
+        self.count("watch");
+        self.inner.watch(prefix, after)
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/event.rs
@@ -0,0 +1,91 @@
+//! What happens to the control state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_policy::configuration::Alarm;
+use cw_policy::configuration::InForce;
+use cw_store::Host;
+use cw_types::HostId;
+use cw_types::RecordKind;
+use cw_types::Revision;
+use cw_types::Snapshot;
+use cw_wire::Batch;
+use cw_wire::ConfigAnswer;
+use cw_wire::ProcessState;
+use cw_wire::Report;
+use cw_wire::ReportAnswer;
+use tokio::sync::oneshot;
+
+use super::PlannerStatus;
+
+/// What happens to the control state, with where to answer.
+#[derive(Debug)]
+pub(super) enum Event {
+    /// An agent reports.
+    Report {
+        report: Box<Report>,
+        answer: oneshot::Sender<ReportAnswer>,
+    },
+    /// A relay passes on reports.
+    Batch(Box<Batch>),
+    /// A batch did not reach a peer, which therefore needs all.
+    SendFailed(HostId),
+    /// A peer asks for a newer configuration.
+    ConfigAsked {
+        have: Revision,
+        answer: oneshot::Sender<ConfigAnswer>,
+    },
+    /// A peer asks for all reports.
+    StateAsked { answer: oneshot::Sender<Batch> },
+    /// The key-value service holds this.
+    Store(Box<Option<Snapshot>>),
+    /// A peer answered with its configuration.
+    PeerConfig {
+        peer: HostId,
+        answer: Box<ConfigAnswer>,
+    },
+    /// The host list was read.
+    Hosts(Vec<Host>),
+    /// The planner's lease or work changed.
+    Planner(PlannerStatus),
+    /// The operators' server asks how things are.
+    Inspect { answer: oneshot::Sender<Inspection> },
+}
+
+/// How things are, for the operators' server and the planner.
+#[derive(Clone, Debug)]
+pub(super) struct Inspection {
+    /// The configuration in force.
+    pub(super) in_force: InForce,
+    /// The live entries with the age of their last word.
+    pub(super) processes: Vec<(Duration, ProcessState)>,
+    /// The revisions that agents reported.
+    pub(super) agents: Vec<(cw_types::TargetId, Revision)>,
+    /// The planner, as this entry knows it.
+    pub(super) planner: PlannerStatus,
+    /// The other entries.
+    pub(super) peers: Vec<cw_policy::EntryPeer>,
+}
+
+impl Inspection {
+    /// Returns the hosts of live entries that cannot read `schema` of `kind`.
+    pub(super) fn unable(&self, kind: RecordKind, schema: cw_types::SchemaVersion) -> Vec<HostId> {
+        let reads = |state: &ProcessState| state.schemas.get(&kind).is_some_and(|v| *v >= schema);
+        self.processes
+            .iter()
+            .filter(|(_, state)| !reads(state))
+            .map(|(_, state)| state.host.clone())
+            .collect()
+    }
+
+    /// Returns the snapshot in force.
+    pub(super) fn snapshot(&self) -> Arc<Snapshot> {
+        self.in_force.snapshot().clone()
+    }
+
+    /// Returns why the key-value service is not followed, if so.
+    pub(super) fn alarm(&self) -> Option<Alarm> {
+        self.in_force.alarm().cloned()
+    }
+}
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -2,9 +2,31 @@
 //!
 //! One thread owns it and publishes an immutable [`View`] for the traffic threads.
 
+mod admin_server;
+mod core;
+mod counted;
+mod event;
+mod hosts_task;
+mod metrics;
+mod peers_server;
+mod planner_status;
+mod sender;
+mod services;
+mod store_task;
+mod thread;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use self::planner_status::PlannerStatus;
+pub use self::services::Services;
+
+use self::event::Event;
+use self::event::Inspection;
+use self::metrics::ControlMetrics;
+use self::sender::Sender;
+use self::store_task::StoreUse;
+
 use arc_swap::ArcSwap;
 use cw_policy::View;
 use prometheus::Registry;
@@ -50,10 +72,22 @@
     ///
     /// Fails when an address cannot be listened on.
     pub async fn start(parts: ControlParts) -> Result<Self, StartError> {
+        let services = Services::new(&parts.settings.platform);
+        Self::start_with(parts, services).await
+    }
+
+    /// Starts the control thread on other services than those of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start_with(parts: ControlParts, services: Services) -> Result<Self, StartError> {
+        let view = SharedView::default();
+        let addresses = thread::start(parts, services, view.clone()).await?;
         Ok(Self {
-            view: SharedView::default(),
-            peers: parts.settings.listen.peers,
-            admin: parts.settings.listen.admin,
+            view,
+            peers: addresses.peers,
+            admin: addresses.admin,
         })
     }
 }
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/services.rs
@@ -0,0 +1,34 @@
+//! The platform's services, as control uses them.
+
+use std::sync::Arc;
+
+use cw_store::EtcdGateway;
+use cw_store::HostList;
+use cw_store::HttpHostList;
+use cw_store::HttpWeightStore;
+use cw_store::KeyValue;
+use cw_store::WeightStore;
+
+use crate::PlatformSettings;
+
+/// The platform's services.
+#[derive(Clone)]
+pub struct Services {
+    /// The key-value service.
+    pub key_value: Arc<dyn KeyValue>,
+    /// The host list.
+    pub host_list: Arc<dyn HostList>,
+    /// The weight store.
+    pub weight_store: Arc<dyn WeightStore>,
+}
+
+impl Services {
+    /// Returns clients of the services that the settings name.
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            key_value: Arc::new(EtcdGateway::new(settings.key_value.clone())),
+            host_list: Arc::new(HttpHostList::new(settings.host_list)),
+            weight_store: Arc::new(HttpWeightStore::new(settings.weight_store)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -0,0 +1,207 @@
+//! The thread that owns the control state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use cw_policy::EntryPeer;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use super::ControlMetrics;
+use super::ControlParts;
+use super::Event;
+use super::Services;
+use super::SharedView;
+use super::StoreUse;
+use super::admin_server;
+use super::admin_server::AdminContext;
+use super::core::Core;
+use super::core::CoreParts;
+use super::core::TICK;
+use super::counted::Counted;
+use super::hosts_task::follow_hosts;
+use super::peers_server;
+use super::peers_server::PeersContext;
+use super::sender::Sender;
+use super::store_task::StoreTask;
+use crate::Clock;
+use crate::PeerClient;
+use crate::StartError;
+
+/// How many events may wait.
+const EVENTS_MAX: usize = 4096;
+
+/// Where the servers of a running thread listen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Addresses {
+    pub(super) peers: SocketAddr,
+    pub(super) admin: SocketAddr,
+}
+
+/// Starts the thread and waits until its servers listen.
+pub(super) async fn start(
+    parts: ControlParts,
+    services: Services,
+    view: SharedView,
+) -> Result<Addresses, StartError> {
+    let (started, start) = oneshot::channel();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || run(parts, services, view, started))
+        .map_err(|error| failed(&error))?;
+    start.await.map_err(|error| failed(&error))?
+}
+
+fn failed(error: &dyn std::error::Error) -> StartError {
+    StartError {
+        message: error.to_string(),
+    }
+}
+
+/// Runs until the supervisor stops. The runtime goes with it, and so do all open connections.
+fn run(
+    parts: ControlParts,
+    services: Services,
+    view: SharedView,
+    started: oneshot::Sender<Result<Addresses, StartError>>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            let _ = started.send(Err(failed(&error)));
+            return;
+        }
+    };
+    let stop = parts.supervisor.token();
+    runtime.block_on(async move {
+        match serve(parts, services, view) {
+            Ok((addresses, servers)) => {
+                let _ = started.send(Ok(addresses));
+                stop.cancelled().await;
+                drop(servers);
+            }
+            Err(error) => {
+                let _ = started.send(Err(error));
+            }
+        }
+    });
+    runtime.shutdown_background();
+}
+
+fn serve(
+    parts: ControlParts,
+    services: Services,
+    view: SharedView,
+) -> Result<(Addresses, impl Sized), StartError> {
+    let (events, receiver) = mpsc::channel(EVENTS_MAX);
+    let settings = &parts.settings;
+    let metrics = ControlMetrics::new(&parts.registry);
+    let services = Services {
+        key_value: Arc::new(Counted::new(services.key_value, metrics.calls.clone())),
+        ..services
+    };
+    let peers_context = PeersContext {
+        events: events.clone(),
+        secrets: settings.secrets.peers.clone(),
+    };
+    let peers = peers_server::start(settings.listen.peers, peers_context)?;
+    let admin_context = AdminContext {
+        health: parts.health.clone(),
+        registry: parts.registry.clone(),
+    };
+    let admin = admin_server::start(settings.listen.admin, admin_context)?;
+    let addresses = Addresses {
+        peers: peers.local_addr(),
+        admin: admin.local_addr(),
+    };
+    let usage = Arc::new(watch::Sender::new(StoreUse::Watch));
+    keep_services(&parts, &services, &events, &usage);
+    let secret = settings.secrets.peers.first().cloned().unwrap_or_default();
+    let sender = Sender {
+        client: PeerClient::new(&secret),
+        events,
+        metrics: metrics.clone(),
+    };
+    let own = EntryPeer {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peers: addresses.peers,
+    };
+    keep_core(&parts, receiver, move |seed, health| CoreParts {
+        own: own.clone(),
+        view: view.clone(),
+        health,
+        metrics: metrics.clone(),
+        sender: sender.clone(),
+        usage: usage.clone(),
+        seed,
+    });
+    Ok((addresses, (peers, admin)))
+}
+
+fn keep_services(
+    parts: &ControlParts,
+    services: &Services,
+    events: &mpsc::Sender<Event>,
+    usage: &Arc<watch::Sender<StoreUse>>,
+) {
+    let task = {
+        let (key_value, events) = (services.key_value.clone(), events.clone());
+        let usage = usage.clone();
+        move || {
+            let task = StoreTask {
+                key_value: key_value.clone(),
+                events: events.clone(),
+                usage: usage.subscribe(),
+            };
+            task.run()
+        }
+    };
+    parts.supervisor.keep("store", task);
+    let (list, events) = (services.host_list.clone(), events.clone());
+    parts
+        .supervisor
+        .keep("hosts", move || follow_hosts(list.clone(), events.clone()));
+}
+
+fn keep_core(
+    parts: &ControlParts,
+    receiver: mpsc::Receiver<Event>,
+    core_parts: impl Fn(
+        Arc<ArcSwap<cw_policy::configuration::InForce>>,
+        Arc<crate::Health>,
+    ) -> CoreParts
+    + Send
+    + 'static,
+) {
+    let receiver = Arc::new(Mutex::new(receiver));
+    let seed = Arc::default();
+    let (clock, health) = (parts.clock, parts.health.clone());
+    parts.supervisor.keep("core", move || {
+        let parts = core_parts(Arc::clone(&seed), health.clone());
+        run_core(Core::new(parts, clock.now()), clock, receiver.clone())
+    });
+}
+
+async fn run_core(mut core: Core, clock: Clock, receiver: Arc<Mutex<mpsc::Receiver<Event>>>) {
+    let mut receiver = receiver.lock().await;
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = receiver.recv() => match event {
+                Some(event) => core.on_event(clock.now(), event),
+                None => return,
+            },
+            _ = ticks.tick() => core.on_tick(clock.now()),
+        }
+    }
+}
