--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -32,6 +32,7 @@
 pub use dispatch::Message;
 pub use dispatch::Prompt;
 pub use dispatch::Sampling;
+pub use dispatch::Stamp;
 pub use dispatch::Work;
 pub use frame::Failure;
 pub use frame::Finish;
