--- a/crates/cw_policy/src/configuration/mod.rs
+++ b/crates/cw_policy/src/configuration/mod.rs
@@ -10,6 +10,7 @@
 mod diff;
 mod dry_run;
 mod in_force;
+mod in_use;
 mod proposal;
 mod watchers;
 
@@ -28,6 +29,7 @@
 pub use in_force::InForce;
 pub use in_force::Source;
 pub use in_force::Taking;
+pub use in_use::in_use;
 pub use proposal::Edit;
 pub use proposal::Proposal;
 pub use proposal::ProposalState;
--- a/crates/cw_policy/src/configuration/proposal.rs
+++ b/crates/cw_policy/src/configuration/proposal.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns whether another proposal is a repeat of this one.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.proposer == other.proposer && self.edits == other.edits
+    }
+
     /// Says why.
     #[must_use]
     pub fn with_reason(mut self, reason: &str) -> Self {
--- a/crates/cyclamenwharf/src/control/admin_server.rs
+++ b/crates/cyclamenwharf/src/control/admin/server.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use cw_types::HostId;
 use dropshot::ApiDescription;
+use dropshot::ApiDescriptionRegisterError;
 use dropshot::Body;
 use dropshot::ConfigDropshot;
 use dropshot::HttpError;
@@ -17,33 +19,41 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use super::Desk;
+use super::endpoints;
 use crate::Health;
 use crate::StartError;
 
+/// The largest message, in bytes: a change of many records.
+const MESSAGE_MAX: usize = 1 << 20;
+
+/// The version of the interface.
+const VERSION: &str = "1.0.0";
+
 /// What the handlers share.
-pub(super) struct AdminContext {
-    pub(super) health: Arc<Health>,
-    pub(super) registry: Registry,
+pub(in crate::control) struct AdminContext {
+    pub(in crate::control) host: HostId,
+    pub(in crate::control) health: Arc<Health>,
+    pub(in crate::control) registry: Registry,
+    pub(in crate::control) secrets: Vec<String>,
+    pub(in crate::control) desk: Desk,
 }
 
 type Context = RequestContext<Arc<AdminContext>>;
 type Answer = Result<Response<Body>, HttpError>;
+type Description = ApiDescription<Arc<AdminContext>>;
 
 /// Starts the server on the present runtime.
-pub(super) fn start(
+pub(in crate::control) fn start(
     address: SocketAddr,
     context: AdminContext,
 ) -> Result<HttpServer<Arc<AdminContext>>, StartError> {
-    let mut api = ApiDescription::new();
-    let registered = api
-        .register(livez)
-        .and_then(|()| api.register(readyz))
-        .and_then(|()| api.register(metrics));
-    registered.map_err(|error| StartError {
+    let api = description().map_err(|error| StartError {
         message: error.to_string(),
     })?;
     let settings = ConfigDropshot {
         bind_address: address,
+        default_request_body_max_bytes: MESSAGE_MAX,
         ..ConfigDropshot::default()
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
@@ -55,13 +65,44 @@
         })
 }
 
-/// Says that the process lives.
+/// Returns the OpenAPI description of the operators' interface.
+///
+/// # Panics
+///
+/// Panics when two endpoints clash, which the tests would show.
+pub fn admin_description() -> serde_json::Value {
+    let api = description().expect("the endpoints do not clash");
+    let version = VERSION.parse().expect("the version is valid");
+    api.openapi("cyclamenwharf operators", version)
+        .json()
+        .expect("a description is JSON")
+}
+
+fn description() -> Result<Description, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(livez)?;
+    api.register(readyz)?;
+    api.register(metrics)?;
+    api.register(endpoints::status)?;
+    api.register(endpoints::records)?;
+    api.register(endpoints::propose)?;
+    api.register(endpoints::proposals)?;
+    api.register(endpoints::review)?;
+    api.register(endpoints::accept)?;
+    api.register(endpoints::reject)?;
+    api.register(endpoints::history)?;
+    api.register(endpoints::roll_forward)?;
+    api.register(endpoints::put_back)?;
+    Ok(api)
+}
+
+/// Say that the process lives.
 #[endpoint { method = GET, path = "/livez" }]
 async fn livez(_context: Context) -> Answer {
     text(StatusCode::OK, "live\n")
 }
 
-/// Says whether the balancer should send work.
+/// Say whether the balancer should send work.
 #[endpoint { method = GET, path = "/readyz" }]
 async fn readyz(context: Context) -> Answer {
     match context.context().health.is_ready() {
@@ -70,7 +111,7 @@
     }
 }
 
-/// Answers with the metrics in Prometheus's text format.
+/// Answer with the metrics in Prometheus's text format.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(context: Context) -> Answer {
     let mut buffer = Vec::new();
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -370,14 +370,12 @@
     fn inspect(&self, now: Time) -> Inspection {
         let aged = |(age, state): (Duration, &ProcessState)| (age, state.clone());
         let report = |(_, report): (Duration, Report)| (report.target, report.revision);
-        let own = &self.parts.own.host;
-        let others = self.entries.iter().filter(|entry| entry.host != *own);
         Inspection {
             in_force: self.in_force.clone(),
             processes: self.processes.live(now).map(aged).collect(),
             agents: self.members.reports(now).into_iter().map(report).collect(),
             planner: self.planner.clone(),
-            peers: others.cloned().collect(),
+            view: self.parts.view.load_full(),
         }
     }
 }
--- a/crates/cyclamenwharf/src/control/event.rs
+++ b/crates/cyclamenwharf/src/control/event.rs
@@ -1,16 +1,18 @@
 //! What happens to the control state.
-#![expect(dead_code, reason = "the operators' server asks for it next")]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cw_policy::configuration::Alarm;
+use cw_policy::View;
 use cw_policy::configuration::InForce;
 use cw_store::Host;
 use cw_types::HostId;
 use cw_types::RecordKind;
 use cw_types::Revision;
+use cw_types::SchemaVersion;
 use cw_types::Snapshot;
+use cw_types::TargetId;
 use cw_wire::Batch;
 use cw_wire::ConfigAnswer;
 use cw_wire::ProcessState;
@@ -62,16 +64,16 @@
     /// The live entries with the age of their last word.
     pub(super) processes: Vec<(Duration, ProcessState)>,
     /// The revisions that agents reported.
-    pub(super) agents: Vec<(cw_types::TargetId, Revision)>,
+    pub(super) agents: BTreeMap<TargetId, Revision>,
     /// The planner, as this entry knows it.
     pub(super) planner: PlannerStatus,
-    /// The other entries.
-    pub(super) peers: Vec<cw_policy::EntryPeer>,
+    /// The view that traffic sees.
+    pub(super) view: Arc<View>,
 }
 
 impl Inspection {
     /// Returns the hosts of live entries that cannot read `schema` of `kind`.
-    pub(super) fn unable(&self, kind: RecordKind, schema: cw_types::SchemaVersion) -> Vec<HostId> {
+    pub(super) fn unable(&self, kind: RecordKind, schema: SchemaVersion) -> Vec<HostId> {
         let reads = |state: &ProcessState| state.schemas.get(&kind).is_some_and(|v| *v >= schema);
         self.processes
             .iter()
@@ -84,9 +86,4 @@
     pub(super) fn snapshot(&self) -> Arc<Snapshot> {
         self.in_force.snapshot().clone()
     }
-
-    /// Returns why the key-value service is not followed, if so.
-    pub(super) fn alarm(&self) -> Option<Alarm> {
-        self.in_force.alarm().cloned()
-    }
 }
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One thread owns it and publishes an immutable [`View`] for the traffic threads.
 
-mod admin_server;
+pub mod admin;
 mod core;
 mod counted;
 mod event;
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -17,8 +17,9 @@
 use super::Services;
 use super::SharedView;
 use super::StoreUse;
-use super::admin_server;
-use super::admin_server::AdminContext;
+use super::admin;
+use super::admin::AdminContext;
+use super::admin::Desk;
 use super::core::Core;
 use super::core::CoreParts;
 use super::core::TICK;
@@ -113,10 +114,16 @@
     };
     let peers = peers_server::start(settings.listen.peers, peers_context)?;
     let admin_context = AdminContext {
+        host: settings.host.clone(),
+        secrets: settings.secrets.peers.clone(),
+        desk: Desk {
+            key_value: services.key_value.clone(),
+            events: events.clone(),
+        },
         health: parts.health.clone(),
         registry: parts.registry.clone(),
     };
-    let admin = admin_server::start(settings.listen.admin, admin_context)?;
+    let admin = admin::start(settings.listen.admin, admin_context)?;
     let addresses = Addresses {
         peers: peers.local_addr(),
         admin: admin.local_addr(),
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -25,6 +25,7 @@
 pub use control::PlannerStatus;
 pub use control::Services;
 pub use control::SharedView;
+pub use control::admin;
 pub use entry::Entry;
 pub use entry::EntryHandle;
 pub use health::Health;
