--- a/crates/cw_testkit/src/caller/client.rs
+++ b/crates/cw_testkit/src/caller/client.rs
@@ -129,7 +129,7 @@
         if ask.stream {
             return self.open(ask).await?.finish().await;
         }
-        let response = self.post(ask).await?;
+        let response = self.post(&ask.headers, &ask.body()).await?;
         let body = response
             .into_body()
             .collect()
@@ -151,7 +151,17 @@
     ///
     /// See [`CallError`].
     pub async fn open(&self, ask: &Ask) -> Result<Reading, CallError> {
-        let response = self.post(ask).await?;
+        let response = self.post(&ask.headers, &ask.body()).await?;
+        Ok(Reading::new(response.into_body()))
+    }
+
+    /// Asks for a generation with a body of one's own and returns its stream.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn open_body(&self, body: &Value) -> Result<Reading, CallError> {
+        let response = self.post(&BTreeMap::new(), body).await?;
         Ok(Reading::new(response.into_body()))
     }
 
@@ -177,11 +187,13 @@
         })
     }
 
-    async fn post(&self, ask: &Ask) -> Result<Response<Incoming>, CallError> {
-        let body = Bytes::from(ask.body().to_string());
-        let response = self
-            .send(Method::POST, COMPLETIONS, &ask.headers, body)
-            .await?;
+    async fn post(
+        &self,
+        headers: &BTreeMap<String, String>,
+        body: &Value,
+    ) -> Result<Response<Incoming>, CallError> {
+        let body = Bytes::from(body.to_string());
+        let response = self.send(Method::POST, COMPLETIONS, headers, body).await?;
         match response.status() {
             StatusCode::OK => Ok(response),
             status => refusal(status, response).await,
--- a/crates/cw_testkit/src/model_engine/batch.rs
+++ b/crates/cw_testkit/src/model_engine/batch.rs
@@ -89,6 +89,7 @@
             if job.poison {
                 counters.crashes += 1;
                 counters.count_run(&job.id, 0, 0);
+                self.running.push(job);
                 return Step::Crash;
             }
             prefill += self.admit(job, counters);
--- a/crates/cw_testkit/src/model_engine/engine.rs
+++ b/crates/cw_testkit/src/model_engine/engine.rs
@@ -128,8 +128,9 @@
             return;
         };
         running.stop.cancel();
-        running.life.end();
+        // Connections break before their streams end, or they would seem to have ended well.
         running.server.kill().await;
+        running.life.end();
     }
 
     /// Starts a killed engine again, with a new boot number and empty memory.
@@ -164,6 +165,12 @@
         self.lasting.counters().clone()
     }
 
+    /// Returns how many requests run or wait; none when it is dead.
+    pub async fn busy(&self) -> usize {
+        let lives = self.lives.lock().await;
+        lives.running.as_ref().map_or(0, |now| now.life.busy())
+    }
+
     // ---- Lives
 
     async fn begin(&self) -> io::Result<SocketAddr> {
