Add the state machine of one generation

The entry needs one place that decides which tokens reach a caller and when an attempt is replaced. cw_policy::Generation takes frames, broken links and ticks, and returns steps. Not driven by anything yet.

--- /dev/null
+++ b/crates/cw_policy/src/generation/limits.rs
@@ -0,0 +1,51 @@
+//! The limits that a generation is held to.
+
+use std::time::Duration;
+
+/// How long a generation waits for what, and how often it tries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a link may carry no frame.
+    pub silence: Duration,
+    /// How long an engine may produce nothing for an attempt that has begun its output.
+    pub stall: Duration,
+    /// How long an engine may take to begin the output of a resumed attempt.
+    pub first: Duration,
+    /// How long the first frame of a dispatched attempt may take.
+    pub head: Duration,
+    /// How long the first frame after a re-attachment may take.
+    pub reattach: Duration,
+    /// The pause before targets that were all busy are asked again for a lost attempt.
+    pub backoff: Duration,
+    /// The most attempts.
+    pub attempts: u32,
+    /// The most targets that are asked before a first attempt is refused as overloaded.
+    pub tries: u32,
+    /// How many attempts replace one that has gone silent or stalled.
+    pub hedges: u32,
+    /// How many engines may crash while they run the request.
+    pub crashes: u32,
+    /// How long the caller may be gone.
+    pub absence: Duration,
+    /// How many tokens stay with the agent after they were passed on.
+    pub window: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_millis(600),
+            stall: Duration::from_millis(1200),
+            first: Duration::from_millis(2400),
+            head: Duration::from_millis(1000),
+            reattach: Duration::from_millis(400),
+            backoff: Duration::from_millis(100),
+            attempts: 8,
+            tries: 3,
+            hedges: 2,
+            crashes: 2,
+            absence: Duration::from_secs(30),
+            window: 4096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/generation/plan.rs
@@ -0,0 +1,64 @@
+//! What is fixed for a generation's life.
+
+use std::time::Duration;
+
+use cw_types::AttemptNo;
+use cw_types::TargetId;
+use cw_types::TokenId;
+use cw_types::TokenIndex;
+
+/// What an attempt does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorkKind {
+    /// It runs a model: its output can be continued by another attempt.
+    #[default]
+    Generate,
+    /// It calls a plain service: its answer is held back until it is whole.
+    Call,
+}
+
+/// What is fixed for a generation's life.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// What an attempt does.
+    pub kind: WorkKind,
+    /// Whether the work may run more than once.
+    pub idempotent: bool,
+    /// How long the request may wait before its first token.
+    pub patience: Duration,
+    /// The output that the caller sent back.
+    pub prefix: Vec<TokenId>,
+    /// The first index that the caller does not have.
+    pub from: TokenIndex,
+    /// The target that runs the generation already, when the caller comes back to it.
+    pub running: Option<TargetId>,
+    /// The number of the first attempt that this machine dispatches.
+    pub first: AttemptNo,
+}
+
+impl Plan {
+    /// Returns the plan of a new request to an engine.
+    pub fn generate(patience: Duration) -> Self {
+        Self {
+            idempotent: true,
+            patience,
+            first: AttemptNo(1),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the plan of a new call to a plain service.
+    pub fn call(patience: Duration) -> Self {
+        Self {
+            kind: WorkKind::Call,
+            ..Self::generate(patience)
+        }
+    }
+
+    /// Sets whether the work may run more than once.
+    #[must_use]
+    pub fn with_idempotent(mut self, idempotent: bool) -> Self {
+        self.idempotent = idempotent;
+        self
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -0,0 +1,318 @@
+//! What a generation does when an attempt is refused, silent, stalled or lost.
+
+use std::time::Duration;
+
+use cw_types::AttemptNo;
+use cw_types::ErrorKind;
+use cw_types::Ran;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_wire::Reason;
+
+use super::DropReason;
+use super::Generation;
+use super::Step;
+use super::track::Phase;
+
+/// Re-attachments without new output before an attempt counts as lost.
+const REATTACH_MAX: u32 = 3;
+
+/// What a refusal says when no target says better.
+const RETRY_DEFAULT: Duration = Duration::from_secs(1);
+
+impl Generation {
+    // ---- Refused attempts ----
+
+    pub(super) fn not_run(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        reason: Reason,
+        retry: Duration,
+        steps: &mut Vec<Step>,
+    ) {
+        let Some(track) = self.tracks.get(&attempt) else {
+            return;
+        };
+        // An agent that lost its memory knows nothing of what it ran.
+        if reason == Reason::Unknown && track.reattached > 0 {
+            return self.unreachable(now, attempt, steps);
+        }
+        let Some(target) = self.remove(attempt) else {
+            return;
+        };
+        self.dispatched -= 1;
+        self.refused += 1;
+        match reason {
+            Reason::Busy => self.busy.insert(target),
+            _ => self.lost.insert(target),
+        };
+        if reason == Reason::Expired && self.dispatched == 0 {
+            return self.fail(ErrorKind::Expired, Ran::No, retry, steps);
+        }
+        self.next_target(now, retry, steps);
+    }
+
+    /// The call never reached the agent.
+    pub(super) fn not_sent(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        let Some(target) = self.remove(attempt) else {
+            return;
+        };
+        self.dispatched -= 1;
+        self.lost.insert(target);
+        self.next_target(now, RETRY_DEFAULT, steps);
+    }
+
+    fn next_target(&mut self, now: Time, retry: Duration, steps: &mut Vec<Step>) {
+        if !self.tracks.is_empty() || self.wanted > 0 {
+            return;
+        }
+        let first = self.dispatched == 0 && self.next() == self.plan.from;
+        if first && self.refused >= self.limits.tries && !self.busy.is_empty() {
+            return self.fail(ErrorKind::Overloaded, Ran::No, retry, steps);
+        }
+        if !first && self.refused > 0 && self.refused.is_multiple_of(self.limits.tries) {
+            self.retry_at = Some(now + self.limits.backoff);
+            return;
+        }
+        self.choose(!first, steps);
+    }
+
+    pub(super) fn no_target(
+        &mut self,
+        now: Time,
+        kind: ErrorKind,
+        retry: Duration,
+        steps: &mut Vec<Step>,
+    ) {
+        self.wanted = self.wanted.saturating_sub(1);
+        if !self.tracks.is_empty() || self.wanted > 0 {
+            return;
+        }
+        let first = self.dispatched == 0 && self.next() == self.plan.from;
+        if first {
+            let kind = match self.busy.is_empty() {
+                true => kind,
+                false => ErrorKind::Overloaded,
+            };
+            return self.fail(kind, Ran::No, retry, steps);
+        }
+        if kind == ErrorKind::Overloaded || !self.busy.is_empty() {
+            self.retry_at = Some(now + self.limits.backoff);
+            return;
+        }
+        self.give_up(steps);
+    }
+
+    fn give_up(&mut self, steps: &mut Vec<Step>) {
+        let kind = match self.ran() {
+            Ran::No => ErrorKind::NoTarget,
+            _ => ErrorKind::GenerationLost,
+        };
+        self.fail(kind, self.ran(), RETRY_DEFAULT, steps);
+    }
+
+    // ---- Silence ----
+
+    pub(super) fn silent(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        let phase = self.tracks.get(&attempt).map(|track| track.phase);
+        match phase {
+            Some(Phase::Reattached) => self.unreachable(now, attempt, steps),
+            Some(_) => self.reattach(now, attempt, steps),
+            None => {}
+        }
+    }
+
+    /// Reaches an attempt again over a new connection: the old one may be dead by itself.
+    pub(super) fn reattach(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        let link = self.new_link();
+        let from = self.next();
+        let (idempotent, call) = (self.plan.idempotent, self.is_call());
+        let Some(track) = self.tracks.get_mut(&attempt) else {
+            return;
+        };
+        if track.reattached >= REATTACH_MAX {
+            return self.unreachable(now, attempt, steps);
+        }
+        steps.push(Step::Close { link: track.link });
+        // The time of the loss is that of the last sign of life.
+        self.lost_at = self.lost_at.or(Some(track.heard.max(track.moved)));
+        track.link = link;
+        track.phase = Phase::Reattached;
+        track.heard = now;
+        track.reattached += 1;
+        steps.push(Step::Attach {
+            link,
+            attempt,
+            target: track.target.clone(),
+            repeat: idempotent.then(|| track.so_far.clone()),
+            from,
+        });
+        if call {
+            self.held = Default::default();
+        }
+    }
+
+    /// An output with a hole is asked for again.
+    pub(super) fn gap(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        steps.push(Step::Dropped(DropReason::Gap));
+        self.reattach(now, attempt, steps);
+    }
+
+    /// The agent cannot be reached, or does not know the attempt any more.
+    pub(super) fn unreachable(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        if self.plan.idempotent {
+            return self.lose(now, attempt, Ran::Unknown, steps);
+        }
+        let Some(track) = self.tracks.get_mut(&attempt) else {
+            return;
+        };
+        steps.push(Step::Close { link: track.link });
+        track.phase = Phase::Proving;
+        let target = track.target.clone();
+        steps.push(Step::Prove { attempt, target });
+    }
+
+    pub(super) fn proof(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        ran: Option<Ran>,
+        steps: &mut Vec<Step>,
+    ) {
+        let proving = |phase| phase == Phase::Proving;
+        if !self.tracks.get(&attempt).is_some_and(|t| proving(t.phase)) {
+            return;
+        }
+        if ran == Some(Ran::No) {
+            return self.not_sent(now, attempt, steps);
+        }
+        self.remove(attempt);
+        self.unknown_outcome(steps);
+    }
+
+    fn unknown_outcome(&mut self, steps: &mut Vec<Step>) {
+        let ran = match self.ran() {
+            Ran::Partly => Ran::Partly,
+            _ => Ran::Unknown,
+        };
+        self.fail(ErrorKind::OutcomeUnknown, ran, Duration::ZERO, steps);
+    }
+
+    // ---- Stalls and losses ----
+
+    /// The engine produces nothing, though its agent lives.
+    pub(super) fn stalled(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        quiet: Duration,
+        steps: &mut Vec<Step>,
+    ) {
+        let Some(track) = self.tracks.get_mut(&attempt) else {
+            return;
+        };
+        // Work that may run once has nothing to do but wait for the engine.
+        track.stalled = true;
+        if !self.plan.idempotent {
+            return;
+        }
+        let target = track.target.clone();
+        let began = Time(now.0.saturating_sub((Time::default() + quiet).0));
+        self.lost_at = self.lost_at.or(Some(began));
+        steps.push(Step::Lost {
+            target: target.clone(),
+        });
+        if self.limits.hedges < 2 {
+            self.drop_track(attempt, steps);
+        } else if self.writer == Some(attempt) {
+            // The stalled attempt stays in the race: whichever brings the next token wins.
+            self.writer = None;
+        }
+        self.lost.insert(target);
+        self.resume(self.limits.hedges, steps);
+    }
+
+    /// An engine died under a living agent while it ran the attempt.
+    pub(super) fn crashed(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        ran: Ran,
+        steps: &mut Vec<Step>,
+    ) {
+        let Some(target) = self.remove(attempt) else {
+            return;
+        };
+        self.crashes += 1;
+        self.lost_at = self.lost_at.or(Some(now));
+        steps.push(Step::Crashed {
+            target: target.clone(),
+        });
+        self.lost.insert(target);
+        self.replace(now, ran, 1, steps);
+    }
+
+    /// An attempt is lost: it is cancelled and, where that is allowed, replaced.
+    pub(super) fn lose(&mut self, now: Time, attempt: AttemptNo, ran: Ran, steps: &mut Vec<Step>) {
+        let Some(track) = self.tracks.get(&attempt) else {
+            return;
+        };
+        self.lost_at = self.lost_at.or(Some(track.heard.max(track.moved)));
+        let Some(target) = self.drop_track(attempt, steps) else {
+            return;
+        };
+        steps.push(Step::Lost {
+            target: target.clone(),
+        });
+        self.lost.insert(target);
+        self.replace(now, ran, self.limits.hedges, steps);
+    }
+
+    fn replace(&mut self, now: Time, ran: Ran, hedges: u32, steps: &mut Vec<Step>) {
+        if ran == Ran::No {
+            self.dispatched -= 1;
+            return self.next_target(now, RETRY_DEFAULT, steps);
+        }
+        if !self.plan.idempotent {
+            return self.unknown_outcome(steps);
+        }
+        if self.absent.is_some() {
+            return self.abandon(steps);
+        }
+        self.resume(hedges, steps);
+    }
+
+    /// Asks for targets until `hedges` attempts that have not stalled race for the next token.
+    fn resume(&mut self, hedges: u32, steps: &mut Vec<Step>) {
+        if self.is_call() {
+            self.held = Default::default();
+        }
+        let unknown = self.base.0 > 0 || self.next() < self.plan.from;
+        let spent = self.dispatched >= self.limits.attempts;
+        let live = self.tracks.values().filter(|track| !track.stalled).count();
+        let live = u32::try_from(live).unwrap_or(u32::MAX) + self.wanted;
+        if unknown || spent {
+            if self.tracks.is_empty() {
+                self.give_up(steps);
+            }
+            return;
+        }
+        let hedges = match self.is_call() {
+            true => 1,
+            false => hedges.min(self.limits.attempts - self.dispatched),
+        };
+        for _ in live..hedges {
+            self.choose(true, steps);
+        }
+    }
+
+    /// Forgets an attempt whose link and work have ended by themselves.
+    pub(super) fn remove(&mut self, attempt: AttemptNo) -> Option<TargetId> {
+        let track = self.tracks.remove(&attempt)?;
+        if self.writer == Some(attempt) {
+            self.writer = None;
+        }
+        Some(track.target)
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/generation/track.rs
@@ -0,0 +1,72 @@
+//! One attempt, as its generation follows it.
+
+use std::time::Duration;
+
+use cw_types::AttemptNo;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_types::TokenId;
+
+use super::Limits;
+use super::LinkId;
+
+/// What the present link of an attempt waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// The first frame after the dispatch.
+    Dispatched,
+    /// The first frame after a re-attachment.
+    Reattached,
+    /// The next frame.
+    Flowing,
+    /// The agent's word on whether the attempt was run; there is no link.
+    Proving,
+}
+
+/// One attempt, as its generation follows it.
+#[derive(Clone, Debug)]
+pub(super) struct Track {
+    /// The attempt.
+    pub(super) attempt: AttemptNo,
+    /// Where it runs.
+    pub(super) target: TargetId,
+    /// The link in use.
+    pub(super) link: LinkId,
+    /// What the link waits for.
+    pub(super) phase: Phase,
+    /// When the last frame came, or the link was opened.
+    pub(super) heard: Time,
+    /// When the last output came, or the attempt was dispatched.
+    pub(super) moved: Time,
+    /// The output that it was dispatched with.
+    pub(super) so_far: Vec<TokenId>,
+    /// Whether it continues or repeats an earlier attempt.
+    pub(super) resumed: bool,
+    /// Whether output of it has come.
+    pub(super) begun: bool,
+    /// Whether its engine has stalled and others were asked to replace it.
+    pub(super) stalled: bool,
+    /// Re-attachments since output of it last came.
+    pub(super) reattached: u32,
+}
+
+impl Track {
+    /// Returns when the link counts as silent, if it can.
+    pub(super) fn deadline(&self, limits: &Limits) -> Option<Time> {
+        match self.phase {
+            Phase::Dispatched => Some(self.heard + limits.head),
+            Phase::Reattached => Some(self.heard + limits.reattach),
+            Phase::Flowing => Some(self.heard + limits.silence),
+            Phase::Proving => None,
+        }
+    }
+
+    /// Returns how long the engine may be quiet, if that has a limit.
+    pub(super) fn quiet_limit(&self, limits: &Limits, patience: Duration) -> Duration {
+        match (self.begun, self.resumed) {
+            (true, _) => limits.stall,
+            (false, true) => limits.first,
+            (false, false) => patience,
+        }
+    }
+}
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,10 +4,21 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`Generation`]: one generation at its entry.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 
+mod generation;
 mod view;
 
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
