Add settings for stalls on latency routes and for re-attachment

A latency route needs a shorter limit for a stalled engine than a thrift route, and the first frame after a re-attachment has a limit of its own: without it the time from a loss to the next token has no worst sum.

--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -94,12 +94,20 @@
     /// Silence after which a route with `recovery = "thrift"` acts.
     #[serde_as(as = "Span")]
     pub thrift_silence: Duration,
-    /// How long an engine may produce nothing for an attempt that has begun its output.
+    /// How long an engine may produce nothing for an attempt that has begun its output, on a route
+    /// with `recovery = "latency"`.
+    #[serde_as(as = "Span")]
+    pub latency_stall: Duration,
+    /// How long an engine may produce nothing for an attempt that has begun its output, on other
+    /// routes.
     #[serde_as(as = "Span")]
     pub stall: Duration,
     /// How long the head of an agent's answer may take.
     #[serde_as(as = "Span")]
     pub head: Duration,
+    /// How long the first frame after a re-attachment over a new connection may take.
+    #[serde_as(as = "Span")]
+    pub reattach: Duration,
     /// The most attempts of one generation.
     pub attempts: u32,
 }
@@ -109,8 +117,10 @@
         Self {
             latency_silence: Duration::from_millis(600),
             thrift_silence: Duration::from_millis(1500),
-            stall: Duration::from_millis(2500),
+            latency_stall: Duration::from_millis(1200),
+            stall: Duration::from_millis(2000),
             head: Duration::from_millis(1000),
+            reattach: Duration::from_millis(400),
             attempts: 8,
         }
     }
