--- a/crates/cw_policy/src/generation/frames.rs
+++ b/crates/cw_policy/src/generation/frames.rs
@@ -251,10 +251,10 @@
                 self.remove(attempt);
                 self.fail(ErrorKind::TargetFailed, ran, Duration::ZERO, steps);
             }
-            Failure::TargetError
-            | Failure::TargetStalled
-            | Failure::Cancelled
-            | Failure::Trimmed => self.lose(now, attempt, ran, steps),
+            Failure::Trimmed => self.trimmed(now, attempt, steps),
+            Failure::TargetError | Failure::TargetStalled | Failure::Cancelled => {
+                self.lose(now, attempt, ran, steps);
+            }
         }
     }
 }
--- a/crates/cw_policy/src/generation/plan.rs
+++ b/crates/cw_policy/src/generation/plan.rs
@@ -4,6 +4,7 @@
 
 use cw_types::AttemptNo;
 use cw_types::TargetId;
+use cw_types::TokenCount;
 use cw_types::TokenId;
 use cw_types::TokenIndex;
 
@@ -26,6 +27,8 @@
     pub idempotent: bool,
     /// How long the request may wait before its first token.
     pub patience: Duration,
+    /// The most tokens of the whole output.
+    pub max_tokens: Option<TokenCount>,
     /// The output that the caller sent back.
     pub prefix: Vec<TokenId>,
     /// The first index that the caller does not have.
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -7,6 +7,8 @@
 use cw_types::Ran;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_types::TokenIndex;
+use cw_wire::Finish;
 use cw_wire::Reason;
 
 use super::DropReason;
@@ -145,7 +147,7 @@
             link,
             attempt,
             target: track.target.clone(),
-            repeat: idempotent.then(|| track.so_far.clone()),
+            repeat: track.so_far.clone().filter(|_| idempotent),
             from,
         });
         if call {
@@ -199,6 +201,16 @@
         self.fail(ErrorKind::OutcomeUnknown, ran, Duration::ZERO, steps);
     }
 
+    /// The beginning of the output is not kept any more: only a caller that has it can go on.
+    pub(super) fn trimmed(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        if self.next() >= self.plan.from {
+            return self.lose(now, attempt, Ran::Partly, steps);
+        }
+        self.base = self.plan.from;
+        self.output.clear();
+        self.reattach(now, attempt, steps);
+    }
+
     // ---- Stalls and losses ----
 
     /// The engine produces nothing, though its agent lives.
@@ -288,6 +300,11 @@
         if self.is_call() {
             self.held = Default::default();
         }
+        let whole = self.plan.max_tokens.map(|most| TokenIndex(most.0));
+        if whole.is_some_and(|whole| self.next() >= whole) {
+            steps.push(Step::Finish(Finish::Length));
+            return self.end();
+        }
         let unknown = self.base.0 > 0 || self.next() < self.plan.from;
         let spent = self.dispatched >= self.limits.attempts;
         let live = self.tracks.values().filter(|track| !track.stalled).count();
--- a/crates/cw_policy/src/generation/track.rs
+++ b/crates/cw_policy/src/generation/track.rs
@@ -38,8 +38,8 @@
     pub(super) heard: Time,
     /// When the last output came, or the attempt was dispatched.
     pub(super) moved: Time,
-    /// The output that it was dispatched with.
-    pub(super) so_far: Vec<TokenId>,
+    /// The output that it was dispatched with; `None` when another entry dispatched it.
+    pub(super) so_far: Option<Vec<TokenId>>,
     /// Whether it continues or repeats an earlier attempt.
     pub(super) resumed: bool,
     /// Whether output of it has come.
--- /dev/null
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -0,0 +1,203 @@
+//! Starting and stopping an entry.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use cw_store::KeyValue;
+use dropshot::ConfigDropshot;
+use dropshot::HandlerTaskMode;
+use dropshot::HttpServer;
+use dropshot::ServerBuilder;
+use prometheus::Registry;
+use tokio::runtime::Runtime;
+use tokio_util::task::TaskTracker;
+
+use crate::Clock;
+use crate::Control;
+use crate::ControlParts;
+use crate::EntrySettings;
+use crate::Health;
+use crate::SharedView;
+use crate::StartError;
+use crate::Supervisor;
+
+use super::api;
+use super::frontend::Frontend;
+use super::in_flight::InFlight;
+use super::metrics::EntryMetrics;
+use super::peer_pool::PeerPool;
+
+/// What an entry's servers are built from.
+pub struct EntryParts {
+    /// The entry's settings.
+    pub settings: EntrySettings,
+    /// The entry's clock.
+    pub clock: Clock,
+    /// The view in force.
+    pub view: SharedView,
+    /// The key-value service.
+    pub store: Arc<dyn KeyValue>,
+    /// The entry's metrics.
+    pub registry: Registry,
+    /// The entry's health.
+    pub health: Arc<Health>,
+}
+
+/// The entry, which takes callers' requests.
+#[derive(Debug)]
+pub struct Entry;
+
+/// A running entry. Dropping it stops it as [`EntryHandle::kill`] does.
+pub struct EntryHandle {
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for other processes.
+    pub peers: SocketAddr,
+    /// Where it listens for operators.
+    pub admin: SocketAddr,
+    supervisor: Supervisor,
+    front: Arc<Frontend>,
+    server: Mutex<Option<HttpServer<Arc<Frontend>>>>,
+    traffic: Mutex<Option<Runtime>>,
+}
+
+impl Entry {
+    /// Starts an entry, with its control state and a runtime of its own for traffic.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start(settings: EntrySettings) -> Result<EntryHandle, StartError> {
+        let traffic = runtime()?;
+        let supervisor = Supervisor::new("entry");
+        let parts = parts(settings);
+        let control = ControlParts {
+            settings: parts.settings.clone(),
+            clock: parts.clock,
+            supervisor: supervisor.child("control"),
+            registry: parts.registry.clone(),
+            health: Arc::clone(&parts.health),
+        };
+        let control = traffic.spawn(Control::start(control));
+        let control = control.await.map_err(start_error)??;
+        let parts = EntryParts {
+            view: Arc::clone(&control.view),
+            ..parts
+        };
+        let mut handle = serve(traffic, supervisor, parts)?;
+        handle.peers = control.peers;
+        handle.admin = control.admin;
+        Ok(handle)
+    }
+
+    /// Starts the callers' server of an entry alone, on a control state that the caller owns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub fn serve(parts: EntryParts) -> Result<EntryHandle, StartError> {
+        serve(runtime()?, Supervisor::new("entry"), parts)
+    }
+}
+
+fn serve(
+    traffic: Runtime,
+    supervisor: Supervisor,
+    parts: EntryParts,
+) -> Result<EntryHandle, StartError> {
+    let metrics = EntryMetrics::new(&parts.registry).map_err(start_error)?;
+    let secret = parts.settings.secrets.peers.first();
+    let front = Arc::new(Frontend {
+        peers: PeerPool::new(secret.map_or("", String::as_str)),
+        clock: parts.clock,
+        view: parts.view,
+        store: parts.store,
+        health: parts.health,
+        metrics,
+        in_flight: InFlight::default(),
+        progress: TaskTracker::new(),
+        settings: parts.settings,
+    });
+    let config = ConfigDropshot {
+        bind_address: front.settings.listen.callers,
+        default_request_body_max_bytes: front.settings.limits.body.as_usize(),
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let server = {
+        let _inside = traffic.enter();
+        ServerBuilder::new(api::description(), Arc::clone(&front), log)
+            .config(config)
+            .start()
+            .map_err(start_error)?
+    };
+    Ok(EntryHandle {
+        callers: server.local_addr(),
+        peers: front.settings.listen.peers,
+        admin: front.settings.listen.admin,
+        supervisor,
+        front,
+        server: Mutex::new(Some(server)),
+        traffic: Mutex::new(Some(traffic)),
+    })
+}
+
+fn runtime() -> Result<Runtime, StartError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(start_error)
+}
+
+fn start_error(error: impl fmt::Display) -> StartError {
+    StartError {
+        message: error.to_string(),
+    }
+}
+
+impl EntryHandle {
+    /// Is not ready any more, and returns when all work in progress has ended.
+    pub async fn drain(&self) {
+        self.front.health.set_draining();
+        self.front.progress.close();
+        self.front.progress.wait().await;
+        let server = take(&self.server);
+        if let Some(server) = server {
+            // The server closes when the last answer has been written out.
+            let _ = server.close().await;
+        }
+    }
+
+    /// Stops at once, as a killed process would: every connection breaks.
+    pub fn kill(&self) {
+        self.supervisor.stop();
+        let server = take(&self.server);
+        if let Some(traffic) = take(&self.traffic) {
+            traffic.shutdown_background();
+        }
+        drop(server);
+    }
+}
+
+fn take<T>(slot: &Mutex<Option<T>>) -> Option<T> {
+    slot.lock().unwrap_or_else(PoisonError::into_inner).take()
+}
+
+impl Drop for EntryHandle {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl fmt::Debug for EntryHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryHandle")
+            .field("callers", &self.callers)
+            .finish_non_exhaustive()
+    }
+}
