--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -5,9 +5,14 @@
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
 //! - [`Generation`]: one generation at its entry.
+//! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
+//! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
 mod generation;
+pub mod prefix;
+pub mod routing;
+pub mod slo;
 mod view;
 
 pub use generation::DropReason;
