Serve callers through an entry, and go on after a loss

The entry's callers' server: completions and chats, streamed and whole, the list of models and calls to plain services, behind API keys, with every error as JSON from the closed table. Each request is one Generation machine with a driver that turns links to agents into events. Targets are chosen by the routing index. The entry has a runtime of its own, so that kill() breaks all its connections at once.

32 tests over real sockets against small agents that speak frames: engine death, broken and silent connections, repeated and skipped frames, in both recovery modes; callers that come back through another entry; calls that may run once.

--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -51,6 +51,8 @@
     pub(super) busy: BTreeSet<TargetId>,
     pub(super) lost: BTreeSet<TargetId>,
     pub(super) refused: u32,
+    /// When the targets that refused are worth asking again, as the soonest of them says.
+    pub(super) retry: Option<Duration>,
     pub(super) crashes: u32,
     pub(super) lost_at: Option<Time>,
     pub(super) retry_at: Option<Time>,
@@ -85,6 +87,7 @@
             busy: BTreeSet::new(),
             lost: BTreeSet::new(),
             refused: 0,
+            retry: None,
             crashes: 0,
             lost_at: None,
             retry_at: None,
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -45,6 +45,7 @@
         };
         self.dispatched -= 1;
         self.refused += 1;
+        self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
         match reason {
             Reason::Busy => self.busy.insert(target),
             _ => self.lost.insert(target),
@@ -71,6 +72,7 @@
         }
         let first = self.dispatched == 0 && self.next() == self.plan.from;
         if first && self.refused >= self.limits.tries && !self.busy.is_empty() {
+            let retry = self.retry.unwrap_or(retry);
             return self.fail(ErrorKind::Overloaded, Ran::No, retry, steps);
         }
         if !first && self.refused > 0 && self.refused.is_multiple_of(self.limits.tries) {
@@ -97,6 +99,7 @@
                 true => kind,
                 false => ErrorKind::Overloaded,
             };
+            let retry = self.retry.unwrap_or(retry);
             return self.fail(kind, Ran::No, retry, steps);
         }
         if kind == ErrorKind::Overloaded || !self.busy.is_empty() {
--- a/crates/cyclamenwharf/src/entry/calls.rs
+++ b/crates/cyclamenwharf/src/entry/calls.rs
@@ -257,8 +257,8 @@
             }
             Output::Finish(finish) => {
                 let answer = format.whole(text, ids, finish);
-                let json = serde_json::to_vec(&answer)
-                    .map_err(|_| Refusal::new(ErrorKind::Internal))?;
+                let json =
+                    serde_json::to_vec(&answer).map_err(|_| Refusal::new(ErrorKind::Internal))?;
                 return Ok(json_response(json.into()));
             }
             Output::Refusal(refusal) => return Err(refusal),
--- a/crates/cyclamenwharf/src/entry/frontend.rs
+++ b/crates/cyclamenwharf/src/entry/frontend.rs
@@ -1,5 +1,6 @@
 //! What all requests of an entry share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,6 @@
 use cw_wire::Cancelled;
 use cw_wire::path;
 use serde::Serialize;
-use std::net::SocketAddr;
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -22,10 +22,10 @@
 use crate::Health;
 use crate::SharedView;
 
-use super::in_flight::InFlight;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
 use super::refusal::Refusal;
+use super::router::Router;
 
 /// How long a call that carries no output may take.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -45,6 +45,7 @@
     /// The view in force.
     pub(crate) view: SharedView,
     /// The key-value service.
+    #[expect(dead_code, reason = "claims of idempotency keys come next")]
     pub(crate) store: Arc<dyn KeyValue>,
     /// Whether the entry takes work.
     pub(crate) health: Arc<Health>,
@@ -52,8 +53,8 @@
     pub(crate) metrics: EntryMetrics,
     /// Clients for the agents.
     pub(crate) peers: PeerPool,
-    /// The attempts of this entry.
-    pub(crate) in_flight: InFlight,
+    /// The choice of targets.
+    pub(crate) router: Router,
     /// The requests in progress.
     pub(crate) progress: TaskTracker,
 }
@@ -74,11 +75,11 @@
     }
 
     /// Cancels an attempt, and tries again a few times if the agent cannot be reached.
-    pub(crate) fn cancel(self: &Arc<Self>, peer: SocketAddr, id: AttemptId) {
+    pub(crate) fn cancel(self: &Arc<Self>, peer: SocketAddr, cancel: Cancel) {
         let front = Arc::clone(self);
         tokio::spawn(async move {
             for _ in 0..CANCEL_TRIES {
-                if front.prove(peer, id).await.is_some() {
+                if front.prove(peer, cancel.clone()).await.is_some() {
                     return;
                 }
                 tokio::time::sleep(CANCEL_PAUSE).await;
@@ -87,8 +88,7 @@
     }
 
     /// Cancels an attempt, and returns the agent's word on whether it was run.
-    pub(crate) async fn prove(&self, peer: SocketAddr, id: AttemptId) -> Option<Ran> {
-        let cancel = Cancel { id };
+    pub(crate) async fn prove(&self, peer: SocketAddr, cancel: Cancel) -> Option<Ran> {
         let client = self.peers.client(peer);
         let answer = client.call(peer, path::CANCEL, &cancel, CALL_LIMIT).await;
         if let Ok(Cancelled { ran }) = answer {
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use cw_store::EtcdGateway;
 use cw_store::KeyValue;
 use dropshot::ConfigDropshot;
 use dropshot::HandlerTaskMode;
@@ -26,9 +27,9 @@
 
 use super::api;
 use super::frontend::Frontend;
-use super::in_flight::InFlight;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
+use super::router::Router;
 
 /// What an entry's servers are built from.
 pub struct EntryParts {
@@ -73,7 +74,14 @@
     pub async fn start(settings: EntrySettings) -> Result<EntryHandle, StartError> {
         let traffic = runtime()?;
         let supervisor = Supervisor::new("entry");
-        let parts = parts(settings);
+        let parts = EntryParts {
+            clock: Clock::default(),
+            view: SharedView::default(),
+            store: Arc::new(EtcdGateway::new(settings.platform.key_value.clone())),
+            registry: Registry::new(),
+            health: Arc::default(),
+            settings,
+        };
         let control = ControlParts {
             settings: parts.settings.clone(),
             clock: parts.clock,
@@ -117,7 +125,7 @@
         store: parts.store,
         health: parts.health,
         metrics,
-        in_flight: InFlight::default(),
+        router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
         progress: TaskTracker::new(),
         settings: parts.settings,
     });
--- a/crates/cyclamenwharf/src/entry/job.rs
+++ b/crates/cyclamenwharf/src/entry/job.rs
@@ -15,6 +15,7 @@
 use cw_types::WorkspaceId;
 use cw_wire::Dispatch;
 use cw_wire::Fingerprint;
+use cw_wire::Stamp;
 use cw_wire::Work;
 
 use crate::EntrySettings;
@@ -45,20 +46,23 @@
 }
 
 impl Job {
-    /// Returns the message that dispatches an attempt.
+    /// Returns the message that dispatches an attempt for the first time.
     pub(crate) fn dispatch(
         &self,
         attempt: AttemptNo,
+        stamp: Stamp,
         so_far: Vec<TokenId>,
         resumed: bool,
-        from: TokenIndex,
     ) -> Dispatch {
+        let from = TokenIndex(so_far.len() as u64);
         let mut work = self.work.clone();
         if let Work::Generate(generate) = &mut work {
             generate.so_far = so_far;
         }
         Dispatch {
             id: self.attempt(attempt),
+            stamp,
+            repeat: false,
             workspace: self.workspace.clone(),
             weight: self.weight,
             rank: self.rank,
--- a/crates/cyclamenwharf/src/entry/metrics.rs
+++ b/crates/cyclamenwharf/src/entry/metrics.rs
@@ -70,7 +70,10 @@
                 &["reason"],
             )?,
             resumes: counter("resumes_total", "Attempts that continue or repeat another")?,
-            hedges: counter("hedges_total", "Resumed attempts beyond the first of a loss")?,
+            hedges: counter(
+                "hedges_total",
+                "Resumed attempts beyond the first of a loss",
+            )?,
             extra: counter("extra_tokens_total", "Output tokens processed again")?,
             tokens: counter("tokens_total", "Tokens passed on to callers")?,
             progress: IntGauge::with_opts(opts("requests_in_progress", "Requests in progress"))?,
--- a/crates/cyclamenwharf/src/entry/mod.rs
+++ b/crates/cyclamenwharf/src/entry/mod.rs
@@ -3,7 +3,6 @@
 mod api;
 mod caller;
 mod calls;
-mod chooser;
 mod completion;
 mod driver;
 mod event_id;
@@ -11,7 +10,6 @@
 mod format;
 mod frontend;
 mod handle;
-mod in_flight;
 mod inputs;
 mod job;
 mod metrics;
@@ -19,6 +17,7 @@
 mod output;
 mod peer_pool;
 mod refusal;
+mod router;
 mod service;
 
 pub use handle::Entry;
--- /dev/null
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -0,0 +1,143 @@
+//! The choice of targets, shared by all requests of an entry.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use cw_policy::View;
+use cw_policy::prefix::blocks;
+use cw_policy::routing::Choice;
+use cw_policy::routing::Index;
+use cw_policy::routing::Ledger;
+use cw_policy::routing::Policy;
+use cw_policy::routing::RouteRequest;
+use cw_types::RegionId;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_types::TokenCount;
+use cw_types::ZoneId;
+use cw_wire::Generate;
+use cw_wire::Prompt;
+use cw_wire::Work;
+
+use super::job::Job;
+
+/// How many bytes of text are counted as one token.
+const TOKEN_BYTES: usize = 4;
+
+/// A view with the index made from it.
+#[derive(Debug)]
+struct Indexed {
+    view: Arc<View>,
+    index: Index,
+}
+
+/// The choice of targets, shared by all requests of an entry.
+#[derive(Debug)]
+pub(crate) struct Router {
+    zone: ZoneId,
+    region: RegionId,
+    ledger: Mutex<Ledger>,
+    indexed: ArcSwapOption<Indexed>,
+}
+
+impl Router {
+    /// Returns a router for an entry in `zone` of `region`.
+    pub(crate) fn new(zone: ZoneId, region: RegionId) -> Self {
+        Self {
+            zone,
+            region,
+            ledger: Mutex::default(),
+            indexed: ArcSwapOption::empty(),
+        }
+    }
+
+    /// Returns what is needed of a target by every attempt of a job.
+    pub(crate) fn request(&self, job: &Job) -> RouteRequest {
+        let request = RouteRequest::new(
+            job.to.clone(),
+            job.workspace.clone(),
+            self.zone.clone(),
+            self.region.clone(),
+        );
+        let Work::Generate(work) = &job.work else {
+            return request;
+        };
+        let blocks = blocks(
+            &job.workspace,
+            &work.model,
+            &work.version,
+            work.adapter.as_ref(),
+            &work.prompt,
+        );
+        request.with_prompt(blocks, TokenCount(prompt_tokens(work) as u64))
+    }
+
+    /// Chooses a target that is not in `excluded`.
+    pub(crate) fn choose(
+        &self,
+        now: Time,
+        view: &Arc<View>,
+        request: &RouteRequest,
+        excluded: &BTreeSet<TargetId>,
+    ) -> Choice {
+        let mut request = request.clone();
+        request.excluded.extend(excluded.iter().cloned());
+        let indexed = self.indexed(now, view);
+        let policy = Policy::default();
+        let ledger = self.ledger();
+        indexed
+            .index
+            .choose(now, policy, &request, &ledger, &mut rand::rng())
+    }
+
+    /// Records that an attempt was sent to `target`.
+    pub(crate) fn dispatched(&self, now: Time, target: &TargetId) {
+        self.ledger().dispatched(now, target);
+    }
+
+    /// Records that an attempt has ended, `held` after it was sent.
+    pub(crate) fn ended(&self, now: Time, target: &TargetId, held: Duration) {
+        self.ledger().ended(now, target, held);
+    }
+
+    /// Records that a target refused an attempt and asked for `retry` before the next one.
+    pub(crate) fn refused(&self, now: Time, target: &TargetId, retry: Duration) {
+        self.ledger().refused(now, target, retry);
+    }
+
+    /// Returns the index of `view`, which is made once for each view.
+    fn indexed(&self, now: Time, view: &Arc<View>) -> Arc<Indexed> {
+        let known = self.indexed.load_full();
+        if let Some(known) = known.filter(|known| Arc::ptr_eq(&known.view, view)) {
+            return known;
+        }
+        self.ledger().observe(now, view);
+        let indexed = Arc::new(Indexed {
+            view: Arc::clone(view),
+            index: Index::new(view),
+        });
+        self.indexed.store(Some(Arc::clone(&indexed)));
+        indexed
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns about how many tokens a prompt has.
+fn prompt_tokens(work: &Generate) -> usize {
+    match &work.prompt {
+        Prompt::Ids(ids) => ids.len(),
+        Prompt::Text(text) => text.len() / TOKEN_BYTES,
+        Prompt::Chat(messages) => {
+            let bytes: usize = messages.iter().map(|message| message.content.len()).sum();
+            bytes / TOKEN_BYTES
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/entry/service.rs
+++ b/crates/cyclamenwharf/src/entry/service.rs
@@ -111,7 +111,12 @@
 }
 
 fn fingerprint(caller: &Caller, call: &Call) -> Result<Fingerprint, Refusal> {
-    let what = (&caller.workspace, &call.head.method, &call.head.path, &call.body);
+    let what = (
+        &caller.workspace,
+        &call.head.method,
+        &call.head.path,
+        &call.body,
+    );
     let bytes = cw_wire::encode(&what).map_err(Refusal::bad_request)?;
     Ok(Fingerprint(xxh3_64(&bytes)))
 }
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -24,6 +24,7 @@
 pub use control::SharedView;
 pub use entry::Entry;
 pub use entry::EntryHandle;
+pub use entry::EntryParts;
 pub use health::Health;
 pub use json_log::JsonLog;
 pub use peer_client::PeerClient;
--- /dev/null
+++ b/crates/cyclamenwharf/tests/entry.rs
@@ -0,0 +1,296 @@
+//! Callers get whole answers through an entry, whatever becomes of engines and connections.
+
+mod entry_kit;
+
+use cw_types::Ran;
+use cw_types::Recovery;
+use cw_wire::Reason;
+use entry_kit::KEY;
+use entry_kit::Script;
+use entry_kit::Setup;
+use entry_kit::complete;
+use entry_kit::send;
+use entry_kit::text;
+use rstest::rstest;
+
+const STREAM: &str = r#"{"model":"chat","prompt":"hi","max_tokens":20,"stream":true}"#;
+const WHOLE: &str = r#"{"model":"chat","prompt":"hi","max_tokens":20,"return_token_ids":true}"#;
+
+#[rstest]
+#[tokio::test]
+async fn a_stream_carries_every_token_and_ends_with_done() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+
+    let reply = complete(&entry, &[], STREAM).await;
+
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.streamed_text(), text(20));
+    assert!(reply.body.ends_with("data: [DONE]\n\n"));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_whole_answer_carries_text_and_token_ids() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+
+    let reply = complete(&entry, &[], WHOLE).await;
+
+    let json = reply.json();
+    assert_eq!(json["choices"][0]["text"], text(20));
+    assert_eq!(json["choices"][0]["token_ids"][19], 19 * 7 + 1);
+    assert_eq!(json["usage"]["completion_tokens"], 20);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_chat_streams_deltas() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+    let body = r#"{"model":"chat","messages":[{"role":"user","content":"hi"}],"max_tokens":2}"#;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+
+    let reply = send(&entry, "POST", "/v1/chat/completions", &headers, body).await;
+
+    assert_eq!(reply.json()["choices"][0]["message"]["content"], text(2));
+}
+
+#[rstest]
+#[case::engine_dies(Script::DieAfter(5))]
+#[case::connection_breaks(Script::BreakAfter(5))]
+#[case::connection_goes_silent(Script::SilentAfter(5))]
+#[case::frames_repeated_and_skipped(Script::RepeatAndSkip(5))]
+#[case::dies_before_the_first_token(Script::DieAfter(0))]
+#[tokio::test]
+async fn a_stream_goes_on_after_a_loss(
+    #[case] script: Script,
+    #[values(Recovery::Latency, Recovery::Thrift)] recovery: Recovery,
+) {
+    let mut setup = Setup::engines(3, &[script, Script::Run]);
+    setup.recovery = recovery;
+    let entry = setup.entry();
+
+    let reply = complete(&entry, &[], STREAM).await;
+
+    assert_eq!(reply.streamed_text(), text(20));
+    assert!(reply.body.ends_with("data: [DONE]\n\n"));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_lost_generation_is_told_in_the_stream_when_no_target_is_left() {
+    let setup = Setup::engines(1, &[Script::DieAfter(5)]);
+    let entry = setup.entry();
+
+    let reply = complete(&entry, &[], STREAM).await;
+
+    assert_eq!(reply.streamed_text(), text(5));
+    assert!(
+        reply
+            .body
+            .contains("event: error\ndata: {\"error\":{\"code\":\"generation_lost\"")
+    );
+    assert!(!reply.body.contains("[DONE]"));
+}
+
+#[rstest]
+#[case::no_key(&[], STREAM, 401, "unauthorized")]
+#[case::wrong_key(&[("authorization", "Bearer nobody")], STREAM, 401, "unauthorized")]
+#[case::bad_json(&[AUTH], "{", 422, "bad_request")]
+#[case::unknown_field(&[AUTH], r#"{"model":"chat","prompt":"x","colour":1}"#, 422, "bad_request")]
+#[case::unknown_model(&[AUTH], r#"{"model":"none","prompt":"x"}"#, 404, "unknown_model")]
+#[case::no_tokens(&[AUTH], r#"{"model":"chat","prompt":"x","max_tokens":0}"#, 422, "bad_request")]
+#[case::held_tokens_without_event(
+    &[AUTH], r#"{"model":"chat","prompt":"x","output_so_far":[1]}"#, 422, "bad_request"
+)]
+#[tokio::test]
+async fn a_bad_request_gets_a_clear_refusal(
+    #[case] headers: &[(&str, &str)],
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+
+    let reply = send(&entry, "POST", "/v1/completions", headers, body).await;
+
+    assert_eq!((reply.status, reply.code().as_str()), (status, code));
+    assert_eq!(reply.json()["error"]["ran"], "no");
+    assert_eq!(setup.dispatched(), 0);
+}
+
+/// The header of the workspace `a`.
+const AUTH: (&str, &str) = ("authorization", "Bearer key-of-workspace-a");
+
+#[rstest]
+#[tokio::test]
+async fn a_body_over_the_limit_is_too_large() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+    let body = format!(r#"{{"model":"chat","prompt":"{}"}}"#, "x".repeat(65 << 10));
+
+    let reply = complete(&entry, &[], &body).await;
+
+    assert_eq!((reply.status, reply.code().as_str()), (413, "too_large"));
+}
+
+#[rstest]
+#[tokio::test]
+async fn busy_targets_are_a_refusal_that_was_not_run() {
+    let setup = Setup::engines(2, &[Script::Refuse(Reason::Busy)]);
+    let entry = setup.entry();
+
+    let reply = complete(&entry, &[], STREAM).await;
+
+    assert_eq!((reply.status, reply.code().as_str()), (503, "overloaded"));
+    assert_eq!(reply.json()["error"]["ran"], "no");
+    assert_eq!(reply.headers["retry-after"], "2");
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_caller_comes_back_by_its_last_event_through_another_entry() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let first = setup.entry();
+    let reply = complete(&first, &[], STREAM).await;
+    let id = reply.last_id().expect("events have ids");
+    let id = id.replacen("/20/", "/7/", 1);
+    first.kill();
+    let second = setup.entry();
+
+    let reply = complete(&second, &[("last-event-id", &id)], STREAM).await;
+
+    let rest: String = (7..20).map(|index| entry_kit::token(index).text).collect();
+    assert_eq!(reply.streamed_text(), rest);
+    assert_eq!(setup.engines[0].dispatched(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_caller_never_reaches_a_generation_of_another_workspace() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+    let reply = complete(&entry, &[], STREAM).await;
+    let id = reply.last_id().expect("events have ids");
+    let id = id.replacen("/20/", "/7/", 1);
+    let headers = [("authorization", "Bearer other"), ("last-event-id", &id)];
+
+    let reply = send(&entry, "POST", "/v1/completions", &headers, STREAM).await;
+
+    assert_eq!(reply.code(), "generation_lost");
+    assert_eq!(setup.engines[0].dispatched(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_caller_that_holds_its_tokens_goes_on_though_the_agent_is_gone() {
+    let setup = Setup::engines(2, &[Script::Run]);
+    let entry = setup.entry();
+    let reply = complete(&entry, &[], STREAM).await;
+    let id = reply.last_id().expect("events have ids");
+    let id = id.replacen("/20/", "/3/", 1);
+    let gone = id.replace("/e0/", "/e9/").replace("/e1/", "/e9/");
+    let body = r#"{"model":"chat","prompt":"hi","max_tokens":20,"stream":true,
+        "output_so_far":[1,8,15]}"#;
+
+    let reply = complete(&entry, &[("last-event-id", &gone)], body).await;
+
+    let rest: String = (3..20).map(|index| entry_kit::token(index).text).collect();
+    assert_eq!(reply.streamed_text(), rest);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_plain_service_answers_as_it_was_asked() {
+    let setup = Setup::services(1, &[Script::Run]);
+    let entry = setup.entry();
+
+    let reply = send(&entry, "PUT", "/v1/services/loans/a/b?c=d", &[AUTH], "body").await;
+
+    assert_eq!((reply.status, reply.body.as_str()), (201, "half and half"));
+    assert_eq!(reply.headers["x-answer"], "yes");
+    let state = setup.services[0].state.lock().expect("no test panics here");
+    let cw_wire::Work::Call(call) = &state.dispatches[0].work else {
+        panic!("a service gets calls");
+    };
+    assert_eq!(call.head.path, "/a/b?c=d");
+    assert!(!call.head.headers.contains_key("authorization"));
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_idempotent_call_runs_again_unseen_and_its_half_answer_is_not_shown() {
+    let setup = Setup::services(2, &[Script::DieAfter(1), Script::Run]);
+    let entry = setup.entry();
+
+    let reply = send(&entry, "GET", "/v1/services/loans/x", &[AUTH], "").await;
+
+    assert_eq!((reply.status, reply.body.as_str()), (201, "half and half"));
+    assert_eq!(setup.dispatched(), 2);
+}
+
+#[rstest]
+#[case::by_route(false, &[AUTH])]
+#[case::by_request(true, &[AUTH, ("x-idempotent", "false")])]
+#[tokio::test]
+async fn a_call_that_may_run_once_is_never_dispatched_twice(
+    #[case] route: bool,
+    #[case] headers: &[(&str, &str)],
+) {
+    let mut setup = Setup::services(2, &[Script::DieAfter(1), Script::Run]);
+    setup.idempotent = route;
+    let entry = setup.entry();
+
+    let reply = send(&entry, "POST", "/v1/services/loans/x", headers, "").await;
+
+    assert_eq!(
+        (reply.status, reply.code().as_str()),
+        (409, "outcome_unknown")
+    );
+    assert_ne!(reply.json()["error"]["ran"], "no");
+    assert_eq!(setup.dispatched(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_refused_call_that_may_run_once_is_not_run() {
+    let mut setup = Setup::services(1, &[Script::Refuse(Reason::Leaving)]);
+    setup.idempotent = false;
+    let entry = setup.entry();
+
+    let reply = send(&entry, "POST", "/v1/services/loans/x", &[AUTH], "").await;
+
+    assert_eq!(reply.json()["error"]["ran"], Ran::No.to_string());
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_draining_entry_refuses_new_requests_and_ends_those_it_has() {
+    let setup = Setup::engines(2, &[Script::SilentAfter(5), Script::Run]);
+    let entry = std::sync::Arc::new(setup.entry());
+    let running = {
+        let entry = std::sync::Arc::clone(&entry);
+        tokio::spawn(async move { complete(&entry, &[], STREAM).await })
+    };
+    while setup.engines.iter().all(|agent| agent.dispatched() == 0) {
+        tokio::task::yield_now().await;
+    }
+    let draining = {
+        let entry = std::sync::Arc::clone(&entry);
+        tokio::spawn(async move { entry.drain().await })
+    };
+    let mut late = complete(&entry, &[], STREAM).await;
+    while late.status == 200 {
+        late = complete(&entry, &[], STREAM).await;
+    }
+
+    let reply = running.await.expect("the caller gets its answer");
+    draining.await.expect("the drain ends");
+
+    assert_eq!(late.code(), "not_ready");
+    assert_eq!(late.json()["error"]["ran"], "no");
+    assert_eq!(reply.streamed_text(), text(20));
+}
