--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -1,2 +1,142 @@
-//! stub
-fn main() {}
+//! The developers' tool: `cyclamenwharf-dev up|settings|experiment`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use cw_testkit::ROUTE_LATENCY;
+use cw_testkit::Rig;
+use cw_testkit::RigSpec;
+use cw_testkit::api_key;
+use cw_testkit::experiment;
+use cw_testkit::experiment::Report;
+use cw_testkit::write_settings;
+
+fn command() -> Command {
+    let directory = Arg::new("directory")
+        .value_name("DIR")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The directory to write to");
+    Command::new("cyclamenwharf-dev")
+        .about("Stand-ins, a deployment for a look, and experiments")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(Command::new("up").about("Starts a small deployment on loopback, for a look"))
+        .subcommand(
+            Command::new("settings")
+                .about("Writes the settings files of a small deployment")
+                .arg(directory),
+        )
+        .subcommand(experiment_command())
+}
+
+fn experiment_command() -> Command {
+    let json = Arg::new("json")
+        .long("json")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The file for the report");
+    let rounds = Arg::new("rounds")
+        .long("rounds")
+        .value_name("N")
+        .default_value("12")
+        .value_parser(value_parser!(usize))
+        .help("How often each fault is caused");
+    Command::new("experiment")
+        .about("Measures a deployment on loopback")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("engine-death")
+                .about("Kills engines in the middle of streams")
+                .arg(json)
+                .arg(rounds),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = tokio::runtime::Runtime::new().expect("the system has threads");
+    let result = runtime.block_on(async {
+        match matches.subcommand() {
+            Some(("up", _)) => up().await,
+            Some(("settings", args)) => settings(args).await,
+            Some(("experiment", args)) => measure(args).await,
+            _ => Err("unknown command".to_owned()),
+        }
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn small() -> RigSpec {
+    RigSpec::default().with_services(1)
+}
+
+async fn up() -> Result<(), String> {
+    let rig = Rig::start(small()).await.map_err(|e| e.to_string())?;
+    println!("This deployment is for a look, not for use: everything runs in one process,");
+    println!("the engines are stand-ins, and nothing is kept.");
+    println!();
+    for entry in &rig.entries {
+        println!("callers:  http://{}", entry.callers());
+    }
+    println!("admin:    http://{}", rig.entries[0].settings.listen.admin);
+    println!("API key:  {}", api_key(0));
+    println!();
+    println!("{}", curl(&rig));
+    println!();
+    println!("Ctrl-C stops it.");
+    tokio::signal::ctrl_c().await.map_err(|e| e.to_string())?;
+    rig.stop().await;
+    println!("stopped");
+    Ok(())
+}
+
+fn curl(rig: &Rig) -> String {
+    let entry = rig.entries[0].callers();
+    let key = api_key(0);
+    format!(
+        "curl -N http://{entry}/v1/completions -H 'Authorization: Bearer {key}' \
+         -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"{ROUTE_LATENCY}\",\"prompt\":\"Who owes whom?\",\
+         \"max_tokens\":32,\"stream\":true}}'"
+    )
+}
+
+async fn settings(args: &ArgMatches) -> Result<(), String> {
+    let directory: &PathBuf = args.get_one("directory").expect("clap requires it");
+    let rig = Rig::start(small()).await.map_err(|e| e.to_string())?;
+    let written = write_settings(&rig, directory).map_err(|e| e.to_string());
+    rig.stop().await;
+    written
+}
+
+async fn measure(args: &ArgMatches) -> Result<(), String> {
+    let (name, args) = args.subcommand().expect("clap requires it");
+    let file: &PathBuf = args.get_one("json").expect("clap requires it");
+    let rounds: usize = *args.get_one("rounds").expect("it has a default");
+    let report = run(name, rounds).await?;
+    report.write(file).map_err(|e| e.to_string())?;
+    for row in &report.rows {
+        println!("{row}");
+    }
+    Ok(())
+}
+
+async fn run(name: &str, rounds: usize) -> Result<Report, String> {
+    match name {
+        "engine-death" => experiment::engine_death(rounds).await,
+        _ => return Err(format!("unknown experiment {name}")),
+    }
+    .map_err(|error| error.to_string())
+}
--- a/crates/cw_wire/src/dispatch.rs
+++ b/crates/cw_wire/src/dispatch.rs
@@ -174,13 +174,6 @@
     pub stamp: Stamp,
 }
 
-/// Tells an agent whether its target is to take new work.
-#[data(Copy, Eq)]
-pub struct Drain {
-    /// Whether the target is leaving.
-    pub leaving: bool,
-}
-
 /// The proof that answers a [`Cancel`].
 #[data(Eq)]
 pub struct Cancelled {
