--- /dev/null
+++ b/crates/cw_policy/benches/choice/main.rs
@@ -0,0 +1,177 @@
+//! The cost of choosing a target, by the number of targets, as JSON on standard output.
+//!
+//! Run with `cargo bench -p cw_policy --bench choice`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use cw_policy::Liveness;
+use cw_policy::TargetView;
+use cw_policy::View;
+use cw_policy::prefix::blocks;
+use cw_policy::routing::Choice;
+use cw_policy::routing::Index;
+use cw_policy::routing::Ledger;
+use cw_policy::routing::Policy;
+use cw_policy::routing::RouteRequest;
+use cw_types::Incarnation;
+use cw_types::RouteTarget;
+use cw_types::Target;
+use cw_types::TargetKind;
+use cw_types::Time;
+use cw_types::TokenCount;
+use cw_wire::Load;
+use cw_wire::Prompt;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::json;
+
+const SIZES: [usize; 5] = [40, 165, 330, 660, 1320];
+const WORKSPACES: usize = 420;
+const DECISIONS: usize = 20_000;
+const REPEATS: usize = 5;
+const NOW: Time = Time(1_000_000_000);
+
+fn name<T: std::str::FromStr>(text: String) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+fn target(number: usize, rng: &mut SmallRng) -> TargetView {
+    let versions = BTreeSet::from([name("v1".to_owned())]);
+    TargetView {
+        target: Target {
+            agent: "127.0.0.1:1".parse().expect("a valid address"),
+            host: name(format!("host-{number:04}")),
+            zone: name(format!("zone-{}", number % 6)),
+            region: name(format!("region-{}", number % 2)),
+            kind: TargetKind::Engine,
+            fenced: true,
+            versions: BTreeMap::new(),
+        },
+        liveness: Liveness::Alive,
+        incarnation: Incarnation(1),
+        load: Load {
+            running: rng.random_range(8..16),
+            limit: 16,
+            ..Load::default()
+        },
+        reported: NOW,
+        returned: Time(0),
+        versions: BTreeMap::from([(name("model".to_owned()), versions)]),
+        crashes: Vec::new(),
+    }
+}
+
+fn request(workspace: usize) -> RouteRequest {
+    let workspace = name(format!("workspace-{workspace:03}"));
+    let model = name("model".to_owned());
+    let version = name("v1".to_owned());
+    let prompt = Prompt::Text(format!("The ledger of {workspace}. ").repeat(200));
+    let blocks = blocks(&workspace, &model, &version, None, &prompt);
+    let to = RouteTarget::Model {
+        model,
+        version,
+        adapter: None,
+    };
+    let zone = name("zone-0".to_owned());
+    let region = name("region-0".to_owned());
+    RouteRequest::new(to, workspace, zone, region).with_prompt(blocks, TokenCount(1200))
+}
+
+/// Returns the mean time of a decision in the fastest repeat, in microseconds.
+fn measure(targets: usize, all_busy: bool) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let view = View {
+        targets: (0..targets)
+            .map(|number| {
+                (
+                    name(format!("target-{number:04}")),
+                    target(number, &mut rng),
+                )
+            })
+            .collect(),
+        ..View::default()
+    };
+    let index = Index::new(&view);
+    let requests: Vec<_> = (0..WORKSPACES).map(request).collect();
+    let mut ledger = Ledger::default();
+    if all_busy {
+        for id in view.targets.keys() {
+            ledger.refused(NOW, id, Duration::from_secs(1));
+        }
+    }
+    let mut best = f64::MAX;
+    for _ in 0..REPEATS {
+        let start = Instant::now();
+        for number in 0..DECISIONS {
+            let request = &requests[number % WORKSPACES];
+            let now = NOW + Duration::from_micros(10 * number as u64);
+            let choice = index.choose(now, Policy::Affinity, request, &ledger, &mut rng);
+            if let Choice::Target(id) = black_box(choice) {
+                ledger
+                    .overlap
+                    .learn(&id, &request.blocks, TokenCount(600), TokenCount(1200));
+                ledger.dispatched(now, &id);
+            }
+            if number % 1000 == 0 {
+                ledger.observe(now, &view);
+            }
+        }
+        let micros = start.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64;
+        best = best.min(micros);
+        if !all_busy {
+            // A new report shows what was sent, so the next repeat starts alike.
+            ledger = Ledger::default();
+        }
+    }
+    best
+}
+
+/// Fits a line by least squares: intercept, slope and root of the mean squared residual.
+fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+    let variance: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    let intercept = mean_y - slope * mean_x;
+    let square = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).powi(2);
+    let residual = (points.iter().map(square).sum::<f64>() / count).sqrt();
+    (intercept, slope, residual)
+}
+
+fn report(all_busy: bool) -> serde_json::Value {
+    let points: Vec<_> = SIZES
+        .iter()
+        .map(|&size| (size as f64, measure(size, all_busy)))
+        .collect();
+    let (intercept, slope, residual) = fit(&points);
+    let sizes: Vec<_> = points
+        .iter()
+        .map(|&(targets, micros)| json!({"targets": targets, "micros": micros}))
+        .collect();
+    json!({
+        "all_busy": all_busy,
+        "workspaces": WORKSPACES,
+        "sizes": sizes,
+        "intercept_micros": intercept,
+        "slope_micros_per_target": slope,
+        "residual_micros": residual,
+    })
+}
+
+fn main() {
+    let reports = [report(false), report(true)];
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&reports).expect("plain values")
+    );
+}
--- a/crates/cw_policy/src/prefix/block.rs
+++ b/crates/cw_policy/src/prefix/block.rs
@@ -6,25 +6,26 @@
 use cw_types::WorkspaceId;
 use cw_wire::Prompt;
 use xxhash_rust::xxh3::Xxh3;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The length of a block of text, in bytes.
-const TEXT_BLOCK: usize = 256;
+/// The length of the first block, in bytes.
+const FIRST: usize = 256;
 
-/// The length of a block of tokens.
-const IDS_BLOCK: usize = 64;
+/// The most bytes of a prompt that are looked at.
+const LENGTH_MAX: usize = 1 << 20;
 
-/// The most blocks of one prompt.
-const BLOCKS_MAX: usize = 256;
-
-/// The hash of one block of a prompt and of all before it.
+/// A leading part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Block(pub u64);
+pub struct Block {
+    /// The hash of the prompt up to the block's end.
+    pub hash: u64,
+    /// Where the block ends in the prompt, in bytes.
+    pub end: u32,
+}
 
-/// Cuts a prompt into blocks; only whole blocks count, and only the first few hundred.
+/// Cuts a prompt into blocks whose length grows with depth, so that any prompt has few of them.
 ///
-/// Equal blocks of different workspaces, versions or adapters differ, since caches do not share
-/// them.
+/// The last block ends with the prompt. Equal prompts of different workspaces, versions or
+/// adapters have different blocks, since caches do not share them.
 pub fn blocks(
     workspace: &WorkspaceId,
     model: &ModelName,
@@ -32,7 +33,7 @@
     adapter: Option<&AdapterName>,
     prompt: &Prompt,
 ) -> Vec<Block> {
-    let mut scope = Xxh3::new();
+    let mut hash = Xxh3::new();
     let adapter = adapter.map_or("", AdapterName::as_str);
     for name in [
         workspace.as_str(),
@@ -40,40 +41,48 @@
         version.as_str(),
         adapter,
     ] {
-        scope.update(name.as_bytes());
-        scope.update(&[0]);
+        hash.update(name.as_bytes());
+        hash.update(&[0]);
     }
-    let scope = scope.digest();
     match prompt {
-        Prompt::Text(text) => chain(scope, text.as_bytes().chunks_exact(TEXT_BLOCK)),
+        Prompt::Text(text) => chain(hash, text.as_bytes()),
         Prompt::Ids(ids) => {
-            let bytes: Vec<u8> = ids
-                .iter()
-                .take(IDS_BLOCK * BLOCKS_MAX)
-                .flat_map(|id| id.0.to_le_bytes())
-                .collect();
-            chain(scope, bytes.chunks_exact(IDS_BLOCK * size_of::<u32>()))
+            let bytes: Vec<u8> = ids.iter().flat_map(|id| id.0.to_le_bytes()).collect();
+            chain(hash, &bytes)
         }
         Prompt::Chat(messages) => {
-            let mut bytes = Vec::new();
-            for message in messages {
-                if bytes.len() >= TEXT_BLOCK * BLOCKS_MAX {
-                    break;
-                }
-                bytes.extend_from_slice(message.role.as_bytes());
-                bytes.push(0);
-                bytes.extend_from_slice(message.content.as_bytes());
-                bytes.push(0);
-            }
-            chain(scope, bytes.chunks_exact(TEXT_BLOCK))
+            let parts = messages
+                .iter()
+                .flat_map(|message| [message.role.as_str(), message.content.as_str()]);
+            let bytes: Vec<u8> = parts
+                .flat_map(|part| part.bytes().chain(std::iter::once(0)))
+                .take(LENGTH_MAX)
+                .collect();
+            chain(hash, &bytes)
         }
     }
 }
 
-fn chain<'a>(scope: u64, chunks: impl Iterator<Item = &'a [u8]>) -> Vec<Block> {
-    let next = |hash: &mut u64, chunk: &[u8]| {
-        *hash = xxh3_64_with_seed(chunk, *hash);
-        Some(Block(*hash))
-    };
-    chunks.take(BLOCKS_MAX).scan(scope, next).collect()
+/// Hashes `bytes` up to the end of each block; `hash` has the scope already.
+fn chain(mut hash: Xxh3, bytes: &[u8]) -> Vec<Block> {
+    let bytes = &bytes[..bytes.len().min(LENGTH_MAX)];
+    let mut blocks = Vec::new();
+    let mut start = 0;
+    while start < bytes.len() {
+        let end = next_end(start).min(bytes.len());
+        hash.update(&bytes[start..end]);
+        blocks.push(Block {
+            hash: hash.digest(),
+            end: u32::try_from(end).unwrap_or(u32::MAX),
+        });
+        start = end;
+    }
+    blocks
+}
+
+/// Returns the end of the block that starts at `start`: multiples of the first length at first,
+/// then steps of about a third.
+fn next_end(start: usize) -> usize {
+    let step = (start / 3 / FIRST).max(1) * FIRST;
+    start + step
 }
--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -1,6 +1,5 @@
 //! The decision itself.
 
-use cw_types::TargetId;
 use cw_types::Time;
 use rand::Rng;
 use rand::RngExt;
@@ -16,7 +15,6 @@
 use super::index::Candidate;
 use super::index::Member;
 use super::shortlist::Shortlist;
-use crate::prefix::Holder;
 
 /// How many targets of the rendezvous order are weighed.
 const WALK: usize = 8;
@@ -30,6 +28,12 @@
 /// The share of the prompt that the first of the rendezvous order is taken to have cached.
 const ASSUMED: f64 = 0.5;
 
+/// The most candidates whose caches are known for one prompt.
+const SHARES_MAX: usize = 5;
+
+/// Candidates and the shares of the prompt that they are expected to have cached.
+type Shares = [Option<(usize, f64)>; SHARES_MAX];
+
 /// One decision in progress.
 struct Decision<'a> {
     index: &'a Index,
@@ -58,7 +62,7 @@
             now,
             request,
             ledger,
-            bound: group.utilisation * self.costs.bound + 0.1,
+            bound: (group.utilisation * self.costs.bound).max(self.costs.bound - 1.0),
         };
         let alive = decision.among(&group.alive, policy, rng);
         match alive {
@@ -79,15 +83,15 @@
             Policy::LeastReported => self.least_reported(members),
             Policy::PowerOfTwo => self.power_of_two(members, rng),
         };
-        match chosen.or_else(|| self.least_wait(members)) {
+        match chosen {
             Some(at) => Choice::Target(self.index.candidates[at].id.clone()),
-            None => self.wait(members),
+            None => self.any(members),
         }
     }
 
     // -----------------------------------------------------------------------------------------
 
-    /// Returns the cheapest of a short list, unless all of it is full.
+    /// Returns the cheapest of a short list, unless all of it is closed.
     fn affinity(&self, members: &[Member], rng: &mut impl Rng) -> Option<usize> {
         let mut list = Shortlist::new();
         if self.request.wants_cache() {
@@ -97,42 +101,51 @@
                 list.offer(weight, member.at, WALK);
             }
         }
+        let shares = self.shares(members, list.iter().next());
+        for &(at, _) in shares.iter().flatten() {
+            list.push(at);
+        }
         for _ in 0..DRAWS {
             list.push(members[rng.random_range(0..members.len())].at);
         }
-        let holders = self.ledger.overlap.holders(&self.request.blocks);
-        let first = list.iter().next();
-        let cost = |at: usize| self.cost(at, first == Some(at), &holders);
         list.iter()
             .filter(|&at| self.is_open(at))
-            .map(|at| (cost(at), at))
+            .map(|at| (self.cost(at, &shares), at))
             .min_by(|a, b| a.0.total_cmp(&b.0))
-            .filter(|(cost, _)| cost.is_finite())
             .map(|(_, at)| at)
     }
 
+    /// Returns the shares of the prompt that some candidates are expected to have cached.
+    fn shares(&self, members: &[Member], first: Option<usize>) -> Shares {
+        let mut shares = [None; SHARES_MAX];
+        if !self.request.wants_cache() {
+            return shares;
+        }
+        let holders = self.ledger.overlap.holders(&self.request.blocks);
+        let known = holders.filter_map(|holder| {
+            let at = self.index.place(members, holder.target)?;
+            Some((at, holder.share))
+        });
+        // The last one is found only where nothing is known of the first in order.
+        let assumed = first.map(|at| (at, ASSUMED));
+        for (slot, share) in shares.iter_mut().zip(known.chain(assumed)) {
+            *slot = Some(share);
+        }
+        shares
+    }
+
     /// Returns what it costs to send the attempt to a candidate, in seconds.
-    fn cost(&self, at: usize, first: bool, holders: &[Holder]) -> f64 {
+    fn cost(&self, at: usize, shares: &Shares) -> f64 {
         let candidate = &self.index.candidates[at];
         let costs = &self.index.costs;
         let estimate = estimate(self.now, candidate, self.ledger, costs);
-        let wait = estimate.wait.as_secs_f64() + self.distance(candidate);
-        if !self.request.wants_cache() {
-            return wait;
-        }
-        let known = holders
-            .iter()
-            .find(|holder| holder.target == candidate.id)
-            .map(|holder| holder.share);
-        let assumed = if first { ASSUMED } else { 0.0 };
-        let share = known.unwrap_or(assumed);
-        let share = if estimate.utilisation > self.bound.max(1.0) {
-            0.0
-        } else {
-            share
-        };
+        let known = shares.iter().flatten().find(|share| share.0 == at);
+        let share = known
+            .filter(|_| estimate.utilisation <= self.bound)
+            .map_or(0.0, |share| share.1);
         let tokens = self.request.tokens.0 as f64 * (1.0 - share);
-        wait + costs.prefill.as_secs_f64() * tokens
+        let prefill = costs.prefill.as_secs_f64() * tokens;
+        estimate.wait.as_secs_f64() + self.distance(candidate) + prefill
     }
 
     fn distance(&self, candidate: &Candidate) -> f64 {
@@ -151,7 +164,7 @@
         let mut hash = Xxh3::new();
         hash.update(self.request.workspace.as_str().as_bytes());
         for block in self.request.blocks.iter().take(AFFINITY_BLOCKS) {
-            hash.update(&block.0.to_le_bytes());
+            hash.update(&block.hash.to_le_bytes());
         }
         hash.digest()
     }
@@ -185,38 +198,36 @@
         load.running.saturating_add(load.waiting)
     }
 
-    /// Returns the candidate with the shortest expected wait, of all.
-    fn least_wait(&self, members: &[Member]) -> Option<usize> {
-        let wait = |at: usize| {
-            let candidate = &self.index.candidates[at];
-            estimate(self.now, candidate, self.ledger, &self.index.costs).wait
-        };
-        members
-            .iter()
-            .map(|member| member.at)
-            .filter(|&at| self.is_open(at))
-            .min_by_key(|&at| wait(at))
+    /// Chooses the candidate with the shortest expected wait of all.
+    fn any(&self, members: &[Member]) -> Choice {
+        let mut best = None;
+        let mut until = None;
+        for member in members {
+            let candidate = &self.index.candidates[member.at];
+            if self.request.excluded.contains(&candidate.id) {
+                continue;
+            }
+            let busy = self.ledger.busy_until(&candidate.id);
+            if busy > self.now {
+                until = Some(until.map_or(busy, |time: Time| time.min(busy)));
+                continue;
+            }
+            let wait = estimate(self.now, candidate, self.ledger, &self.index.costs).wait;
+            if best.is_none_or(|(least, _)| wait < least) {
+                best = Some((wait, candidate));
+            }
+        }
+        match (best, until) {
+            (Some((_, candidate)), _) => Choice::Target(candidate.id.clone()),
+            (None, Some(until)) => Choice::Wait { until },
+            (None, None) => Choice::NoTarget,
+        }
     }
 
     // -----------------------------------------------------------------------------------------
 
-    fn is_excluded(&self, id: &TargetId) -> bool {
-        self.request.excluded.contains(id)
-    }
-
     fn is_open(&self, at: usize) -> bool {
         let id = &self.index.candidates[at].id;
-        !self.is_excluded(id) && self.ledger.busy_until(id) <= self.now
-    }
-
-    /// Returns when the first busy target may be tried again.
-    fn wait(&self, members: &[Member]) -> Choice {
-        members
-            .iter()
-            .map(|member| &self.index.candidates[member.at].id)
-            .filter(|id| !self.is_excluded(id))
-            .map(|id| self.ledger.busy_until(id))
-            .min()
-            .map_or(Choice::NoTarget, |until| Choice::Wait { until })
+        !self.request.excluded.contains(id) && self.ledger.busy_until(id) <= self.now
     }
 }
--- a/crates/cw_policy/src/routing/index.rs
+++ b/crates/cw_policy/src/routing/index.rs
@@ -148,6 +148,15 @@
         found.unwrap_or(&self.empty)
     }
 
+    /// Returns the place of a target if it is one of `members`.
+    pub(super) fn place(&self, members: &[Member], target: &TargetId) -> Option<usize> {
+        // Members are in the order of their ids.
+        members
+            .binary_search_by(|member| self.candidates[member.at].id.cmp(target))
+            .ok()
+            .map(|found| members[found].at)
+    }
+
     fn has_adapter(
         &self,
         model: &ModelName,
