Carry workspaces' demand in batches

Quotas hold over all entries, so entries must hear how much of each quota is wanted elsewhere. A batch gains a list of demands, empty when an older process sends it.

--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`Dispatch`] asks an agent to run an attempt; the answer is a stream of [`Frame`]s.
 //! - [`Attach`], [`Ack`] and [`Cancel`] refer to an attempt by id alone.
 //! - [`Report`] goes from an agent to a relay, [`Batch`] from a relay to the other entries.
+//! - [`Demand`] says how much of their quotas workspaces use, for sharing quotas among entries.
 //! - [`Order`] goes from the planner to an agent.
 
 mod codec;
+mod demand;
 mod dispatch;
 mod frame;
 mod load;
@@ -20,6 +22,7 @@
 pub use codec::WireError;
 pub use codec::decode;
 pub use codec::encode;
+pub use demand::Demand;
 pub use dispatch::Ack;
 pub use dispatch::Attach;
 pub use dispatch::Call;
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -12,6 +12,7 @@
 use cw_types::TargetId;
 use cw_types::VersionName;
 
+use crate::Demand;
 use crate::Load;
 
 /// A hash of what a request asks: workspace, model and prompt.
@@ -75,4 +76,7 @@
     pub revision: Revision,
     /// The reports and their ages.
     pub reports: Vec<(Duration, Report)>,
+    /// What workspaces want at other entries.
+    #[serde(default)]
+    pub demands: Vec<Demand>,
 }
