--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -353,6 +353,7 @@
             silent: Vec::new(),
             processes: self.processes.live(now).map(aged).collect(),
             forwarded: true,
+            demands: Vec::new(),
         }
     }
 
