--- a/crates/cw_testkit/src/experiment/work.rs
+++ b/crates/cw_testkit/src/experiment/work.rs
@@ -13,7 +13,7 @@
 
 /// What the engines computed.
 #[data(Copy, Default, Eq)]
-pub struct Work {
+pub(super) struct Work {
     /// Output tokens.
     pub output: u64,
     /// Prompt tokens, cached ones excluded.
@@ -28,7 +28,7 @@
 
 impl Work {
     /// Adds up what engines have computed since they started.
-    pub fn of(engines: &[Engine]) -> Self {
+    pub(super) fn of(engines: &[Engine]) -> Self {
         let mut work = Self::default();
         for engine in engines {
             let counters = engine.counters();
@@ -44,7 +44,7 @@
 
     /// Returns what was computed since `earlier`.
     #[must_use]
-    pub fn since(self, earlier: Self) -> Self {
+    pub(super) fn since(self, earlier: Self) -> Self {
         Self {
             output: self.output - earlier.output,
             prompt: self.prompt - earlier.prompt,
@@ -62,7 +62,7 @@
 }
 
 /// Waits until no engine has anything to do, so that its counters are whole.
-pub async fn wait_idle(engines: &[Engine]) {
+pub(super) async fn wait_idle(engines: &[Engine]) {
     let idle = async {
         for engine in engines {
             while engine.busy().await > 0 {
