--- a/crates/cw_testkit/src/deployment/rig.rs
+++ b/crates/cw_testkit/src/deployment/rig.rs
@@ -30,6 +30,7 @@
 use crate::Caller;
 use crate::Engine;
 use crate::EngineSpec;
+use crate::Forwarder;
 use crate::HostList;
 use crate::KeyValue;
 use crate::PlainService;
@@ -87,6 +88,8 @@
     pub engines: Vec<Engine>,
     /// The agents of the engines, in the same order.
     pub agents: Vec<TargetNode>,
+    /// The forwarders before the agents of the engines, if asked for, in the same order.
+    pub forwarders: Vec<Forwarder>,
     /// The plain services.
     pub services: Vec<PlainService>,
     /// The agents of the services, in the same order.
@@ -105,6 +108,7 @@
         let mut rig = Self::platform(spec).await?;
         rig.start_entries().await?;
         rig.start_targets().await?;
+        rig.start_forwarders().await?;
         rig.write_records()?;
         rig.wait_ready().await?;
         Ok(rig)
@@ -115,6 +119,17 @@
         Caller::new(self.entries[entry].callers(), &api_key(0))
     }
 
+    /// Returns the number of the engine of this name.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no engine has this name.
+    pub fn engine_number(&self, name: &str) -> usize {
+        let is_named = |node: &TargetNode| node.settings.target.id.as_str() == name;
+        let found = self.agents.iter().position(is_named);
+        found.expect("the name is of an engine of this deployment")
+    }
+
     /// Kills an engine and its agent, as the loss of their host does.
     pub async fn kill_host(&self, target: usize) {
         self.agents[target].kill().await;
@@ -148,6 +163,7 @@
             weight_store: weight_store.map_err(RigError::new)?,
             engines: Vec::new(),
             agents: Vec::new(),
+            forwarders: Vec::new(),
             services: Vec::new(),
             service_agents: Vec::new(),
             entries: Vec::new(),
@@ -199,12 +215,21 @@
         Ok(())
     }
 
+    async fn start_forwarders(&mut self) -> Result<(), RigError> {
+        if self.spec.forwarded {
+            let peers = self.agents.iter().map(|node| node.settings.listen.peers);
+            let forwarders = try_join_all(peers.map(Forwarder::start)).await;
+            self.forwarders = forwarders.map_err(RigError::new)?;
+        }
+        Ok(())
+    }
+
     fn targets(&self) -> impl Iterator<Item = &TargetNode> {
         self.agents.iter().chain(&self.service_agents)
     }
 
     fn write_records(&self) -> Result<(), RigError> {
-        let targets: BTreeMap<TargetId, Target> = self
+        let mut targets: BTreeMap<TargetId, Target> = self
             .targets()
             .map(|node| {
                 (
@@ -213,6 +238,11 @@
                 )
             })
             .collect();
+        for (node, forwarder) in self.agents.iter().zip(&self.forwarders) {
+            if let Some(target) = targets.get_mut(&node.settings.target.id) {
+                target.agent = forwarder.address;
+            }
+        }
         let snapshot = snapshot(&self.spec, targets);
         let bytes = serde_json::to_vec(&snapshot).map_err(RigError::new)?;
         self.key_value.put(CONFIG_KEY, bytes);
--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -44,6 +44,8 @@
     pub limits: LimitSettings,
     /// How entries notice lost attempts.
     pub recovery: RecoverySettings,
+    /// Whether entries reach each agent through a [`crate::Forwarder`].
+    pub forwarded: bool,
 }
 
 impl Default for RigSpec {
@@ -63,6 +65,7 @@
             agent: EngineSettings::default(),
             limits: LimitSettings::default(),
             recovery: RecoverySettings::default(),
+            forwarded: false,
         }
     }
 }
@@ -102,4 +105,11 @@
         self.timings = timings;
         self
     }
+
+    /// Puts a forwarder before each agent.
+    #[must_use]
+    pub fn with_forwarders(mut self) -> Self {
+        self.forwarded = true;
+        self
+    }
 }
--- a/crates/cw_testkit/src/experiment/drive.rs
+++ b/crates/cw_testkit/src/experiment/drive.rs
@@ -1,5 +1,6 @@
 //! Callers that run side by side.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use tokio::task::JoinSet;
@@ -18,8 +19,6 @@
     pub(super) ask: Ask,
     /// When it was sent.
     pub(super) sent: Instant,
-    /// When its outcome was known.
-    pub(super) ended: Instant,
     /// What became of it.
     pub(super) outcome: Result<Answer, CallError>,
 }
@@ -36,12 +35,7 @@
         self.tasks.spawn(async move {
             let sent = Instant::now();
             let outcome = caller.ask(&ask).await;
-            Stream {
-                ask,
-                sent,
-                ended: Instant::now(),
-                outcome,
-            }
+            Stream { ask, sent, outcome }
         });
     }
 
@@ -51,6 +45,14 @@
     }
 }
 
+impl Stream {
+    /// Returns how long the first token took, if it came.
+    pub(super) fn first_token(&self) -> Option<Duration> {
+        let answer = self.outcome.as_ref().ok()?;
+        Some(answer.first_at()? - self.sent)
+    }
+}
+
 /// Compares all answers with what they should be.
 pub(super) fn tally(streams: &[Stream]) -> Tally {
     let mut tally = Tally::default();
--- a/crates/cw_testkit/src/lib.rs
+++ b/crates/cw_testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`Engine`], [`PlainService`], [`KeyValue`], [`HostList`] and [`WeightStore`] are small
 //!   stand-ins with faults to switch on.
 //! - [`Rig`] runs them with entries and agents in one process.
+//! - [`Forwarder`] stands between two processes and loses track of connections.
 //! - [`Caller`] asks for generations and reads their streams.
 //! - [`experiment`] measures a deployment.
 
@@ -10,6 +11,7 @@
 mod deployment;
 mod etcd;
 pub mod experiment;
+mod forwarder;
 mod host_list;
 mod model_engine;
 mod plain_service;
@@ -40,6 +42,7 @@
 pub use etcd::Backup;
 pub use etcd::KeyValue;
 pub use etcd::StoreFaults;
+pub use forwarder::Forwarder;
 pub use host_list::HostList;
 pub use model_engine::Engine;
 pub use model_engine::EngineCounters;
--- a/crates/cw_testkit/tests/common/mod.rs
+++ b/crates/cw_testkit/tests/common/mod.rs
@@ -9,14 +9,24 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
+use cw_testkit::Ask;
 use cw_testkit::Caller;
 use cw_testkit::Engine;
 use cw_testkit::EngineSpec;
 use cw_testkit::EngineTimings;
 use cw_testkit::MODEL;
+use cw_testkit::PlainService;
+use cw_testkit::ROUTE_LATENCY;
+use cw_testkit::ROUTE_THRIFT;
+use cw_testkit::Reading;
 use cw_testkit::Reply;
+use cw_testkit::Rig;
+use cw_testkit::RigSpec;
 use cw_testkit::VERSION;
+use cw_types::Recovery;
+use cw_types::TokenId;
 use http::Method;
 use serde_json::Value;
 
@@ -71,3 +81,72 @@
         .await
         .expect("the stand-in answers")
 }
+
+// ---- Deployments
+
+/// How a request is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// As a stream of events.
+    Stream,
+    /// In one piece.
+    Whole,
+}
+
+/// A small deployment.
+pub fn small() -> RigSpec {
+    let timings = EngineTimings {
+        step: Duration::from_millis(5),
+        ..fast()
+    };
+    RigSpec::default()
+        .with_engines(4)
+        .with_services(4)
+        .with_timings(timings)
+}
+
+/// Starts a deployment.
+pub async fn rig(spec: RigSpec) -> Rig {
+    soon(Rig::start(spec)).await.expect("the deployment starts")
+}
+
+/// Returns the route with this way of recovery.
+pub fn route(recovery: Recovery) -> &'static str {
+    match recovery {
+        Recovery::Latency => ROUTE_LATENCY,
+        Recovery::Thrift => ROUTE_THRIFT,
+    }
+}
+
+/// Returns the output that a request must have.
+pub fn expected(ask: &Ask) -> Vec<TokenId> {
+    ask.expected(MODEL, VERSION)
+}
+
+/// Returns the engine that serves a stream.
+pub fn serving(rig: &Rig, reading: &Reading) -> usize {
+    let answer = &reading.answer;
+    let target = answer.target_at(Instant::now()).expect("tokens have come");
+    rig.engine_number(target)
+}
+
+/// Waits until an engine is busy, and returns it.
+pub async fn busy(rig: &Rig) -> usize {
+    soon(async {
+        loop {
+            for (number, engine) in rig.engines.iter().enumerate() {
+                if engine.busy().await > 0 {
+                    return number;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await
+}
+
+/// Returns how many times a body was executed by all services together.
+pub fn runs(rig: &Rig, body: &str) -> u64 {
+    let count = |service: &PlainService| service.runs().get(body).copied().unwrap_or_default();
+    rig.services.iter().map(count).sum()
+}
