--- /dev/null
+++ b/crates/cw_testkit/src/experiment/fault.rs
@@ -0,0 +1,98 @@
+//! Faults that experiments cause.
+
+use std::time::Duration;
+
+use cw_macro::data;
+
+use crate::Rig;
+
+use super::ExperimentError;
+
+/// One kind of fault.
+#[data(Copy, Eq)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Fault {
+    /// An engine is killed under its agent.
+    EngineKilled,
+    /// A target's host is lost, engine and agent together.
+    HostLost,
+    /// An engine is paused for 3 s.
+    #[serde(rename = "engine_paused_3s")]
+    ShortPause,
+    /// An engine is paused for 30 s.
+    #[serde(rename = "engine_paused_30s")]
+    LongPause,
+    /// The connections to an agent go silent for good.
+    ConnectionSilent,
+    /// A sixth of all targets is lost at once.
+    SixthLost,
+}
+
+/// All faults, in the order of the report.
+pub(super) const FAULTS: [Fault; 6] = [
+    Fault::EngineKilled,
+    Fault::HostLost,
+    Fault::ShortPause,
+    Fault::LongPause,
+    Fault::ConnectionSilent,
+    Fault::SixthLost,
+];
+
+impl Fault {
+    /// Returns the engines that are hit in a round.
+    pub(super) fn victims(self, engines: usize, round: usize) -> Vec<usize> {
+        match self {
+            Fault::SixthLost => (0..engines)
+                .filter(|n| (n + round).is_multiple_of(6))
+                .collect(),
+            _ => vec![round % engines],
+        }
+    }
+
+    /// Returns how often the fault is caused, of `rounds`.
+    pub(super) fn rounds(self, rounds: usize) -> usize {
+        match self {
+            Fault::LongPause => rounds.div_ceil(6),
+            _ => rounds,
+        }
+    }
+
+    /// Causes the fault.
+    pub(super) async fn cause(self, rig: &Rig, victims: &[usize]) {
+        for &victim in victims {
+            match self {
+                Fault::EngineKilled => rig.engines[victim].kill().await,
+                Fault::HostLost | Fault::SixthLost => rig.kill_host(victim).await,
+                Fault::ShortPause | Fault::LongPause => rig.engines[victim].pause(),
+                Fault::ConnectionSilent => rig.forwarders[victim].silence(),
+            }
+        }
+    }
+
+    /// Returns how long the fault lasts when its end is a part of it.
+    pub(super) fn lasts(self) -> Option<Duration> {
+        match self {
+            Fault::ShortPause => Some(Duration::from_secs(3)),
+            Fault::LongPause => Some(Duration::from_secs(30)),
+            _ => None,
+        }
+    }
+
+    /// Ends the fault.
+    pub(super) async fn end(self, rig: &Rig, victims: &[usize]) -> Result<(), ExperimentError> {
+        for &victim in victims {
+            let engine = &rig.engines[victim];
+            match self {
+                Fault::EngineKilled => engine.restart().await.map_err(ExperimentError::new)?,
+                Fault::HostLost | Fault::SixthLost => {
+                    engine.restart().await.map_err(ExperimentError::new)?;
+                    let agent = &rig.agents[victim];
+                    agent.restart().await.map_err(ExperimentError::new)?;
+                }
+                Fault::ShortPause | Fault::LongPause => engine.wake(),
+                Fault::ConnectionSilent => {}
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/cw_testkit/src/experiment/mod.rs
+++ b/crates/cw_testkit/src/experiment/mod.rs
@@ -2,12 +2,15 @@
 
 mod drive;
 mod engine_death;
+mod fault;
+mod recovery;
 mod report;
 mod summary;
 mod tally;
 mod work;
 
 pub use engine_death::engine_death;
+pub use engine_death::faults;
 pub use report::ExperimentError;
 pub use report::Report;
 pub use summary::Summary;
--- a/crates/cw_testkit/src/experiment/report.rs
+++ b/crates/cw_testkit/src/experiment/report.rs
@@ -51,6 +51,7 @@
     /// Adds a finding.
     pub(super) fn push<T: Serialize>(&mut self, row: &T) {
         let value = serde_json::to_value(row).expect("rows have string keys");
+        println!("{value}");
         self.rows.push(value);
     }
 
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -53,6 +53,12 @@
         .subcommand(
             Command::new("engine-death")
                 .about("Kills engines in the middle of streams")
+                .arg(json.clone())
+                .arg(rounds.clone()),
+        )
+        .subcommand(
+            Command::new("faults")
+                .about("Causes each kind of fault in the middle of streams")
                 .arg(json)
                 .arg(rounds),
         )
@@ -126,16 +132,13 @@
     let file: &PathBuf = args.get_one("json").expect("clap requires it");
     let rounds: usize = *args.get_one("rounds").expect("it has a default");
     let report = run(name, rounds).await?;
-    report.write(file).map_err(|e| e.to_string())?;
-    for row in &report.rows {
-        println!("{row}");
-    }
-    Ok(())
+    report.write(file).map_err(|e| e.to_string())
 }
 
 async fn run(name: &str, rounds: usize) -> Result<Report, String> {
     match name {
         "engine-death" => experiment::engine_death(rounds).await,
+        "faults" => experiment::faults(rounds).await,
         _ => return Err(format!("unknown experiment {name}")),
     }
     .map_err(|error| error.to_string())
