--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`Generation`]: one generation at its entry.
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
 //! - [`configuration`]: what operators accept, and what of it is in force.
@@ -12,6 +13,7 @@
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
+mod generation;
 mod admission;
 mod attempt;
 pub mod configuration;
@@ -22,6 +24,15 @@
 pub mod slo;
 mod view;
 
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
 pub use admission::AdaptiveLimit;
 pub use admission::AdmissionControl;
 pub use admission::AdmissionLimits;
