--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,16 +4,23 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`Generation`]: one generation at its entry.
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
+//! - [`configuration`]: what operators accept, and what of it is in force.
+//! - [`membership`]: which targets and entries are there, and who passes it on.
 //! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
 mod admission;
 mod attempt;
+pub mod configuration;
 mod fencing;
+mod generation;
+pub mod membership;
 pub mod prefix;
+pub mod queue;
 pub mod routing;
 pub mod slo;
 mod view;
@@ -38,6 +45,15 @@
 pub use attempt::TargetGate;
 pub use fencing::OrderGuard;
 pub use fencing::OrderStep;
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
