Acknowledge every hundredth token in the test of a slow entry

An acknowledgement after each of 20000 one-token frames made the test take 12.4 s; now all 23 tests take 2.0 s. The order of tokens, the bound on kept bytes and the completeness are checked as before.

--- a/crates/cyclamenwharf/tests/agent/attempts.rs
+++ b/crates/cyclamenwharf/tests/agent/attempts.rs
@@ -275,9 +275,11 @@
         if let Frame::Tokens { first, tokens } = frame {
             assert_eq!(first.0, received.len() as u64);
             received.extend(tokens.iter().map(|token| token.id.0));
-            let id = attempt(1, 1);
-            let next = TokenIndex(received.len() as u64);
-            rig.call::<_, ()>(path::ACK, &Ack { id, next }).await;
+            if received.len().is_multiple_of(100) {
+                let id = attempt(1, 1);
+                let next = TokenIndex(received.len() as u64);
+                rig.call::<_, ()>(path::ACK, &Ack { id, next }).await;
+            }
         }
     }
 
