Plan orders to engines under a lease with a fencing number

Nothing loaded accepted versions. Lease decides who the planner is (three candidates, own clock with a margin, a lost claim settled by reading it back) and Planner turns version records into paced orders; an old version stays everywhere until no target reports a pin on it. Reports carry the pinned versions, which agents fill from AttemptTable::pins.

--- a/crates/cw_policy/src/attempt/table/target_events.rs
+++ b/crates/cw_policy/src/attempt/table/target_events.rs
@@ -11,6 +11,7 @@
 use cw_types::VersionName;
 use cw_wire::Failure;
 use cw_wire::Load;
+use cw_wire::Pins;
 use cw_wire::Reason;
 
 use super::AttemptStep;
@@ -148,6 +149,17 @@
         self.live.iter().filter(pinned).count() as u32
     }
 
+    /// Returns how many live attempts are pinned to each version.
+    pub fn pins(&self) -> Pins {
+        let mut pins = Pins::new();
+        let attempts = self.live.iter().filter_map(|id| self.attempts.get(id));
+        for (model, version, ..) in attempts.filter_map(|attempt| attempt.pin.clone()) {
+            let versions = pins.entry(model).or_default();
+            *versions.entry(version).or_default() += 1;
+        }
+        pins
+    }
+
     fn running(&mut self, id: AttemptId) -> Option<&mut super::AttemptState> {
         self.attempts
             .get_mut(&id)
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`OrderGuard`]: which orders an agent passes on.
 //! - [`configuration`]: what operators accept, and what of it is in force.
 //! - [`membership`]: which targets and entries are there, and who passes it on.
+//! - [`planner`]: who orders engines, and what.
 //! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
@@ -17,6 +18,7 @@
 pub mod configuration;
 mod fencing;
 pub mod membership;
+pub mod planner;
 pub mod prefix;
 pub mod routing;
 pub mod slo;
--- a/crates/cw_policy/src/membership/relay.rs
+++ b/crates/cw_policy/src/membership/relay.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use cw_types::HostId;
+use cw_types::ModelName;
 use cw_types::Revision;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_types::VersionName;
 use cw_wire::Batch;
 use cw_wire::Load;
 use cw_wire::LoadUpdate;
+use cw_wire::Pins;
 use cw_wire::ProcessState;
 use cw_wire::Report;
 use cw_wire::Silence;
@@ -21,6 +24,9 @@
 /// How often each report is passed on whole, changed or not.
 const WHOLE_PERIOD: Duration = Duration::from_secs(120);
 
+/// How often a report is passed on whole because its pinned versions changed.
+const PINNED_PERIOD: Duration = Duration::from_secs(5);
+
 /// How long a target's load may go unsent while it hardly changes.
 const LOAD_PERIOD: Duration = Duration::from_secs(4);
 
@@ -226,9 +232,21 @@
         || report.versions != whole.versions
         || report.crashes != whole.crashes
         || report.load.capacity != whole.load.capacity
+        || (is_pinned_otherwise(report, whole) && now.since(*sent) >= PINNED_PERIOD)
         || now.since(*sent) >= WHOLE_PERIOD
 }
 
+/// Returns whether other versions have live attempts than before; how many does not matter.
+fn is_pinned_otherwise(report: &Report, whole: &Report) -> bool {
+    let keys = |pins: &Pins| -> Vec<_> {
+        let each = |(model, versions): (&ModelName, &BTreeMap<VersionName, u32>)| {
+            (model.clone(), versions.keys().cloned().collect::<Vec<_>>())
+        };
+        pins.iter().map(each).collect()
+    };
+    keys(&report.pinned) != keys(&whole.pinned)
+}
+
 /// Returns whether the load has changed enough, or was last sent long enough ago.
 fn needs_load(now: Time, direct: &Direct) -> bool {
     let (sent, old) = &direct.load;
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -51,6 +51,7 @@
 pub use report::ConfigDelta;
 pub use report::CrashReport;
 pub use report::Fingerprint;
+pub use report::Pins;
 pub use report::ProcessState;
 pub use report::Report;
 pub use report::ReportAnswer;
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -48,6 +48,9 @@
     pub suspects: Vec<Fingerprint>,
 }
 
+/// How many live attempts are pinned to each version of each model.
+pub type Pins = BTreeMap<ModelName, BTreeMap<VersionName, u32>>;
+
 /// The state of one target, sent by its agent.
 #[data]
 pub struct Report {
@@ -65,6 +68,9 @@
     pub load: Load,
     /// The versions it holds ready.
     pub versions: BTreeMap<ModelName, BTreeSet<VersionName>>,
+    /// How many live attempts are pinned to each version.
+    #[serde(default)]
+    pub pinned: Pins,
     /// The crashes of the last minutes.
     pub crashes: Vec<CrashReport>,
     /// The configuration revision in force at the agent.
--- a/crates/cyclamenwharf/src/control/admin/desk.rs
+++ b/crates/cyclamenwharf/src/control/admin/desk.rs
@@ -5,7 +5,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use bytes::Bytes;
 use cw_policy::configuration::Acceptance;
 use cw_policy::configuration::Edit;
 use cw_policy::configuration::Proposal;
@@ -14,24 +13,27 @@
 use cw_policy::configuration::accept;
 use cw_policy::configuration::in_use;
 use cw_store::KeyValue;
-use cw_store::ModRevision;
 use cw_store::StoreError;
 use cw_store::Swap;
 use cw_types::Change;
 use cw_types::ChangeId;
+use cw_types::FencingNumber;
+use cw_types::HostId;
 use cw_types::RecordKey;
 use cw_types::Revision;
 use cw_types::Snapshot;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use super::AdminErrorKind;
 use super::ErrorMessage;
 use super::auth::Caller;
+use super::keys::Stored;
+use super::keys::decode;
 use crate::control::Event;
 use crate::control::Inspection;
+use crate::control::lease_calls::Holder;
+use crate::control::lease_calls::PLANNER_KEY;
 use crate::control::store_task::CONFIG_KEY;
 
 /// Where proposals are kept.
@@ -46,12 +48,6 @@
 /// How many changes back proposals are kept.
 const KEPT_CHANGES: usize = 512;
 
-/// A value with the revision that wrote it.
-struct Stored<T> {
-    value: T,
-    modified: Option<ModRevision>,
-}
-
 /// What stands behind the operators' interface.
 #[derive(Clone)]
 pub(in crate::control) struct Desk {
@@ -69,6 +65,14 @@
         receiver.await.map_err(|_| stopping())
     }
 
+    /// Returns who holds the planner's lease, if the key-value service says so.
+    pub(super) async fn planner(&self) -> Option<(HostId, FencingNumber)> {
+        let found = self.key_value.get(PLANNER_KEY).await.ok()??;
+        let holder: Holder = serde_json::from_slice(&found.value).ok()?;
+        let created = u64::try_from(found.created.0).ok()?;
+        Some((holder.host, FencingNumber(created)))
+    }
+
     // ------------------------------------------------------------------------
     // Proposals
 
@@ -316,35 +320,6 @@
             ErrorMessage::new(AdminErrorKind::NotFound, message)
         })
     }
-
-    async fn read_key<T: DeserializeOwned>(
-        &self,
-        key: &str,
-    ) -> Result<Option<Stored<T>>, ErrorMessage> {
-        let found = self.key_value.get(key).await.map_err(|error| {
-            // A read changes nothing, whether or not its answer came.
-            ErrorMessage::new(AdminErrorKind::Unavailable, error)
-        })?;
-        let Some(found) = found else { return Ok(None) };
-        Ok(Some(Stored {
-            value: decode(&found.value)?,
-            modified: Some(found.modified),
-        }))
-    }
-
-    async fn put<T: Serialize>(
-        &self,
-        key: &str,
-        expected: Option<ModRevision>,
-        value: &T,
-    ) -> Result<Swap, StoreError> {
-        let value = serde_json::to_vec(value).map_err(|error| StoreError::Protocol {
-            message: error.to_string(),
-        })?;
-        self.key_value
-            .swap(key, expected, Bytes::from(value), None)
-            .await
-    }
 }
 
 fn decide(
@@ -380,11 +355,6 @@
     format!("{PROPOSALS}{id}")
 }
 
-fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, ErrorMessage> {
-    serde_json::from_slice(value)
-        .map_err(|error| ErrorMessage::new(AdminErrorKind::Internal, error))
-}
-
 fn bad(message: &str) -> ErrorMessage {
     ErrorMessage::new(AdminErrorKind::BadRequest, message)
 }
--- a/crates/cyclamenwharf/src/control/admin/endpoints.rs
+++ b/crates/cyclamenwharf/src/control/admin/endpoints.rs
@@ -59,7 +59,11 @@
 /// Say how things are: the revision in force by process, targets, leaving ones, the planner.
 #[endpoint { method = GET, path = "/v1/status" }]
 pub(super) async fn status(context: Context) -> Answer<StatusMessage> {
-    let (_, inspection) = admit(&context, OperatorRole::Reader).await?;
+    let (_, mut inspection) = admit(&context, OperatorRole::Reader).await?;
+    if let Some((holder, fencing)) = context.context().desk.planner().await {
+        inspection.planner.holder = Some(holder);
+        inspection.planner.fencing = fencing;
+    }
     let host = context.context().host.to_string();
     Ok(HttpResponseOk(to_status(host, &inspection)))
 }
--- a/crates/cyclamenwharf/src/control/admin/mod.rs
+++ b/crates/cyclamenwharf/src/control/admin/mod.rs
@@ -5,6 +5,7 @@
 mod desk;
 mod endpoints;
 mod error;
+mod keys;
 mod messages;
 mod server;
 
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -14,7 +14,6 @@
 use cw_policy::configuration::Taking;
 use cw_policy::configuration::is_watcher;
 use cw_policy::membership::Grid;
-use cw_policy::membership::HostMark;
 use cw_policy::membership::Members;
 use cw_policy::membership::MembershipLimits;
 use cw_policy::membership::Outcome;
@@ -22,8 +21,6 @@
 use cw_policy::membership::Relay;
 use cw_policy::membership::Urgency;
 use cw_store::Host;
-use cw_store::HostRole;
-use cw_store::HostState;
 use cw_types::HostId;
 use cw_types::Revision;
 use cw_types::Snapshot;
@@ -46,6 +43,8 @@
 use super::Sender;
 use super::SharedView;
 use super::StoreUse;
+use super::host_entry::mark;
+use super::host_entry::to_entry;
 use crate::Health;
 
 /// How often the state looks at the clock.
@@ -369,34 +368,21 @@
 
     fn inspect(&self, now: Time) -> Inspection {
         let aged = |(age, state): (Duration, &ProcessState)| (age, state.clone());
-        let report = |(_, report): (Duration, Report)| (report.target, report.revision);
+        let reports = self.members.reports(now);
+        let pins =
+            |(_, report): &(Duration, Report)| (report.target.clone(), report.pinned.clone());
+        let revision = |(_, report): &(Duration, Report)| (report.target.clone(), report.revision);
         Inspection {
             in_force: self.in_force.clone(),
             processes: self.processes.live(now).map(aged).collect(),
-            agents: self.members.reports(now).into_iter().map(report).collect(),
+            pins: reports.iter().map(pins).collect(),
+            agents: reports.iter().map(revision).collect(),
             planner: self.planner.clone(),
             view: self.parts.view.load_full(),
         }
     }
 }
 
-fn mark(host: &Host) -> HostMark {
-    match host.state {
-        HostState::Live => HostMark::Live,
-        HostState::Leaving => HostMark::Leaving,
-    }
-}
-
-fn to_entry(host: &Host) -> Option<EntryPeer> {
-    let live = host.role == HostRole::Entry && host.state == HostState::Live;
-    live.then(|| EntryPeer {
-        host: host.host.clone(),
-        zone: host.zone.clone(),
-        region: host.region.clone(),
-        peers: host.peers,
-    })
-}
-
 fn pick<'a>(peers: &[&'a EntryPeer], count: usize) -> Vec<&'a EntryPeer> {
     use rand::seq::IndexedRandom;
     peers.sample(&mut rand::rng(), count).copied().collect()
--- a/crates/cyclamenwharf/src/control/event.rs
+++ b/crates/cyclamenwharf/src/control/event.rs
@@ -15,6 +15,7 @@
 use cw_types::TargetId;
 use cw_wire::Batch;
 use cw_wire::ConfigAnswer;
+use cw_wire::Pins;
 use cw_wire::ProcessState;
 use cw_wire::Report;
 use cw_wire::ReportAnswer;
@@ -67,6 +68,8 @@
     pub(super) agents: BTreeMap<TargetId, Revision>,
     /// The planner, as this entry knows it.
     pub(super) planner: PlannerStatus,
+    /// The pinned versions that targets reported.
+    pub(super) pins: BTreeMap<TargetId, Pins>,
     /// The view that traffic sees.
     pub(super) view: Arc<View>,
 }
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/lease_calls.rs
@@ -0,0 +1,117 @@
+//! Calls for the planner's lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_macro::data;
+use cw_policy::planner::LeaseEvent;
+use cw_policy::planner::LeaseStep;
+use cw_store::KeyValue;
+use cw_store::LeaseId;
+use cw_store::StoreError;
+use cw_store::Swap;
+use cw_store::Versioned;
+use cw_types::FencingNumber;
+use cw_types::HostId;
+use cw_types::Time;
+use tokio::sync::mpsc;
+
+use super::planner_task::News;
+
+/// The key that the planner holds.
+pub(super) const PLANNER_KEY: &str = "cyclamenwharf/planner";
+
+/// The value of the planner's key.
+#[data(Eq)]
+pub(super) struct Holder {
+    /// The host of the holder.
+    pub(super) host: HostId,
+    /// The lease under which it was written, by which a holder knows its own claim again.
+    pub(super) lease: LeaseId,
+}
+
+/// Calls for the planner's lease, each in a task of its own.
+#[derive(Clone)]
+pub(super) struct LeaseCalls {
+    pub(super) key_value: Arc<dyn KeyValue>,
+    pub(super) host: HostId,
+}
+
+impl LeaseCalls {
+    /// Starts what `step` asks for; `news` gets the outcome.
+    pub(super) fn start(&self, step: LeaseStep, now: Time, news: mpsc::Sender<News>) {
+        if step == LeaseStep::Rest {
+            return;
+        }
+        let this = self.clone();
+        tokio::spawn(async move {
+            let event = match step {
+                LeaseStep::Rest => None,
+                LeaseStep::Grant { ttl } => Some(this.grant(now, ttl).await),
+                LeaseStep::Claim { lease } => Some(this.claim(LeaseId(lease)).await),
+                LeaseStep::Renew { lease } => Some(this.renew(now, LeaseId(lease)).await),
+                LeaseStep::Revoke { lease } => {
+                    // A lease that cannot be revoked lapses by itself.
+                    let _ = this.key_value.revoke(LeaseId(lease)).await;
+                    None
+                }
+            };
+            if let Some(event) = event {
+                let _ = news.send(News::Lease(event)).await;
+            }
+        });
+    }
+
+    async fn grant(&self, asked: Time, ttl: Duration) -> LeaseEvent {
+        match self.key_value.get(PLANNER_KEY).await {
+            Ok(None) => {}
+            Ok(Some(_)) => return LeaseEvent::Taken,
+            Err(_) => return LeaseEvent::Failed,
+        }
+        match self.key_value.grant(ttl).await {
+            Ok(lease) => LeaseEvent::Granted {
+                asked,
+                lease: lease.0,
+            },
+            Err(_) => LeaseEvent::Failed,
+        }
+    }
+
+    async fn claim(&self, lease: LeaseId) -> LeaseEvent {
+        let holder = Holder {
+            host: self.host.clone(),
+            lease,
+        };
+        let value = serde_json::to_vec(&holder).expect("a holder is JSON");
+        let swap = self
+            .key_value
+            .swap(PLANNER_KEY, None, Bytes::from(value), Some(lease))
+            .await;
+        match swap {
+            Ok(Swap::Done(revision)) => claimed(revision.0),
+            Ok(Swap::Conflict(Some(found))) if is_own(&found, &holder) => claimed(found.created.0),
+            Ok(Swap::Conflict(_)) => LeaseEvent::Taken,
+            Err(StoreError::Lapsed) => LeaseEvent::Lapsed,
+            Err(_) => LeaseEvent::Failed,
+        }
+    }
+
+    async fn renew(&self, asked: Time, lease: LeaseId) -> LeaseEvent {
+        match self.key_value.keep_alive(lease).await {
+            Ok(ttl) => LeaseEvent::Renewed { asked, ttl },
+            Err(StoreError::Lapsed) => LeaseEvent::Lapsed,
+            Err(_) => LeaseEvent::Failed,
+        }
+    }
+}
+
+fn is_own(found: &Versioned, holder: &Holder) -> bool {
+    serde_json::from_slice::<Holder>(&found.value).is_ok_and(|found| found == *holder)
+}
+
+fn claimed(revision: i64) -> LeaseEvent {
+    LeaseEvent::Claimed {
+        created: FencingNumber(u64::try_from(revision).unwrap_or_default()),
+    }
+}
--- a/crates/cyclamenwharf/src/control/metrics.rs
+++ b/crates/cyclamenwharf/src/control/metrics.rs
@@ -1,5 +1,4 @@
 //! The metrics of control.
-#![expect(dead_code, reason = "the planner counts next")]
 
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -25,8 +25,10 @@
 use super::core::TICK;
 use super::counted::Counted;
 use super::hosts_task::follow_hosts;
+use super::lease_calls::LeaseCalls;
 use super::peers_server;
 use super::peers_server::PeersContext;
+use super::planner_task::PlannerTask;
 use super::sender::Sender;
 use super::store_task::StoreTask;
 use crate::Clock;
@@ -142,6 +144,7 @@
         region: settings.region.clone(),
         peers: addresses.peers,
     };
+    keep_planner(&parts, &services, &sender, &view);
     keep_core(&parts, receiver, move |seed, health| CoreParts {
         own: own.clone(),
         view: view.clone(),
@@ -179,6 +182,29 @@
         .keep("hosts", move || follow_hosts(list.clone(), events.clone()));
 }
 
+fn keep_planner(parts: &ControlParts, services: &Services, sender: &Sender, view: &SharedView) {
+    let host = parts.settings.host.clone();
+    let (clock, sender, view) = (parts.clock, sender.clone(), view.clone());
+    let services = services.clone();
+    parts.supervisor.keep("planner", move || {
+        let lease_calls = LeaseCalls {
+            key_value: services.key_value.clone(),
+            host: host.clone(),
+        };
+        let task = PlannerTask {
+            host: host.clone(),
+            clock,
+            view: view.clone(),
+            events: sender.events.clone(),
+            client: sender.client.clone(),
+            lease_calls,
+            weight_store: services.weight_store.clone(),
+            metrics: sender.metrics.clone(),
+        };
+        task.run()
+    });
+}
+
 fn keep_core(
     parts: &ControlParts,
     receiver: mpsc::Receiver<Event>,
--- a/crates/cyclamenwharf/tests/control_rig/mod.rs
+++ b/crates/cyclamenwharf/tests/control_rig/mod.rs
@@ -192,6 +192,7 @@
         state,
         load: Default::default(),
         versions: Default::default(),
+        pinned: Default::default(),
         crashes: Vec::new(),
         revision: Revision(0),
     }
