--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! `Step`, or a short list of them, says what to do next. Drivers in the daemon turn sockets into
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
+//! - [`Generation`]: one generation at its entry.
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
 //! - [`configuration`]: what operators accept, and what of it is in force.
@@ -17,9 +18,11 @@
 mod attempt;
 pub mod configuration;
 mod fencing;
+mod generation;
 pub mod membership;
 pub mod planner;
 pub mod prefix;
+pub mod queue;
 pub mod routing;
 pub mod slo;
 mod view;
@@ -44,6 +47,15 @@
 pub use attempt::TargetGate;
 pub use fencing::OrderGuard;
 pub use fencing::OrderStep;
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
--- a/crates/cw_policy/src/membership/outbox.rs
+++ b/crates/cw_policy/src/membership/outbox.rs
@@ -106,6 +106,7 @@
             silent: whole.silent.into_values().collect(),
             processes: whole.processes.into_values().map(aged_state).collect(),
             forwarded: false,
+            demands: Vec::new(),
         }
     }
 }
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -352,6 +352,7 @@
             silent: Vec::new(),
             processes: self.processes.live(now).map(aged).collect(),
             forwarded: true,
+            demands: Vec::new(),
         }
     }
 
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -28,6 +28,7 @@
 pub use control::admin;
 pub use entry::Entry;
 pub use entry::EntryHandle;
+pub use entry::EntryParts;
 pub use health::Health;
 pub use json_log::JsonLog;
 pub use peer_client::PeerClient;
--- a/crates/cyclamenwharf/src/peer_auth.rs
+++ b/crates/cyclamenwharf/src/peer_auth.rs
@@ -1,16 +1,20 @@
-//! The secret that processes of the system show each other.
+//! The secret shared by the processes.
 
 use cw_wire::path::SECRET_HEADER;
 use http::HeaderMap;
+use subtle::Choice;
 use subtle::ConstantTimeEq;
 
-/// Returns whether the headers carry one of `secrets`, in a time that tells nothing about them.
+/// Returns whether `headers` carry one of `secrets`, in a time that depends on lengths alone.
 pub(crate) fn check(headers: &HeaderMap, secrets: &[String]) -> bool {
     let Some(shown) = headers.get(SECRET_HEADER) else {
         return false;
     };
-    let matches = |secret: &String| bool::from(secret.as_bytes().ct_eq(shown.as_bytes()));
+    let shown = shown.as_bytes();
+    let matches = |secret: &String| shown.ct_eq(secret.as_bytes());
     secrets
         .iter()
-        .fold(false, |found, secret| matches(secret) | found)
+        .map(matches)
+        .fold(Choice::from(0), |found, one| found | one)
+        .into()
 }
