--- a/crates/cyclamenwharf/src/agent/reporter.rs
+++ b/crates/cyclamenwharf/src/agent/reporter.rs
@@ -45,6 +45,7 @@
         state: table.gate().state(),
         load: table.load(now),
         versions: table.gate().versions(),
+        pinned: table.pins(),
         crashes: table.crashes(),
         revision,
     })
--- /dev/null
+++ b/crates/cyclamenwharfctl/src/records/mod.rs
@@ -0,0 +1,60 @@
+//! Commands for records: propose, review, accept, and what follows from them.
+
+mod apply;
+mod changes;
+mod drain;
+mod record_file;
+mod tables;
+
+pub(crate) use apply::apply;
+pub(crate) use apply::apply_command;
+pub(crate) use changes::accept;
+pub(crate) use changes::commands;
+pub(crate) use changes::diff;
+pub(crate) use changes::history;
+pub(crate) use changes::proposals;
+pub(crate) use changes::propose;
+pub(crate) use changes::put_back;
+pub(crate) use changes::records;
+pub(crate) use changes::reject;
+pub(crate) use changes::roll_forward;
+pub(crate) use changes::show;
+pub(crate) use drain::drain;
+pub(crate) use drain::drain_commands;
+pub(crate) use drain::undrain;
+pub(crate) use record_file::RecordFile;
+
+use cyclamenwharf::admin::AcceptMessage;
+use cyclamenwharf::admin::ChangeMessage;
+use cyclamenwharf::admin::EditMessage;
+use cyclamenwharf::admin::ProposalMessage;
+use cyclamenwharf::admin::ProposeMessage;
+
+use crate::admin_client::AdminClient;
+use crate::failure::Failure;
+
+/// Returns a new id of a change.
+fn new_id() -> String {
+    format!("change-{:016x}", rand::random::<u64>())
+}
+
+/// Proposes edits.
+async fn propose_edits(
+    client: &AdminClient,
+    id: &str,
+    reason: &str,
+    edits: Vec<EditMessage>,
+) -> Result<ProposalMessage, Failure> {
+    let message = ProposeMessage {
+        id: id.to_owned(),
+        reason: reason.to_owned(),
+        edits,
+    };
+    client.post("/v1/proposals", &message).await
+}
+
+/// Accepts a change.
+async fn accept_change(client: &AdminClient, id: &str) -> Result<ChangeMessage, Failure> {
+    let path = format!("/v1/proposals/{id}/accept");
+    client.post(&path, &AcceptMessage::default()).await
+}
