Decide an acceptance through failures in a pure machine

The loop around lost answers was in the driver, where it could not be fuzzed. AcceptFlow decides it now; a refusal is answered as unknown while a lost write may still arrive, which the loop did not see.

--- a/crates/cw_policy/src/configuration/accept.rs
+++ b/crates/cw_policy/src/configuration/accept.rs
@@ -84,6 +84,12 @@
     texts.join(", ")
 }
 
+/// What the live processes can read.
+pub trait Readers {
+    /// Returns the hosts of live processes that cannot read a version of a kind.
+    fn unable(&self, kind: RecordKind, schema: SchemaVersion) -> Vec<HostId>;
+}
+
 /// Who accepts, and what is known while doing so.
 pub struct Acceptance<'a> {
     /// The accepter.
@@ -92,8 +98,8 @@
     pub operator: &'a Operator,
     /// The present, in seconds since the Unix epoch.
     pub at: u64,
-    /// The hosts of live processes that cannot read a version of a kind.
-    pub unable: &'a dyn Fn(RecordKind, SchemaVersion) -> Vec<HostId>,
+    /// What the live processes can read.
+    pub readers: &'a dyn Readers,
     /// What in use stands against a change, such as live generations pinned to a version.
     pub in_use: &'a [Breakage],
 }
@@ -167,7 +173,7 @@
     let Edit::Put(record) = edit else {
         return Ok(());
     };
-    let hosts = (by.unable)(record.kind, record.schema);
+    let hosts = by.readers.unable(record.kind, record.schema);
     if hosts.is_empty() {
         return Ok(());
     }
--- a/crates/cw_policy/src/configuration/mod.rs
+++ b/crates/cw_policy/src/configuration/mod.rs
@@ -1,11 +1,13 @@
 //! What operators propose and accept, and what of it is in force.
 //!
-//! - [`Proposal`] is a change that waits; [`accept`] decides on it.
+//! - [`Proposal`] is a change that waits; [`accept`] decides on it,
+//!   and [`AcceptFlow`] takes the decision through a service that fails.
 //! - [`dry_run`] says what a change would break.
 //! - [`InForce`] holds the snapshot in force and never goes back.
 //! - [`make_delta`] and [`apply_delta`] pass a change on without the rest.
 
 mod accept;
+mod accept_flow;
 mod delta;
 mod diff;
 mod dry_run;
@@ -15,9 +17,15 @@
 mod watchers;
 
 pub use accept::Acceptance;
+pub use accept::Readers;
 pub use accept::Refusal;
 pub use accept::Verdict;
 pub use accept::accept;
+pub use accept_flow::AcceptFlow;
+pub use accept_flow::Fault;
+pub use accept_flow::FlowEnd;
+pub use accept_flow::FlowEvent;
+pub use accept_flow::FlowStep;
 pub use delta::DeltaError;
 pub use delta::apply_delta;
 pub use delta::make_delta;
--- a/crates/cw_policy/src/membership/grid.rs
+++ b/crates/cw_policy/src/membership/grid.rs
@@ -1,7 +1,6 @@
 //! Which entry passes a batch on to which others.
 
 use cw_types::HostId;
-use cw_types::TargetId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::EntryPeer;
@@ -58,18 +57,3 @@
 fn weight(a: &str, b: &str) -> u64 {
     xxh3_64(format!("{a}/{b}").as_bytes())
 }
-
-/// Returns the `count` entries to which the agent of `target` reports, the first choice first.
-pub fn relays_of<'a>(
-    target: &TargetId,
-    entries: &'a [EntryPeer],
-    count: usize,
-) -> Vec<&'a EntryPeer> {
-    let mut ranked: Vec<_> = entries.iter().collect();
-    ranked.sort_by_key(|entry| {
-        let weight = weight(entry.host.as_str(), target.as_str());
-        std::cmp::Reverse(weight)
-    });
-    ranked.truncate(count);
-    ranked
-}
--- a/crates/cw_policy/src/membership/mod.rs
+++ b/crates/cw_policy/src/membership/mod.rs
@@ -14,7 +14,6 @@
 mod relay;
 
 pub use grid::Grid;
-pub use grid::relays_of;
 pub use limits::MembershipLimits;
 pub use members::HostMark;
 pub use members::Members;
--- a/crates/cw_policy/src/membership/processes.rs
+++ b/crates/cw_policy/src/membership/processes.rs
@@ -4,9 +4,6 @@
 use std::time::Duration;
 
 use cw_types::HostId;
-use cw_types::RecordKind;
-use cw_types::Revision;
-use cw_types::SchemaVersion;
 use cw_types::Time;
 use cw_wire::ProcessState;
 
@@ -15,6 +12,10 @@
 /// How long an entry counts as live after its last word.
 const LIVE_FOR: Duration = Duration::from_secs(180);
 
+/// The age of a statement from which on any other replaces it: the number of a statement comes
+/// from a wall clock, which may be set back.
+const OLD: Duration = Duration::from_secs(45);
+
 /// What entries tell of themselves.
 #[derive(Clone, Debug, Default)]
 pub struct Processes {
@@ -26,7 +27,8 @@
     pub fn on_state(&mut self, now: Time, state: &ProcessState) {
         let made = ago(now, state.age);
         let old = self.states.get(&state.host);
-        if old.is_none_or(|(_, old)| old.sequence < state.sequence) {
+        let is_old = |at: Time| now.since(at) >= OLD;
+        if old.is_none_or(|(at, old)| old.sequence < state.sequence || is_old(*at)) {
             self.states
                 .insert(state.host.clone(), (made, state.clone()));
         }
@@ -44,18 +46,4 @@
             .map(move |(made, state)| (now.since(*made), state))
             .filter(|(age, _)| *age < LIVE_FOR)
     }
-
-    /// Returns the live entries that cannot read `version` of `kind`.
-    pub fn unable(&self, now: Time, kind: RecordKind, version: SchemaVersion) -> Vec<HostId> {
-        let reads = |state: &ProcessState| state.schemas.get(&kind).is_some_and(|v| *v >= version);
-        self.live(now)
-            .filter(|(_, state)| !reads(state))
-            .map(|(_, state)| state.host.clone())
-            .collect()
-    }
-
-    /// Returns the lowest revision in force at a live entry.
-    pub fn lowest(&self, now: Time) -> Option<Revision> {
-        self.live(now).map(|(_, state)| state.revision).min()
-    }
 }
--- a/crates/cyclamenwharf/src/control/admin/desk.rs
+++ b/crates/cyclamenwharf/src/control/admin/desk.rs
@@ -5,14 +5,21 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use cw_policy::configuration::AcceptFlow;
 use cw_policy::configuration::Acceptance;
+use cw_policy::configuration::Breakage;
 use cw_policy::configuration::Edit;
+use cw_policy::configuration::Fault;
+use cw_policy::configuration::FlowEnd;
+use cw_policy::configuration::FlowEvent;
+use cw_policy::configuration::FlowStep;
 use cw_policy::configuration::Proposal;
 use cw_policy::configuration::ProposalState;
 use cw_policy::configuration::Verdict;
 use cw_policy::configuration::accept;
 use cw_policy::configuration::in_use;
 use cw_store::KeyValue;
+use cw_store::ModRevision;
 use cw_store::StoreError;
 use cw_store::Swap;
 use cw_types::Change;
@@ -45,9 +52,12 @@
 /// The pause before a failed call is tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// How many changes back proposals are kept.
+/// How many changes a snapshot remembers before old proposals are removed.
 const KEPT_CHANGES: usize = 512;
 
+/// How many revisions lie between two removals of old proposals.
+const FORGET_PERIOD: u64 = 64;
+
 /// What stands behind the operators' interface.
 #[derive(Clone)]
 pub(in crate::control) struct Desk {
@@ -180,7 +190,8 @@
     ) -> Result<Option<String>, ErrorMessage> {
         let inspection = self.inspect().await?;
         let snapshot = self.snapshot().await?.value;
-        match decide(&snapshot, proposal, caller, &inspection) {
+        let used = in_use(&inspection.view, proposal);
+        match accept(&snapshot, proposal, &acceptance(caller, &inspection, &used)) {
             Verdict::Refused(refusal) => Ok(Some(refusal.to_string())),
             Verdict::Write(_) | Verdict::Already(_) => Ok(None),
         }
@@ -193,74 +204,58 @@
         id: &ChangeId,
     ) -> Result<Change, ErrorMessage> {
         let inspection = self.inspect().await?;
-        let mut lost = false;
-        for _ in 0..ATTEMPTS {
-            match self.try_accept(caller, id, &inspection).await {
-                Ok(Some(change)) => return Ok(change),
-                Ok(None) => {}
-                Err(error) if error.kind == AdminErrorKind::OutcomeUnknown => lost = true,
-                Err(error) if error.kind == AdminErrorKind::Unavailable => {}
-                Err(error) => return Err(error),
+        let mut flow = AcceptFlow::new(inspection.highest());
+        let mut step = FlowStep::Read;
+        let (mut proposal, mut snapshot) = (None, None);
+        loop {
+            let event = match &step {
+                FlowStep::Read => {
+                    let (event, read) = self.read_both(id).await?;
+                    (proposal, snapshot) = read;
+                    event
+                }
+                FlowStep::Mark(marked) => written(self.put(&key_of(id), proposal, marked).await)?,
+                FlowStep::Write(next) => {
+                    let event = written(self.put(CONFIG_KEY, snapshot, next).await)?;
+                    if event == FlowEvent::Written(true) {
+                        self.on_accepted(next).await;
+                    }
+                    event
+                }
+                FlowStep::End(end) => return ended(end.clone()),
+            };
+            if matches!(event, FlowEvent::Failed(_) | FlowEvent::Written(false)) {
+                tokio::time::sleep(PAUSE).await;
             }
-            tokio::time::sleep(PAUSE).await;
+            let edits = match &event {
+                FlowEvent::Read { proposal, .. } => proposal.as_ref(),
+                _ => None,
+            };
+            let used = edits.map_or_else(Vec::new, |edits| in_use(&inspection.view, edits));
+            step = flow.on_event(event, &acceptance(caller, &inspection, &used));
         }
-        if lost {
-            return Err(unknown());
-        }
-        Err(ErrorMessage::new(
-            AdminErrorKind::Unavailable,
-            "the key-value service is unavailable; the change was not accepted",
-        ))
     }
 
-    /// Tries once; `None` when another write came between.
-    ///
-    /// An answer that was lost needs no handling of its own: the next try finds the change's id
-    /// in the snapshot if the write took effect, and a write that arrives late cannot win twice
-    /// over the same revision.
-    async fn try_accept(
+    /// Reads the proposal and the snapshot, and when each was last written.
+    async fn read_both(
         &self,
-        caller: &Caller,
         id: &ChangeId,
-        inspection: &Inspection,
-    ) -> Result<Option<Change>, ErrorMessage> {
-        let stored = self.stored_proposal(id).await?;
-        let snapshot = self.snapshot().await?;
-        check_not_reverted(&snapshot.value, inspection)?;
-        let next = match decide(&snapshot.value, &stored.value, caller, inspection) {
-            Verdict::Already(change) => return Ok(Some(change)),
-            Verdict::Refused(refusal) => return Err(refusal.into()),
-            Verdict::Write(next) => next,
+    ) -> Result<(FlowEvent, (Option<ModRevision>, Option<ModRevision>)), ErrorMessage> {
+        let failed = (FlowEvent::Failed(Fault::Unavailable), (None, None));
+        let proposal = match self.read_key::<Proposal>(&key_of(id)).await {
+            Err(error) if error.kind == AdminErrorKind::Unavailable => return Ok(failed),
+            other => other?,
         };
-        if !self.mark_accepting(caller, stored).await? {
-            return Ok(None);
-        }
-        match self.put(CONFIG_KEY, snapshot.modified, &next).await? {
-            Swap::Conflict(_) => Ok(None),
-            Swap::Done(_) => {
-                let change = next.changes.last().cloned();
-                self.tell(&next).await;
-                self.forget(&snapshot.value, &next).await;
-                Ok(change)
-            }
-        }
-    }
-
-    /// Takes the proposal out of the reach of a rejection.
-    async fn mark_accepting(
-        &self,
-        caller: &Caller,
-        stored: Stored<Proposal>,
-    ) -> Result<bool, ErrorMessage> {
-        if let ProposalState::Accepting(_) = stored.value.state {
-            return Ok(true);
-        }
-        let mut marked = stored.value;
-        marked.state = ProposalState::Accepting(caller.actor.clone());
-        let swap = self
-            .put(&key_of(&marked.id), stored.modified, &marked)
-            .await?;
-        Ok(matches!(swap, Swap::Done(_)))
+        let snapshot = match self.snapshot().await {
+            Err(error) if error.kind == AdminErrorKind::Unavailable => return Ok(failed),
+            other => other?,
+        };
+        let written = proposal.as_ref().and_then(|stored| stored.modified);
+        let event = FlowEvent::Read {
+            proposal: proposal.map(|stored| stored.value),
+            snapshot: Box::new(snapshot.value),
+        };
+        Ok((event, (written, snapshot.modified)))
     }
 
     /// Writes the snapshot in force back to a service that went back to an older one.
@@ -281,23 +276,30 @@
         }
     }
 
-    async fn tell(&self, next: &Snapshot) {
+    async fn on_accepted(&self, next: &Snapshot) {
         // The watch would tell it too; this entry need not wait.
         let event = Event::Store(Box::new(Some(next.clone())));
         let _ = self.events.send(event).await;
+        self.forget(next).await;
     }
 
-    /// Removes the proposals of changes that the snapshot no longer remembers.
-    async fn forget(&self, old: &Snapshot, next: &Snapshot) {
-        if next.changes.len() < KEPT_CHANGES {
+    /// Removes proposals that were decided on before the oldest change that is remembered.
+    async fn forget(&self, next: &Snapshot) {
+        let Some(oldest) = next.changes.first() else {
+            return;
+        };
+        if next.changes.len() < KEPT_CHANGES || next.revision.0 % FORGET_PERIOD != 0 {
             return;
         }
-        let is_kept = |change: &&Change| next.changes.iter().any(|kept| kept.id == change.id);
-        for change in old.changes.iter().filter(|change| !is_kept(change)) {
-            let key = key_of(&change.id);
-            if let Ok(Some(found)) = self.key_value.get(&key).await {
-                // What is left behind costs only its room.
-                let _ = self.key_value.remove(&key, found.modified).await;
+        // What is left behind costs only its room, so failures are left to the next time.
+        let Ok(found) = self.key_value.list(PROPOSALS).await else {
+            return;
+        };
+        for found in found {
+            let old = decode::<Proposal>(&found.value)
+                .is_ok_and(|proposal| proposal.proposed_at < oldest.accepted_at);
+            if old {
+                let _ = self.key_value.remove(&found.key, found.modified).await;
             }
         }
     }
@@ -322,33 +324,48 @@
     }
 }
 
-fn decide(
-    snapshot: &Snapshot,
-    proposal: &Proposal,
-    caller: &Caller,
-    inspection: &Inspection,
-) -> Verdict {
-    let by = Acceptance {
+fn acceptance<'a>(
+    caller: &'a Caller,
+    inspection: &'a Inspection,
+    in_use: &'a [Breakage],
+) -> Acceptance<'a> {
+    Acceptance {
         accepter: &caller.actor,
         operator: &caller.operator,
         at: unix_now(),
-        unable: &|kind, schema| inspection.unable(kind, schema),
-        in_use: &in_use(&inspection.view, proposal),
-    };
-    accept(snapshot, proposal, &by)
+        readers: inspection,
+        in_use,
+    }
+}
+
+fn written(swap: Result<Swap, StoreError>) -> Result<FlowEvent, ErrorMessage> {
+    match swap {
+        Ok(Swap::Done(_)) => Ok(FlowEvent::Written(true)),
+        Ok(Swap::Conflict(_)) => Ok(FlowEvent::Written(false)),
+        Err(StoreError::Unavailable { .. }) => Ok(FlowEvent::Failed(Fault::Unavailable)),
+        Err(StoreError::Lost { .. }) => Ok(FlowEvent::Failed(Fault::Lost)),
+        Err(error) => Err(error.into()),
+    }
 }
 
-/// Refuses to build on a service that went back: what is in force must never revert.
-fn check_not_reverted(found: &Snapshot, inspection: &Inspection) -> Result<(), ErrorMessage> {
-    let held = inspection.in_force.revision();
-    if found.revision >= held && inspection.in_force.alarm().is_none() {
-        return Ok(());
+fn ended(end: FlowEnd) -> Result<Change, ErrorMessage> {
+    match end {
+        FlowEnd::Accepted(change) => Ok(change),
+        FlowEnd::Refused(refusal) => Err(refusal.into()),
+        FlowEnd::NotFound => Err(ErrorMessage::new(
+            AdminErrorKind::NotFound,
+            "no such change is proposed",
+        )),
+        FlowEnd::Reverted { found, held } => Err(ErrorMessage::new(
+            AdminErrorKind::Reverted,
+            format!("the service holds revision {found}, in force is {held}: put it back first"),
+        )),
+        FlowEnd::Unavailable => Err(ErrorMessage::new(
+            AdminErrorKind::Unavailable,
+            "the key-value service is unavailable; the change was not accepted",
+        )),
+        FlowEnd::Unknown => Err(unknown()),
     }
-    let message = format!(
-        "the key-value service holds revision {}, in force is {held}: put it back first",
-        found.revision
-    );
-    Err(ErrorMessage::new(AdminErrorKind::Reverted, message))
 }
 
 fn key_of(id: &ChangeId) -> String {
--- a/crates/cyclamenwharf/src/control/event.rs
+++ b/crates/cyclamenwharf/src/control/event.rs
@@ -6,6 +6,7 @@
 
 use cw_policy::View;
 use cw_policy::configuration::InForce;
+use cw_policy::configuration::Readers;
 use cw_store::Host;
 use cw_types::HostId;
 use cw_types::RecordKind;
@@ -74,9 +75,8 @@
     pub(super) view: Arc<View>,
 }
 
-impl Inspection {
-    /// Returns the hosts of live entries that cannot read `schema` of `kind`.
-    pub(super) fn unable(&self, kind: RecordKind, schema: SchemaVersion) -> Vec<HostId> {
+impl Readers for Inspection {
+    fn unable(&self, kind: RecordKind, schema: SchemaVersion) -> Vec<HostId> {
         let reads = |state: &ProcessState| state.schemas.get(&kind).is_some_and(|v| *v >= schema);
         self.processes
             .iter()
@@ -84,9 +84,17 @@
             .map(|(_, state)| state.host.clone())
             .collect()
     }
+}
 
+impl Inspection {
     /// Returns the snapshot in force.
     pub(super) fn snapshot(&self) -> Arc<Snapshot> {
         self.in_force.snapshot().clone()
     }
+
+    /// Returns the highest revision that is known to be in force anywhere.
+    pub(super) fn highest(&self) -> Revision {
+        let told = self.processes.iter().map(|(_, state)| state.revision).max();
+        told.unwrap_or_default().max(self.in_force.revision())
+    }
 }
