Share quotas among entries and bound extra sends

Quotas must hold over all entries without a coordinator. Each entry states which part it wants; its share follows demand, growing slowly enough that the shares sum to at most 1.5 while messages are at most 1 s old, and an entry that misses any other takes an equal share (at most 2.5 while only some do).

Retries, redirects and hedges spend from budgets that first tries feed, per route and target, so total refusal sends at most 1.2 times what is offered.

--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -7,8 +7,10 @@
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
+pub mod budget;
 pub mod prefix;
 pub mod queue;
+pub mod quota;
 pub mod routing;
 mod view;
 
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -76,7 +76,7 @@
     pub revision: Revision,
     /// The reports and their ages.
     pub reports: Vec<(Duration, Report)>,
-    /// What workspaces want at other entries.
+    /// What workspaces want at other entries, and the ages.
     #[serde(default)]
-    pub demands: Vec<Demand>,
+    pub demands: Vec<(Duration, Demand)>,
 }
