Test prompt blocks, learned overlap and the cache follower

The follower is held against an engine that is a plain set of blocks, through lost, repeated and restarted pages: it never knows of a block that the engine does not have.

--- /dev/null
+++ b/crates/cw_policy/tests/prefix.rs
@@ -0,0 +1,196 @@
+//! Tests of prompt blocks, learned overlap and the follower of cache events.
+
+use std::collections::BTreeSet;
+
+use cw_policy::prefix::Block;
+use cw_policy::prefix::CacheEvent;
+use cw_policy::prefix::CachePage;
+use cw_policy::prefix::Follower;
+use cw_policy::prefix::Overlap;
+use cw_policy::prefix::blocks;
+use cw_types::TargetId;
+use cw_types::TokenCount;
+use cw_types::TokenId;
+use cw_wire::Message;
+use cw_wire::Prompt;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+fn cut(workspace: &str, prompt: &Prompt) -> Vec<Block> {
+    let workspace = workspace.parse().unwrap();
+    blocks(
+        &workspace,
+        &"m".parse().unwrap(),
+        &"v1".parse().unwrap(),
+        None,
+        prompt,
+    )
+}
+
+fn text(length: usize) -> Prompt {
+    Prompt::Text("0123456789abcde ".repeat(length / 16))
+}
+
+fn chat(length: usize) -> Prompt {
+    Prompt::Chat(vec![Message {
+        role: "user".to_owned(),
+        content: "a".repeat(length),
+    }])
+}
+
+fn ids(length: usize) -> Prompt {
+    Prompt::Ids((0..length as u32).map(TokenId).collect())
+}
+
+#[rstest]
+#[case(text(20_000), text(60_000))]
+#[case(chat(20_000), chat(60_000))]
+#[case(ids(5_000), ids(15_000))]
+fn prompts_share_the_blocks_of_their_common_prefix(#[case] short: Prompt, #[case] long: Prompt) {
+    let short = cut("a", &short);
+    let long = cut("a", &long);
+    let common = short.iter().zip(&long).take_while(|(a, b)| a == b).count();
+
+    // A chat's common prefix ends before the end mark of its last message.
+    assert!(common >= short.len() - 1, "{common} of {}", short.len());
+    assert!(long.len() < 40, "{} blocks", long.len());
+}
+
+#[test]
+fn workspaces_share_no_blocks() {
+    let first: BTreeSet<_> = cut("a", &text(4096)).into_iter().collect();
+    let second: BTreeSet<_> = cut("b", &text(4096)).into_iter().collect();
+    assert!(first.is_disjoint(&second));
+}
+
+#[test]
+fn overlap_is_learned_trusted_less_when_wrong_and_forgotten() {
+    let target: TargetId = "t".parse().unwrap();
+    let half = cut("a", &text(8192));
+    let whole = cut("a", &text(16_384));
+    let share = |overlap: &Overlap| overlap.holders(&whole).next().map(|holder| holder.share);
+    let mut overlap = Overlap::default();
+
+    let before = share(&overlap);
+    overlap.learn(&target, &half, TokenCount(0), TokenCount(1000));
+    let learned = share(&overlap).unwrap();
+    for _ in 0..20 {
+        overlap.learn(&target, &half, TokenCount(0), TokenCount(1000));
+    }
+    let evicted = share(&overlap).unwrap();
+    overlap.forget(&target);
+
+    assert_eq!(before, None);
+    assert!(learned > 0.25 && learned <= 0.5, "{learned}");
+    assert!(evicted < 0.05, "{evicted}");
+    assert_eq!(share(&overlap), None);
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let target: TargetId = "t".parse().unwrap();
+    let mut overlap = Overlap::default();
+    for number in 0..10_000 {
+        let blocks = cut(&format!("w{number}"), &text(4096));
+        overlap.learn(&target, &blocks, TokenCount(0), TokenCount(1000));
+    }
+    assert!(overlap.len() <= 32_768, "{}", overlap.len());
+}
+
+/// What the fake channel does with one page of events.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Deliver,
+    Repeat,
+    Lose,
+    Restart,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Deliver),
+        1 => Just(Fate::Repeat),
+        1 => Just(Fate::Lose),
+        1 => Just(Fate::Restart),
+    ]
+}
+
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::default();
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config.failure_persistence = None;
+    config
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Against an engine that is a set of blocks: after each page that arrives, the follower knows
+    /// of no block that the engine did not have at that point, and a loss makes it forget.
+    #[test]
+    fn a_follower_never_guesses(
+        pages in prop::collection::vec(
+            (fate(), prop::collection::vec((any::<bool>(), 0..20_u64), 0..5)),
+            1..60,
+        ),
+    ) {
+        let mut engine = BTreeSet::new();
+        let mut follower = Follower::default();
+        let (mut boot, mut first) = (1, 0);
+        for (fate, changes) in pages {
+            if matches!(fate, Fate::Restart) {
+                boot += 1;
+                first = 0;
+                engine.clear();
+            }
+            let mut events = Vec::new();
+            for (stored, block) in changes {
+                if stored {
+                    engine.insert(block);
+                    events.push(CacheEvent::Stored(vec![block]));
+                } else {
+                    engine.remove(&block);
+                    events.push(CacheEvent::Removed(vec![block]));
+                }
+            }
+            let next = first + events.len() as u64;
+            let page = CachePage { boot, first, next, gap: false, events };
+            first = next;
+            match fate {
+                Fate::Lose => continue,
+                Fate::Repeat => {
+                    follower.on_page(&page);
+                    follower.on_page(&page);
+                }
+                Fate::Deliver | Fate::Restart => follower.on_page(&page),
+            }
+            for block in 0..20 {
+                let known = follower.held(&[block]) == 1;
+                prop_assert!(!known || engine.contains(&block), "block {}", block);
+            }
+            prop_assert_eq!(follower.next(), next);
+        }
+    }
+}
+
+#[test]
+fn a_gap_forgets_and_what_follows_is_learned_again() {
+    let page = |first, gap, blocks: &[u64]| CachePage {
+        boot: 7,
+        first,
+        next: first + 1,
+        gap,
+        events: vec![CacheEvent::Stored(blocks.to_vec())],
+    };
+    let mut follower = Follower::default();
+    follower.on_page(&page(0, false, &[1, 2, 3]));
+    let before = follower.held(&[1, 2, 3, 4]);
+    follower.on_page(&page(5, true, &[1, 2]));
+
+    assert_eq!(before, 3);
+    assert_eq!(follower.held(&[1, 2, 3, 4]), 2);
+    assert_eq!(follower.gaps(), 1);
+}
