Compare the policy with its baselines in a closed-form loop

Rounds of the routing policy need figures that repeat. The loop has slots, serial prefill, a limited cache and late reports, no processes.

--- a/crates/cw_policy/benches/rounds/main.rs
+++ b/crates/cw_policy/benches/rounds/main.rs
@@ -1,2 +1,148 @@
-//! x
-fn main() {}
+//! Compares the default policy with its baselines, as JSON on standard output.
+//!
+//! Run with `cargo bench -p cw_policy --bench rounds`. The same seed gives the same figures.
+
+mod fleet;
+mod shape;
+
+use std::time::Duration;
+
+use cw_policy::routing::Costs;
+use cw_policy::routing::Policy;
+use serde_json::Value;
+use serde_json::json;
+
+use fleet::Fleet;
+use fleet::Outcome;
+use shape::Shape;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+const POLICIES: [Policy; 4] = [
+    Policy::Affinity,
+    Policy::RoundRobin,
+    Policy::LeastReported,
+    Policy::PowerOfTwo,
+];
+
+fn shapes() -> Vec<(&'static str, Shape)> {
+    let base = Shape::default;
+    vec![
+        (
+            "load 0.5",
+            Shape {
+                rate: 90.0,
+                ..base()
+            },
+        ),
+        ("load 0.8", base()),
+        (
+            "load 0.9",
+            Shape {
+                rate: 160.0,
+                ..base()
+            },
+        ),
+        (
+            "herd: 8 entries, reports 1 s late, no common prompts",
+            Shape {
+                entries: 8,
+                lag: Duration::from_secs(1),
+                shared: 0,
+                sessions: 1_000_000,
+                ..base()
+            },
+        ),
+        (
+            "prompts shared by few workspaces",
+            Shape {
+                workspaces: 3,
+                shared: 16,
+                sessions: 20_000,
+                ..base()
+            },
+        ),
+        (
+            "long and short work",
+            Shape {
+                long: 0.1,
+                hold: Duration::from_millis(1500),
+                hold_long: Duration::from_secs(15),
+                ..base()
+            },
+        ),
+        (
+            "an availability zone is lost",
+            Shape {
+                rate: 90.0,
+                loss: Some(Duration::from_secs(50)),
+                ..base()
+            },
+        ),
+    ]
+}
+
+fn percentile(samples: &mut [f64], part: f64) -> f64 {
+    samples.sort_by(f64::total_cmp);
+    let at = (samples.len() as f64 * part) as usize;
+    samples
+        .get(at.min(samples.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or_default()
+}
+
+fn merge(outcomes: Vec<Outcome>) -> Outcome {
+    let mut sum = Outcome::default();
+    for outcome in outcomes {
+        for (all, some) in sum.first.iter_mut().zip(outcome.first) {
+            all.extend(some);
+        }
+        sum.resumed.extend(outcome.resumed);
+        sum.refused += outcome.refused;
+        sum.busy += outcome.busy;
+        sum.tokens += outcome.tokens;
+        sum.cached += outcome.cached;
+        sum.peaks.extend(outcome.peaks);
+    }
+    sum
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
+
+fn describe(policy: Policy, mut outcome: Outcome) -> Value {
+    let [short, long] = &mut outcome.first;
+    let peaks = outcome.peaks.iter().sum::<f64>() / outcome.peaks.len() as f64;
+    json!({
+        "policy": policy,
+        "answered": short.len() + long.len(),
+        "first_p50_s": round(percentile(short, 0.5)),
+        "first_p95_s": round(percentile(short, 0.95)),
+        "first_p99_s": round(percentile(short, 0.99)),
+        "long_p95_s": round(percentile(long, 0.95)),
+        "resume_p95_s": round(percentile(&mut outcome.resumed, 0.95)),
+        "hit_rate": round(outcome.cached as f64 / outcome.tokens.max(1) as f64),
+        "refused": outcome.refused,
+        "busy": outcome.busy,
+        "max_over_mean": round(peaks),
+    })
+}
+
+fn main() {
+    let mut reports = Vec::new();
+    for (name, shape) in shapes() {
+        let results: Vec<Value> = POLICIES
+            .iter()
+            .map(|&policy| {
+                let run = |seed| Fleet::run(shape.clone(), policy, Costs::default(), seed);
+                describe(policy, merge(SEEDS.into_iter().map(run).collect()))
+            })
+            .collect();
+        reports.push(json!({"shape": name, "results": results}));
+    }
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&reports).expect("plain values")
+    );
+}
