Count the prompts sent since a target's report

Cause: the expected wait knew the prompt tokens that waited at the time of a report, but not those that this entry sent since, so a target with a cached prefix was chosen again until its next report. Change: the ledger keeps the uncached tokens of each send; a refused send is taken back.

--- a/crates/cw_policy/benches/choice/main.rs
+++ b/crates/cw_policy/benches/choice/main.rs
@@ -118,7 +118,7 @@
                 ledger
                     .overlap
                     .learn(&id, &request.blocks, TokenCount(600), TokenCount(1200));
-                ledger.dispatched(now, &id);
+                ledger.sent(now, &id, request);
             }
             if number % 1000 == 0 {
                 ledger.observe(now, &view);
--- a/crates/cw_policy/benches/rounds/fleet.rs
+++ b/crates/cw_policy/benches/rounds/fleet.rs
@@ -287,7 +287,7 @@
                 break;
             };
             let target = self.ids.binary_search(&id).expect("a known target");
-            entry.ledger.dispatched(self.now, &id);
+            entry.ledger.sent(self.now, &id, &job.request);
             if self.engines[target].lost || self.engines[target].running.len() >= self.shape.slots {
                 let retry = Duration::from_millis(200);
                 entry.ledger.refused(self.now, &id, retry);
--- a/crates/cw_policy/src/routing/account.rs
+++ b/crates/cw_policy/src/routing/account.rs
@@ -12,6 +12,17 @@
 struct Change {
     at: Time,
     began: bool,
+    /// Prompt tokens that the target has to process.
+    tokens: u64,
+}
+
+/// What a target has that its report does not show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Delta {
+    /// Attempts, less those that ended.
+    pub(super) attempts: i32,
+    /// Prompt tokens to process.
+    pub(super) tokens: u64,
 }
 
 /// What this entry did with one target since the target's report.
@@ -23,12 +34,30 @@
 }
 
 impl Account {
-    /// Records that an attempt began or ended.
-    pub(super) fn change(&mut self, at: Time, began: bool) {
-        if self.changes.len() == CHANGES_MAX {
-            self.changes.pop_front();
+    /// Records that an attempt began, with prompt tokens to process.
+    pub(super) fn begin(&mut self, at: Time, tokens: u64) {
+        self.push(Change {
+            at,
+            began: true,
+            tokens,
+        });
+    }
+
+    /// Records that an attempt ended.
+    pub(super) fn end(&mut self, at: Time) {
+        self.push(Change {
+            at,
+            began: false,
+            tokens: 0,
+        });
+    }
+
+    /// Takes back the last attempt that began, since the target did not take it.
+    pub(super) fn refuse(&mut self, until: Time) {
+        if let Some(last) = self.changes.iter().rposition(|change| change.began) {
+            self.changes.remove(last);
         }
-        self.changes.push_back(Change { at, began });
+        self.busy_until = self.busy_until.max(until);
     }
 
     /// Forgets what a report of the time `reported` already shows.
@@ -42,18 +71,26 @@
         }
     }
 
-    /// Returns how many more attempts are there than at the time `reported`.
-    pub(super) fn delta(&self, reported: Time) -> i32 {
-        self.changes
-            .iter()
-            .rev()
-            .take_while(|change| change.at > reported)
-            .map(|change| if change.began { 1 } else { -1 })
-            .sum()
+    /// Returns what a report of the time `reported` does not show.
+    pub(super) fn delta(&self, reported: Time) -> Delta {
+        let mut delta = Delta::default();
+        let newest = self.changes.iter().rev();
+        for change in newest.take_while(|change| change.at > reported) {
+            delta.attempts += if change.began { 1 } else { -1 };
+            delta.tokens += change.tokens;
+        }
+        delta
     }
 
     /// Returns whether nothing is recorded that could still matter.
     pub(super) fn is_empty(&self, now: Time) -> bool {
         self.changes.is_empty() && self.busy_until <= now
     }
+
+    fn push(&mut self, change: Change) {
+        if self.changes.len() == CHANGES_MAX {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
 }
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -29,13 +29,14 @@
 ) -> Estimate {
     let load = &candidate.load;
     let reported = f64::from(load.running) + f64::from(load.waiting);
-    let delta = f64::from(ledger.delta(&candidate.id, candidate.reported));
-    let outstanding = (reported + delta).max(0.0);
+    let delta = ledger.delta(&candidate.id, candidate.reported);
+    let outstanding = (reported + f64::from(delta.attempts)).max(0.0);
     let limit = f64::from(load.limit.max(1)) * ramp(now, candidate, costs.ramp);
     let hold = ledger.hold().unwrap_or(costs.hold);
     let queued = (outstanding + 1.0 - limit).max(0.0);
     let utilisation = outstanding / limit;
-    let prefill = costs.prefill.as_secs_f64() * load.prefill.0 as f64;
+    let backlog = load.prefill.0 + delta.tokens;
+    let prefill = costs.prefill.as_secs_f64() * backlog as f64;
     let batch = costs.batch.as_secs_f64() * utilisation.min(1.0);
     let wait = hold.as_secs_f64() * queued / limit + prefill + batch;
     Estimate {
--- a/crates/cw_policy/src/routing/ledger.rs
+++ b/crates/cw_policy/src/routing/ledger.rs
@@ -6,7 +6,9 @@
 use cw_types::TargetId;
 use cw_types::Time;
 
+use super::RouteRequest;
 use super::account::Account;
+use super::account::Delta;
 use crate::View;
 use crate::prefix::Overlap;
 
@@ -24,24 +26,33 @@
 }
 
 impl Ledger {
-    /// Records that an attempt was sent to `target`.
+    /// Records that an attempt without a prompt was sent to `target`.
     pub fn dispatched(&mut self, now: Time, target: &TargetId) {
-        self.turn = self.turn.wrapping_add(1);
-        self.account(target).change(now, true);
+        self.begin(now, target, 0);
+    }
+
+    /// Records that the attempt of `request` was sent to `target`, which has to process what it
+    /// does not have of the prompt.
+    pub fn sent(&mut self, now: Time, target: &TargetId, request: &RouteRequest) {
+        let mut holders = self.overlap.holders(&request.blocks);
+        let share = holders
+            .find(|holder| holder.target == target)
+            .map_or(0.0, |holder| holder.share);
+        let tokens = request.tokens.0 as f64 * (1.0 - share);
+        drop(holders);
+        self.begin(now, target, tokens as u64);
     }
 
     /// Records that an attempt that was sent to `target` has ended, `held` after it was sent.
     pub fn ended(&mut self, now: Time, target: &TargetId, held: Duration) {
-        self.account(target).change(now, false);
+        self.account(target).end(now);
         let mean = self.hold.unwrap_or(held);
         self.hold = Some(mean.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT));
     }
 
     /// Records that `target` refused an attempt and asked for `retry` before the next one.
     pub fn refused(&mut self, now: Time, target: &TargetId, retry: Duration) {
-        let account = self.account(target);
-        account.change(now, false);
-        account.busy_until = account.busy_until.max(now + retry);
+        self.account(target).refuse(now + retry);
     }
 
     /// Forgets what the reports in a new `view` already show.
@@ -65,11 +76,12 @@
         self.turn
     }
 
-    /// Returns how many more attempts this entry has at `target` than when it reported.
-    pub(super) fn delta(&self, target: &TargetId, reported: Time) -> i32 {
+    /// Returns what this entry sent to `target` that a report of the time `reported` misses.
+    pub(super) fn delta(&self, target: &TargetId, reported: Time) -> Delta {
         self.accounts
             .get(target)
-            .map_or(0, |account| account.delta(reported))
+            .map(|account| account.delta(reported))
+            .unwrap_or_default()
     }
 
     /// Returns until when `target` asked not to be tried.
@@ -79,6 +91,11 @@
             .map_or(Time(0), |account| account.busy_until)
     }
 
+    fn begin(&mut self, now: Time, target: &TargetId, tokens: u64) {
+        self.turn = self.turn.wrapping_add(1);
+        self.account(target).begin(now, tokens);
+    }
+
     fn account(&mut self, target: &TargetId) -> &mut Account {
         self.accounts.entry(target.clone()).or_default()
     }
