Let the backlog of prompts shrink as a report ages

Cause: a report's backlog counted in full until the next report, though the target goes on processing. Change: the backlog is followed through the sends since the report and drained between them. Resumes that are to be spread draw 12 targets instead of 4, and the rendezvous order is walked 4 deep instead of 8.

--- a/crates/cw_policy/benches/rounds/main.rs
+++ b/crates/cw_policy/benches/rounds/main.rs
@@ -1,6 +1,7 @@
 //! Compares the default policy with its baselines, as JSON on standard output.
 //!
-//! Run with `cargo bench -p cw_policy --bench rounds`. The same seed gives the same figures.
+//! Run with `cargo bench -p cw_policy --bench rounds`, and `-- default` for the default policy
+//! alone. The same seed gives the same figures.
 
 mod fleet;
 mod shape;
@@ -130,9 +131,11 @@
 }
 
 fn main() {
+    let default_only = std::env::args().any(|arg| arg == "default");
+    let count = if default_only { 1 } else { POLICIES.len() };
     let mut reports = Vec::new();
     for (name, shape) in shapes() {
-        let results: Vec<Value> = POLICIES
+        let results: Vec<Value> = POLICIES[..count]
             .iter()
             .map(|&policy| {
                 let run = |seed| Fleet::run(shape.clone(), policy, Costs::default(), seed);
--- a/crates/cw_policy/src/routing/account.rs
+++ b/crates/cw_policy/src/routing/account.rs
@@ -16,13 +16,20 @@
     tokens: u64,
 }
 
-/// What a target has that its report does not show.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What a target has, from its report and what was sent since.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Delta {
-    /// Attempts, less those that ended.
+    /// Attempts that began since the report, less those that ended.
     pub(super) attempts: i32,
-    /// Prompt tokens to process.
-    pub(super) tokens: u64,
+    /// How long the target takes to process the prompts that it has.
+    pub(super) backlog: f64,
+}
+
+impl Delta {
+    pub(super) fn drain(&mut self, since: Time, now: Time) {
+        let span = now.since(since).as_secs_f64();
+        self.backlog = (self.backlog - span).max(0.0);
+    }
 }
 
 /// What this entry did with one target since the target's report.
@@ -34,6 +41,12 @@
 }
 
 impl Account {
+    /// An account in which nothing is recorded.
+    pub(super) const EMPTY: Account = Account {
+        changes: VecDeque::new(),
+        busy_until: Time(0),
+    };
+
     /// Records that an attempt began, with prompt tokens to process.
     pub(super) fn begin(&mut self, at: Time, tokens: u64) {
         self.push(Change {
@@ -72,13 +85,23 @@
     }
 
     /// Returns what a report of the time `reported` does not show.
-    pub(super) fn delta(&self, reported: Time) -> Delta {
-        let mut delta = Delta::default();
-        let newest = self.changes.iter().rev();
-        for change in newest.take_while(|change| change.at > reported) {
+    ///
+    /// It showed a `backlog` of prompts, in seconds; `cost` is the time of one token. Prompts are
+    /// processed all the while, so the backlog shrinks between the sends that add to it.
+    pub(super) fn delta(&self, now: Time, reported: Time, backlog: f64, cost: f64) -> Delta {
+        let first = self.changes.partition_point(|change| change.at <= reported);
+        let mut delta = Delta {
+            attempts: 0,
+            backlog,
+        };
+        let mut at = reported;
+        for change in self.changes.iter().skip(first) {
             delta.attempts += if change.began { 1 } else { -1 };
-            delta.tokens += change.tokens;
+            delta.drain(at, change.at);
+            delta.backlog += cost * change.tokens as f64;
+            at = change.at;
         }
+        delta.drain(at, now);
         delta
     }
 
--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -17,11 +17,14 @@
 use super::shortlist::Shortlist;
 
 /// How many targets of the rendezvous order are weighed.
-const WALK: usize = 8;
+const WALK: usize = 4;
 
-/// How many targets drawn at random are weighed.
+/// How many targets drawn at random are weighed beside them.
 const DRAWS: usize = 4;
 
+/// How many targets drawn at random are weighed when nothing is known of caches.
+const DRAWS_ALONE: usize = 12;
+
 /// How many leading blocks of the prompt make the affinity.
 const AFFINITY_BLOCKS: usize = 4;
 
@@ -105,7 +108,12 @@
         for &(at, _) in shares.iter().flatten() {
             list.push(at);
         }
-        for _ in 0..DRAWS {
+        let draws = if self.request.wants_cache() {
+            DRAWS
+        } else {
+            DRAWS_ALONE
+        };
+        for _ in 0..draws {
             list.push(members[rng.random_range(0..members.len())].at);
         }
         list.iter()
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -29,16 +29,16 @@
 ) -> Estimate {
     let load = &candidate.load;
     let reported = f64::from(load.running) + f64::from(load.waiting);
-    let delta = ledger.delta(&candidate.id, candidate.reported);
+    let cost = costs.prefill.as_secs_f64();
+    let backlog = cost * load.prefill.0 as f64;
+    let delta = ledger.delta(now, &candidate.id, candidate.reported, backlog, cost);
     let outstanding = (reported + f64::from(delta.attempts)).max(0.0);
     let limit = f64::from(load.limit.max(1)) * ramp(now, candidate, costs.ramp);
     let hold = ledger.hold().unwrap_or(costs.hold);
     let queued = (outstanding + 1.0 - limit).max(0.0);
     let utilisation = outstanding / limit;
-    let backlog = load.prefill.0 + delta.tokens;
-    let prefill = costs.prefill.as_secs_f64() * backlog as f64;
     let batch = costs.batch.as_secs_f64() * utilisation.min(1.0);
-    let wait = hold.as_secs_f64() * queued / limit + prefill + batch;
+    let wait = hold.as_secs_f64() * queued / limit + delta.backlog + batch;
     Estimate {
         utilisation,
         wait: Duration::from_secs_f64(wait),
--- a/crates/cw_policy/src/routing/ledger.rs
+++ b/crates/cw_policy/src/routing/ledger.rs
@@ -76,12 +76,19 @@
         self.turn
     }
 
-    /// Returns what this entry sent to `target` that a report of the time `reported` misses.
-    pub(super) fn delta(&self, target: &TargetId, reported: Time) -> Delta {
-        self.accounts
-            .get(target)
-            .map(|account| account.delta(reported))
-            .unwrap_or_default()
+    /// Returns what `target` has now, where it showed a `backlog` of prompts at `reported`.
+    pub(super) fn delta(
+        &self,
+        now: Time,
+        target: &TargetId,
+        reported: Time,
+        backlog: f64,
+        cost: f64,
+    ) -> Delta {
+        let account = self.accounts.get(target);
+        account
+            .unwrap_or(&Account::EMPTY)
+            .delta(now, reported, backlog, cost)
     }
 
     /// Returns until when `target` asked not to be tried.
