Add claims of idempotency keys, suspicion and the hedge budget as policy

Pure parts only: the writing of a claim that survives lost answers, the table of crashes with a verdict on a request, and a hedge budget. The generation machine asks for a verdict after the second crash and pauses between re-attachments to work that may run once.

--- a/crates/cw_policy/src/generation/event.rs
+++ b/crates/cw_policy/src/generation/event.rs
@@ -58,7 +58,19 @@
         /// Whether it was run.
         ran: Option<Ran>,
     },
-    /// The request may not be run again.
+    /// An attempt was not dispatched, since its claim could not be written.
+    NotClaimed {
+        /// The link that was to be opened.
+        link: LinkId,
+        /// Why.
+        kind: ErrorKind,
+    },
+    /// The answer to [`crate::Step::Judge`].
+    Judged {
+        /// Whether the request is what crashed its targets.
+        guilty: bool,
+    },
+    /// The request may not be run, or not again.
     Refuse(ErrorKind),
     /// The caller is gone.
     CallerGone,
--- a/crates/cw_policy/src/generation/frames.rs
+++ b/crates/cw_policy/src/generation/frames.rs
@@ -135,6 +135,7 @@
             self.drop_track(other, steps);
         }
         self.wanted = 0;
+        self.judging = false;
         self.retry_at = None;
         self.busy.clear();
         self.lost.clear();
--- a/crates/cw_policy/src/generation/limits.rs
+++ b/crates/cw_policy/src/generation/limits.rs
@@ -17,13 +17,15 @@
     pub reattach: Duration,
     /// The pause before targets that were all busy are asked again for a lost attempt.
     pub backoff: Duration,
+    /// The pause before the second re-attachment to work that may run once; it grows with each.
+    pub pause: Duration,
     /// The most attempts.
     pub attempts: u32,
     /// The most targets that are asked before a first attempt is refused as overloaded.
     pub tries: u32,
     /// How many attempts replace one that has gone silent or stalled.
     pub hedges: u32,
-    /// How many engines may crash while they run the request.
+    /// After how many crashes of engines that ran the request it is judged.
     pub crashes: u32,
     /// How long the caller may be gone.
     pub absence: Duration,
@@ -40,6 +42,7 @@
             head: Duration::from_millis(1000),
             reattach: Duration::from_millis(400),
             backoff: Duration::from_millis(100),
+            pause: Duration::from_millis(500),
             attempts: 8,
             tries: 3,
             hedges: 2,
--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -54,6 +54,7 @@
     /// When the targets that refused are worth asking again, as the soonest of them says.
     pub(super) retry: Option<Duration>,
     pub(super) crashes: u32,
+    pub(super) judging: bool,
     pub(super) lost_at: Option<Time>,
     pub(super) retry_at: Option<Time>,
     pub(super) started: Time,
@@ -89,6 +90,7 @@
             refused: 0,
             retry: None,
             crashes: 0,
+            judging: false,
             lost_at: None,
             retry_at: None,
             started: Time::default(),
@@ -110,6 +112,8 @@
             Event::Frame { link, frame } => self.frame(now, link, frame, &mut steps),
             Event::Closed { link, effect } => self.closed(now, link, effect, &mut steps),
             Event::Proof { attempt, ran } => self.proof(now, attempt, ran, &mut steps),
+            Event::NotClaimed { link, kind } => self.not_claimed(link, kind, &mut steps),
+            Event::Judged { guilty } => self.judged(guilty, &mut steps),
             Event::Refuse(kind) => self.fail(kind, self.ran(), Duration::ZERO, &mut steps),
             Event::CallerGone => self.absent = self.absent.or(Some(now)),
             Event::Tick => self.tick(now, &mut steps),
@@ -156,7 +160,7 @@
         self.started = now;
         match self.plan.running.clone() {
             Some(target) => self.come_back(now, target, steps),
-            None => self.choose(self.next() > TokenIndex(0), steps),
+            None => self.choose(self.next() > TokenIndex(0), false, steps),
         }
     }
 
@@ -189,12 +193,13 @@
         });
     }
 
-    pub(super) fn choose(&mut self, resumed: bool, steps: &mut Vec<Step>) {
+    pub(super) fn choose(&mut self, resumed: bool, hedge: bool, steps: &mut Vec<Step>) {
         self.wanted += 1;
         steps.push(Step::Choose {
             exclude: self.busy.union(&self.lost).cloned().collect(),
             resumed,
             suspect: self.crashes > 0,
+            hedge,
         });
     }
 
@@ -254,7 +259,7 @@
         if self.retry_at.is_some_and(|at| at <= now) {
             self.retry_at = None;
             self.busy.clear();
-            self.choose(true, steps);
+            self.choose(true, false, steps);
         }
         let limits = &self.limits;
         let tracks = self.tracks.values();
@@ -324,21 +329,37 @@
     pub(super) fn track_of(&mut self, link: LinkId) -> Option<&mut Track> {
         self.tracks
             .values_mut()
-            .find(|track| track.link == link && track.phase != Phase::Proving)
+            .find(|track| track.link == link && track.is_linked())
     }
 
     fn closed(&mut self, now: Time, link: LinkId, effect: Effect, steps: &mut Vec<Step>) {
         let Some(track) = self.track_of(link) else {
             return;
         };
-        let attempt = track.attempt;
-        match (track.phase, effect) {
+        let (attempt, phase) = (track.attempt, track.phase);
+        if self.absent.is_some() && self.plan.idempotent {
+            // The caller may be back by now, through another entry that reads the attempt.
+            self.remove(attempt);
+            return self.abandon(steps);
+        }
+        match (phase, effect) {
             (Phase::Dispatched, Effect::None) => self.not_sent(now, attempt, steps),
             (Phase::Reattached, _) => self.unreachable(now, attempt, steps),
+            // A call that may have been read is asked for by its id, whatever became of it.
             _ => self.reattach(now, attempt, steps),
         }
     }
 
+    fn not_claimed(&mut self, link: LinkId, kind: ErrorKind, steps: &mut Vec<Step>) {
+        let Some(track) = self.track_of(link) else {
+            return;
+        };
+        let attempt = track.attempt;
+        self.remove(attempt);
+        self.dispatched -= 1;
+        self.fail(kind, self.ran(), CLAIM_RETRY, steps);
+    }
+
     pub(super) fn is_call(&self) -> bool {
         self.plan.kind == WorkKind::Call
     }
@@ -346,3 +367,6 @@
 
 /// How far the attempt numbers of an entry that takes over lie above those of the entry before.
 const RETURN_STRIDE: u32 = 64;
+
+/// When to call again after a claim could not be written.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -38,7 +38,7 @@
         };
         // An agent that lost its memory knows nothing of what it ran.
         if reason == Reason::Unknown && track.reattached > 0 {
-            return self.unreachable(now, attempt, steps);
+            return self.forgotten(now, attempt, steps);
         }
         let Some(target) = self.remove(attempt) else {
             return;
@@ -47,7 +47,7 @@
         self.refused += 1;
         self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
         match reason {
-            Reason::Busy => self.busy.insert(target),
+            Reason::Busy | Reason::Expired => self.busy.insert(target),
             _ => self.lost.insert(target),
         };
         if reason == Reason::Expired && self.dispatched == 0 {
@@ -79,7 +79,7 @@
             self.retry_at = Some(now + self.limits.backoff);
             return;
         }
-        self.choose(!first, steps);
+        self.choose(!first, false, steps);
     }
 
     pub(super) fn no_target(
@@ -164,7 +164,7 @@
         self.reattach(now, attempt, steps);
     }
 
-    /// The agent cannot be reached, or does not know the attempt any more.
+    /// The agent cannot be reached.
     pub(super) fn unreachable(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
         if self.plan.idempotent {
             return self.lose(now, attempt, Ran::Unknown, steps);
@@ -172,10 +172,35 @@
         let Some(track) = self.tracks.get_mut(&attempt) else {
             return;
         };
-        steps.push(Step::Close { link: track.link });
-        track.phase = Phase::Proving;
-        let target = track.target.clone();
-        steps.push(Step::Prove { attempt, target });
+        if track.reattached < REATTACH_MAX {
+            steps.push(Step::Close { link: track.link });
+            track.phase = Phase::Pausing;
+            track.heard = now;
+            return;
+        }
+        if track.so_far.is_some() {
+            return self.prove(attempt, steps);
+        }
+        // The attempt is another entry's, which may well reach it: it is not to be cancelled.
+        self.drop_track(attempt, steps);
+        self.unknown_outcome(steps);
+    }
+
+    /// The agent does not know the attempt.
+    fn forgotten(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        match self.plan.idempotent {
+            true => self.lose(now, attempt, Ran::Unknown, steps),
+            false => self.prove(attempt, steps),
+        }
+    }
+
+    fn prove(&mut self, attempt: AttemptNo, steps: &mut Vec<Step>) {
+        if let Some(track) = self.tracks.get_mut(&attempt) {
+            steps.push(Step::Close { link: track.link });
+            track.phase = Phase::Proving;
+            let target = track.target.clone();
+            steps.push(Step::Prove { attempt, target });
+        }
     }
 
     pub(super) fn proof(
@@ -245,7 +270,7 @@
             self.writer = None;
         }
         self.lost.insert(target);
-        self.resume(self.limits.hedges, steps);
+        self.resume(steps);
     }
 
     /// An engine died under a living agent while it ran the attempt.
@@ -265,7 +290,23 @@
             target: target.clone(),
         });
         self.lost.insert(target);
-        self.replace(now, ran, 1, steps);
+        let cut = ran != Ran::No && self.plan.idempotent && self.absent.is_none();
+        if cut && self.crashes >= self.limits.crashes {
+            self.judging = true;
+            steps.push(Step::Judge);
+            return;
+        }
+        self.replace(now, ran, steps);
+    }
+
+    pub(super) fn judged(&mut self, guilty: bool, steps: &mut Vec<Step>) {
+        if !std::mem::take(&mut self.judging) {
+            return;
+        }
+        match guilty {
+            true => self.fail(ErrorKind::CrashesTargets, self.ran(), Duration::ZERO, steps),
+            false => self.resume(steps),
+        }
     }
 
     /// An attempt is lost: it is cancelled and, where that is allowed, replaced.
@@ -281,10 +322,10 @@
             target: target.clone(),
         });
         self.lost.insert(target);
-        self.replace(now, ran, self.limits.hedges, steps);
+        self.replace(now, ran, steps);
     }
 
-    fn replace(&mut self, now: Time, ran: Ran, hedges: u32, steps: &mut Vec<Step>) {
+    fn replace(&mut self, now: Time, ran: Ran, steps: &mut Vec<Step>) {
         if ran == Ran::No {
             self.dispatched -= 1;
             return self.next_target(now, RETRY_DEFAULT, steps);
@@ -295,11 +336,11 @@
         if self.absent.is_some() {
             return self.abandon(steps);
         }
-        self.resume(hedges, steps);
+        self.resume(steps);
     }
 
-    /// Asks for targets until `hedges` attempts that have not stalled race for the next token.
-    fn resume(&mut self, hedges: u32, steps: &mut Vec<Step>) {
+    /// Asks for targets until enough attempts that have not stalled race for the next token.
+    fn resume(&mut self, steps: &mut Vec<Step>) {
         if self.is_call() {
             self.held = Default::default();
         }
@@ -318,12 +359,17 @@
             }
             return;
         }
-        let hedges = match self.is_call() {
+        for place in live..self.hedges() {
+            self.choose(true, place > 0, steps);
+        }
+    }
+
+    /// Returns how many attempts may replace a lost one.
+    fn hedges(&self) -> u32 {
+        // A request that may have crashed an engine is not given to two others at once.
+        match self.is_call() || self.crashes > 0 {
             true => 1,
-            false => hedges.min(self.limits.attempts - self.dispatched),
-        };
-        for _ in live..hedges {
-            self.choose(true, steps);
+            false => (self.limits.hedges).min(self.limits.attempts - self.dispatched),
         }
     }
 
--- a/crates/cw_policy/src/generation/step.rs
+++ b/crates/cw_policy/src/generation/step.rs
@@ -53,7 +53,11 @@
         resumed: bool,
         /// Whether an engine crashed while it ran the request.
         suspect: bool,
+        /// Whether another attempt that replaces the same lost one is on its way.
+        hedge: bool,
     },
+    /// Find out whether the request is what crashed its targets, and answer with `Judged`.
+    Judge,
     /// Dispatch an attempt and feed its frames.
     Dispatch {
         /// The link to open.
--- a/crates/cw_policy/src/generation/track.rs
+++ b/crates/cw_policy/src/generation/track.rs
@@ -19,6 +19,8 @@
     Reattached,
     /// The next frame.
     Flowing,
+    /// The time to try a re-attachment again; there is no link.
+    Pausing,
     /// The agent's word on whether the attempt was run; there is no link.
     Proving,
 }
@@ -51,12 +53,18 @@
 }
 
 impl Track {
+    /// Returns whether frames may come over its link.
+    pub(super) fn is_linked(&self) -> bool {
+        !matches!(self.phase, Phase::Pausing | Phase::Proving)
+    }
+
     /// Returns when the link counts as silent, if it can.
     pub(super) fn deadline(&self, limits: &Limits) -> Option<Time> {
         match self.phase {
             Phase::Dispatched => Some(self.heard + limits.head),
             Phase::Reattached => Some(self.heard + limits.reattach),
             Phase::Flowing => Some(self.heard + limits.silence),
+            Phase::Pausing => Some(self.heard + limits.pause * self.reattached),
             Phase::Proving => None,
         }
     }
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! events and steps into sockets, so each decision can be replayed and fuzzed.
 //!
 //! - [`Generation`]: one generation at its entry.
+//! - [`ClaimWrite`]: the claim of an idempotency key; [`SuspicionTable`]: requests that crash their
+//!   targets.
 //! - [`AttemptTable`]: the attempts of one target, at its agent, with [`AdmissionControl`] inside.
 //! - [`OrderGuard`]: which orders an agent passes on.
 //! - [`configuration`]: what operators accept, and what of it is in force.
@@ -13,26 +15,19 @@
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
-mod generation;
 mod admission;
 mod attempt;
+mod claim;
 pub mod configuration;
 mod fencing;
+mod generation;
 pub mod membership;
 pub mod prefix;
 pub mod routing;
 pub mod slo;
+mod suspicion;
 mod view;
 
-pub use generation::DropReason;
-pub use generation::Effect;
-pub use generation::Event;
-pub use generation::Generation;
-pub use generation::Limits;
-pub use generation::LinkId;
-pub use generation::Plan;
-pub use generation::Step;
-pub use generation::WorkKind;
 pub use admission::AdaptiveLimit;
 pub use admission::AdmissionControl;
 pub use admission::AdmissionLimits;
@@ -51,8 +46,29 @@
 pub use attempt::ReadStep;
 pub use attempt::Reader;
 pub use attempt::TargetGate;
+pub use claim::Claim;
+pub use claim::ClaimEvent;
+pub use claim::ClaimId;
+pub use claim::ClaimRevision;
+pub use claim::ClaimState;
+pub use claim::ClaimStep;
+pub use claim::ClaimWrite;
+pub use claim::KeptAnswer;
 pub use fencing::OrderGuard;
 pub use fencing::OrderStep;
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::HedgeBudget;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
+pub use suspicion::SuspicionLimits;
+pub use suspicion::SuspicionTable;
+pub use suspicion::Verdict;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
--- /dev/null
+++ b/crates/cw_policy/src/suspicion/verdict.rs
@@ -0,0 +1,48 @@
+//! Bounds of suspicion, and its outcome.
+
+use std::time::Duration;
+
+/// Bounds of suspicion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspicionLimits {
+    /// How many crashes make a request guilty that alone was in flight at all of them.
+    pub crashes: usize,
+    /// How many targets that crash within [`SuspicionLimits::window`] are taken for a loss that no
+    /// request caused.
+    pub mass: usize,
+    /// See [`SuspicionLimits::mass`].
+    pub window: Duration,
+    /// How long a crash is remembered.
+    pub memory: Duration,
+    /// The most crashes that are remembered.
+    pub capacity: usize,
+    /// The most suspects of one crash that are remembered.
+    pub suspects: usize,
+}
+
+impl Default for SuspicionLimits {
+    fn default() -> Self {
+        Self {
+            crashes: 2,
+            mass: 4,
+            window: Duration::from_secs(2),
+            memory: Duration::from_secs(600),
+            capacity: 512,
+            suspects: 256,
+        }
+    }
+}
+
+/// What is held against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing.
+    Clear,
+    /// It was in flight at this many crashes, and others were too.
+    Suspect {
+        /// The crashes.
+        crashes: usize,
+    },
+    /// It alone was in flight at several crashes: it is not to be run any more.
+    Guilty,
+}
