--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -18,6 +18,7 @@
 use cw_types::TargetId;
 use cw_types::VersionName;
 
+use crate::Demand;
 use crate::Load;
 use crate::LoadUpdate;
 
@@ -132,6 +133,9 @@
     /// Whether the relay passes on what other relays told it: such a batch goes no further.
     #[serde(default)]
     pub forwarded: bool,
+    /// What workspaces want at other entries.
+    #[serde(default)]
+    pub demands: Vec<Demand>,
 }
 
 /// Asks a peer for a newer configuration.
