Fuzz the generation machine against the real attempt table

Operations deliver, break, silence, repeat, swap and delay messages, kill, pause and restart engines and agents, and let callers leave. Each token tells the output that it continues, so mixed outputs show.

--- /dev/null
+++ b/crates/cw_policy/tests/generation_fuzz.rs
@@ -0,0 +1,110 @@
+//! The generation machine against the real attempt table, through a network that fails at will.
+//!
+//! Engines never make the same token twice, and each token tells the output that it continues, so
+//! any missing, repeated or mixed token shows. `CW_FUZZ_CASES` and `CW_FUZZ_SEED` set the budget
+//! and the seed; a failing case is printed with its operations.
+
+mod generation_world;
+
+use cw_policy::Limits;
+use cw_policy::Plan;
+use generation_world::Op;
+use generation_world::TARGETS;
+use generation_world::World;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
+use std::cell::Cell;
+use std::time::Duration;
+
+/// How many sequences of operations are tried.
+const CASES: u32 = 400;
+
+/// The longest sequence.
+const OPS: usize = 120;
+
+fn from_env<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let value = std::env::var(name).ok();
+    value.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let any = || 0..8_usize;
+    let target = || 0..TARGETS;
+    prop_oneof![
+        30 => any().prop_map(Op::Deliver),
+        20 => target().prop_map(Op::Engine),
+        8 => (50..700_u64).prop_map(Op::Pass),
+        4 => any().prop_map(Op::Cancel),
+        2 => any().prop_map(Op::LoseCancel),
+        2 => any().prop_map(Op::Break),
+        2 => any().prop_map(Op::Silence),
+        2 => any().prop_map(Op::Repeat),
+        2 => any().prop_map(Op::Swap),
+        2 => any().prop_map(Op::Late),
+        2 => target().prop_map(Op::KillEngine),
+        2 => target().prop_map(Op::Pause),
+        1 => target().prop_map(Op::KillAgent),
+        4 => target().prop_map(Op::Restart),
+        3 => target().prop_map(Op::Report),
+        1 => (0..3_usize).prop_map(Op::Leave),
+    ]
+}
+
+fn plans() -> Vec<(Plan, Limits)> {
+    let patience = Duration::from_secs(10);
+    let hedged = Limits::default();
+    let thrifty = Limits {
+        hedges: 1,
+        silence: Duration::from_millis(1200),
+        stall: Duration::from_millis(2000),
+        ..Limits::default()
+    };
+    vec![
+        (Plan::generate(patience), hedged.clone()),
+        (Plan::generate(patience), thrifty),
+        (Plan::generate(patience).with_idempotent(false), hedged),
+    ]
+}
+
+fn run(ops: &[Op], whole: &Cell<usize>) -> Result<(), TestCaseError> {
+    let mut world = World::new(plans());
+    for &op in ops {
+        world.apply(op);
+        world.check().map_err(TestCaseError::fail)?;
+    }
+    world.settle();
+    world.check_settled().map_err(TestCaseError::fail)?;
+    whole.set(whole.get() + world.whole());
+    Ok(())
+}
+
+#[rstest]
+fn no_caller_gets_a_wrong_output_and_nothing_runs_twice_that_may_not() {
+    let seed: u64 = from_env("CW_FUZZ_SEED", 1);
+    let cases = from_env("CW_FUZZ_CASES", CASES);
+    println!("seed {seed}, {cases} cases");
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = proptest::collection::vec(op(), 1..OPS);
+    let whole = Cell::new(0);
+
+    let result = runner.run(&ops, |ops| run(&ops, &whole));
+
+    if let Err(fault) = result {
+        panic!("seed {seed}: {fault}");
+    }
+    // Most callers get their whole output, so the faults above do not hide behind refusals.
+    assert!(whole.get() > cases as usize, "{} outputs", whole.get());
+}
