--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod generation;
 pub mod membership;
 pub mod prefix;
+pub mod queue;
 pub mod routing;
 pub mod slo;
 mod view;
