--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -139,9 +139,9 @@
     /// Whether the relay passes on what other relays told it: such a batch goes no further.
     #[serde(default)]
     pub forwarded: bool,
-    /// What workspaces want at other entries.
+    /// What workspaces want at other entries, and the ages.
     #[serde(default)]
-    pub demands: Vec<Demand>,
+    pub demands: Vec<(Duration, Demand)>,
 }
 
 /// Asks a peer for a newer configuration.
