Test attempts, admission and orders case by case

Writing the case for forgotten orders showed that one could run twice after a failed one had made room among those remembered; the guard now keeps the highest forgotten sequence. The limit now follows a smoothed time between tokens, and one late reading lowers it once.

--- a/crates/cw_policy/src/admission/adaptive_limit.rs
+++ b/crates/cw_policy/src/admission/adaptive_limit.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-/// The share of the limit that a decrease leaves, in percent.
+/// The share of the running attempts that a decrease leaves, in percent.
 const DECREASE_PERCENT: u32 = 85;
 /// The part of the limit that an increase adds, beside 1, as a divisor.
 const INCREASE_DIVISOR: u32 = 16;
+/// The weight of the earlier readings in the smoothed time between tokens; the newest has 1.
+const SMOOTHING: u32 = 3;
 /// The share of the wanted time between tokens below which the limit rises, in percent.
 const HEADROOM_PERCENT: u32 = 90;
 
@@ -16,6 +18,7 @@
     floor: u32,
     ceiling: u32,
     limit: u32,
+    step: Duration,
 }
 
 impl AdaptiveLimit {
@@ -26,9 +29,15 @@
             floor: floor.min(ceiling),
             ceiling,
             limit: ceiling,
+            step: Duration::ZERO,
         }
     }
 
+    /// Returns the smoothed time between tokens.
+    pub fn step(&self) -> Duration {
+        self.step
+    }
+
     /// Returns the most attempts that may run now.
     pub fn get(&self) -> u32 {
         self.limit
@@ -43,8 +52,14 @@
             // An idle engine's last step says nothing.
             return;
         }
+        self.step = match self.step {
+            Duration::ZERO => step,
+            before => (before * SMOOTHING + step) / (SMOOTHING + 1),
+        };
+        let step = self.step;
         if step > self.target {
-            self.decrease(running);
+            // A share of what runs, not of the limit: the same late reading decreases it once.
+            self.set(self.limit.min(running * DECREASE_PERCENT / 100));
         } else if queued > 0 {
             // The engine has no room for them: letting more in would only hide the queue.
             self.set(running);
@@ -54,11 +69,6 @@
         }
     }
 
-    fn decrease(&mut self, running: u32) {
-        let used = self.limit.min(running);
-        self.set(used * DECREASE_PERCENT / 100);
-    }
-
     fn set(&mut self, limit: u32) {
         self.limit = limit.clamp(self.floor, self.ceiling);
     }
--- a/crates/cw_policy/src/admission/admission_control.rs
+++ b/crates/cw_policy/src/admission/admission_control.rs
@@ -166,6 +166,7 @@
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32 + self.engine.waiting,
             limit: self.limit.get(),
+            step: self.limit.step(),
             age: now.since(Time::default()),
             ..self.engine
         }
--- a/crates/cw_policy/src/fencing.rs
+++ b/crates/cw_policy/src/fencing.rs
@@ -23,6 +23,8 @@
 pub struct OrderGuard {
     highest: FencingNumber,
     answers: BTreeMap<u64, OrderAnswer>,
+    /// The highest sequence whose answer is no longer remembered.
+    forgotten: u64,
 }
 
 impl OrderGuard {
@@ -36,14 +38,11 @@
         if order.fencing < self.highest {
             return self.fenced();
         }
-        if order.fencing > self.highest {
-            self.highest = order.fencing;
-            self.answers.clear();
-        }
+        self.on_highest(order.fencing);
         if let Some(answer) = self.answers.get(&order.sequence) {
             return OrderStep::Answer(answer.clone());
         }
-        if self.is_forgotten(order.sequence) {
+        if order.sequence <= self.forgotten {
             let message = "the order is older than those remembered".to_owned();
             return OrderStep::Answer(OrderAnswer::Failed { message });
         }
@@ -69,11 +68,12 @@
         }
     }
 
-    /// Takes in a higher number that the engine has seen.
+    /// Takes in a number that the engine or the planner's lease shows.
     pub fn on_highest(&mut self, highest: FencingNumber) {
         if highest > self.highest {
             self.highest = highest;
             self.answers.clear();
+            self.forgotten = 0;
         }
     }
 
@@ -82,19 +82,11 @@
         OrderStep::Answer(OrderAnswer::Fenced { highest })
     }
 
-    fn is_forgotten(&self, sequence: u64) -> bool {
-        let full = self.answers.len() >= REMEMBERED;
-        full && self
-            .answers
-            .keys()
-            .next()
-            .is_some_and(|&low| sequence < low)
-    }
-
     fn remember(&mut self, sequence: u64, answer: OrderAnswer) {
         self.answers.insert(sequence, answer);
         while self.answers.len() > REMEMBERED {
-            self.answers.pop_first();
+            let oldest = self.answers.pop_first();
+            self.forgotten = oldest.map_or(self.forgotten, |(sequence, _)| sequence);
         }
     }
 }
--- /dev/null
+++ b/crates/cw_policy/tests/admission.rs
@@ -0,0 +1,312 @@
+//! Admission to one target.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cw_policy::AdaptiveLimit;
+use cw_policy::AdmissionControl;
+use cw_policy::AdmissionLimits;
+use cw_policy::FairQueue;
+use cw_policy::Offer;
+use cw_policy::Ticket;
+use cw_types::AttemptId;
+use cw_types::AttemptNo;
+use cw_types::GenerationId;
+use cw_types::Time;
+use cw_types::TokenCount;
+use cw_wire::Load;
+use rstest::rstest;
+
+/// The wanted time between tokens.
+const TARGET: Duration = Duration::from_millis(78);
+
+fn limits() -> AdmissionLimits {
+    AdmissionLimits {
+        running: 8,
+        waiting: 4,
+        reserve: 2,
+        step: TARGET,
+    }
+}
+
+fn id(number: u128) -> AttemptId {
+    AttemptId {
+        generation: GenerationId(number),
+        attempt: AttemptNo(1),
+    }
+}
+
+fn ticket(number: u128) -> Ticket {
+    Ticket {
+        id: id(number),
+        workspace: "partagez".parse().unwrap(),
+        weight: 1,
+        rank: 1,
+        resumed: false,
+        deadline: Time(u64::MAX),
+        tokens: 100,
+    }
+}
+
+fn of(number: u128, workspace: &str, weight: u32) -> Ticket {
+    Ticket {
+        workspace: workspace.parse().unwrap(),
+        weight,
+        ..ticket(number)
+    }
+}
+
+/// Fills all slots that ordinary attempts may take.
+fn full() -> AdmissionControl {
+    let mut control = AdmissionControl::new(limits());
+    for number in 0..6 {
+        assert_eq!(control.offer(Time(0), ticket(number)), Offer::Start);
+    }
+    control
+}
+
+#[rstest]
+fn the_reserve_is_for_resumed_attempts() {
+    let mut control = full();
+    let resumed = Ticket {
+        resumed: true,
+        ..ticket(11)
+    };
+
+    let ordinary = control.offer(Time(0), ticket(10));
+    let waiting = control.offer(Time(0), resumed);
+    let admitted = control.admit_next();
+
+    assert_eq!(ordinary, Offer::Wait { displaced: None });
+    assert_eq!(waiting, Offer::Wait { displaced: None });
+    assert_eq!(admitted, Some(id(11)));
+    assert_eq!(control.admit_next(), None);
+}
+
+#[rstest]
+fn a_full_queue_refuses_at_once_with_a_hint() {
+    let mut control = full();
+    for number in 10..14 {
+        control.offer(Time(0), ticket(number));
+    }
+
+    let offer = control.offer(Time(0), ticket(20));
+
+    let Offer::Busy { retry } = offer else {
+        panic!("expected a refusal, found {offer:?}");
+    };
+    assert!(retry > Duration::ZERO);
+    assert_eq!(control.load(Time(0)).waiting, 4);
+}
+
+#[rstest]
+fn a_higher_rank_displaces_the_newest_of_the_lowest() {
+    let mut control = full();
+    for number in 10..14 {
+        control.offer(Time(0), ticket(number));
+    }
+    let urgent = Ticket {
+        rank: 2,
+        ..ticket(20)
+    };
+
+    let offer = control.offer(Time(0), urgent);
+
+    let displaced = Some(id(13));
+    assert_eq!(offer, Offer::Wait { displaced });
+}
+
+#[rstest]
+fn an_attempt_without_patience_does_not_wait() {
+    let mut control = full();
+    let now = Time(5);
+    let hasty = Ticket {
+        deadline: now,
+        ..ticket(10)
+    };
+
+    let offer = control.offer(now, hasty);
+
+    assert!(matches!(offer, Offer::Busy { .. }));
+}
+
+#[rstest]
+fn the_cache_bounds_what_runs_but_never_the_only_one() {
+    let mut control = AdmissionControl::new(limits());
+    control.observe(Load {
+        capacity: TokenCount(1000),
+        ..Load::default()
+    });
+    let large = |number| Ticket {
+        tokens: 2000,
+        ..ticket(number)
+    };
+
+    let alone = control.offer(Time(0), large(1));
+    let beside = control.offer(Time(0), ticket(2));
+    control.release(Time(0), id(1));
+    let after = control.admit_next();
+
+    assert_eq!(alone, Offer::Start);
+    assert_eq!(beside, Offer::Wait { displaced: None });
+    assert_eq!(after, Some(id(2)));
+}
+
+#[rstest]
+fn output_counts_against_the_cache() {
+    let mut control = AdmissionControl::new(limits());
+    control.observe(Load {
+        capacity: TokenCount(1000),
+        ..Load::default()
+    });
+    control.offer(Time(0), ticket(1));
+
+    control.grow(id(1), 800);
+    let offer = control.offer(Time(0), ticket(2));
+
+    assert_eq!(offer, Offer::Wait { displaced: None });
+}
+
+// ---- The limit
+
+#[rstest]
+fn slow_steps_lower_the_limit_once_for_each_number_of_attempts() {
+    let mut limit = AdaptiveLimit::new(TARGET, 3, 64);
+
+    limit.observe(2 * TARGET, 40, 0);
+    let first = limit.get();
+    limit.observe(2 * TARGET, 40, 0);
+    let repeated = limit.get();
+    limit.observe(2 * TARGET, first, 0);
+
+    assert!(first < 40);
+    assert_eq!(repeated, first);
+    assert!(limit.get() < first);
+}
+
+#[rstest]
+fn the_limit_stays_between_its_bounds() {
+    let mut limit = AdaptiveLimit::new(TARGET, 3, 64);
+
+    for _ in 0..100 {
+        limit.observe(4 * TARGET, limit.get(), 0);
+    }
+    let low = limit.get();
+    for _ in 0..1000 {
+        limit.observe(TARGET / 4, limit.get(), 0);
+    }
+
+    assert_eq!(low, 3);
+    assert_eq!(limit.get(), 64);
+}
+
+#[rstest]
+fn the_limit_rises_only_when_it_is_reached() {
+    let mut limit = AdaptiveLimit::new(TARGET, 3, 64);
+    for _ in 0..20 {
+        limit.observe(2 * TARGET, limit.get(), 0);
+    }
+    let low = limit.get();
+
+    for _ in 0..20 {
+        limit.observe(TARGET / 4, low - 1, 0);
+    }
+
+    assert_eq!(limit.get(), low);
+}
+
+#[rstest]
+fn attempts_that_the_engine_queues_lower_the_limit_to_what_it_runs() {
+    let mut limit = AdaptiveLimit::new(TARGET, 3, 64);
+
+    limit.observe(TARGET / 4, 20, 6);
+
+    assert_eq!(limit.get(), 20);
+}
+
+// ---- The queue
+
+#[rstest]
+fn workspaces_share_by_weight_whatever_their_demand() {
+    let mut queue = FairQueue::default();
+    for number in 0..300 {
+        queue.push(of(number, "flood", 1));
+    }
+    for number in 300..400 {
+        queue.push(of(number, "heavy", 3));
+        queue.push(of(number + 1000, "light", 1));
+    }
+
+    let mut starts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..100 {
+        let ticket = queue.pop(false).unwrap();
+        *starts.entry(ticket.workspace.to_string()).or_default() += 1;
+    }
+
+    // An eighth of the starts goes by age, here all to the flood.
+    let [flood, heavy, light] = ["flood", "heavy", "light"].map(|name| starts[name]);
+    assert!(heavy >= 2 * light, "{starts:?}");
+    assert!(light >= 15, "{starts:?}");
+    assert!(flood <= 18 + 100 / 8, "{starts:?}");
+}
+
+#[rstest]
+fn the_lowest_rank_starts_within_eight_turns_of_its_elders() {
+    let mut queue = FairQueue::default();
+    for number in 0..3 {
+        queue.push(Ticket {
+            rank: 9,
+            ..ticket(number)
+        });
+    }
+    queue.push(Ticket {
+        rank: 0,
+        ..ticket(100)
+    });
+
+    let mut starts = 0;
+    loop {
+        starts += 1;
+        // The flood of higher ranks never ends.
+        queue.push(Ticket {
+            rank: 9,
+            ..ticket(1000 + starts)
+        });
+        if queue.pop(false).unwrap().id == id(100) {
+            break;
+        }
+    }
+
+    assert!(starts <= 8 * (3 + 1), "{starts}");
+}
+
+#[rstest]
+fn higher_ranks_go_first_and_resumed_attempts_before_all() {
+    let mut queue = FairQueue::default();
+    let ranked = |number, rank, resumed| Ticket {
+        rank,
+        resumed,
+        ..ticket(number)
+    };
+    queue.push(ranked(1, 1, false));
+    queue.push(ranked(2, 5, false));
+    queue.push(ranked(3, 0, true));
+
+    let order: Vec<AttemptId> = std::iter::from_fn(|| queue.pop(false))
+        .map(|ticket| ticket.id)
+        .collect();
+
+    assert_eq!(order, vec![id(3), id(2), id(1)]);
+}
+
+#[rstest]
+fn a_removed_ticket_never_starts() {
+    let mut queue = FairQueue::default();
+    queue.push(ticket(1));
+    queue.push(ticket(2));
+
+    queue.remove(id(1));
+
+    assert_eq!(queue.pop(false).map(|ticket| ticket.id), Some(id(2)));
+    assert!(queue.pop(false).is_none());
+}
--- /dev/null
+++ b/crates/cw_policy/tests/fencing.rs
@@ -0,0 +1,115 @@
+//! Orders at the agent.
+
+use cw_policy::OrderGuard;
+use cw_policy::OrderStep;
+use cw_types::FencingNumber;
+use cw_wire::Order;
+use cw_wire::OrderAnswer;
+use cw_wire::OrderKind;
+use rstest::rstest;
+
+fn order(fencing: u64, sequence: u64) -> Order {
+    Order {
+        fencing: FencingNumber(fencing),
+        sequence,
+        kind: OrderKind::Role {
+            role: "decode".to_owned(),
+        },
+    }
+}
+
+fn failed() -> OrderAnswer {
+    OrderAnswer::Failed {
+        message: "down".to_owned(),
+    }
+}
+
+#[rstest]
+fn a_lower_number_is_refused_for_good() {
+    let mut guard = OrderGuard::default();
+    guard.on_order(&order(5, 1), 0);
+
+    let step = guard.on_order(&order(4, 2), 0);
+
+    let highest = FencingNumber(5);
+    assert_eq!(step, OrderStep::Answer(OrderAnswer::Fenced { highest }));
+}
+
+#[rstest]
+fn a_repeat_gets_the_first_answer() {
+    let mut guard = OrderGuard::default();
+    let first = guard.on_order(&order(5, 1), 0);
+    let meanwhile = guard.on_order(&order(5, 1), 0);
+    guard.on_answer(&order(5, 1), &OrderAnswer::Done);
+
+    let later = guard.on_order(&order(5, 1), 0);
+
+    assert_eq!(first, OrderStep::Pass);
+    assert_eq!(meanwhile, OrderStep::Answer(OrderAnswer::Begun));
+    assert_eq!(later, OrderStep::Answer(OrderAnswer::Done));
+}
+
+#[rstest]
+fn an_order_that_failed_is_passed_on_again() {
+    let mut guard = OrderGuard::default();
+    guard.on_order(&order(5, 1), 0);
+    guard.on_answer(&order(5, 1), &failed());
+
+    let again = guard.on_order(&order(5, 1), 0);
+
+    assert_eq!(again, OrderStep::Pass);
+}
+
+#[rstest]
+fn a_late_answer_to_a_deposed_planner_changes_nothing() {
+    let mut guard = OrderGuard::default();
+    guard.on_order(&order(5, 1), 0);
+    guard.on_order(&order(6, 1), 0);
+
+    guard.on_answer(&order(5, 1), &failed());
+    let step = guard.on_order(&order(6, 1), 0);
+
+    assert_eq!(step, OrderStep::Answer(OrderAnswer::Begun));
+}
+
+#[rstest]
+fn a_pinned_version_is_not_unloaded_and_may_be_asked_for_again() {
+    let mut guard = OrderGuard::default();
+
+    let pinned = guard.on_order(&order(5, 1), 2);
+    let later = guard.on_order(&order(5, 1), 0);
+
+    let generations = 2;
+    assert_eq!(
+        pinned,
+        OrderStep::Answer(OrderAnswer::Pinned { generations })
+    );
+    assert_eq!(later, OrderStep::Pass);
+}
+
+#[rstest]
+fn a_number_that_the_engine_or_the_lease_shows_counts_too() {
+    let mut guard = OrderGuard::default();
+
+    guard.on_highest(FencingNumber(9));
+    let step = guard.on_order(&order(8, 1), 0);
+
+    let highest = FencingNumber(9);
+    assert_eq!(step, OrderStep::Answer(OrderAnswer::Fenced { highest }));
+}
+
+#[rstest]
+fn an_order_older_than_all_that_is_remembered_is_not_run_twice() {
+    let mut guard = OrderGuard::default();
+    for sequence in 1..=300 {
+        guard.on_order(&order(5, sequence), 0);
+        guard.on_answer(&order(5, sequence), &OrderAnswer::Done);
+    }
+    guard.on_order(&order(5, 301), 0);
+    guard.on_answer(&order(5, 301), &failed());
+
+    let step = guard.on_order(&order(5, 1), 0);
+
+    let failed = matches!(step, OrderStep::Answer(OrderAnswer::Failed { .. }));
+    assert!(failed, "{step:?}");
+}
