Read the planner's lease before the first order of a life

An agent that restarted had forgotten the highest fencing number, so a deposed planner could reach an engine that ignores numbers. The agent now reads the lease's creation revision once.

--- a/crates/cw_policy/src/attempt/table/target_events.rs
+++ b/crates/cw_policy/src/attempt/table/target_events.rs
@@ -114,6 +114,8 @@
 
     /// The target died: it refuses connections, or it is another life of it that answers.
     pub fn on_crash(&mut self, now: Time) {
+        // An order that it had begun has died with it.
+        self.gate.clear_unloading();
         self.crashes.on_crash(now);
     }
 
--- a/crates/cw_policy/src/attempt/target_gate.rs
+++ b/crates/cw_policy/src/attempt/target_gate.rs
@@ -52,6 +52,11 @@
         };
     }
 
+    /// No version is about to be unloaded any more.
+    pub fn clear_unloading(&mut self) {
+        self.unloading.clear();
+    }
+
     /// Returns the target's state.
     pub fn state(&self) -> TargetState {
         match (self.leaving, self.up) {
--- a/crates/cyclamenwharf/src/agent/agent_state.rs
+++ b/crates/cyclamenwharf/src/agent/agent_state.rs
@@ -6,10 +6,13 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
 
 use cw_policy::AttemptStep;
 use cw_policy::AttemptTable;
 use cw_policy::OrderGuard;
+use cw_store::EtcdGateway;
+use cw_store::KeyValue;
 use cw_types::AttemptId;
 use cw_types::Time;
 use cw_wire::Dispatch;
@@ -38,6 +41,10 @@
     /// Asks the reporter to report now.
     pub(super) report: Notify,
     pub(super) orders: Mutex<OrderGuard>,
+    /// The key-value service.
+    pub(super) store: Box<dyn KeyValue>,
+    /// Whether the planner's lease has been read in this life.
+    pub(super) floored: AtomicBool,
     leaving: Mutex<Leaving>,
     table: Mutex<AttemptTable>,
     signals: Mutex<BTreeMap<AttemptId, Weak<Signal>>>,
@@ -59,6 +66,8 @@
     ) -> Self {
         Self {
             engine: EngineClient::new(settings.target.address),
+            store: Box::new(EtcdGateway::new(settings.platform.key_value.clone())),
+            floored: AtomicBool::new(false),
             settings,
             clock,
             supervisor,
--- a/crates/cyclamenwharf/src/agent/mod.rs
+++ b/crates/cyclamenwharf/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod frame_stream;
 mod generate_runner;
 mod host_watch;
+mod lease_floor;
 mod leaving;
 mod metrics;
 mod monitor;
--- a/crates/cyclamenwharf/src/agent/order_runner.rs
+++ b/crates/cyclamenwharf/src/agent/order_runner.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use cw_policy::OrderStep;
+use cw_types::ModelName;
+use cw_types::VersionName;
 use cw_wire::Order;
 use cw_wire::OrderAnswer;
 use cw_wire::OrderKind;
@@ -11,33 +13,58 @@
 
 use super::agent_state::AgentState;
 use super::agent_state::lock;
+use super::engine_client::EngineError;
 use super::engine_json::OrderBody;
 use super::engine_json::OrderFenced;
 use super::engine_json::OrderState;
 use super::engine_json::OrderTaken;
+use super::lease_floor;
 
 /// How long the engine may take to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What became of an order that was passed on.
+struct Passed {
+    answer: OrderAnswer,
+    /// Whether the order may still take effect although the answer says otherwise.
+    open: bool,
+}
+
 /// Runs an order, or answers why not.
 pub(super) async fn run(state: &Arc<AgentState>, order: &Order) -> OrderAnswer {
+    if let Err(error) = lease_floor::ensure(state).await {
+        return OrderAnswer::Failed {
+            message: error.to_string(),
+        };
+    }
     if let OrderStep::Answer(answer) = admit(state, order) {
         return answer;
     }
-    let answer = pass(state, order).await;
+    let Passed { answer, open } = pass(state, order).await;
     lock(&state.orders).on_answer(order, &answer);
-    if let (OrderKind::Unload { model, version }, OrderAnswer::Failed { .. }) =
-        (&order.kind, &answer)
-    {
-        state.tell(|table, _| {
-            table.on_unloading(model, version, false);
-            Vec::new()
-        });
+    let failed = matches!(
+        answer,
+        OrderAnswer::Failed { .. } | OrderAnswer::Fenced { .. }
+    );
+    match &order.kind {
+        // A version that may vanish any time stays closed to new work.
+        OrderKind::Unload { model, version } if failed && !open => {
+            reopen(state, model, version);
+        }
+        OrderKind::Load { model, version, .. } if !failed => reopen(state, model, version),
+        _ => {}
     }
     state.check.notify_one();
     answer
 }
 
+fn reopen(state: &Arc<AgentState>, model: &ModelName, version: &VersionName) {
+    state.tell(|table, _| {
+        table.on_unloading(model, version, false);
+        Vec::new()
+    });
+}
+
 /// Decides, and closes the version to new work in the same moment in which nothing is pinned.
 fn admit(state: &Arc<AgentState>, order: &Order) -> OrderStep {
     let mut orders = lock(&state.orders);
@@ -53,7 +80,7 @@
     })
 }
 
-async fn pass(state: &Arc<AgentState>, order: &Order) -> OrderAnswer {
+async fn pass(state: &Arc<AgentState>, order: &Order) -> Passed {
     let body = OrderBody {
         fencing: order.fencing,
         sequence: order.sequence,
@@ -64,9 +91,15 @@
         .control("/v1/orders", Some(&body), ORDER_TIMEOUT)
         .await;
     match sent {
-        Ok((status, bytes)) => read(state, status, &bytes),
-        Err(error) => OrderAnswer::Failed {
-            message: error.to_string(),
+        Ok((status, bytes)) => Passed {
+            answer: read(state, status, &bytes),
+            open: false,
+        },
+        Err(error) => Passed {
+            open: !matches!(error, EngineError::Connect { .. }),
+            answer: OrderAnswer::Failed {
+                message: error.to_string(),
+            },
         },
     }
 }
--- a/crates/cyclamenwharf/tests/agent/fixtures.rs
+++ b/crates/cyclamenwharf/tests/agent/fixtures.rs
@@ -63,7 +63,7 @@
             address: engine,
         },
         platform: PlatformSettings {
-            key_value: Vec::new(),
+            key_value: vec![relay.address()],
             host_list: relay.address(),
             weight_store: loopback(),
         },
--- a/crates/cyclamenwharf/tests/agent/orders.rs
+++ b/crates/cyclamenwharf/tests/agent/orders.rs
@@ -74,3 +74,34 @@
         })
     ));
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_restarted_agent_learns_from_the_lease_who_was_deposed() {
+    let engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    rig.relay.plan(Some(5));
+
+    let late: OrderAnswer = rig.call(path::ORDERS, &unload(4, 1)).await;
+    let due: OrderAnswer = rig.call(path::ORDERS, &unload(5, 1)).await;
+
+    let highest = FencingNumber(5);
+    assert_eq!(late, OrderAnswer::Fenced { highest });
+    assert_eq!(due, OrderAnswer::Done);
+    assert_eq!(engine.shared.orders.lock().unwrap().len(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn without_a_planner_no_order_is_taken() {
+    let engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    rig.relay.plan(None);
+
+    let refused: OrderAnswer = rig.call(path::ORDERS, &unload(4, 1)).await;
+    rig.relay.plan(Some(4));
+    let taken: OrderAnswer = rig.call(path::ORDERS, &unload(4, 1)).await;
+
+    assert!(matches!(refused, OrderAnswer::Failed { .. }), "{refused:?}");
+    assert_eq!(taken, OrderAnswer::Done);
+}
--- a/crates/cyclamenwharf/tests/agent/reports.rs
+++ b/crates/cyclamenwharf/tests/agent/reports.rs
@@ -27,6 +27,7 @@
 use futures::channel::mpsc;
 use http::Response;
 use rstest::rstest;
+use serde_json::json;
 
 use super::fake_engine::FakeEngine;
 use super::fixtures::Rig;
@@ -40,9 +41,10 @@
     reports: mpsc::UnboundedSender<Report>,
     answer: Mutex<ReportAnswer>,
     state: Mutex<HostState>,
+    planner: Mutex<Option<u64>>,
 }
 
-/// A relay that is also the host list which names it.
+/// A relay that is also the host list which names it, and the key-value service.
 pub(crate) struct FakeRelay {
     server: HttpServer<Arc<Shared>>,
     shared: Arc<Shared>,
@@ -57,10 +59,12 @@
             reports: sender,
             answer: Mutex::default(),
             state: Mutex::new(HostState::Live),
+            planner: Mutex::new(Some(1)),
         });
         let mut api = ApiDescription::new();
         api.register(hosts).unwrap();
         api.register(take).unwrap();
+        api.register(range).unwrap();
         let config = ConfigDropshot {
             bind_address: "127.0.0.1:0".parse().unwrap(),
             default_request_body_max_bytes: 1 << 20,
@@ -109,6 +113,11 @@
         };
     }
 
+    /// Lets the planner's lease have this fencing number from now on.
+    pub(crate) fn plan(&self, fencing: Option<u64>) {
+        *self.shared.planner.lock().unwrap() = fencing;
+    }
+
     /// Lists the target's host so from now on.
     pub(crate) fn list(&self, state: HostState) {
         *self.shared.state.lock().unwrap() = state;
@@ -147,6 +156,21 @@
     Ok(Response::new(Body::from(bytes)))
 }
 
+#[endpoint { method = POST, path = "/v3/kv/range" }]
+async fn range(
+    context: RequestContext<Arc<Shared>>,
+    _body: UntypedBody,
+) -> Result<Response<Body>, HttpError> {
+    let planner = *context.context().planner.lock().unwrap();
+    let pair = |fencing: u64| {
+        let revision = fencing.to_string();
+        json!({"key": "", "value": "", "create_revision": revision, "mod_revision": revision})
+    };
+    let kvs: Vec<_> = planner.into_iter().map(pair).collect();
+    let body = json!({"header": {"revision": "9"}, "kvs": kvs});
+    Ok(Response::new(Body::from(body.to_string())))
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_crash_is_reported_with_the_requests_in_flight() {
