--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -18,13 +18,13 @@
 
 mod admission;
 mod attempt;
+pub mod budget;
 mod claim;
 pub mod configuration;
 mod fencing;
 mod generation;
 pub mod membership;
 pub mod planner;
-pub mod budget;
 pub mod prefix;
 pub mod queue;
 pub mod quota;
--- a/crates/cyclamenwharf/src/control/admin/desk.rs
+++ b/crates/cyclamenwharf/src/control/admin/desk.rs
@@ -288,7 +288,7 @@
         let Some(oldest) = next.changes.first() else {
             return;
         };
-        if next.changes.len() < KEPT_CHANGES || next.revision.0 % FORGET_PERIOD != 0 {
+        if next.changes.len() < KEPT_CHANGES || !next.revision.0.is_multiple_of(FORGET_PERIOD) {
             return;
         }
         // What is left behind costs only its room, so failures are left to the next time.
