--- a/crates/cw_policy/tests/attempt/fixtures.rs
+++ b/crates/cw_policy/tests/attempt/fixtures.rs
@@ -60,6 +60,11 @@
     table
 }
 
+/// Returns a moment, in milliseconds.
+pub(crate) fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
 /// Returns the stamp of an attempt made in `life` at `now`.
 pub(crate) fn stamp(life: u64, now: Time) -> Stamp {
     Stamp {
