Bound what waits in bytes, and keep calls away from engines

Waiting attempts were bounded in number only: 32 of 16 MiB each. A call that an entry sent to an engine's agent would have reached the engine's control interface, and a path without a slash could have changed the host called. A caller that comes back now finds the attempt with output rather than a hedge refused later.

--- a/crates/cw_policy/src/admission/admission_control.rs
+++ b/crates/cw_policy/src/admission/admission_control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cw_types::AttemptId;
+use cw_types::ByteSize;
 use cw_types::Time;
 use cw_types::TokenCount;
 use cw_wire::Load;
@@ -28,6 +29,8 @@
     pub running: u32,
     /// The most attempts that wait.
     pub waiting: u32,
+    /// The most bytes of attempts that wait.
+    pub bytes: ByteSize,
     /// Slots that only resumed attempts may take.
     pub reserve: u32,
     /// The time between tokens to keep within.
@@ -39,6 +42,7 @@
         Self {
             running: 64,
             waiting: 32,
+            bytes: ByteSize::mib(16),
             reserve: 4,
             step: Duration::from_millis(78),
         }
@@ -98,7 +102,8 @@
             self.run(&ticket);
             return Offer::Start;
         }
-        if ticket.deadline <= now {
+        let bytes = self.queue.bytes() + ticket.bytes;
+        if ticket.deadline <= now || bytes > self.limits.bytes.0 {
             return self.refuse();
         }
         if self.queue.len() < self.limits.waiting as usize {
--- a/crates/cw_policy/src/admission/fair_queue.rs
+++ b/crates/cw_policy/src/admission/fair_queue.rs
@@ -28,6 +28,8 @@
     pub deadline: Time,
     /// The tokens that it brings into the engine's cache.
     pub tokens: u64,
+    /// The bytes that it keeps while it waits.
+    pub bytes: u64,
 }
 
 /// Which tickets go first; the lowest is the first to go.
@@ -74,6 +76,7 @@
     clocks: BTreeMap<Class, Clock>,
     arrival: u64,
     starts: u64,
+    bytes: u64,
 }
 
 impl FairQueue {
@@ -87,6 +90,11 @@
         self.tickets.is_empty()
     }
 
+    /// Returns how many bytes the waiting tickets keep.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Adds a ticket.
     pub fn push(&mut self, ticket: Ticket) {
         let class = Class::of(&ticket);
@@ -95,6 +103,7 @@
         let begin = clock.now.max(last.unwrap_or_default());
         let finish = begin + COST / u64::from(ticket.weight.max(1));
         clock.finishes.insert(ticket.workspace.clone(), finish);
+        self.bytes += ticket.bytes;
         self.arrival += 1;
         let place = Place {
             class,
@@ -157,6 +166,7 @@
 
     fn take(&mut self, place: Place) -> Option<Ticket> {
         let ticket = self.tickets.remove(&place)?;
+        self.bytes -= ticket.bytes;
         self.arrivals.remove(&place.arrival);
         self.places.remove(&ticket.id);
         let empty = !self.tickets.keys().any(|other| other.class == place.class);
--- a/crates/cw_policy/src/attempt/attempt_state.rs
+++ b/crates/cw_policy/src/attempt/attempt_state.rs
@@ -126,6 +126,15 @@
         !matches!(self.stage, Stage::Ended(..))
     }
 
+    /// Returns whether it has output, or will have.
+    pub(super) fn has_output(&self) -> bool {
+        match self.stage {
+            Stage::Ended(End::NotRun(_), _) => false,
+            Stage::Ended(End::Failed { failure, .. }, _) => failure != Failure::Cancelled,
+            _ => true,
+        }
+    }
+
     /// Returns how much of it was run if it is cut off now.
     pub(super) fn ran(&self) -> Ran {
         match (&self.stage, &self.pin) {
--- a/crates/cw_policy/src/attempt/table/mod.rs
+++ b/crates/cw_policy/src/attempt/table/mod.rs
@@ -299,9 +299,24 @@
         resumed: dispatch.resumed,
         deadline: now + dispatch.patience,
         tokens: tokens(&dispatch.work),
+        bytes: bytes(&dispatch.work),
     }
 }
 
+/// Returns about how many bytes the work keeps.
+fn bytes(work: &Work) -> u64 {
+    let generate = match work {
+        Work::Call(call) => return call.body.len() as u64,
+        Work::Generate(generate) => generate,
+    };
+    let prompt = match &generate.prompt {
+        Prompt::Text(text) => text.len(),
+        Prompt::Ids(ids) => size_of_val(ids.as_slice()),
+        Prompt::Chat(messages) => messages.iter().map(|message| message.content.len()).sum(),
+    };
+    (prompt + size_of_val(generate.so_far.as_slice())) as u64
+}
+
 /// Returns about how many tokens the work brings into an engine's cache.
 fn tokens(work: &Work) -> u64 {
     let Work::Generate(work) = work else {
--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -146,15 +146,21 @@
         AttemptAnswer::Read(Reader::new(id, from.0))
     }
 
+    /// Returns the newest attempt that has output, or the newest of all if none has.
     fn newest(&self, generation: GenerationId, workspace: &WorkspaceId) -> Option<AttemptId> {
         let id = |attempt| AttemptId {
             generation,
             attempt,
         };
-        self.attempts
-            .range(id(AttemptNo(0))..=id(AttemptNo(u32::MAX)))
-            .rev()
-            .find(|(_, attempt)| attempt.workspace.as_ref() == Some(workspace))
+        let own = |(_, attempt): &(&AttemptId, &AttemptState)| {
+            attempt.workspace.as_ref() == Some(workspace)
+        };
+        let range = id(AttemptNo(0))..=id(AttemptNo(u32::MAX));
+        let mut found = self.attempts.range(range).rev().filter(own);
+        let newest = found.clone().next();
+        found
+            .find(|(_, attempt)| attempt.has_output())
+            .or(newest)
             .map(|(id, _)| *id)
     }
 
--- a/crates/cw_policy/tests/admission.rs
+++ b/crates/cw_policy/tests/admission.rs
@@ -11,6 +11,7 @@
 use cw_policy::Ticket;
 use cw_types::AttemptId;
 use cw_types::AttemptNo;
+use cw_types::ByteSize;
 use cw_types::GenerationId;
 use cw_types::Time;
 use cw_types::TokenCount;
@@ -24,6 +25,7 @@
     AdmissionLimits {
         running: 8,
         waiting: 4,
+        bytes: ByteSize(10_000),
         reserve: 2,
         step: TARGET,
     }
@@ -45,6 +47,7 @@
         resumed: false,
         deadline: Time(u64::MAX),
         tokens: 100,
+        bytes: 1000,
     }
 }
 
@@ -99,6 +102,24 @@
     assert_eq!(control.load(Time(0)).waiting, 4);
 }
 
+#[rstest]
+fn what_waits_is_bounded_in_bytes() {
+    let mut control = full();
+    let large = |number| Ticket {
+        bytes: 6000,
+        ..ticket(number)
+    };
+
+    let first = control.offer(Time(0), large(10));
+    let second = control.offer(Time(0), large(11));
+    control.release(Time(0), id(10));
+    let third = control.offer(Time(0), large(12));
+
+    assert_eq!(first, Offer::Wait { displaced: None });
+    assert!(matches!(second, Offer::Busy { .. }));
+    assert_eq!(third, Offer::Wait { displaced: None });
+}
+
 #[rstest]
 fn a_higher_rank_displaces_the_newest_of_the_lowest() {
     let mut control = full();
--- a/crates/cw_policy/tests/attempt/cases.rs
+++ b/crates/cw_policy/tests/attempt/cases.rs
@@ -14,6 +14,7 @@
 use cw_types::Time;
 use cw_types::TokenIndex;
 use cw_wire::Ack;
+use cw_wire::Attach;
 use cw_wire::Cancel;
 use cw_wire::Dispatch;
 use cw_wire::Failure;
@@ -202,6 +203,27 @@
     assert_eq!(reason(&frame), Some(Reason::Unknown));
 }
 
+#[rstest]
+fn a_caller_finds_the_attempt_with_output_not_the_one_refused_later() {
+    let mut table = full();
+    let hedge = Dispatch {
+        id: attempt(1, 2),
+        ..ordinary(1)
+    };
+    open(&mut table, at(0), hedge);
+    table.on_tick(at(5_000));
+    let attach = Attach {
+        generation: attempt(1, 1).generation,
+        workspace: "partagez".parse().unwrap(),
+        from: TokenIndex(0),
+    };
+
+    let found = table.on_attach(at(5_000), &attach);
+
+    let reader = Reader::new(attempt(1, 1), 0);
+    assert_eq!(found, AttemptAnswer::Read(reader));
+}
+
 // ---- Callers that are gone
 
 #[rstest]
--- a/crates/cw_policy/tests/attempt/fixtures.rs
+++ b/crates/cw_policy/tests/attempt/fixtures.rs
@@ -38,6 +38,7 @@
         admission: AdmissionLimits {
             running: 3,
             waiting: 2,
+            bytes: ByteSize::kib(64),
             reserve: 1,
             step: Duration::from_millis(78),
         },
--- a/crates/cyclamenwharf/src/agent/agent_handle.rs
+++ b/crates/cyclamenwharf/src/agent/agent_handle.rs
@@ -134,6 +134,7 @@
         admission: AdmissionLimits {
             running: settings.running,
             waiting: settings.waiting,
+            bytes: settings.kept,
             reserve: settings.reserve,
             step: settings.step,
         },
--- a/crates/cyclamenwharf/src/agent/call_runner.rs
+++ b/crates/cyclamenwharf/src/agent/call_runner.rs
@@ -112,6 +112,10 @@
 }
 
 fn request_head(head: &CallHead) -> Option<(Method, HeaderMap)> {
+    if !head.path.starts_with('/') {
+        // It would change the address that the call goes to.
+        return None;
+    }
     let method = head.method.parse().ok()?;
     let mut headers = HeaderMap::new();
     for (name, value) in &head.headers {
--- a/crates/cyclamenwharf/src/agent/generate_runner.rs
+++ b/crates/cyclamenwharf/src/agent/generate_runner.rs
@@ -56,7 +56,7 @@
     signal: &Signal,
 ) {
     let outcome = tokio::select! {
-        outcome = generate(state, id, rank, &work, signal) => outcome,
+        outcome = generate(state, id, rank, work, signal) => outcome,
         () = signal.abort.cancelled() => Outcome::Stopped,
     };
     match outcome {
@@ -83,14 +83,17 @@
     state: &Arc<AgentState>,
     id: AttemptId,
     rank: u8,
-    work: &Generate,
+    work: Generate,
     signal: &Signal,
 ) -> Outcome {
-    if remaining(work) == 0 {
+    if remaining(&work) == 0 {
         return Outcome::End(End::Done(Finish::Length));
     }
-    let (path, body) = Completion::new(id, rank, work);
-    let response = match state.engine.post(path, &body).await {
+    let (path, body) = Completion::new(id, rank, &work);
+    let sent = state.engine.post(path, &body).await;
+    // A long run must not keep its prompt.
+    drop(work);
+    let response = match sent {
         Ok(response) => response,
         Err(EngineError::Connect { .. }) => {
             state.check.notify_one();
--- a/crates/cyclamenwharf/src/agent/peer_api.rs
+++ b/crates/cyclamenwharf/src/agent/peer_api.rs
@@ -1,13 +1,18 @@
 //! The interface for other processes of the system.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cw_policy::AttemptAnswer;
+use cw_types::TargetKind;
 use cw_wire::Ack;
 use cw_wire::Attach;
 use cw_wire::Cancel;
 use cw_wire::Dispatch;
+use cw_wire::Frame;
 use cw_wire::Order;
+use cw_wire::Reason;
+use cw_wire::Work;
 use dropshot::ApiDescription;
 use dropshot::ApiDescriptionRegisterError;
 use dropshot::Body;
@@ -76,12 +81,33 @@
     respond(state, frame_stream::body(state, answer))
 }
 
+/// Returns whether work is of the target's kind.
+///
+/// A call must never reach an engine, whose control interface is at the same address.
+fn is_served(state: &AgentState, work: &Work) -> bool {
+    let engine = state.settings.target.kind == TargetKind::Engine;
+    matches!(work, Work::Generate(_)) == engine
+}
+
+/// Refuses for good without a tombstone: a target's kind never changes.
+fn wrong_kind(state: &AgentState) -> AttemptAnswer {
+    let frame = state.look(|table, now| Frame::NotRun {
+        reason: Reason::WrongVersion,
+        retry: Duration::ZERO,
+        load: table.load(now),
+    });
+    AttemptAnswer::Frame(Box::new(frame))
+}
+
 /// Runs an attempt, or attaches to it.
 #[endpoint { method = POST, path = "/peer/v1/attempts" }]
 async fn attempts(context: Context, body: UntypedBody) -> Answer {
     let dispatch: Dispatch = receive(&context, &body)?;
     let state = context.context();
-    let answer = state.decide(|table, now| table.on_dispatch(now, dispatch));
+    let answer = match is_served(state, &dispatch.work) {
+        true => state.decide(|table, now| table.on_dispatch(now, dispatch)),
+        false => wrong_kind(state),
+    };
     respond_frames(state, answer)
 }
 
--- a/crates/cyclamenwharf/tests/agent/calls.rs
+++ b/crates/cyclamenwharf/tests/agent/calls.rs
@@ -110,3 +110,44 @@
     assert_eq!(bodies.concat(), b"sent");
     assert!(!service.has_call());
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_call_never_reaches_the_control_interface_of_an_engine() {
+    let engine = FakeEngine::start();
+    let rig = Rig::start(engine.server.local_addr()).await;
+    let mut dispatch = notice(&rig);
+    let mut call = call();
+    call.head.path = "/v1/orders".to_owned();
+    dispatch.work = Work::Call(call);
+
+    let mut frames = rig.send(&dispatch).await;
+
+    let frame = next(&mut frames).await;
+    assert!(matches!(frame, Some(Frame::NotRun { .. })), "{frame:?}");
+    assert!(engine.shared.orders.lock().unwrap().is_empty());
+}
+
+#[rstest]
+#[case("notices")]
+#[case("@127.0.0.1:9/notices")]
+#[case("")]
+#[tokio::test]
+async fn a_path_cannot_change_where_a_call_goes(#[case] path: &str) {
+    let mut service = FakeEngine::start();
+    let rig = start(&service).await;
+    let mut dispatch = notice(&rig);
+    let mut call = call();
+    call.head.path = path.to_owned();
+    dispatch.work = Work::Call(call);
+
+    let mut frames = rig.send(&dispatch).await;
+
+    let failed = Frame::Failed {
+        failure: Failure::TargetError,
+        ran: Ran::No,
+        next: TokenIndex(0),
+    };
+    assert_eq!(next(&mut frames).await, Some(failed));
+    assert!(!service.has_call());
+}
