Let histories unload versions and callers come back for generations

The world of the histories is split by who acts. A test restarts an agent between a notice and its repeat: the service is called once.

--- a/crates/cw_policy/tests/attempt/histories.rs
+++ b/crates/cw_policy/tests/attempt/histories.rs
@@ -41,6 +41,8 @@
         2 => n().prop_map(Op::Ack),
         2 => (0..SHORT).prop_map(Op::Pass),
         1 => (0..LONG).prop_map(Op::Pass),
+        2 => (n(), any::<bool>()).prop_map(|(n, own)| Op::Attach(n, own)),
+        1 => any::<bool>().prop_map(Op::Unload),
         2 => Just(Op::Report),
         1 => Just(Op::Restart),
     ]
--- a/crates/cw_policy/tests/attempt/world.rs
+++ b/crates/cw_policy/tests/attempt/world/mod.rs
@@ -1,40 +1,30 @@
 //! One agent, its target, and the messages of entries on their way.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::time::Duration;
+mod entries;
+mod target;
 
+use super::fixtures::attempt;
+use super::fixtures::dispatch;
+use super::fixtures::limits;
+use super::fixtures::stamp;
+use super::fixtures::table;
+use super::oracle::Oracle;
+use super::oracle::Stream;
 use cw_policy::AttemptAnswer;
 use cw_policy::AttemptStep;
 use cw_policy::AttemptTable;
 use cw_policy::End;
-use cw_policy::Flow;
-use cw_policy::ReadStep;
 use cw_policy::Reader;
 use cw_types::AttemptId;
-use cw_types::Ran;
 use cw_types::Time;
-use cw_types::TokenCount;
 use cw_types::TokenIndex;
-use cw_wire::Ack;
 use cw_wire::Cancel;
 use cw_wire::Dispatch;
 use cw_wire::Finish;
-use cw_wire::Frame;
-use cw_wire::Load;
-use cw_wire::Reason;
 use cw_wire::Stamp;
-
-use super::fixtures::attempt;
-use super::fixtures::chunk;
-use super::fixtures::dispatch;
-use super::fixtures::limits;
-use super::fixtures::notice;
-use super::fixtures::stamp;
-use super::fixtures::table;
-use super::fixtures::versions;
-use super::oracle::Oracle;
-use super::oracle::Stream;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// How much a running attempt may keep beyond its share: one token and its bookkeeping.
 const SLACK: usize = 256;
@@ -74,6 +64,10 @@
     Ack(u8),
     /// Time passes, in milliseconds.
     Pass(u32),
+    /// A caller comes back for a generation, its own or another's.
+    Attach(u8, bool),
+    /// A planner has the version unloaded if nothing is pinned to it, or kept.
+    Unload(bool),
     /// Entries learn the agent's life and age.
     Report,
     /// The agent dies and starts anew.
@@ -105,6 +99,7 @@
     readers: Vec<(Reader, Stream)>,
     down: bool,
     leaving: bool,
+    unloading: bool,
 }
 
 type Checked = Result<(), String>;
@@ -126,6 +121,7 @@
             readers: Vec::new(),
             down: false,
             leaving: false,
+            unloading: false,
         }
     }
 
@@ -148,6 +144,8 @@
             Op::Leave(n) => self.leave(n),
             Op::Ack(n) => self.ack(n),
             Op::Pass(millis) => self.pass(millis),
+            Op::Attach(n, own) => self.attach(n, own)?,
+            Op::Unload(unload) => self.unload(unload),
             Op::Report => self.known = stamp(self.life, self.local()),
             Op::Restart => self.restart(),
         }
@@ -235,6 +233,8 @@
                         !self.down && !self.leaving,
                         "work for a target that takes none"
                     );
+                    let closed = self.unloading && !is_once(dispatch.id);
+                    assert!(!closed, "work for a version that is being unloaded");
                     self.oracles.entry(dispatch.id).or_default().starts += 1;
                     self.target.insert(dispatch.id, true);
                 }
@@ -255,200 +255,6 @@
         }
     }
 
-    // ---- Entries
-
-    fn send(&mut self, n: u8) {
-        let id = id(n);
-        let again = self.sent.contains_key(&id);
-        if again {
-            self.repeated.insert(id);
-        }
-        let stamp = *self.sent.entry(id).or_insert(self.known);
-        let message = match is_once(id) {
-            true => notice(id, stamp),
-            false => dispatch(id, stamp),
-        };
-        self.flying.push(Message::Dispatch(Box::new(Dispatch {
-            repeat: again,
-            resumed: id.attempt.0 > 1,
-            rank: n % 3,
-            patience: Duration::from_secs(u64::from(n % 4)),
-            ..message
-        })));
-    }
-
-    fn cancel(&mut self, n: u8) {
-        let id = id(n);
-        let stamp = *self.sent.entry(id).or_insert(self.known);
-        self.oracles.entry(id).or_default().cancelled = true;
-        self.flying.push(Message::Cancel(Cancel { id, stamp }));
-    }
-
-    fn message(&mut self, n: u8) -> Option<Message> {
-        let at = pick(n, self.flying.len())?;
-        Some(self.flying.remove(at))
-    }
-
-    fn deliver(&mut self, n: u8) -> Checked {
-        let now = self.local();
-        match self.message(n) {
-            None => Ok(()),
-            Some(Message::Dispatch(dispatch)) => {
-                let (id, from) = (dispatch.id, dispatch.from);
-                let superseded = !dispatch.repeat && self.repeated.contains(&id);
-                let (answer, steps) = self.table.on_dispatch(now, *dispatch);
-                self.apply(steps);
-                match answer {
-                    AttemptAnswer::Read(reader) => {
-                        self.readers.push((reader, Stream::new(from.0)));
-                        Ok(())
-                    }
-                    AttemptAnswer::Frame(_) if superseded => Ok(()),
-                    AttemptAnswer::Frame(frame) => self.hear(id, &frame),
-                }
-            }
-            Some(Message::Cancel(cancel)) => {
-                let (answer, steps) = self.table.on_cancel(now, &cancel);
-                self.apply(steps);
-                let oracle = self.oracles.entry(cancel.id).or_default();
-                oracle.promised |= answer.ran == Ran::No;
-                Ok(())
-            }
-        }
-    }
-
-    /// An entry gets a frame that says how an attempt ended.
-    fn hear(&mut self, id: AttemptId, frame: &Frame) -> Checked {
-        let oracle = self.oracles.entry(id).or_default();
-        match frame {
-            Frame::NotRun { .. } | Frame::Failed { ran: Ran::No, .. } => oracle.promised = true,
-            _ => {}
-        }
-        oracle.check(id)
-    }
-
-    fn read(&mut self, n: u8) -> Checked {
-        let now = self.local();
-        let Some(at) = pick(n, self.readers.len()) else {
-            return Ok(());
-        };
-        let (reader, stream) = &mut self.readers[at];
-        let id = reader.id;
-        let (step, steps) = self.table.read(now, reader);
-        if let ReadStep::Frame(frame) = &step {
-            let oracle = self.oracles.entry(id).or_default();
-            let running = self.target.contains_key(&id);
-            stream.take(id, frame, oracle, running)?;
-            self.hear(id, frame)?;
-        }
-        self.apply(steps);
-        Ok(())
-    }
-
-    fn leave(&mut self, n: u8) {
-        if let Some(at) = pick(n, self.readers.len()) {
-            let (reader, _) = self.readers.remove(at);
-            self.table.on_leave(self.local(), &reader);
-        }
-    }
-
-    fn ack(&mut self, n: u8) {
-        if let Some(at) = pick(n, self.readers.len()) {
-            let reader = self.readers[at].0;
-            let (id, next) = (reader.id, TokenIndex(reader.next));
-            let steps = self.table.on_ack(&Ack { id, next });
-            self.apply(steps);
-        }
-    }
-
-    // ---- The target
-
-    fn running(&self, n: u8) -> Option<AttemptId> {
-        let at = pick(n, self.target.len())?;
-        self.target.keys().nth(at).copied()
-    }
-
-    fn accept(&mut self, n: u8) {
-        if let Some(id) = self.running(n) {
-            self.oracles.entry(id).or_default().ran = true;
-            let steps = self.table.on_accepted(self.local(), id, TokenCount(0));
-            self.apply(steps);
-        }
-    }
-
-    fn refuse(&mut self, n: u8) {
-        let Some(id) = self.running(n) else {
-            return;
-        };
-        if !self.oracles[&id].ran {
-            self.target.remove(&id);
-            let end = End::NotRun(Reason::Busy);
-            let steps = self.table.on_end(self.local(), id, end);
-            self.apply(steps);
-        }
-    }
-
-    fn produce(&mut self, n: u8, count: u8) -> Checked {
-        let Some(id) = self.running(n) else {
-            return Ok(());
-        };
-        for _ in 0..count {
-            if self.target.get(&id) != Some(&true) {
-                return Ok(());
-            }
-            let now = self.local();
-            let oracle = self.oracles.entry(id).or_default();
-            oracle.ran = true;
-            let index = oracle.produced;
-            oracle.produced += 1;
-            let (flow, steps) = self.table.on_output(now, id, chunk(id, index));
-            match flow {
-                Flow::Go => {}
-                Flow::Hold => drop(self.target.insert(id, false)),
-                Flow::Stop => return Err(format!("{id} ended without the target hearing of it")),
-            }
-            self.apply(steps);
-        }
-        Ok(())
-    }
-
-    fn finish(&mut self, n: u8) {
-        if let Some(id) = self.running(n) {
-            self.target.remove(&id);
-            self.oracles.entry(id).or_default().ran = true;
-            let end = End::Done(Finish::Stop);
-            let steps = self.table.on_end(self.local(), id, end);
-            self.apply(steps);
-        }
-    }
-
-    fn break_off(&mut self, n: u8) {
-        if let Some(id) = self.running(n) {
-            self.target.remove(&id);
-            // Nobody knows whether the target had taken it up.
-            self.oracles.entry(id).or_default().ran = true;
-            let steps = self.table.on_break(self.local(), id);
-            self.apply(steps);
-        }
-    }
-
-    fn crash(&mut self) {
-        self.down = true;
-        let steps = self.table.on_down(self.local());
-        self.apply(steps);
-        while !self.target.is_empty() {
-            self.break_off(0);
-        }
-        self.table.on_crash(self.local());
-    }
-
-    fn up(&mut self) {
-        self.down = false;
-        let now = self.local();
-        let steps = self.table.on_load(now, now, Load::default(), versions());
-        self.apply(steps);
-    }
-
     // ---- The agent
 
     fn set_leaving(&mut self, leaving: bool) {
@@ -476,6 +282,7 @@
         }
         self.down = false;
         self.leaving = false;
+        self.unloading = false;
     }
 }
 
--- a/crates/cyclamenwharf/tests/agent/drains.rs
+++ b/crates/cyclamenwharf/tests/agent/drains.rs
@@ -1,10 +1,15 @@
 //! Graceful shutdown, and the opposite.
 
+use std::net::SocketAddr;
+
+use cw_types::Ran;
+use cw_types::TargetKind;
 use cw_types::TokenIndex;
 use cw_wire::Finish;
 use cw_wire::Frame;
 use cw_wire::Reason;
 use cw_wire::TargetState;
+use cw_wire::Work;
 use cw_wire::path;
 use cyclamenwharf::PeerError;
 use rstest::rstest;
@@ -13,8 +18,11 @@
 use super::fixtures::HANG;
 use super::fixtures::Rig;
 use super::fixtures::attempt;
+use super::fixtures::call;
+use super::fixtures::dispatch;
 use super::fixtures::next;
 use super::fixtures::tokens;
+use super::fixtures::until;
 use super::fixtures::within;
 
 #[rstest]
@@ -78,5 +86,48 @@
     rig.agent.kill();
 
     assert_eq!(next(&mut frames).await, None);
-    super::fixtures::until(|| call.is_closed()).await;
+    until(|| call.is_closed()).await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_notice_is_not_sent_twice_by_the_next_life_of_its_agent() {
+    let mut service = FakeEngine::start();
+    let kind = TargetKind::Service {
+        service: "notices".to_owned(),
+    };
+    let address = service.server.local_addr();
+    let first = Rig::start_with(address, kind.clone(), |_| {}).await;
+    let mut dispatch = dispatch(attempt(1, 1), first.stamp(), Work::Call(call()));
+    dispatch.idempotent = false;
+    let mut lost = first.send(&dispatch).await;
+    service.received().await;
+    let peers = first.agent.peers;
+    first.agent.kill();
+    while next(&mut lost).await.is_some() {}
+
+    let second = restart(address, kind, peers).await;
+    dispatch.repeat = true;
+    let mut frames = second.send(&dispatch).await;
+
+    let frame = next(&mut frames).await;
+    let open = matches!(
+        frame,
+        Some(Frame::Failed {
+            ran: Ran::Unknown,
+            ..
+        })
+    );
+    assert!(open, "{frame:?}");
+    assert!(!service.has_call());
+}
+
+/// Starts an agent where one was killed, as soon as the address is free.
+async fn restart(target: SocketAddr, kind: TargetKind, peers: SocketAddr) -> Rig {
+    until_free(peers).await;
+    Rig::start_with(target, kind, |settings| settings.listen.peers = peers).await
+}
+
+async fn until_free(address: SocketAddr) {
+    until(|| std::net::TcpListener::bind(address).is_ok()).await;
 }
