--- a/crates/cw_policy/src/generation/limits.rs
+++ b/crates/cw_policy/src/generation/limits.rs
@@ -2,22 +2,34 @@
 
 use std::time::Duration;
 
+use cw_macro::data;
+use cw_types::units::Span;
+use serde_with::serde_as;
+
 /// How long a generation waits for what, and how often it tries.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[serde_as]
+#[data(Eq)]
 pub struct Limits {
     /// How long a link may carry no frame.
+    #[serde_as(as = "Span")]
     pub silence: Duration,
     /// How long an engine may produce nothing for an attempt that has begun its output.
+    #[serde_as(as = "Span")]
     pub stall: Duration,
     /// How long an engine may take to begin the output of a resumed attempt.
+    #[serde_as(as = "Span")]
     pub first: Duration,
     /// How long the first frame of a dispatched attempt may take.
+    #[serde_as(as = "Span")]
     pub head: Duration,
     /// How long the first frame after a re-attachment may take.
+    #[serde_as(as = "Span")]
     pub reattach: Duration,
     /// The pause before targets that were all busy are asked again for a lost attempt.
+    #[serde_as(as = "Span")]
     pub backoff: Duration,
     /// The pause before the second re-attachment to work that may run once; it grows with each.
+    #[serde_as(as = "Span")]
     pub pause: Duration,
     /// The most attempts.
     pub attempts: u32,
@@ -28,6 +40,7 @@
     /// After how many crashes of engines that ran the request it is judged.
     pub crashes: u32,
     /// How long the caller may be gone.
+    #[serde_as(as = "Span")]
     pub absence: Duration,
     /// How many tokens stay with the agent after they were passed on.
     pub window: u64,
--- a/crates/cw_policy/src/generation/plan.rs
+++ b/crates/cw_policy/src/generation/plan.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use cw_macro::data;
 use cw_types::AttemptNo;
 use cw_types::TargetId;
 use cw_types::TokenCount;
 use cw_types::TokenId;
 use cw_types::TokenIndex;
+use cw_types::units::Span;
+use serde_with::serde_as;
 
 /// What an attempt does.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[data(Copy, Default, Eq)]
 pub enum WorkKind {
     /// It runs a model: its output can be continued by another attempt.
     #[default]
@@ -19,13 +22,15 @@
 }
 
 /// What is fixed for a generation's life.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[serde_as]
+#[data(Default, Eq)]
 pub struct Plan {
     /// What an attempt does.
     pub kind: WorkKind,
     /// Whether the work may run more than once.
     pub idempotent: bool,
     /// How long the request may wait before its first token.
+    #[serde_as(as = "Span")]
     pub patience: Duration,
     /// The most tokens of the whole output.
     pub max_tokens: Option<TokenCount>,
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`membership`]: which targets and entries are there, and who passes it on.
 //! - [`planner`]: who orders engines, and what.
 //! - [`slo`]: service-level objectives and the burn of their budgets.
+//! - [`trace`]: recorded decisions, replayed and compared.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
@@ -31,6 +32,7 @@
 pub mod routing;
 pub mod slo;
 mod suspicion;
+pub mod trace;
 mod view;
 
 pub use admission::AdaptiveLimit;
--- a/crates/cw_testkit/src/deployment/node.rs
+++ b/crates/cw_testkit/src/deployment/node.rs
@@ -40,6 +40,12 @@
         self.settings.listen.callers
     }
 
+    /// Returns the traces that it keeps, oldest first.
+    pub async fn traces(&self) -> Vec<String> {
+        let handle = self.handle.lock().await;
+        handle.as_ref().map_or(Vec::new(), EntryHandle::traces)
+    }
+
     /// Kills it.
     pub async fn kill(&self) {
         if let Some(handle) = self.handle.lock().await.take() {
--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -5,6 +5,7 @@
 use cyclamenwharf::EngineSettings;
 use cyclamenwharf::LimitSettings;
 use cyclamenwharf::RecoverySettings;
+use cyclamenwharf::TraceSettings;
 
 use crate::EngineTimings;
 
@@ -44,6 +45,8 @@
     pub limits: LimitSettings,
     /// How entries notice lost attempts.
     pub recovery: RecoverySettings,
+    /// What entries record of their decisions.
+    pub trace: TraceSettings,
     /// Whether entries reach each agent through a [`crate::Forwarder`].
     pub forwarded: bool,
 }
@@ -65,6 +68,7 @@
             agent: EngineSettings::default(),
             limits: LimitSettings::default(),
             recovery: RecoverySettings::default(),
+            trace: TraceSettings::default(),
             forwarded: false,
         }
     }
@@ -106,6 +110,13 @@
         self
     }
 
+    /// Sets what entries record of their decisions.
+    #[must_use]
+    pub fn with_trace(mut self, trace: TraceSettings) -> Self {
+        self.trace = trace;
+        self
+    }
+
     /// Puts a forwarder before each agent.
     #[must_use]
     pub fn with_forwarders(mut self) -> Self {
--- a/crates/cw_testkit/src/experiment/mod.rs
+++ b/crates/cw_testkit/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod drive;
 mod engine_death;
 mod fault;
+mod record;
 mod recovery;
 mod report;
 mod summary;
@@ -11,6 +12,7 @@
 
 pub use engine_death::engine_death;
 pub use engine_death::faults;
+pub use record::record;
 pub use report::ExperimentError;
 pub use report::Report;
 pub use summary::Summary;
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -29,6 +29,11 @@
         .subcommand(
             Command::new("settings")
                 .about("Writes the settings files of a small deployment")
+                .arg(directory.clone()),
+        )
+        .subcommand(
+            Command::new("record")
+                .about("Records the traces that the tests replay")
                 .arg(directory),
         )
         .subcommand(experiment_command())
@@ -71,6 +76,7 @@
         match matches.subcommand() {
             Some(("up", _)) => up().await,
             Some(("settings", args)) => settings(args).await,
+            Some(("record", args)) => record(args).await,
             Some(("experiment", args)) => measure(args).await,
             _ => Err("unknown command".to_owned()),
         }
@@ -84,6 +90,12 @@
     }
 }
 
+async fn record(args: &ArgMatches) -> Result<(), String> {
+    let directory: &PathBuf = args.get_one("directory").expect("clap requires it");
+    let recorded = experiment::record(directory).await;
+    recorded.map_err(|error| error.to_string())
+}
+
 fn small() -> RigSpec {
     RigSpec::default().with_services(1)
 }
--- a/crates/cyclamenwharf/src/control/admin/endpoints.rs
+++ b/crates/cyclamenwharf/src/control/admin/endpoints.rs
@@ -44,7 +44,7 @@
 type Answer<T> = Result<HttpResponseOk<T>, ErrorMessage>;
 
 /// Finds the caller and checks the role.
-async fn admit(
+pub(super) async fn admit(
     context: &Context,
     role: OperatorRole,
 ) -> Result<(Caller, Inspection), ErrorMessage> {
--- a/crates/cyclamenwharf/src/control/admin/mod.rs
+++ b/crates/cyclamenwharf/src/control/admin/mod.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod messages;
 mod server;
+mod traces;
 
 pub use error::AdminErrorKind;
 pub use error::ErrorMessage;
@@ -29,6 +30,7 @@
 pub use messages::StatusMessage;
 pub use messages::TargetMessage;
 pub use server::admin_description;
+pub use traces::TraceMessage;
 
 pub(super) use desk::Desk;
 pub(super) use server::AdminContext;
--- a/crates/cyclamenwharf/src/control/admin/server.rs
+++ b/crates/cyclamenwharf/src/control/admin/server.rs
@@ -21,8 +21,10 @@
 
 use super::Desk;
 use super::endpoints;
+use super::traces;
 use crate::Health;
 use crate::StartError;
+use crate::TraceBook;
 
 /// The largest message, in bytes: a change of many records.
 const MESSAGE_MAX: usize = 1 << 20;
@@ -34,6 +36,7 @@
 pub(in crate::control) struct AdminContext {
     pub(in crate::control) host: HostId,
     pub(in crate::control) health: Arc<Health>,
+    pub(in crate::control) traces: Arc<TraceBook>,
     pub(in crate::control) registry: Registry,
     pub(in crate::control) secrets: Vec<String>,
     pub(in crate::control) desk: Desk,
@@ -83,6 +86,8 @@
     api.register(livez)?;
     api.register(readyz)?;
     api.register(metrics)?;
+    api.register(traces::list)?;
+    api.register(traces::fetch)?;
     api.register(endpoints::status)?;
     api.register(endpoints::records)?;
     api.register(endpoints::propose)?;
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -39,6 +39,7 @@
 use crate::Health;
 use crate::StartError;
 use crate::Supervisor;
+use crate::TraceBook;
 
 /// The view in force, read by every traffic thread.
 pub type SharedView = Arc<ArcSwap<View>>;
@@ -55,6 +56,8 @@
     pub registry: Registry,
     /// The entry's health.
     pub health: Arc<Health>,
+    /// The entry's traces.
+    pub traces: Arc<TraceBook>,
 }
 
 /// The running control state, with its servers for peers and operators.
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -117,6 +117,7 @@
     let peers = peers_server::start(settings.listen.peers, peers_context)?;
     let admin_context = AdminContext {
         host: settings.host.clone(),
+        traces: Arc::clone(&parts.traces),
         secrets: settings.secrets.peers.clone(),
         desk: Desk {
             key_value: services.key_value.clone(),
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -25,6 +25,8 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use crate::Recorder;
+
 use super::attempts::Attempts;
 use super::delivery::Delivery;
 use super::frontend::Frontend;
@@ -53,6 +55,7 @@
     inputs: Inputs,
     attempts: Attempts,
     delivery: Delivery,
+    recorder: Option<Recorder>,
     request: RouteRequest,
     suspect: bool,
     absent: bool,
@@ -63,6 +66,7 @@
     pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
         let limits = job.limits(&front.settings);
         Self {
+            recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
             attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
@@ -92,6 +96,9 @@
         }
         let now = self.front.clock.now();
         self.attempts.release_all(now);
+        if let Some(recorder) = self.recorder.take() {
+            self.front.traces.end(recorder);
+        }
     }
 
     async fn next_event(&mut self) -> Event {
@@ -120,12 +127,21 @@
         while let Some(event) = events.pop_front() {
             let now = self.front.clock.now();
             self.attempts.learn(now, &event);
-            for step in self.machine.on_event(now, event) {
+            for step in self.decide(now, event) {
                 events.extend(self.take(now, step).await);
             }
         }
     }
 
+    fn decide(&mut self, now: Time, event: Event) -> Vec<Step> {
+        let Some(recorder) = &mut self.recorder else {
+            return self.machine.on_event(now, event);
+        };
+        let steps = self.machine.on_event(now, event.clone());
+        recorder.record(now, event, &steps);
+        steps
+    }
+
     /// Takes one step; some are answered at once.
     async fn take(&mut self, now: Time, step: Step) -> Option<Event> {
         match step {
--- a/crates/cyclamenwharf/src/entry/frontend.rs
+++ b/crates/cyclamenwharf/src/entry/frontend.rs
@@ -25,6 +25,7 @@
 use crate::Health;
 use crate::SharedView;
 use crate::SloMetrics;
+use crate::TraceBook;
 
 use super::claims::Claims;
 use super::key_book::KeyBook;
@@ -71,6 +72,8 @@
     pub(crate) peers: PeerPool,
     /// The choice of targets.
     pub(crate) router: Router,
+    /// Recorded decisions.
+    pub(crate) traces: Arc<TraceBook>,
     /// The requests in progress.
     pub(crate) progress: TaskTracker,
 }
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -27,6 +27,7 @@
 use crate::SloMetrics;
 use crate::StartError;
 use crate::Supervisor;
+use crate::TraceBook;
 
 use super::api;
 use super::claims::Claims;
@@ -51,6 +52,8 @@
     pub registry: Registry,
     /// The entry's health.
     pub health: Arc<Health>,
+    /// The entry's traces.
+    pub traces: Arc<TraceBook>,
 }
 
 /// The entry, which takes callers' requests.
@@ -86,6 +89,7 @@
             store: Arc::new(EtcdGateway::new(settings.platform.key_value.clone())),
             registry: Registry::new(),
             health: Arc::default(),
+            traces: Arc::new(TraceBook::new(settings.trace.clone())),
             settings,
         };
         let control = ControlParts {
@@ -94,6 +98,7 @@
             supervisor: supervisor.child("control"),
             registry: parts.registry.clone(),
             health: Arc::clone(&parts.health),
+            traces: Arc::clone(&parts.traces),
         };
         let control = traffic.spawn(Control::start(control));
         let control = control.await.map_err(start_error)??;
@@ -143,6 +148,7 @@
         metrics,
         router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
         progress: TaskTracker::new(),
+        traces: parts.traces,
         settings: parts.settings,
     });
     let config = ConfigDropshot {
@@ -185,6 +191,13 @@
 }
 
 impl EntryHandle {
+    /// Returns the recorded decisions that it keeps, oldest first, each as JSON lines.
+    pub fn traces(&self) -> Vec<String> {
+        let traces = &self.front.traces;
+        let list = traces.list();
+        list.into_iter().filter_map(|id| traces.get(id)).collect()
+    }
+
     /// Is not ready any more, and returns when all work in progress has ended.
     pub async fn drain(&self) {
         self.front.health.set_draining();
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -16,6 +16,7 @@
 use super::PlatformSettings;
 use super::SecretSettings;
 use super::SettingsError;
+use super::TraceSettings;
 
 /// Settings of an entry.
 #[data]
@@ -39,6 +40,9 @@
     /// How lost attempts are noticed.
     #[serde(default)]
     pub recovery: RecoverySettings,
+    /// Recording of decisions.
+    #[serde(default)]
+    pub trace: TraceSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/cyclamenwharf/src/settings/mod.rs
+++ b/crates/cyclamenwharf/src/settings/mod.rs
@@ -18,4 +18,5 @@
 pub use shared_settings::Role;
 pub use shared_settings::SecretSettings;
 pub use shared_settings::SettingsError;
+pub use shared_settings::TraceSettings;
 pub use shared_settings::read;
--- a/crates/cyclamenwharf/src/settings/shared_settings.rs
+++ b/crates/cyclamenwharf/src/settings/shared_settings.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use cw_macro::data;
+use cw_types::ByteSize;
 use log::LevelFilter;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
@@ -108,6 +109,25 @@
     pub level: LogLevel,
 }
 
+/// Recording of decisions, for replay.
+#[data(Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct TraceSettings {
+    /// The most bytes of traces kept in memory; `"0B"` records nothing.
+    pub kept: ByteSize,
+    /// Whether callers' text is recorded too.
+    pub bodies: bool,
+}
+
+impl Default for TraceSettings {
+    fn default() -> Self {
+        Self {
+            kept: ByteSize(0),
+            bodies: false,
+        }
+    }
+}
+
 /// Reads settings from a TOML file.
 ///
 /// # Errors
--- a/crates/cyclamenwharfctl/src/failure.rs
+++ b/crates/cyclamenwharfctl/src/failure.rs
@@ -44,6 +44,14 @@
         /// What was waited for.
         message: String,
     },
+    /// A replay differs from its trace.
+    #[snafu(display("{}: {difference}", file.display()))]
+    Replay {
+        /// The trace.
+        file: PathBuf,
+        /// Where it differs.
+        difference: String,
+    },
     /// The service-level report failed.
     #[snafu(display("{source}"), context(false))]
     Slo {
@@ -63,7 +71,7 @@
     /// Returns the exit code.
     pub(crate) fn code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Failure::Slo { .. } => 1,
+            Failure::Slo { .. } | Failure::Replay { .. } => 1,
             Failure::Input { .. } | Failure::Read { .. } => 2,
             Failure::Refused { error } => refused(error.kind),
             Failure::Unreachable { .. } => 7,
--- a/crates/cyclamenwharfctl/src/main.rs
+++ b/crates/cyclamenwharfctl/src/main.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod slo;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -51,6 +52,7 @@
         .subcommand_required(true)
         .subcommand(slo::command())
         .subcommand(settings::command())
+        .subcommand(trace::command())
         .subcommand(
             Command::new("completions")
                 .about("Writes completions for a shell")
@@ -80,6 +82,7 @@
         "completions" => complete(args),
         "openapi" => describe(),
         "status" => status::status(args).await,
+        "trace" => trace::run(args).await,
         "wait" => status::wait(args).await,
         "drain" => records::drain(args).await,
         "undrain" => records::undrain(args).await,
