--- a/crates/cw_policy/src/configuration/accept_flow.rs
+++ b/crates/cw_policy/src/configuration/accept_flow.rs
@@ -32,6 +32,8 @@
         proposal: Option<Proposal>,
         /// The snapshot.
         snapshot: Box<Snapshot>,
+        /// The highest revision that is known to be in force anywhere, asked after reading.
+        held: Revision,
     },
     /// The write was made, or met another one.
     Written(bool),
@@ -88,19 +90,22 @@
 /// after any other write has.
 #[derive(Clone, Debug)]
 pub struct AcceptFlow {
-    held: Revision,
     stage: Stage,
     attempts: u32,
     /// The revision on top of which a write was made whose answer was lost.
     lost: Option<Revision>,
 }
 
+impl Default for AcceptFlow {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl AcceptFlow {
-    /// Returns the flow of an entry that knows of revision `held` in force; begin with
-    /// [`FlowStep::Read`].
-    pub fn new(held: Revision) -> Self {
+    /// Returns a flow that is to begin with [`FlowStep::Read`].
+    pub fn new() -> Self {
         Self {
-            held,
             stage: Stage::Reading,
             attempts: 0,
             lost: None,
@@ -110,7 +115,11 @@
     /// Takes what came of the last step.
     pub fn on_event(&mut self, event: FlowEvent, by: &Acceptance<'_>) -> FlowStep {
         match event {
-            FlowEvent::Read { proposal, snapshot } => self.on_read(proposal, &snapshot, by),
+            FlowEvent::Read {
+                proposal,
+                snapshot,
+                held,
+            } => self.on_read(proposal, &snapshot, held, by),
             FlowEvent::Written(true) => self.on_written(),
             FlowEvent::Written(false) => self.again(),
             FlowEvent::Failed(fault) => self.on_failed(fault),
@@ -121,6 +130,7 @@
         &mut self,
         proposal: Option<Proposal>,
         snapshot: &Snapshot,
+        held: Revision,
         by: &Acceptance<'_>,
     ) -> FlowStep {
         if self.lost.is_some_and(|base| snapshot.revision > base) {
@@ -130,8 +140,8 @@
         let Some(proposal) = proposal else {
             return self.end(FlowEnd::NotFound);
         };
-        if snapshot.revision < self.held {
-            let (found, held) = (snapshot.revision, self.held);
+        if snapshot.revision < held {
+            let found = snapshot.revision;
             return self.end(FlowEnd::Reverted { found, held });
         }
         match accept(snapshot, &proposal, by) {
--- a/crates/cw_policy/src/configuration/mod.rs
+++ b/crates/cw_policy/src/configuration/mod.rs
@@ -14,6 +14,7 @@
 mod in_force;
 mod in_use;
 mod proposal;
+mod reject;
 mod watchers;
 
 pub use accept::Acceptance;
@@ -41,4 +42,6 @@
 pub use proposal::Edit;
 pub use proposal::Proposal;
 pub use proposal::ProposalState;
+pub use reject::Rejection;
+pub use reject::reject;
 pub use watchers::is_watcher;
--- /dev/null
+++ b/crates/cw_policy/tests/configuration.rs
@@ -0,0 +1,437 @@
+//! Acceptance of changes, and what comes into force.
+
+use cw_policy::configuration::Acceptance;
+use cw_policy::configuration::Alarm;
+use cw_policy::configuration::Breakage;
+use cw_policy::configuration::Edit;
+use cw_policy::configuration::InForce;
+use cw_policy::configuration::Proposal;
+use cw_policy::configuration::ProposalState;
+use cw_policy::configuration::Readers;
+use cw_policy::configuration::Refusal;
+use cw_policy::configuration::Source;
+use cw_policy::configuration::Taking;
+use cw_policy::configuration::Verdict;
+use cw_policy::configuration::accept;
+use cw_policy::configuration::apply_delta;
+use cw_policy::configuration::is_watcher;
+use cw_policy::configuration::make_delta;
+use cw_types::Actor;
+use cw_types::Change;
+use cw_types::HostId;
+use cw_types::Operator;
+use cw_types::OperatorRole;
+use cw_types::Record;
+use cw_types::RecordKey;
+use cw_types::RecordKind;
+use cw_types::Revision;
+use cw_types::SchemaVersion;
+use cw_types::Snapshot;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+/// Live processes that read schema versions up to this one.
+struct Reads(u32);
+
+impl Readers for Reads {
+    fn unable(&self, _kind: RecordKind, schema: SchemaVersion) -> Vec<HostId> {
+        match schema.0 > self.0 {
+            true => vec![name("entry-old")],
+            false => Vec::new(),
+        }
+    }
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn operator(alone: bool) -> Operator {
+    Operator {
+        keys: Vec::new(),
+        role: OperatorRole::Accepter,
+        alone,
+    }
+}
+
+fn record(kind: RecordKind, name: &str, schema: u32, body: Value) -> Record {
+    let Value::Object(body) = body else {
+        panic!("a body is an object");
+    };
+    Record {
+        kind,
+        name: name.to_owned(),
+        schema: SchemaVersion(schema),
+        body,
+    }
+}
+
+fn priority(name: &str, rank: u8) -> Record {
+    record(RecordKind::Priority, name, 1, json!({ "rank": rank }))
+}
+
+fn propose(snapshot: &Snapshot, id: &str, edits: Vec<Edit>) -> Proposal {
+    Proposal::new(name(id), name("alice"), 1, edits, snapshot)
+}
+
+fn decide(snapshot: &Snapshot, proposal: &Proposal, accepter: &str, alone: bool) -> Verdict {
+    let accepter: Actor = name(accepter);
+    let by = Acceptance {
+        accepter: &accepter,
+        operator: &operator(alone),
+        at: 2,
+        readers: &Reads(2),
+        in_use: &[],
+    };
+    accept(snapshot, proposal, &by)
+}
+
+/// Accepts edits by a second person.
+fn accepted(snapshot: &Snapshot, id: &str, edits: Vec<Edit>) -> Snapshot {
+    match decide(snapshot, &propose(snapshot, id, edits), "bob", false) {
+        Verdict::Write(next) => *next,
+        other => panic!("expected an acceptance, found {other:?}"),
+    }
+}
+
+fn put(record: Record) -> Edit {
+    Edit::Put(record)
+}
+
+fn with_route() -> Snapshot {
+    let target = json!({
+        "agent": "127.0.0.1:1", "host": "h1", "zone": "a", "region": "r", "kind": "engine",
+        "versions": { "m": ["v1"] },
+    });
+    let route = json!({
+        "to": { "model": { "model": "m", "version": "v1" } },
+        "priority": "normal",
+    });
+    let edits = vec![
+        put(priority("normal", 1)),
+        put(record(RecordKind::Target, "t1", 1, target)),
+        put(record(RecordKind::Route, "r1", 1, route)),
+    ];
+    accepted(&Snapshot::default(), "first", edits)
+}
+
+#[test]
+fn accepted_change_makes_the_next_revision_and_is_audited() {
+    let next = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+
+    assert_eq!(next.revision, Revision(1));
+    let change = next.changes.last().expect("the audit entry");
+    assert_eq!(change.proposer, name("alice"));
+    assert_eq!(change.accepter, name("bob"));
+    assert_eq!(change.touched, [priority("p", 1).key()]);
+}
+
+#[test]
+fn acceptance_is_idempotent_on_the_change_id() {
+    let proposal = propose(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+    let Verdict::Write(next) = decide(&Snapshot::default(), &proposal, "bob", false) else {
+        panic!("expected an acceptance");
+    };
+
+    let again = decide(&next, &proposal, "bob", false);
+
+    assert_eq!(again, Verdict::Already(next.changes[0].clone()));
+}
+
+#[test]
+fn race_ends_in_a_conflict_that_names_the_other_change() {
+    let empty = Snapshot::default();
+    let late = propose(&empty, "late", vec![put(priority("p", 2))]);
+    let next = accepted(&empty, "early", vec![put(priority("p", 1))]);
+
+    let verdict = decide(&next, &late, "bob", false);
+
+    let Verdict::Refused(Refusal::Conflict { key, other, .. }) = verdict else {
+        panic!("expected a conflict, found {verdict:?}");
+    };
+    assert_eq!(key, priority("p", 1).key());
+    assert_eq!(other, Some(name("early")));
+}
+
+#[test]
+fn race_with_a_removal_ends_in_a_conflict() {
+    let first = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+    let late = propose(&first, "late", vec![put(priority("p", 2))]);
+    let key = priority("p", 1).key();
+    let next = accepted(&first, "removal", vec![Edit::Remove(key)]);
+
+    let verdict = decide(&next, &late, "bob", false);
+
+    assert!(matches!(
+        verdict,
+        Verdict::Refused(Refusal::Conflict { .. })
+    ));
+}
+
+#[test]
+fn changes_of_different_records_do_not_conflict() {
+    let empty = Snapshot::default();
+    let other = propose(&empty, "other", vec![put(priority("q", 2))]);
+    let next = accepted(&empty, "early", vec![put(priority("p", 1))]);
+
+    let verdict = decide(&next, &other, "bob", false);
+
+    assert!(matches!(verdict, Verdict::Write(_)));
+}
+
+#[rstest]
+#[case::another_person("bob", false, true)]
+#[case::same_person("alice", false, false)]
+#[case::same_person_who_may("alice", true, true)]
+fn accepter_is_another_person_unless_allowed(
+    #[case] accepter: &str,
+    #[case] alone: bool,
+    #[case] allowed: bool,
+) {
+    let empty = Snapshot::default();
+    let proposal = propose(&empty, "c1", vec![put(priority("p", 1))]);
+
+    let verdict = decide(&empty, &proposal, accepter, alone);
+
+    assert_eq!(matches!(verdict, Verdict::Write(_)), allowed);
+}
+
+#[test]
+fn drain_needs_no_second_person() {
+    let empty = Snapshot::default();
+    let drain = record(RecordKind::Drain, "t1", 1, json!({ "reason": "hot" }));
+    let proposal = propose(&empty, "c1", vec![put(drain)]);
+
+    let verdict = decide(&empty, &proposal, "alice", false);
+
+    assert!(matches!(verdict, Verdict::Write(_)));
+}
+
+#[test]
+fn proposer_may_not_accept() {
+    let empty = Snapshot::default();
+    let proposal = propose(&empty, "c1", vec![put(priority("p", 1))]);
+    let by = Acceptance {
+        accepter: &name("carol"),
+        operator: &Operator {
+            role: OperatorRole::Proposer,
+            ..operator(true)
+        },
+        at: 2,
+        readers: &Reads(2),
+        in_use: &[],
+    };
+
+    let verdict = accept(&empty, &proposal, &by);
+
+    assert!(matches!(verdict, Verdict::Refused(Refusal::Role { .. })));
+}
+
+#[test]
+fn rejected_change_is_not_accepted() {
+    let empty = Snapshot::default();
+    let mut proposal = propose(&empty, "c1", vec![put(priority("p", 1))]);
+    proposal.state = ProposalState::Rejected(name("carol"));
+
+    let verdict = decide(&empty, &proposal, "bob", false);
+
+    assert_eq!(
+        verdict,
+        Verdict::Refused(Refusal::Rejected { by: name("carol") })
+    );
+}
+
+#[test]
+fn schema_that_a_live_process_cannot_read_is_refused_by_name() {
+    let empty = Snapshot::default();
+    let new = record(RecordKind::Workspace, "w", 3, json!({ "keys": [] }));
+    let proposal = propose(&empty, "c1", vec![put(new)]);
+
+    let verdict = decide(&empty, &proposal, "bob", false);
+
+    let Verdict::Refused(Refusal::Unreadable { hosts, schema, .. }) = verdict else {
+        panic!("expected a refusal, found {verdict:?}");
+    };
+    assert_eq!(hosts, [name::<HostId>("entry-old")]);
+    assert_eq!(schema, SchemaVersion(3));
+}
+
+#[rstest]
+#[case::no_target("target/t1")]
+#[case::no_priority("priority/normal")]
+fn change_that_breaks_a_route_is_refused(#[case] removed: &str) {
+    let present = with_route();
+    let key: RecordKey = name(removed);
+    let proposal = propose(&present, "c1", vec![Edit::Remove(key)]);
+
+    let verdict = decide(&present, &proposal, "bob", false);
+
+    let Verdict::Refused(Refusal::Breaks { breakages }) = verdict else {
+        panic!("expected a refusal, found {verdict:?}");
+    };
+    let expected = match removed {
+        "target/t1" => Breakage::NoTarget { route: name("r1") },
+        _ => Breakage::NoPriority { route: name("r1") },
+    };
+    assert!(breakages.contains(&expected), "{breakages:?}");
+}
+
+#[test]
+fn route_to_a_version_that_nothing_holds_is_refused() {
+    let present = with_route();
+    let route = json!({
+        "to": { "model": { "model": "m", "version": "v2" } },
+        "priority": "normal",
+    });
+    let edit = put(record(RecordKind::Route, "r1", 1, route));
+    let proposal = propose(&present, "c1", vec![edit]);
+
+    let verdict = decide(&present, &proposal, "bob", false);
+
+    let breakages = vec![Breakage::NoVersion {
+        route: name("r1"),
+        version: name("v2"),
+    }];
+    assert_eq!(verdict, Verdict::Refused(Refusal::Breaks { breakages }));
+}
+
+#[test]
+fn delta_makes_the_same_snapshot() {
+    let one = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+    let two = accepted(&one, "c2", vec![put(priority("q", 1))]);
+    let key = priority("p", 1).key();
+    let three = accepted(&two, "c3", vec![Edit::Remove(key)]);
+
+    let delta = make_delta(&three, Revision(1)).expect("the changes reach that far");
+
+    assert_eq!(apply_delta(&one, &delta), Ok(three.clone()));
+    assert!(apply_delta(&two, &delta).is_err());
+}
+
+#[test]
+fn lower_revision_is_held_with_an_alarm_until_the_service_catches_up() {
+    let one = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+    let two = accepted(&one, "c2", vec![put(priority("q", 1))]);
+    let mut in_force = InForce::default();
+    in_force.take(Source::Store, two.clone());
+
+    let taking = in_force.take(Source::Store, one);
+
+    let alarm = Alarm::Reverted {
+        found: Revision(1),
+        held: Revision(2),
+    };
+    assert_eq!(taking, Taking::Held(alarm.clone()));
+    assert_eq!(in_force.alarm(), Some(&alarm));
+    assert_eq!(in_force.revision(), Revision(2));
+    assert_eq!(in_force.take(Source::Store, two), Taking::Same);
+    assert_eq!(in_force.alarm(), None);
+}
+
+#[test]
+fn other_history_is_held_with_an_alarm() {
+    let one = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
+    let ours = accepted(&one, "ours", vec![put(priority("q", 1))]);
+    let theirs = accepted(&one, "theirs", vec![put(priority("q", 2))]);
+    let theirs = accepted(&theirs, "theirs-2", vec![put(priority("q", 3))]);
+    let mut in_force = InForce::default();
+    in_force.take(Source::Store, ours.clone());
+
+    let taking = in_force.take(Source::Store, theirs);
+
+    assert!(matches!(taking, Taking::Held(Alarm::Diverged { .. })));
+    assert_eq!(**in_force.snapshot(), ours);
+}
+
+#[test]
+fn unreadable_record_is_kept_whole_and_its_last_meaning_goes_on() {
+    let one = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 7))]);
+    let mut two = one.clone();
+    two.revision = Revision(2);
+    let newer = record(RecordKind::Priority, "p", 9, json!({ "level": "x" }));
+    two.records
+        .insert(newer.key(), (Revision(2), newer.clone()));
+    let mut in_force = InForce::default();
+    in_force.take(Source::Store, one);
+
+    let taking = in_force.take(Source::Store, two);
+
+    assert!(matches!(&taking, Taking::Applied(errors) if errors.len() == 1));
+    assert_eq!(in_force.config().priorities[&name("p")].rank, 7);
+    assert_eq!(in_force.snapshot().records[&newer.key()].1, newer);
+}
+
+#[test]
+fn snapshot_of_the_planned_size_is_below_a_megabyte() {
+    const LIMIT: usize = 1_000_000;
+    let mut records = Vec::new();
+    for n in 0..420 {
+        let body = json!({
+            "keys": ["ab".repeat(32), "cd".repeat(32)],
+            "quota": { "concurrent": 64, "requests": "50/s", "tokens": "20000/s" },
+            "weight": 10,
+        });
+        records.push(record(
+            RecordKind::Workspace,
+            &format!("workspace-{n}"),
+            2,
+            body,
+        ));
+    }
+    for n in 0..660 {
+        let body = json!({
+            "agent": format!("10.20.30.40:{}", 10_000 + n), "host": format!("host-{n:05}"),
+            "zone": "region-1-zone-a", "region": "region-1", "kind": "engine", "fenced": true,
+            "versions": { "model-one": ["2026-12-01"] },
+        });
+        records.push(record(
+            RecordKind::Target,
+            &format!("target-{n:05}"),
+            1,
+            body,
+        ));
+    }
+    let revision = Revision(1_800);
+    let change = |n: usize| Change {
+        id: name(&format!("change-{n:016x}")),
+        revision: Revision(n as u64 + 1),
+        proposer: name("first.last@example.org"),
+        accepter: name("other.person@example.org"),
+        touched: vec![records[n].key(), records[n + 1].key()],
+        accepted_at: 1_800_000_000,
+    };
+    let snapshot = Snapshot {
+        revision,
+        changes: (0..1000).map(change).collect(),
+        records: records
+            .iter()
+            .map(|record| (record.key(), (revision, record.clone())))
+            .collect(),
+    };
+    let snapshot = snapshot.trimmed();
+
+    let size = serde_json::to_vec(&snapshot).expect("JSON").len();
+
+    println!("snapshot: {size} bytes, {} changes", snapshot.changes.len());
+    assert_eq!(snapshot.records.len(), 1080);
+    assert!(size < LIMIT, "{size} bytes");
+}
+
+#[test]
+fn two_watchers_a_zone_however_many_entries() {
+    let entries: Vec<_> = (0..100)
+        .map(|n| cw_policy::EntryPeer {
+            host: name(&format!("entry-{n}")),
+            zone: name(if n % 2 == 0 { "a" } else { "b" }),
+            region: name("r"),
+            peers: "127.0.0.1:1".parse().expect("an address"),
+        })
+        .collect();
+
+    let watchers = entries
+        .iter()
+        .filter(|entry| is_watcher(&entry.host, &entry.zone, &entries));
+
+    assert_eq!(watchers.count(), 4);
+}
--- a/crates/cyclamenwharf/src/control/admin/desk.rs
+++ b/crates/cyclamenwharf/src/control/admin/desk.rs
@@ -14,10 +14,11 @@
 use cw_policy::configuration::FlowEvent;
 use cw_policy::configuration::FlowStep;
 use cw_policy::configuration::Proposal;
-use cw_policy::configuration::ProposalState;
+use cw_policy::configuration::Rejection;
 use cw_policy::configuration::Verdict;
 use cw_policy::configuration::accept;
 use cw_policy::configuration::in_use;
+use cw_policy::configuration::reject;
 use cw_store::KeyValue;
 use cw_store::ModRevision;
 use cw_store::StoreError;
@@ -142,18 +143,17 @@
         caller: &Caller,
         id: &ChangeId,
     ) -> Result<Proposal, ErrorMessage> {
+        let in_force = self.inspect().await?.snapshot();
         for _ in 0..ATTEMPTS {
             let stored = self.stored_proposal(id).await?;
-            match &stored.value.state {
-                ProposalState::Pending => {}
-                ProposalState::Rejected(by) if *by == caller.actor => return Ok(stored.value),
-                ProposalState::Rejected(by) => return Err(taken(id, "rejected", by)),
-                ProposalState::Accepting(by) => return Err(taken(id, "accepted", by)),
-            }
-            let mut rejected = stored.value;
-            rejected.state = ProposalState::Rejected(caller.actor.clone());
+            let rejected = match reject(&in_force, &stored.value, &caller.actor) {
+                Rejection::Write(rejected) => rejected,
+                Rejection::Already => return Ok(stored.value),
+                Rejection::Rejected(by) => return Err(taken(id, "rejected", &by)),
+                Rejection::Accepted(by) => return Err(taken(id, "accepted", &by)),
+            };
             match self.put(&key_of(id), stored.modified, &rejected).await {
-                Ok(Swap::Done(_)) => return Ok(rejected),
+                Ok(Swap::Done(_)) => return Ok(*rejected),
                 Ok(Swap::Conflict(_)) | Err(StoreError::Lost { .. }) => continue,
                 Err(error) => return Err(error.into()),
             }
@@ -204,7 +204,7 @@
         id: &ChangeId,
     ) -> Result<Change, ErrorMessage> {
         let inspection = self.inspect().await?;
-        let mut flow = AcceptFlow::new(inspection.highest());
+        let mut flow = AcceptFlow::new();
         let mut step = FlowStep::Read;
         let (mut proposal, mut snapshot) = (None, None);
         loop {
@@ -254,6 +254,7 @@
         let event = FlowEvent::Read {
             proposal: proposal.map(|stored| stored.value),
             snapshot: Box::new(snapshot.value),
+            held: self.inspect().await?.highest(),
         };
         Ok((event, (written, snapshot.modified)))
     }
@@ -288,7 +289,7 @@
         let Some(oldest) = next.changes.first() else {
             return;
         };
-        if next.changes.len() < KEPT_CHANGES || next.revision.0 % FORGET_PERIOD != 0 {
+        if next.changes.len() < KEPT_CHANGES || !next.revision.0.is_multiple_of(FORGET_PERIOD) {
             return;
         }
         // What is left behind costs only its room, so failures are left to the next time.
