--- /dev/null
+++ b/crates/cw_policy/tests/planner.rs
@@ -0,0 +1,451 @@
+//! Who the planner is, and what it orders.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cw_policy::Liveness;
+use cw_policy::TargetView;
+use cw_policy::View;
+use cw_policy::planner::Lease;
+use cw_policy::planner::LeaseEvent;
+use cw_policy::planner::LeaseStep;
+use cw_policy::planner::OrderOutcome;
+use cw_policy::planner::PlannedOrder;
+use cw_policy::planner::Planner;
+use cw_policy::planner::PlannerInput;
+use cw_policy::planner::Weight;
+use cw_types::ByteSize;
+use cw_types::Config;
+use cw_types::FencingNumber;
+use cw_types::Incarnation;
+use cw_types::ModelName;
+use cw_types::ModelVersion;
+use cw_types::Target;
+use cw_types::TargetId;
+use cw_types::TargetKind;
+use cw_types::Time;
+use cw_types::VersionName;
+use cw_wire::OrderAnswer;
+use cw_wire::OrderKind;
+use cw_wire::Pins;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How long the weight store takes for one load.
+const LOAD_TIME: Duration = Duration::from_secs(4);
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+fn at(seconds: u64) -> Time {
+    Time(1_000_000_000) + SECOND * seconds as u32
+}
+
+// ----------------------------------------------------------------------------
+// The lease
+
+const TICK: LeaseEvent = LeaseEvent::Tick { candidate: true };
+
+/// A lease that was asked for and claimed at second 0.
+fn held() -> Lease {
+    let mut lease = Lease::new(at(0));
+    assert!(matches!(
+        lease.on_event(at(0), TICK),
+        LeaseStep::Grant { .. }
+    ));
+    let granted = LeaseEvent::Granted {
+        asked: at(0),
+        lease: 7,
+    };
+    assert_eq!(
+        lease.on_event(at(0), granted),
+        LeaseStep::Claim { lease: 7 }
+    );
+    let created = FencingNumber(41);
+    lease.on_event(at(0), LeaseEvent::Claimed { created });
+    lease
+}
+
+#[test]
+fn claimed_lease_gives_the_fencing_number() {
+    let lease = held();
+
+    assert_eq!(lease.fencing(at(1)), Some(FencingNumber(41)));
+}
+
+#[test]
+fn holder_stops_by_its_own_clock_before_the_service_gives_the_lease_away() {
+    let mut lease = held();
+
+    let paused = lease.fencing(at(5));
+    lease.on_event(at(5), TICK);
+    let late = LeaseEvent::Renewed {
+        asked: at(4),
+        ttl: SECOND * 6,
+    };
+    lease.on_event(at(5), late);
+
+    assert_eq!(paused, None);
+    assert_eq!(lease.fencing(at(5)), None, "a late answer revives nothing");
+}
+
+#[test]
+fn renewal_counts_from_when_it_was_asked() {
+    let mut lease = held();
+    assert_eq!(lease.on_event(at(2), TICK), LeaseStep::Renew { lease: 7 });
+    let renewed = LeaseEvent::Renewed {
+        asked: at(2),
+        ttl: SECOND * 6,
+    };
+
+    lease.on_event(at(4), renewed);
+
+    assert!(lease.fencing(at(6)).is_some());
+    assert_eq!(lease.fencing(at(7)), None);
+}
+
+#[test]
+fn lost_answer_of_a_claim_is_settled_by_claiming_again() {
+    let mut lease = Lease::new(at(0));
+    lease.on_event(at(0), TICK);
+    let granted = LeaseEvent::Granted {
+        asked: at(0),
+        lease: 7,
+    };
+    lease.on_event(at(0), granted);
+
+    let step = lease.on_event(at(1), LeaseEvent::Failed);
+
+    assert_eq!(step, LeaseStep::Claim { lease: 7 });
+    assert_eq!(lease.fencing(at(1)), None);
+}
+
+#[test]
+fn loser_gives_its_lease_back_and_waits() {
+    let mut lease = Lease::new(at(0));
+    lease.on_event(at(0), TICK);
+    let granted = LeaseEvent::Granted {
+        asked: at(0),
+        lease: 7,
+    };
+    lease.on_event(at(0), granted);
+
+    let step = lease.on_event(at(1), LeaseEvent::Taken);
+
+    assert_eq!(step, LeaseStep::Revoke { lease: 7 });
+    assert_eq!(lease.on_event(at(2), TICK), LeaseStep::Rest);
+}
+
+#[test]
+fn grant_that_comes_after_a_pause_is_given_back() {
+    let mut lease = Lease::new(at(0));
+    lease.on_event(at(0), TICK);
+    let granted = LeaseEvent::Granted {
+        asked: at(0),
+        lease: 7,
+    };
+
+    let step = lease.on_event(at(60), granted);
+
+    assert_eq!(step, LeaseStep::Revoke { lease: 7 });
+}
+
+// ----------------------------------------------------------------------------
+// Orders
+
+/// A deployment of engines, each of which does what it is ordered at once.
+struct World {
+    view: View,
+    weights: BTreeMap<String, Weight>,
+    pins: BTreeMap<TargetId, Pins>,
+    planner: Planner,
+}
+
+fn model() -> ModelName {
+    name("m")
+}
+
+fn version(name_: &str, targets: u32) -> ModelVersion {
+    ModelVersion {
+        model: model(),
+        version: name(name_),
+        weights: format!("weights-{name_}"),
+        adapters: BTreeSet::new(),
+        targets,
+        keep: SECOND * 30,
+    }
+}
+
+impl World {
+    /// `count` engines that hold v1, and a planner with fencing number 5.
+    fn new(count: usize) -> Self {
+        let mut planner = Planner::default();
+        planner.on_lease(Some(FencingNumber(5)));
+        let weight = Weight {
+            size: ByteSize::mib(400),
+            rate: ByteSize::mib(100),
+        };
+        let weights = ["v1", "v2"].map(|v| (format!("weights-{v}"), weight));
+        let mut world = Self {
+            view: View::default(),
+            weights: weights.into(),
+            pins: BTreeMap::new(),
+            planner,
+        };
+        for n in 0..count {
+            let id: TargetId = name(&format!("t{n}"));
+            world.view.targets.insert(id.clone(), engine(n));
+            world.pins.insert(id, Pins::new());
+        }
+        world
+    }
+
+    fn want(&mut self, versions: &[ModelVersion]) {
+        let named = |v: &ModelVersion| (v.version.to_string(), v.clone());
+        let config = Config {
+            versions: versions.iter().map(named).collect(),
+            ..Config::default()
+        };
+        self.view.config = config.into();
+    }
+
+    fn plan(&mut self, now: Time) -> Vec<PlannedOrder> {
+        let input = PlannerInput {
+            view: &self.view,
+            weights: &self.weights,
+            pins: &self.pins,
+        };
+        self.planner.plan(now, input)
+    }
+
+    fn seen(&mut self, id: &TargetId) -> &mut TargetView {
+        self.view.targets.get_mut(id).expect("a known target")
+    }
+
+    fn obey(&mut self, now: Time, planned: &PlannedOrder) {
+        let seen = self.seen(&planned.target);
+        let versions = seen.versions.entry(model()).or_default();
+        match &planned.order.kind {
+            OrderKind::Load { version, .. } => drop(versions.insert(version.clone())),
+            OrderKind::Unload { version, .. } => drop(versions.remove(version)),
+            OrderKind::LoadAdapter { .. } | OrderKind::Role { .. } => {}
+        }
+        let done = OrderOutcome::Answer(OrderAnswer::Done);
+        let sequence = planned.order.sequence;
+        self.planner
+            .on_outcome(now, &planned.target, sequence, done);
+    }
+
+    fn holders(&self, version: &str) -> usize {
+        let version: VersionName = name(version);
+        let holds = |seen: &&TargetView| {
+            let versions = seen.versions.get(&model());
+            versions.is_some_and(|versions| versions.contains(&version))
+        };
+        self.view.targets.values().filter(holds).count()
+    }
+}
+
+fn engine(n: usize) -> TargetView {
+    TargetView {
+        target: Target {
+            agent: "127.0.0.1:1".parse().expect("an address"),
+            host: name(&format!("h{n}")),
+            zone: name("a"),
+            region: name("r"),
+            kind: TargetKind::Engine,
+            fenced: true,
+            versions: BTreeMap::new(),
+        },
+        liveness: Liveness::Alive,
+        incarnation: Incarnation(1),
+        load: Default::default(),
+        reported: at(0),
+        returned: at(0),
+        versions: [(model(), [name("v1")].into())].into(),
+        crashes: Vec::new(),
+    }
+}
+
+fn pin(world: &mut World, id: &str, version: &str) {
+    let pins = [(model(), [(name(version), 1)].into())].into();
+    world.pins.insert(name(id), pins);
+}
+
+#[test]
+fn without_the_lease_there_are_no_orders() {
+    let mut world = World::new(2);
+    world.want(&[version("v2", 2)]);
+    world.planner.on_lease(None);
+
+    assert_eq!(world.plan(at(0)), []);
+}
+
+#[test]
+fn loads_are_paced_by_the_weight_store() {
+    let mut world = World::new(4);
+    world.want(&[version("v1", 4), version("v2", 4)]);
+
+    let mut starts = Vec::new();
+    for second in 0..20 {
+        for planned in world.plan(at(second)) {
+            starts.push(second);
+            world.obey(at(second), &planned);
+        }
+    }
+
+    assert_eq!(starts.len(), 4);
+    for pair in starts.windows(2) {
+        assert!(SECOND * (pair[1] - pair[0]) as u32 >= LOAD_TIME);
+    }
+}
+
+#[test]
+fn unknown_weights_are_not_loaded() {
+    let mut world = World::new(2);
+    world.want(&[version("v2", 2)]);
+    world.weights.clear();
+
+    assert_eq!(world.plan(at(0)), []);
+}
+
+#[test]
+fn old_version_stays_everywhere_until_nothing_is_pinned_and_then_for_its_time() {
+    let mut world = World::new(3);
+    world.want(&[version("v2", 3)]);
+    pin(&mut world, "t1", "v1");
+    let mut second = 0;
+    while world.holders("v2") < 3 {
+        for planned in world.plan(at(second)) {
+            world.obey(at(second), &planned);
+        }
+        second += 1;
+    }
+
+    for later in second..second + 300 {
+        assert_eq!(world.plan(at(later)), [], "a generation is pinned");
+    }
+    let unpinned = second + 300;
+    world.pins.insert(name("t1"), Pins::new());
+    let mut unloads = Vec::new();
+    for later in unpinned..unpinned + 60 {
+        for planned in world.plan(at(later)) {
+            unloads.push(later);
+            world.obey(at(later), &planned);
+        }
+    }
+
+    assert_eq!(world.holders("v1"), 0);
+    assert!(unloads.iter().all(|at| *at >= unpinned + 30), "{unloads:?}");
+}
+
+#[test]
+fn target_that_has_not_reported_its_pins_keeps_the_old_version() {
+    let mut world = World::new(2);
+    world.want(&[version("v2", 2)]);
+    world.pins.remove(&name("t0"));
+    for id in ["t0", "t1"] {
+        let seen = world.seen(&name(id));
+        seen.versions = [(model(), [name("v1"), name("v2")].into())].into();
+    }
+
+    for second in 0..100 {
+        assert_eq!(world.plan(at(second)), []);
+    }
+}
+
+#[test]
+fn lost_answer_repeats_the_order_under_its_number() {
+    let mut world = World::new(1);
+    world.want(&[version("v2", 1)]);
+    let first = world.plan(at(0));
+    let (target, sequence) = (first[0].target.clone(), first[0].order.sequence);
+
+    world
+        .planner
+        .on_outcome(at(1), &target, sequence, OrderOutcome::Lost);
+    let again = world.plan(at(3));
+
+    assert_eq!(again, first);
+}
+
+#[test]
+fn begun_order_is_not_repeated_and_late_answers_change_nothing() {
+    let mut world = World::new(1);
+    world.want(&[version("v2", 1)]);
+    let first = world.plan(at(0)).remove(0);
+    let (target, sequence) = (first.target.clone(), first.order.sequence);
+    let begun = OrderOutcome::Answer(OrderAnswer::Begun);
+    let failed = OrderOutcome::Answer(OrderAnswer::Failed {
+        message: "late".to_owned(),
+    });
+
+    world.planner.on_outcome(at(1), &target, sequence, begun);
+    world
+        .planner
+        .on_outcome(at(1), &target, sequence + 9, failed);
+
+    assert_eq!(world.plan(at(4)), []);
+    assert_eq!(world.planner.in_progress(), 1);
+}
+
+#[test]
+fn planner_that_meets_a_later_one_stops() {
+    let mut world = World::new(2);
+    world.want(&[version("v2", 2)]);
+    let first = world.plan(at(0)).remove(0);
+    let fenced = OrderOutcome::Answer(OrderAnswer::Fenced {
+        highest: FencingNumber(6),
+    });
+
+    let sequence = first.order.sequence;
+    world
+        .planner
+        .on_outcome(at(1), &first.target, sequence, fenced);
+
+    assert!(world.planner.is_deposed());
+    assert_eq!(world.plan(at(30)), []);
+}
+
+#[test]
+fn next_holder_carries_a_higher_number_and_counts_anew() {
+    let mut world = World::new(2);
+    world.want(&[version("v2", 2)]);
+    world.plan(at(0));
+
+    world.planner.on_lease(Some(FencingNumber(9)));
+    let orders = world.plan(at(1));
+
+    assert_eq!(orders[0].order.fencing, FencingNumber(9));
+    assert_eq!(orders[0].order.sequence, 1);
+}
+
+#[test]
+fn leaving_target_is_ordered_nothing() {
+    let mut world = World::new(1);
+    world.want(&[version("v2", 1)]);
+    world.seen(&name("t0")).liveness = Liveness::Leaving;
+
+    assert_eq!(world.plan(at(0)), []);
+}
+
+#[test]
+fn version_change_keeps_the_old_capacity_at_every_moment() {
+    let mut world = World::new(36);
+    world.want(&[version("v2", 36)]);
+
+    let mut second = 0;
+    while world.holders("v1") > 0 {
+        assert!(second < 3600, "the change does not end");
+        for planned in world.plan(at(second)) {
+            let unload = matches!(planned.order.kind, OrderKind::Unload { .. });
+            assert!(!unload || world.holders("v2") == 36);
+            world.obey(at(second), &planned);
+        }
+        second += 1;
+    }
+
+    assert_eq!(world.holders("v2"), 36);
+}
