--- a/crates/cw_store/src/etcd/gateway.rs
+++ b/crates/cw_store/src/etcd/gateway.rs
@@ -140,10 +140,7 @@
         expected: Option<ModRevision>,
         operation: Operation,
     ) -> Result<Swap, StoreError> {
-        let read = RangeRequest {
-            key: encode(key),
-            range_end: None,
-        };
+        let read = RangeRequest::one(key);
         let request = TxnRequest {
             compare: vec![Compare::new(key, expected)],
             success: vec![operation],
@@ -202,12 +199,21 @@
 
 impl KeyValue for EtcdGateway {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>> {
+        self.range(RangeRequest::one(key))
+            .map(|found| found.map(|pairs| pairs.into_iter().next()))
+            .boxed()
+    }
+
+    fn modified<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<ModRevision>, StoreError>> {
         let request = RangeRequest {
-            key: encode(key),
-            range_end: None,
+            keys_only: true,
+            ..RangeRequest::one(key)
         };
         self.range(request)
-            .map(|found| found.map(|pairs| pairs.into_iter().next()))
+            .map(|found| found.map(|pairs| pairs.first().map(|pair| pair.modified)))
             .boxed()
     }
 
@@ -215,6 +221,7 @@
         let request = RangeRequest {
             key: encode(prefix),
             range_end: Some(range_end(prefix)),
+            keys_only: false,
         };
         self.range(request).boxed()
     }
@@ -239,10 +246,7 @@
         key: &'a str,
         expected: ModRevision,
     ) -> BoxFuture<'a, Result<Swap, StoreError>> {
-        let delete = RangeRequest {
-            key: encode(key),
-            range_end: None,
-        };
+        let delete = RangeRequest::one(key);
         self.transact(key, Some(expected), Operation::Delete(delete))
             .boxed()
     }
--- a/crates/cw_store/src/etcd/json.rs
+++ b/crates/cw_store/src/etcd/json.rs
@@ -61,6 +61,20 @@
 pub(super) struct RangeRequest {
     pub(super) key: String,
     pub(super) range_end: Option<String>,
+    /// Whether values are left out.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(super) keys_only: bool,
+}
+
+impl RangeRequest {
+    /// Asks for one key.
+    pub(super) fn one(key: &str) -> Self {
+        Self {
+            key: encode(key),
+            range_end: None,
+            keys_only: false,
+        }
+    }
 }
 
 #[derive(Debug, Default, Deserialize)]
--- a/crates/cw_store/src/key_value.rs
+++ b/crates/cw_store/src/key_value.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cw_macro::data;
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
 use snafu::Snafu;
@@ -87,6 +88,14 @@
     /// Reads one key.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>>;
 
+    /// Returns when a key was last changed, without its value where the service can do that.
+    fn modified<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<ModRevision>, StoreError>> {
+        async move { Ok(self.get(key).await?.map(|found| found.modified)) }.boxed()
+    }
+
     /// Reads all keys that begin with `prefix`, in order.
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>>;
 
--- a/crates/cyclamenwharf/src/control/counted.rs
+++ b/crates/cyclamenwharf/src/control/counted.rs
@@ -38,6 +38,14 @@
         self.inner.get(key)
     }
 
+    fn modified<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<ModRevision>, StoreError>> {
+        self.count("modified");
+        self.inner.modified(key)
+    }
+
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
         self.count("list");
         self.inner.list(prefix)
--- a/crates/cyclamenwharf/src/control/store_task.rs
+++ b/crates/cyclamenwharf/src/control/store_task.rs
@@ -66,41 +66,51 @@
 
     /// Reads and watches the key until a call fails or this process need not watch any more.
     async fn follow(&mut self) -> Result<(), StoreError> {
-        let found = self.read().await?;
-        let after = found.map_or(FROM_NOW, |versioned| versioned.modified);
-        let mut stream = self.key_value.watch(CONFIG_KEY, after).await?;
-        let mut verify = Instant::now() + VERIFY_PERIOD;
-        if after == FROM_NOW {
-            verify = Instant::now();
-        }
+        let mut last = self.read().await?;
+        let mut stream = self
+            .key_value
+            .watch(CONFIG_KEY, last.unwrap_or(FROM_NOW))
+            .await?;
+        let mut verify = match last {
+            Some(_) => Instant::now() + VERIFY_PERIOD,
+            // A write between the read and the watch was missed.
+            None => Instant::now(),
+        };
         loop {
             tokio::select! {
                 event = stream.next() => match event {
-                    Some(event) => self.on_event(event?).await,
+                    Some(event) => last = self.on_event(event?).await.or(last),
                     None => return Ok(()),
                 },
                 () = tokio::time::sleep_until(verify) => {
                     verify = Instant::now() + VERIFY_PERIOD;
-                    self.read().await?;
+                    if self.key_value.modified(CONFIG_KEY).await? != last {
+                        last = self.read().await?;
+                    }
                 }
                 _ = self.usage.changed() => return Ok(()),
             }
         }
     }
 
-    async fn read(&self) -> Result<Option<Versioned>, StoreError> {
+    async fn read(&self) -> Result<Option<ModRevision>, StoreError> {
         let found = self.key_value.get(CONFIG_KEY).await?;
         self.tell(found.as_ref()).await;
-        Ok(found)
+        Ok(found.map(|found| found.modified))
     }
 
-    async fn on_event(&self, event: WatchEvent) {
+    /// Passes a change on, and returns when the key was last changed if it says so.
+    async fn on_event(&self, event: WatchEvent) -> Option<ModRevision> {
         match event {
             WatchEvent::Put(versioned) if versioned.key == CONFIG_KEY => {
                 self.tell(Some(&versioned)).await;
+                Some(versioned.modified)
+            }
+            WatchEvent::Deleted { key, revision } if key == CONFIG_KEY => {
+                self.tell(None).await;
+                Some(revision)
             }
-            WatchEvent::Deleted { key, .. } if key == CONFIG_KEY => self.tell(None).await,
-            _ => {}
+            _ => None,
         }
     }
 
