Trust a report less as it ages, and count on the other entries

Cause: with reports 1 s late all entries fill the target that was least loaded in the same report. Change: a reported load moves toward the mean with age (fade 3), an attempt sent since the report counts as two, and a full batch costs 300 ms instead of 100 ms.

--- a/crates/cw_policy/src/routing/costs.rs
+++ b/crates/cw_policy/src/routing/costs.rs
@@ -17,6 +17,11 @@
     pub region: Duration,
     /// The time over which a target that returned takes up its whole share.
     pub ramp: Duration,
+    /// How fast a report loses its weight against the mean, in units of an attempt's hold.
+    pub fade: f64,
+    /// How many attempts one counts for that this entry sent since a target's report: other
+    /// entries see the same report and send alike.
+    pub peers: f64,
     /// How far over the mean utilisation a target may be and still be preferred for its cache.
     pub bound: f64,
 }
@@ -26,10 +31,12 @@
         Self {
             prefill: Duration::from_micros(100),
             hold: Duration::from_secs(4),
-            batch: Duration::from_millis(100),
+            batch: Duration::from_millis(300),
             zone: Duration::from_millis(2),
             region: Duration::from_millis(60),
             ramp: Duration::from_secs(10),
+            fade: 3.0,
+            peers: 2.0,
             bound: 1.25,
         }
     }
--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -43,7 +43,9 @@
     now: Time,
     request: &'a RouteRequest,
     ledger: &'a Ledger,
-    /// The mean utilisation, beyond which a cache is not worth its queue.
+    /// The mean utilisation.
+    mean: f64,
+    /// The utilisation beyond which a cache is not worth its queue.
     bound: f64,
 }
 
@@ -65,6 +67,7 @@
             now,
             request,
             ledger,
+            mean: group.utilisation,
             bound: (group.utilisation * self.costs.bound).max(self.costs.bound - 1.0),
         };
         let alive = decision.among(&group.alive, policy, rng);
@@ -146,7 +149,7 @@
     fn cost(&self, at: usize, shares: &Shares) -> f64 {
         let candidate = &self.index.candidates[at];
         let costs = &self.index.costs;
-        let estimate = estimate(self.now, candidate, self.ledger, costs);
+        let estimate = estimate(self.now, candidate, self.ledger, costs, self.mean);
         let known = shares.iter().flatten().find(|share| share.0 == at);
         let share = known
             .filter(|_| estimate.utilisation <= self.bound)
@@ -220,7 +223,14 @@
                 until = Some(until.map_or(busy, |time: Time| time.min(busy)));
                 continue;
             }
-            let wait = estimate(self.now, candidate, self.ledger, &self.index.costs).wait;
+            let wait = estimate(
+                self.now,
+                candidate,
+                self.ledger,
+                &self.index.costs,
+                self.mean,
+            )
+            .wait;
             if best.is_none_or(|(least, _)| wait < least) {
                 best = Some((wait, candidate));
             }
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -26,15 +26,22 @@
     candidate: &Candidate,
     ledger: &Ledger,
     costs: &Costs,
+    mean: f64,
 ) -> Estimate {
     let load = &candidate.load;
     let reported = f64::from(load.running) + f64::from(load.waiting);
     let cost = costs.prefill.as_secs_f64();
     let backlog = cost * load.prefill.0 as f64;
     let delta = ledger.delta(now, &candidate.id, candidate.reported, backlog, cost);
-    let outstanding = (reported + f64::from(delta.attempts)).max(0.0);
-    let limit = f64::from(load.limit.max(1)) * ramp(now, candidate, costs.ramp);
     let hold = ledger.hold().unwrap_or(costs.hold);
+    let limit = f64::from(load.limit.max(1));
+    // Other entries see the same report and act on it too, so it says less as it ages.
+    let age = now.since(candidate.reported).as_secs_f64();
+    let faith = (-costs.fade * age / hold.as_secs_f64()).exp();
+    let usual = mean * limit;
+    let likely = usual + (reported - usual) * faith;
+    let outstanding = (likely + costs.peers * f64::from(delta.attempts)).max(0.0);
+    let limit = limit * ramp(now, candidate, costs.ramp);
     let queued = (outstanding + 1.0 - limit).max(0.0);
     let utilisation = outstanding / limit;
     let batch = costs.batch.as_secs_f64() * utilisation.min(1.0);
