Make affinity of the first 8 KiB, and ramp up against the others

Cause: the affinity key covered four blocks, which in some workspaces is what all prompts begin with, so their work had one preferred target. Change: the key is the hash of the deepest block within 8 KiB. A target that returned takes its share relative to those that have been there longest, so a fleet that starts together does not hold back.

--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -3,7 +3,7 @@
 use cw_types::Time;
 use rand::Rng;
 use rand::RngExt;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Choice;
@@ -13,6 +13,7 @@
 use super::RouteRequest;
 use super::estimate::estimate;
 use super::index::Candidate;
+use super::index::Group;
 use super::index::Member;
 use super::shortlist::Shortlist;
 
@@ -25,8 +26,9 @@
 /// How many targets drawn at random are weighed when nothing is known of caches.
 const DRAWS_ALONE: usize = 12;
 
-/// How many leading blocks of the prompt make the affinity.
-const AFFINITY_BLOCKS: usize = 4;
+/// How much of the prompt makes the affinity, in bytes: more than most workspaces begin all their
+/// prompts with, so that their work is spread, and less than a conversation.
+const AFFINITY_BYTES: u32 = 8192;
 
 /// The share of the prompt that the first of the rendezvous order is taken to have cached.
 const ASSUMED: f64 = 0.5;
@@ -43,8 +45,7 @@
     now: Time,
     request: &'a RouteRequest,
     ledger: &'a Ledger,
-    /// The mean utilisation.
-    mean: f64,
+    group: &'a Group,
     /// The utilisation beyond which a cache is not worth its queue.
     bound: f64,
 }
@@ -67,7 +68,7 @@
             now,
             request,
             ledger,
-            mean: group.utilisation,
+            group,
             bound: (group.utilisation * self.costs.bound).max(self.costs.bound - 1.0),
         };
         let alive = decision.among(&group.alive, policy, rng);
@@ -149,7 +150,7 @@
     fn cost(&self, at: usize, shares: &Shares) -> f64 {
         let candidate = &self.index.candidates[at];
         let costs = &self.index.costs;
-        let estimate = estimate(self.now, candidate, self.ledger, costs, self.mean);
+        let estimate = estimate(self.now, candidate, self.ledger, costs, self.group);
         let known = shares.iter().flatten().find(|share| share.0 == at);
         let share = known
             .filter(|_| estimate.utilisation <= self.bound)
@@ -171,13 +172,14 @@
     }
 
     /// Returns the hash by which all entries order the targets for this prompt alike.
+    ///
+    /// A block's hash covers the workspace, the version and all blocks before it.
     fn key(&self) -> u64 {
-        let mut hash = Xxh3::new();
-        hash.update(self.request.workspace.as_str().as_bytes());
-        for block in self.request.blocks.iter().take(AFFINITY_BLOCKS) {
-            hash.update(&block.hash.to_le_bytes());
-        }
-        hash.digest()
+        let blocks = &self.request.blocks;
+        let count = blocks.partition_point(|block| block.end <= AFFINITY_BYTES);
+        let deepest = blocks.get(count.saturating_sub(1));
+        let workspace = || xxh3_64(self.request.workspace.as_str().as_bytes());
+        deepest.map_or_else(workspace, |block| block.hash)
     }
 
     // -----------------------------------------------------------------------------------------
@@ -228,7 +230,7 @@
                 candidate,
                 self.ledger,
                 &self.index.costs,
-                self.mean,
+                self.group,
             )
             .wait;
             if best.is_none_or(|(least, _)| wait < least) {
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -7,10 +7,14 @@
 use super::Costs;
 use super::Ledger;
 use super::index::Candidate;
+use super::index::Group;
 
 /// The smallest share of its limit that a returned target takes.
 const RAMP_FLOOR: f64 = 0.1;
 
+/// The shortest time that an attempt is taken to hold its place, in seconds.
+const HOLD_MIN: f64 = 1e-3;
+
 /// How loaded a target is thought to be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Estimate {
@@ -26,26 +30,27 @@
     candidate: &Candidate,
     ledger: &Ledger,
     costs: &Costs,
-    mean: f64,
+    group: &Group,
 ) -> Estimate {
     let load = &candidate.load;
     let reported = f64::from(load.running) + f64::from(load.waiting);
     let cost = costs.prefill.as_secs_f64();
     let backlog = cost * load.prefill.0 as f64;
     let delta = ledger.delta(now, &candidate.id, candidate.reported, backlog, cost);
-    let hold = ledger.hold().unwrap_or(costs.hold);
+    let hold = ledger.hold().unwrap_or(costs.hold).as_secs_f64();
+    let hold = hold.max(HOLD_MIN);
     let limit = f64::from(load.limit.max(1));
     // Other entries see the same report and act on it too, so it says less as it ages.
     let age = now.since(candidate.reported).as_secs_f64();
-    let faith = (-costs.fade * age / hold.as_secs_f64()).exp();
-    let usual = mean * limit;
+    let faith = (-costs.fade * age / hold).exp();
+    let usual = group.utilisation * limit;
     let likely = usual + (reported - usual) * faith;
     let outstanding = (likely + costs.peers * f64::from(delta.attempts)).max(0.0);
-    let limit = limit * ramp(now, candidate, costs.ramp);
+    let limit = limit * share(now, candidate, group, costs.ramp);
     let queued = (outstanding + 1.0 - limit).max(0.0);
     let utilisation = outstanding / limit;
     let batch = costs.batch.as_secs_f64() * utilisation.min(1.0);
-    let wait = hold.as_secs_f64() * queued / limit + delta.backlog + batch;
+    let wait = hold * queued / limit + delta.backlog + batch;
     Estimate {
         utilisation,
         wait: Duration::from_secs_f64(wait),
@@ -53,10 +58,16 @@
 }
 
 /// Returns the share of its limit that a target takes, which grows after its return.
-fn ramp(now: Time, candidate: &Candidate, ramp: Duration) -> f64 {
-    if ramp.is_zero() {
+///
+/// Targets that returned together share the work from the start.
+fn share(now: Time, candidate: &Candidate, group: &Group, span: Duration) -> f64 {
+    ramp(now, candidate.returned, span) / ramp(now, group.returned, span)
+}
+
+fn ramp(now: Time, returned: Time, span: Duration) -> f64 {
+    if span.is_zero() {
         return 1.0;
     }
-    let age = now.since(candidate.returned).as_secs_f64();
-    (age / ramp.as_secs_f64()).clamp(RAMP_FLOOR, 1.0)
+    let age = now.since(returned).as_secs_f64();
+    (age / span.as_secs_f64()).clamp(RAMP_FLOOR, 1.0)
 }
--- a/crates/cw_policy/src/routing/index.rs
+++ b/crates/cw_policy/src/routing/index.rs
@@ -46,6 +46,8 @@
     pub(super) suspect: Vec<Member>,
     /// The mean load in units of the limit, of those that report.
     pub(super) utilisation: f64,
+    /// When the first of them became alive.
+    pub(super) returned: Time,
 }
 
 /// The live targets of a view, by what they can run.
@@ -122,6 +124,11 @@
         let candidates = &self.candidates;
         let models = self.models.values_mut().flat_map(BTreeMap::values_mut);
         for group in models.chain(self.services.values_mut()) {
+            let returned = group
+                .alive
+                .iter()
+                .map(|member| candidates[member.at].returned);
+            group.returned = returned.min().unwrap_or_default();
             let loads = group.alive.iter().map(|member| &candidates[member.at].load);
             let (busy, limit) = loads.fold((0, 0), |(busy, limit), load| {
                 let outstanding = u64::from(load.running) + u64::from(load.waiting);
