--- a/crates/cw_policy/tests/generation_world/mod.rs
+++ b/crates/cw_policy/tests/generation_world/mod.rs
@@ -127,7 +127,8 @@
     agents: Vec<AgentSim>,
     callers: Vec<Caller>,
     cancels: VecDeque<Asked>,
-    /// Every dispatch that was ever sent.
+    /// Every dispatch that was sent, and so may arrive once more. One whose connection was refused
+    /// was not.
     dispatches: Vec<(usize, Dispatch)>,
     turn: usize,
 }
@@ -332,6 +333,7 @@
         let clock = agent.clock(self.now);
         let answer = match ask {
             Ask::Dispatch(dispatch) => {
+                self.dispatches.push((at, (*dispatch).clone()));
                 let (answer, steps) = agent.table.on_dispatch(clock, *dispatch);
                 agent.take(clock, steps);
                 answer
@@ -380,6 +382,9 @@
         let Some(link) = self.callers[caller].links.remove(&id) else {
             return;
         };
+        if let Some(Ask::Dispatch(dispatch)) = link.ask {
+            self.dispatches.push((link.agent, *dispatch));
+        }
         let agent = &mut self.agents[link.agent];
         if let Some(reader) = link.reader {
             let clock = agent.clock(self.now);
@@ -413,7 +418,6 @@
                 let stamp = self.agents[agent].stamp;
                 self.callers[caller].sent.insert(attempt, (agent, stamp));
                 let dispatch = self.dispatch(caller, attempt, so_far, resumed);
-                self.dispatches.push((agent, dispatch.clone()));
                 self.open(caller, link, agent, Ask::Dispatch(Box::new(dispatch)));
             }
             Step::Attach {
