--- a/crates/cyclamenwharf/tests/control_rig/mod.rs
+++ b/crates/cyclamenwharf/tests/control_rig/mod.rs
@@ -79,6 +79,7 @@
             supervisor: supervisor.clone(),
             registry: prometheus::Registry::new(),
             health: health.clone(),
+            traces: Default::default(),
         };
         let control = Control::start(parts).await.expect("free ports");
         let peers = control.peers;
@@ -125,6 +126,7 @@
             },
             limits: Default::default(),
             recovery: Default::default(),
+            trace: Default::default(),
             log: Default::default(),
         }
     }
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -440,6 +440,7 @@
             store: Arc::clone(&self.store) as Arc<dyn KeyValue>,
             registry: Registry::new(),
             health,
+            traces: Default::default(),
         })
         .expect("loopback can be listened on")
     }
@@ -539,6 +540,7 @@
             ..LimitSettings::default()
         },
         recovery: RecoverySettings::default(),
+        trace: Default::default(),
         log: LogSettings::default(),
     }
 }
