Count a crash against a request only where its output stands still

Cause: a stream that outlived one engine was refused as crashing its targets when a second, unrelated engine died: alone on both, it looked guilty. Ruled out: the agents' crash reports, which are right. Change: a request that crashes engines does so at the same place of its output; 16 tokens of progress since the last crash start the count anew.

--- a/crates/cw_policy/src/generation/limits.rs
+++ b/crates/cw_policy/src/generation/limits.rs
@@ -37,6 +37,8 @@
     pub tries: u32,
     /// How many attempts replace one that has gone silent or stalled.
     pub hedges: u32,
+    /// How many tokens between two crashes show that the request did not cause both.
+    pub progress: u64,
     /// After how many crashes of engines that ran the request it is judged.
     pub crashes: u32,
     /// How long the caller may be gone.
@@ -59,6 +61,7 @@
             attempts: 8,
             tries: 3,
             hedges: 2,
+            progress: 16,
             crashes: 2,
             absence: Duration::from_secs(30),
             window: 4096,
--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -54,6 +54,7 @@
     /// When the targets that refused are worth asking again, as the soonest of them says.
     pub(super) retry: Option<Duration>,
     pub(super) crashes: u32,
+    pub(super) crashed_at: TokenIndex,
     pub(super) judging: bool,
     pub(super) lost_at: Option<Time>,
     pub(super) retry_at: Option<Time>,
@@ -90,6 +91,7 @@
             refused: 0,
             retry: None,
             crashes: 0,
+            crashed_at: TokenIndex(0),
             judging: false,
             lost_at: None,
             retry_at: None,
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -284,7 +284,7 @@
         let Some(target) = self.remove(attempt) else {
             return;
         };
-        self.crashes += 1;
+        self.count_crash();
         self.lost_at = self.lost_at.or(Some(now));
         steps.push(Step::Crashed {
             target: target.clone(),
@@ -299,6 +299,17 @@
         self.replace(now, ran, steps);
     }
 
+    /// A request that crashes its engines does so at the same place of its output each time. One
+    /// whose output went on since the last crash was only there when an engine died.
+    fn count_crash(&mut self) {
+        let here = self.next();
+        if here.0.saturating_sub(self.crashed_at.0) >= self.limits.progress {
+            self.crashes = 0;
+        }
+        self.crashes += 1;
+        self.crashed_at = here;
+    }
+
     pub(super) fn judged(&mut self, guilty: bool, steps: &mut Vec<Step>) {
         if !std::mem::take(&mut self.judging) {
             return;
