Tell requests that crash their targets from those that were only there

Cause: with 32 bystanders of one prompt, the poison request was not alone in any crash, so calls went on killing engines (3 from one call, up to 7 from repeats), and four quick crashes counted as a loss of many targets, which is no evidence. Ruled out: late reports, which reach both entries at once. Change: a generation whose output goes on past the place of a crash clears its request; crashes count as a mass loss only if they happened without the request; crashes known from earlier calls count for a repeat, which is judged after its first.

--- a/crates/cw_policy/src/generation/frames.rs
+++ b/crates/cw_policy/src/generation/frames.rs
@@ -69,6 +69,7 @@
         tokens.drain(..known);
         self.elect(now, attempt, steps);
         self.output.extend(tokens.iter().map(|token| token.id));
+        self.clear(steps);
         self.deliver(attempt, next, tokens, steps);
         self.ack(attempt, steps);
     }
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -303,11 +303,23 @@
     /// whose output went on since the last crash was only there when an engine died.
     fn count_crash(&mut self) {
         let here = self.next();
-        if here.0.saturating_sub(self.crashed_at.0) >= self.limits.progress {
-            self.crashes = 0;
-        }
-        self.crashes += 1;
+        let progress = here.0.saturating_sub(self.crashed_at.0);
+        self.crashes = match progress >= self.limits.progress {
+            true => 1,
+            false => self.crashes + 1,
+        };
         self.crashed_at = here;
+        self.cleared_at = here;
+    }
+
+    /// Output that goes on past the place of a crash speaks for the request.
+    pub(super) fn clear(&mut self, steps: &mut Vec<Step>) {
+        let here = self.next();
+        let progress = here.0.saturating_sub(self.cleared_at.0);
+        if self.crashes > 0 && progress >= self.limits.progress {
+            self.cleared_at = here;
+            steps.push(Step::Cleared);
+        }
     }
 
     pub(super) fn judged(&mut self, guilty: bool, steps: &mut Vec<Step>) {
--- a/crates/cw_policy/src/generation/step.rs
+++ b/crates/cw_policy/src/generation/step.rs
@@ -56,6 +56,8 @@
         /// Whether another attempt that replaces the same lost one is on its way.
         hedge: bool,
     },
+    /// Output has gone on past the place of a crash: the request did not cause it.
+    Cleared,
     /// Find out whether the request is what crashed its targets, and answer with `Judged`.
     Judge,
     /// Dispatch an attempt and feed its frames.
--- a/crates/cw_policy/src/suspicion/table.rs
+++ b/crates/cw_policy/src/suspicion/table.rs
@@ -80,7 +80,7 @@
         };
         let crashes = self.crashes.iter();
         let evidence: Vec<&Crash> = crashes
-            .filter(|crash| numbers.contains(&crash.number) && !self.is_mass(crash))
+            .filter(|crash| numbers.contains(&crash.number) && !self.is_mass(crash, request))
             .collect();
         let Some((first, others)) = evidence.split_first() else {
             return Verdict::Clear;
@@ -185,14 +185,16 @@
         }
     }
 
-    /// Returns whether so many targets crashed at about the same time that no request did it.
-    fn is_mass(&self, crash: &Crash) -> bool {
+    /// Returns whether so many targets crashed without the request, at about the time of a crash
+    /// with it, that it did not cause that one either.
+    fn is_mass(&self, crash: &Crash, request: Fingerprint) -> bool {
         let window = self.limits.window;
         let near = |other: &&Crash| {
             other.at.since(crash.at) <= window && crash.at.since(other.at) <= window
         };
-        let crashes = self.crashes.iter().filter(near);
+        let without = |other: &&Crash| !other.suspects.contains(&request);
+        let crashes = self.crashes.iter().filter(near).filter(without);
         let targets: BTreeSet<&TargetId> = crashes.map(|other| &other.target).collect();
-        targets.len() >= self.limits.mass
+        targets.len() + 1 >= self.limits.mass
     }
 }
--- a/crates/cyclamenwharf/src/entry/delivery.rs
+++ b/crates/cyclamenwharf/src/entry/delivery.rs
@@ -95,6 +95,7 @@
                 self.send(Output::Finish(finish)).await;
             }
             Step::Fail { kind, ran, retry } => self.fail(kind, ran, retry).await,
+            Step::Cleared => self.front.suspicion.finished(self.job.fingerprint),
             Step::Abandon => self.end("abandoned"),
             Step::Crashed { target } => self.note(&target, "an engine crashed"),
             Step::Lost { target } => self.note(&target, "an attempt is lost"),
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -57,6 +57,7 @@
     delivery: Delivery,
     recorder: Option<Recorder>,
     request: RouteRequest,
+    verdict: Verdict,
     suspect: bool,
     absent: bool,
 }
@@ -64,7 +65,15 @@
 impl Driver {
     /// Returns a driver that hands the output to `out`.
     pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
-        let limits = job.limits(&front.settings);
+        let view = front.view.load_full();
+        let now = front.clock.now();
+        let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
+        let mut limits = job.limits(&front.settings);
+        if let Verdict::Suspect { crashes } = verdict {
+            // Crashes that other calls of the request were in flight at count for this one too.
+            let before = u32::try_from(crashes).unwrap_or(u32::MAX);
+            limits.crashes = limits.crashes.saturating_sub(before).max(1);
+        }
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
@@ -72,6 +81,7 @@
             attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
             request: front.router.request(&job),
+            verdict,
             suspect: false,
             absent: false,
             front,
@@ -82,10 +92,7 @@
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
         self.front.hedges().on_request();
-        let view = self.front.view.load_full();
-        let now = self.front.clock.now();
-        let verdict = (self.front.suspicion).verdict(now, &view, self.job.fingerprint);
-        self.feed(match verdict {
+        self.feed(match self.verdict {
             Verdict::Guilty => Event::Refuse(ErrorKind::CrashesTargets),
             Verdict::Clear | Verdict::Suspect { .. } => Event::Start,
         })
