Test what operators do over a key-value service that fails

Eleven tests over loopback: lost answers of an acceptance, an outage, a race, a restore from an older backup with the alarm and put-back, silent watches, roles and two persons, a drain that agents are told, roll forward, rejection, and a schema that nobody reads. Control now waits for a port that a killed process in its place still holds.

--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cw_policy::EntryPeer;
+use dropshot::HttpServer;
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -38,6 +40,15 @@
 /// How many events may wait.
 const EVENTS_MAX: usize = 4096;
 
+/// How often the ports are tried.
+const LISTEN_ATTEMPTS: u32 = 40;
+
+/// The pause between two tries.
+const LISTEN_PAUSE: Duration = Duration::from_millis(25);
+
+/// The running servers, which stop when they are dropped.
+type Servers = (HttpServer<Arc<PeersContext>>, HttpServer<Arc<AdminContext>>);
+
 /// Where the servers of a running thread listen.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Addresses {
@@ -84,7 +95,7 @@
     };
     let stop = parts.supervisor.token();
     runtime.block_on(async move {
-        match serve(parts, services, view) {
+        match serve_soon(&parts, &services, &view).await {
             Ok((addresses, servers)) => {
                 let _ = started.send(Ok(addresses));
                 stop.cancelled().await;
@@ -98,11 +109,28 @@
     runtime.shutdown_background();
 }
 
+/// Starts the servers; a process in the same place that was just killed may hold the ports yet.
+async fn serve_soon(
+    parts: &ControlParts,
+    services: &Services,
+    view: &SharedView,
+) -> Result<(Addresses, Servers), StartError> {
+    let mut outcome = serve(parts, services.clone(), view.clone());
+    for _ in 1..LISTEN_ATTEMPTS {
+        if outcome.is_ok() {
+            break;
+        }
+        tokio::time::sleep(LISTEN_PAUSE).await;
+        outcome = serve(parts, services.clone(), view.clone());
+    }
+    outcome
+}
+
 fn serve(
-    parts: ControlParts,
+    parts: &ControlParts,
     services: Services,
     view: SharedView,
-) -> Result<(Addresses, impl Sized), StartError> {
+) -> Result<(Addresses, Servers), StartError> {
     let (events, receiver) = mpsc::channel(EVENTS_MAX);
     let settings = &parts.settings;
     let metrics = ControlMetrics::new(&parts.registry);
@@ -131,7 +159,7 @@
         admin: admin.local_addr(),
     };
     let usage = Arc::new(watch::Sender::new(StoreUse::Watch));
-    keep_services(&parts, &services, &events, &usage);
+    keep_services(parts, &services, &events, &usage);
     let secret = settings.secrets.peers.first().cloned().unwrap_or_default();
     let sender = Sender {
         client: PeerClient::new(&secret),
@@ -144,8 +172,8 @@
         region: settings.region.clone(),
         peers: addresses.peers,
     };
-    keep_planner(&parts, &services, &sender, &view);
-    keep_core(&parts, receiver, move |seed, health| CoreParts {
+    keep_planner(parts, &services, &sender, &view);
+    keep_core(parts, receiver, move |seed, health| CoreParts {
         own: own.clone(),
         view: view.clone(),
         health,
--- a/crates/cyclamenwharf/tests/control.rs
+++ b/crates/cyclamenwharf/tests/control/in_force.rs
@@ -1,14 +1,12 @@
 //! The control state of entries: what comes into force, and what is passed on.
 
-mod control_rig;
-
 use std::time::Duration;
 
-use control_rig::Platform;
-use control_rig::client;
-use control_rig::report;
-use control_rig::snapshot;
-use control_rig::until;
+use crate::rig::Platform;
+use crate::rig::client;
+use crate::rig::report;
+use crate::rig::snapshot;
+use crate::rig::until;
 use cw_policy::Liveness;
 use cw_testkit::StoreFaults;
 use cw_types::Revision;
--- a/crates/cyclamenwharf/tests/control_openapi.rs
+++ b/crates/cyclamenwharf/tests/control/openapi.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn committed_description_is_current() {
-    let committed = include_str!("../../../docs/openapi/admin.json");
+    let committed = include_str!("../../../../docs/openapi/admin.json");
     let committed: Value = serde_json::from_str(committed).expect("the file is JSON");
 
     let current = admin_description();
--- /dev/null
+++ b/crates/cyclamenwharf/tests/control/operators.rs
@@ -0,0 +1,345 @@
+//! What operators do, over a key-value service that fails.
+
+use std::time::Duration;
+
+use crate::admin::Operator;
+use crate::admin::priority;
+use crate::admin::put;
+use crate::rig::Node;
+use crate::rig::Platform;
+use crate::rig::client;
+use crate::rig::report;
+use crate::rig::snapshot;
+use crate::rig::until;
+use cw_policy::Liveness;
+use cw_testkit::StoreFaults;
+use cw_types::KeyHash;
+use cw_types::Revision;
+use cw_types::TargetId;
+use cw_wire::ReportAnswer;
+use cw_wire::TargetState;
+use cw_wire::path;
+use cyclamenwharf::admin::AdminErrorKind;
+use cyclamenwharf::admin::EditMessage;
+use cyclamenwharf::admin::ProposalStatus;
+use cyclamenwharf::admin::ReviewMessage;
+use cyclamenwharf::admin::RollMessage;
+use serde_json::json;
+
+/// A limit for calls, far above what they take.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Two entries that know each other, with a first snapshot in force.
+async fn two() -> (Platform, Node, Node) {
+    let platform = Platform::start().await;
+    platform.write(&snapshot(1));
+    let a = platform.start_node("entry-a").await;
+    let b = platform.start_node("entry-b").await;
+    for node in [&a, &b] {
+        until("both know each other", || {
+            node.control.view.load().entries.len() == 2
+        })
+        .await;
+        until("the first revision is in force", || {
+            node.revision() == Revision(1)
+        })
+        .await;
+    }
+    (platform, a, b)
+}
+
+fn down() -> StoreFaults {
+    StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    }
+}
+
+#[tokio::test]
+async fn accepted_change_is_in_force_on_every_entry_and_audited() {
+    let (_platform, a, b) = two().await;
+    let operator = Operator::first(a.control.admin);
+
+    let proposal = operator.propose("c1", vec![priority("p", 3)]).await;
+    let change = operator.accept("c1").await.expect("an acceptance");
+
+    assert_eq!(
+        proposal.expect("a proposal").status,
+        ProposalStatus::Pending
+    );
+    assert_eq!(change.revision, 2);
+    for node in [&a, &b] {
+        until("it is in force", || node.revision() == Revision(2)).await;
+    }
+    let history = Operator::first(b.control.admin).history().await;
+    assert_eq!(history, [change]);
+}
+
+#[tokio::test]
+async fn lost_answers_of_an_acceptance_are_settled() {
+    let (platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    operator
+        .propose("c1", vec![priority("p", 3)])
+        .await
+        .expect("a proposal");
+    platform.key_value.set_faults(StoreFaults {
+        lost: 2,
+        ..StoreFaults::default()
+    });
+
+    let change = operator.accept("c1").await.expect("an acceptance");
+    let again = operator.accept("c1").await.expect("an acceptance");
+
+    assert_eq!(change, again);
+    until("it is in force", || a.revision() == Revision(2)).await;
+    assert_eq!(operator.history().await, [change]);
+}
+
+#[tokio::test]
+async fn acceptance_without_the_service_is_refused_and_may_be_repeated() {
+    let (platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    operator
+        .propose("c1", vec![priority("p", 3)])
+        .await
+        .expect("a proposal");
+    platform.key_value.set_faults(down());
+
+    let refused = operator.accept("c1").await.expect_err("a refusal");
+    platform.key_value.set_faults(StoreFaults::default());
+    let change = operator.accept("c1").await.expect("an acceptance");
+
+    assert_eq!(refused.kind, AdminErrorKind::Unavailable);
+    assert_eq!(change.revision, 2);
+}
+
+#[tokio::test]
+async fn race_is_a_conflict_that_names_the_other_change() {
+    let (_platform, a, b) = two().await;
+    let (one, two) = (
+        Operator::first(a.control.admin),
+        Operator::first(b.control.admin),
+    );
+    one.propose("one", vec![priority("p", 1)])
+        .await
+        .expect("a proposal");
+    two.propose("two", vec![priority("p", 2)])
+        .await
+        .expect("a proposal");
+
+    let (first, second) = tokio::join!(one.accept("one"), two.accept("two"));
+
+    let refused = match (first, second) {
+        (Ok(_), Err(error)) if error.message.contains("one") => error,
+        (Err(error), Ok(_)) if error.message.contains("two") => error,
+        other => panic!("expected one acceptance and one conflict, found {other:?}"),
+    };
+    assert_eq!(refused.kind, AdminErrorKind::Conflict);
+}
+
+#[tokio::test]
+async fn restored_service_is_held_with_an_alarm_until_it_is_put_back() {
+    let (platform, a, b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    let backup = platform.key_value.backup();
+    for (id, rank) in [("c1", 1), ("c2", 2)] {
+        let proposed = operator.propose(id, vec![priority("p", rank)]).await;
+        proposed.expect("a proposal");
+        operator.accept(id).await.expect("an acceptance");
+    }
+    until("it is in force", || b.revision() == Revision(3)).await;
+
+    platform.key_value.restore(&backup);
+    let other = operator.propose("c3", vec![priority("q", 1)]).await;
+    other.expect("a proposal");
+    let refused = operator.accept("c3").await.expect_err("a refusal");
+
+    assert_eq!(refused.kind, AdminErrorKind::Reverted);
+    let mut alarm = None;
+    while alarm.is_none() {
+        alarm = operator.status().await.alarm;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!((a.revision(), b.revision()), (Revision(3), Revision(3)));
+    let put_back: u64 = operator.post("/v1/put-back", &()).await.expect("put back");
+    assert_eq!(put_back, 3);
+    let mut accepted = operator.accept("c3").await;
+    while accepted.is_err() {
+        // The alarm ends when the watch has seen the service again.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        accepted = operator.accept("c3").await;
+    }
+    assert_eq!(accepted.expect("an acceptance").revision, 4);
+}
+
+#[tokio::test]
+async fn change_is_in_force_although_all_watches_are_silent() {
+    let (platform, a, b) = two().await;
+    platform.key_value.set_faults(StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    });
+
+    platform.write(&snapshot(5));
+
+    for node in [&a, &b] {
+        until("it is in force", || node.revision() == Revision(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn roles_are_kept() {
+    let (_platform, a, _b) = two().await;
+    let first = Operator::first(a.control.admin);
+    let record = |name: &str, role: &str| {
+        let key = KeyHash::of(name).to_string();
+        put("operator", name, json!({ "keys": [key], "role": role }))
+    };
+    let edits = vec![
+        record("rita", "reader"),
+        record("paul", "proposer"),
+        record("anna", "accepter"),
+    ];
+    first.propose("operators", edits).await.expect("a proposal");
+    first.accept("operators").await.expect("an acceptance");
+    until("it is in force", || a.revision() == Revision(2)).await;
+    let [rita, paul, anna] =
+        ["rita", "paul", "anna"].map(|key| Operator::new(a.control.admin, key));
+
+    let stranger = Operator::new(a.control.admin, "nobody")
+        .get::<serde_json::Value>("/v1/status")
+        .await;
+    let secret = first.get::<serde_json::Value>("/v1/status").await;
+    let by_reader = rita.propose("c1", vec![priority("p", 1)]).await;
+    let own = anna.propose("c2", vec![priority("p", 1)]).await;
+    let alone = anna.accept("c2").await;
+    let by_proposer = paul.propose("c3", vec![priority("p", 1)]).await;
+    let to_accept = paul.accept("c3").await;
+    let accepted = anna.accept("c3").await;
+
+    let kind = |error: cyclamenwharf::admin::ErrorMessage| error.kind;
+    assert_eq!(stranger.map_err(kind), Err(AdminErrorKind::Unauthorized));
+    assert_eq!(secret.map_err(kind), Err(AdminErrorKind::Unauthorized));
+    assert_eq!(by_reader.map_err(kind), Err(AdminErrorKind::Forbidden));
+    assert!(own.is_ok());
+    assert_eq!(alone.map_err(kind), Err(AdminErrorKind::Forbidden));
+    assert!(by_proposer.is_ok());
+    assert_eq!(to_accept.map_err(kind), Err(AdminErrorKind::Forbidden));
+    let change = accepted.expect("an acceptance");
+    assert_eq!(
+        (change.proposer.as_str(), change.accepter.as_str()),
+        ("paul", "anna")
+    );
+}
+
+#[tokio::test]
+async fn drained_host_is_leaving_everywhere_and_its_agent_is_told() {
+    let (_platform, a, b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    let id: TargetId = "target-1".parse().expect("a valid name");
+    let up = report(1, TargetState::Up);
+    let before: ReportAnswer = client()
+        .call(b.control.peers, path::REPORTS, &up, LIMIT)
+        .await
+        .expect("an answer");
+
+    let drain = put("drain", "host-1", json!({ "reason": "a new disk" }));
+    operator
+        .propose("c1", vec![drain])
+        .await
+        .expect("a proposal");
+    operator.accept("c1").await.expect("an acceptance");
+
+    for node in [&a, &b] {
+        let leaving = || {
+            let view = node.control.view.load();
+            view.targets[&id].liveness == Liveness::Leaving
+        };
+        until("the target is leaving", leaving).await;
+    }
+    let next = report(2, TargetState::Up);
+    let after: ReportAnswer = client()
+        .call(b.control.peers, path::REPORTS, &next, LIMIT)
+        .await
+        .expect("an answer");
+    assert!(!before.drained);
+    assert!(after.drained);
+}
+
+#[tokio::test]
+async fn earlier_body_comes_back_as_a_new_revision() {
+    let (_platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    for (id, rank) in [("c1", 1), ("c2", 2)] {
+        let proposed = operator.propose(id, vec![priority("p", rank)]).await;
+        proposed.expect("a proposal");
+        operator.accept(id).await.expect("an acceptance");
+    }
+    let roll = RollMessage {
+        id: "back".to_owned(),
+        key: "priority/p".to_owned(),
+        revision: 2,
+        reason: String::new(),
+    };
+
+    let proposed: cyclamenwharf::admin::ProposalMessage = operator
+        .post("/v1/roll-forward", &roll)
+        .await
+        .expect("a proposal");
+    let change = operator.accept("back").await.expect("an acceptance");
+
+    assert_eq!(proposed.edits.len(), 1);
+    let EditMessage::Put(record) = &proposed.edits[0] else {
+        panic!("expected a record");
+    };
+    assert_eq!(record.body["rank"], json!(1));
+    assert_eq!(change.revision, 4);
+}
+
+#[tokio::test]
+async fn rejected_change_stays_rejected_and_review_says_why() {
+    let (_platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    operator
+        .propose("c1", vec![priority("p", 1)])
+        .await
+        .expect("a proposal");
+
+    let rejected = operator.reject("c1").await.expect("a rejection");
+    let refused = operator.accept("c1").await.expect_err("a refusal");
+    let review: ReviewMessage = operator.get("/v1/proposals/c1").await.expect("a review");
+
+    assert_eq!(rejected.status, ProposalStatus::Rejected);
+    assert_eq!(refused.kind, AdminErrorKind::Conflict);
+    assert!(review.refusal.is_some_and(|why| why.contains("rejected")));
+}
+
+#[tokio::test]
+async fn schema_that_nobody_reads_is_refused_with_the_names_of_the_processes() {
+    let (_platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    let edit = match priority("p", 1) {
+        EditMessage::Put(record) => EditMessage::Put(cyclamenwharf::admin::RecordMessage {
+            schema: Some(9),
+            ..record
+        }),
+        remove => remove,
+    };
+    operator
+        .propose("c1", vec![edit])
+        .await
+        .expect("a proposal");
+    let mut known = 0;
+    while known < 2 {
+        known = operator.status().await.processes.len();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let refused = operator.accept("c1").await.expect_err("a refusal");
+
+    assert_eq!(refused.kind, AdminErrorKind::Unreadable);
+    for host in ["entry-a", "entry-b"] {
+        assert!(refused.message.contains(host), "{}", refused.message);
+    }
+}
