--- a/crates/cyclamenwharf/tests/control/main.rs
+++ b/crates/cyclamenwharf/tests/control/main.rs
@@ -5,3 +5,4 @@
 mod openapi;
 mod operators;
 mod rig;
+mod version_change;
