Pass demands on quotas on between entries

Shares of quotas follow demand, which entries have to tell each other. A relay passes an entry's demand to its group and the group's sum to the others; the traffic threads state and take demands through DemandExchange.

--- a/crates/cw_policy/src/membership/mod.rs
+++ b/crates/cw_policy/src/membership/mod.rs
@@ -5,6 +5,7 @@
 //! - [`Outbox`] gathers what the next batch carries.
 //! - [`Processes`] keeps what entries tell of themselves.
 
+mod demands;
 mod grid;
 mod limits;
 mod member;
@@ -29,7 +30,7 @@
 use cw_types::Time;
 
 /// Returns the moment that lies `age` before `now`.
-fn ago(now: Time, age: Duration) -> Time {
+pub fn ago(now: Time, age: Duration) -> Time {
     let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
     Time(now.0.saturating_sub(micros))
 }
--- a/crates/cw_policy/src/membership/relay.rs
+++ b/crates/cw_policy/src/membership/relay.rs
@@ -10,6 +10,7 @@
 use cw_types::Time;
 use cw_types::VersionName;
 use cw_wire::Batch;
+use cw_wire::Demand;
 use cw_wire::Load;
 use cw_wire::LoadUpdate;
 use cw_wire::Pins;
@@ -20,6 +21,8 @@
 use super::Grid;
 use super::Members;
 use super::Outbox;
+use super::ago;
+use super::demands::Demands;
 
 /// How often each report is passed on whole, changed or not.
 const WHOLE_PERIOD: Duration = Duration::from_secs(120);
@@ -82,6 +85,7 @@
     direct: BTreeMap<TargetId, Direct>,
     near: Outbox,
     far: Outbox,
+    demands: Demands,
     sequence: u64,
 }
 
@@ -94,6 +98,7 @@
             direct: BTreeMap::new(),
             near: Outbox::default(),
             far: Outbox::default(),
+            demands: Demands::default(),
             sequence: 0,
         }
     }
@@ -132,9 +137,18 @@
 
     /// Takes a batch of an entry of the own group, to be passed on.
     pub fn on_batch(&mut self, now: Time, batch: &Batch) {
-        if !batch.forwarded {
-            self.far.put_batch(now, batch);
+        if batch.forwarded {
+            return;
         }
+        self.far.put_batch(now, batch);
+        for (age, demand) in &batch.demands {
+            self.demands.on_near(ago(now, *age), demand.clone());
+        }
+    }
+
+    /// Takes what this entry wants of quotas.
+    pub fn on_demand(&mut self, now: Time, demand: Demand) {
+        self.demands.on_own(now, demand);
     }
 
     /// Adds what this process says of itself.
@@ -156,8 +170,10 @@
             .retain(|_, direct| is_kept(now, awake, direct, members));
         self.gather(now, awake);
         self.sequence += 1;
-        let near = self.near.take(now, &self.host, revision);
-        let far = self.far.take(now, &self.host, revision);
+        let mut near = self.near.take(now, &self.host, revision);
+        let mut far = self.far.take(now, &self.host, revision);
+        near.demands = self.demands.own(now);
+        far.demands = self.demands.sum(now, self.sequence);
         let numbered = |batch: Batch, forwarded: bool| Batch {
             sequence: self.sequence,
             forwarded,
--- a/crates/cw_policy/tests/membership.rs
+++ b/crates/cw_policy/tests/membership.rs
@@ -366,3 +366,57 @@
     assert_eq!(soon, Revision(5));
     assert_eq!(later, Revision(6));
 }
+
+#[rstest]
+fn demands_of_all_others_are_heard_once(#[values(2, 17, 64)] count: usize) {
+    let peers = entries(count);
+    let members = members();
+    let mut relays: Vec<_> = peers
+        .iter()
+        .map(|peer| Relay::new(peer.host.clone(), SECOND * 3))
+        .collect();
+    let grids: Vec<_> = (0..count).map(|n| grid_of(count, n)).collect();
+    let index: BTreeMap<HostId, usize> = peers
+        .iter()
+        .enumerate()
+        .map(|(n, peer)| (peer.host.clone(), n))
+        .collect();
+    for (relay, peer) in relays.iter_mut().zip(&peers) {
+        relay.on_demand(at(0), demand(&peer.host));
+    }
+
+    let mut heard = vec![(0, 0.0); count];
+    for round in 0..2 {
+        for from in 0..count {
+            let sendings = relays[from].round(at(round), &members, Revision(0), &grids[from]);
+            let near = sendings.near.map(|batch| (&grids[from].near, batch));
+            let far = sendings.far.map(|batch| (&grids[from].far, batch));
+            for (peers, batch) in near.into_iter().chain(far) {
+                for peer in peers {
+                    let to = index[&peer.host];
+                    relays[to].on_batch(at(round), &batch);
+                    let Some((_, demand)) = batch.demands.first().filter(|_| round == 1) else {
+                        continue;
+                    };
+                    heard[to].0 += demand.entries;
+                    heard[to].1 += demand.parts[&name("w")];
+                }
+            }
+        }
+    }
+
+    let others = count as u32 - 1;
+    for (entries, part) in heard {
+        assert_eq!(entries, others);
+        assert!((part - f64::from(others) * 0.25).abs() < 1e-9, "{part}");
+    }
+}
+
+fn demand(host: &HostId) -> cw_wire::Demand {
+    cw_wire::Demand {
+        from: host.clone(),
+        sequence: 1,
+        entries: 1,
+        parts: [(name("w"), 0.25)].into(),
+    }
+}
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -20,6 +20,7 @@
 use cw_policy::membership::Processes;
 use cw_policy::membership::Relay;
 use cw_policy::membership::Urgency;
+use cw_policy::membership::ago;
 use cw_store::Host;
 use cw_types::HostId;
 use cw_types::Revision;
@@ -37,6 +38,7 @@
 use tokio::sync::watch;
 
 use super::ControlMetrics;
+use super::DemandExchange;
 use super::Event;
 use super::Inspection;
 use super::PlannerStatus;
@@ -66,6 +68,7 @@
 pub(super) struct CoreParts {
     pub(super) own: EntryPeer,
     pub(super) view: SharedView,
+    pub(super) demands: Arc<DemandExchange>,
     pub(super) health: Arc<Health>,
     pub(super) metrics: ControlMetrics,
     pub(super) sender: Sender,
@@ -172,6 +175,9 @@
         for state in &batch.processes {
             self.processes.on_state(now, state);
         }
+        for (age, demand) in &batch.demands {
+            self.parts.demands.hear(ago(now, *age), demand.clone());
+        }
         if batch.revision > self.in_force.revision() {
             self.ask_config(&batch.relay);
         }
@@ -286,6 +292,9 @@
             let host = self.members.host().clone();
             self.members.on_silence(now, &host, &silence);
         }
+        if let Some(demand) = self.parts.demands.own() {
+            self.relay.on_demand(now, demand);
+        }
         let revision = self.in_force.revision();
         let sendings = self.relay.round(now, &self.members, revision, &self.grid);
         let behind = std::mem::take(&mut self.behind);
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 mod core;
 mod counted;
+mod demand_exchange;
 mod event;
 mod host_entry;
 mod hosts_task;
@@ -21,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use self::demand_exchange::DemandExchange;
 pub use self::planner_status::PlannerStatus;
 pub use self::services::Services;
 
@@ -66,6 +68,8 @@
     pub peers: SocketAddr,
     /// Where the operators' server listens.
     pub admin: SocketAddr,
+    /// The demands on quotas, to and from the other entries.
+    pub demands: Arc<DemandExchange>,
 }
 
 impl Control {
@@ -86,9 +90,15 @@
     /// Fails when an address cannot be listened on.
     pub async fn start_with(parts: ControlParts, services: Services) -> Result<Self, StartError> {
         let view = SharedView::default();
-        let addresses = thread::start(parts, services, view.clone()).await?;
+        let demands = Arc::<DemandExchange>::default();
+        let shared = thread::Shared {
+            view: view.clone(),
+            demands: demands.clone(),
+        };
+        let addresses = thread::start(parts, services, shared).await?;
         Ok(Self {
             view,
+            demands,
             peers: addresses.peers,
             admin: addresses.admin,
         })
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -15,6 +15,7 @@
 
 use super::ControlMetrics;
 use super::ControlParts;
+use super::DemandExchange;
 use super::Event;
 use super::Services;
 use super::SharedView;
@@ -49,6 +50,13 @@
 /// The running servers, which stop when they are dropped.
 type Servers = (HttpServer<Arc<PeersContext>>, HttpServer<Arc<AdminContext>>);
 
+/// What the thread shares with the traffic threads.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) view: SharedView,
+    pub(super) demands: Arc<DemandExchange>,
+}
+
 /// Where the servers of a running thread listen.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Addresses {
@@ -60,12 +68,12 @@
 pub(super) async fn start(
     parts: ControlParts,
     services: Services,
-    view: SharedView,
+    shared: Shared,
 ) -> Result<Addresses, StartError> {
     let (started, start) = oneshot::channel();
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || run(parts, services, view, started))
+        .spawn(move || run(parts, services, shared, started))
         .map_err(|error| failed(&error))?;
     start.await.map_err(|error| failed(&error))?
 }
@@ -80,7 +88,7 @@
 fn run(
     parts: ControlParts,
     services: Services,
-    view: SharedView,
+    shared: Shared,
     started: oneshot::Sender<Result<Addresses, StartError>>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -95,7 +103,7 @@
     };
     let stop = parts.supervisor.token();
     runtime.block_on(async move {
-        match serve_soon(&parts, &services, &view).await {
+        match serve_soon(&parts, &services, &shared).await {
             Ok((addresses, servers)) => {
                 let _ = started.send(Ok(addresses));
                 stop.cancelled().await;
@@ -113,15 +121,15 @@
 async fn serve_soon(
     parts: &ControlParts,
     services: &Services,
-    view: &SharedView,
+    shared: &Shared,
 ) -> Result<(Addresses, Servers), StartError> {
-    let mut outcome = serve(parts, services.clone(), view.clone());
+    let mut outcome = serve(parts, services.clone(), shared.clone());
     for _ in 1..LISTEN_ATTEMPTS {
         if outcome.is_ok() {
             break;
         }
         tokio::time::sleep(LISTEN_PAUSE).await;
-        outcome = serve(parts, services.clone(), view.clone());
+        outcome = serve(parts, services.clone(), shared.clone());
     }
     outcome
 }
@@ -129,7 +137,7 @@
 fn serve(
     parts: &ControlParts,
     services: Services,
-    view: SharedView,
+    shared: Shared,
 ) -> Result<(Addresses, Servers), StartError> {
     let (events, receiver) = mpsc::channel(EVENTS_MAX);
     let settings = &parts.settings;
@@ -172,10 +180,11 @@
         region: settings.region.clone(),
         peers: addresses.peers,
     };
-    keep_planner(parts, &services, &sender, &view);
+    keep_planner(parts, &services, &sender, &shared.view);
     keep_core(parts, receiver, move |seed, health| CoreParts {
         own: own.clone(),
-        view: view.clone(),
+        view: shared.view.clone(),
+        demands: shared.demands.clone(),
         health,
         metrics: metrics.clone(),
         sender: sender.clone(),
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -22,6 +22,7 @@
 pub use clock::Clock;
 pub use control::Control;
 pub use control::ControlParts;
+pub use control::DemandExchange;
 pub use control::PlannerStatus;
 pub use control::Services;
 pub use control::SharedView;
