Expect the first target in order to have the prompt

Cause: the target that all entries prefer was taken to have half of the prompt cached, and a learned share counted instead of it even when it was smaller, so entries went elsewhere too easily. Change: 0.8 is assumed, and the greater share counts.

--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -3,18 +3,18 @@
 use cw_types::Time;
 use rand::Rng;
 use rand::RngExt;
-use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Choice;
 use super::Index;
 use super::Ledger;
 use super::Policy;
 use super::RouteRequest;
+use super::affinity::Key;
 use super::estimate::estimate;
 use super::index::Candidate;
 use super::index::Group;
 use super::index::Member;
+use super::shares::Shares;
 use super::shortlist::Shortlist;
 
 /// How many targets of the rendezvous order are weighed.
@@ -26,18 +26,8 @@
 /// How many targets drawn at random are weighed when nothing is known of caches.
 const DRAWS_ALONE: usize = 12;
 
-/// How much of the prompt makes the affinity, in bytes: more than most workspaces begin all their
-/// prompts with, so that their work is spread, and less than a conversation.
-const AFFINITY_BYTES: u32 = 8192;
-
 /// The share of the prompt that the first of the rendezvous order is taken to have cached.
-const ASSUMED: f64 = 0.5;
-
-/// The most candidates whose caches are known for one prompt.
-const SHARES_MAX: usize = 5;
-
-/// Candidates and the shares of the prompt that they are expected to have cached.
-type Shares = [Option<(usize, f64)>; SHARES_MAX];
+const ASSUMED: f64 = 0.8;
 
 /// One decision in progress.
 struct Decision<'a> {
@@ -101,16 +91,9 @@
     /// Returns the cheapest of a short list, unless all of it is closed.
     fn affinity(&self, members: &[Member], rng: &mut impl Rng) -> Option<usize> {
         let mut list = Shortlist::new();
+        let mut shares = Shares::default();
         if self.request.wants_cache() {
-            let key = self.key();
-            for member in members {
-                let weight = xxh3_64_with_seed(&member.seed.to_le_bytes(), key);
-                list.offer(weight, member.at, WALK);
-            }
-        }
-        let shares = self.shares(members, list.iter().next());
-        for &(at, _) in shares.iter().flatten() {
-            list.push(at);
+            self.prefer(members, &mut list, &mut shares);
         }
         let draws = if self.request.wants_cache() {
             DRAWS
@@ -127,23 +110,19 @@
             .map(|(_, at)| at)
     }
 
-    /// Returns the shares of the prompt that some candidates are expected to have cached.
-    fn shares(&self, members: &[Member], first: Option<usize>) -> Shares {
-        let mut shares = [None; SHARES_MAX];
-        if !self.request.wants_cache() {
-            return shares;
+    /// Lists the candidates that are known or likely to have a part of the prompt cached.
+    fn prefer(&self, members: &[Member], list: &mut Shortlist, shares: &mut Shares) {
+        for holder in self.ledger.overlap.holders(&self.request.blocks) {
+            if let Some(at) = self.index.place(members, holder.target) {
+                shares.add(at, holder.share);
+            }
         }
-        let holders = self.ledger.overlap.holders(&self.request.blocks);
-        let known = holders.filter_map(|holder| {
-            let at = self.index.place(members, holder.target)?;
-            Some((at, holder.share))
-        });
-        // The last one is found only where nothing is known of the first in order.
-        let assumed = first.map(|at| (at, ASSUMED));
-        for (slot, share) in shares.iter_mut().zip(known.chain(assumed)) {
-            *slot = Some(share);
+        let order = Key::of(self.request).order(members, WALK);
+        if let Some(first) = order.iter().next() {
+            shares.add(first, ASSUMED);
         }
-        shares
+        order.iter().for_each(|at| list.push(at));
+        shares.iter().for_each(|at| list.push(at));
     }
 
     /// Returns what it costs to send the attempt to a candidate, in seconds.
@@ -151,10 +130,11 @@
         let candidate = &self.index.candidates[at];
         let costs = &self.index.costs;
         let estimate = estimate(self.now, candidate, self.ledger, costs, self.group);
-        let known = shares.iter().flatten().find(|share| share.0 == at);
-        let share = known
-            .filter(|_| estimate.utilisation <= self.bound)
-            .map_or(0.0, |share| share.1);
+        let share = if estimate.utilisation > self.bound {
+            0.0
+        } else {
+            shares.get(at)
+        };
         let tokens = self.request.tokens.0 as f64 * (1.0 - share);
         let prefill = costs.prefill.as_secs_f64() * tokens;
         estimate.wait.as_secs_f64() + self.distance(candidate) + prefill
@@ -171,17 +151,6 @@
         }
     }
 
-    /// Returns the hash by which all entries order the targets for this prompt alike.
-    ///
-    /// A block's hash covers the workspace, the version and all blocks before it.
-    fn key(&self) -> u64 {
-        let blocks = &self.request.blocks;
-        let count = blocks.partition_point(|block| block.end <= AFFINITY_BYTES);
-        let deepest = blocks.get(count.saturating_sub(1));
-        let workspace = || xxh3_64(self.request.workspace.as_str().as_bytes());
-        deepest.map_or_else(workspace, |block| block.hash)
-    }
-
     // -----------------------------------------------------------------------------------------
 
     fn round_robin(&self, members: &[Member]) -> Option<usize> {
--- a/crates/cw_policy/src/routing/mod.rs
+++ b/crates/cw_policy/src/routing/mod.rs
@@ -8,6 +8,7 @@
 //! - [`Policy`]: the default and the baselines that it is measured against.
 
 mod account;
+mod affinity;
 mod choice;
 mod costs;
 mod decide;
@@ -16,6 +17,7 @@
 mod ledger;
 mod policy;
 mod request;
+mod shares;
 mod shortlist;
 
 pub use choice::Choice;
