Bound the load of a preferred target by a fixed distance

Cause: the bound was 1.25 times the mean, which at low load forbids little more than the mean, although waiting is short there. Change: the bound is the mean plus a quarter of the limit.

--- a/crates/cw_policy/src/routing/costs.rs
+++ b/crates/cw_policy/src/routing/costs.rs
@@ -22,7 +22,8 @@
     /// How many attempts one counts for that this entry sent since a target's report: other
     /// entries see the same report and send alike.
     pub peers: f64,
-    /// How far over the mean utilisation a target may be and still be preferred for its cache.
+    /// How far over the mean a target may be, in units of its limit, and still be preferred for its
+    /// cache.
     pub bound: f64,
 }
 
@@ -37,7 +38,7 @@
             ramp: Duration::from_secs(10),
             fade: 3.0,
             peers: 2.0,
-            bound: 1.25,
+            bound: 0.25,
         }
     }
 }
--- a/crates/cw_policy/src/routing/decide.rs
+++ b/crates/cw_policy/src/routing/decide.rs
@@ -59,7 +59,7 @@
             request,
             ledger,
             group,
-            bound: (group.utilisation * self.costs.bound).max(self.costs.bound - 1.0),
+            bound: group.utilisation + self.costs.bound,
         };
         let alive = decision.among(&group.alive, policy, rng);
         match alive {
