--- a/crates/cw_policy/benches/rounds/fleet.rs
+++ b/crates/cw_policy/benches/rounds/fleet.rs
@@ -12,7 +12,6 @@
 use cw_policy::Liveness;
 use cw_policy::TargetView;
 use cw_policy::View;
-use cw_policy::prefix::Block;
 use cw_policy::routing::Choice;
 use cw_policy::routing::Costs;
 use cw_policy::routing::Index;
@@ -32,6 +31,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::engine::Engine;
+use crate::engine::Job;
+use crate::outcome::Outcome;
+use crate::scheduled::Scheduled;
 use crate::shape::Shape;
 
 /// When the loop starts, so that targets have ramped up.
@@ -46,35 +49,6 @@
 /// The bytes of prompt that make a token.
 const TOKEN_BYTES: u32 = 4;
 
-/// What was measured.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Outcome {
-    /// Times to first token of answered requests, in seconds, by whether they are long.
-    pub(crate) first: [Vec<f64>; 2],
-    /// Times from a loss until the resumed output goes on, in seconds.
-    pub(crate) resumed: Vec<f64>,
-    /// Requests that ran out of patience.
-    pub(crate) refused: u32,
-    /// Answers of targets that they were full.
-    pub(crate) busy: u32,
-    /// Prompt tokens, and those of them that were cached.
-    pub(crate) tokens: u64,
-    /// Prompt tokens that were cached.
-    pub(crate) cached: u64,
-    /// Samples of the largest load over the mean load of live targets.
-    pub(crate) peaks: Vec<f64>,
-}
-
-/// A request on its way through the loop.
-#[derive(Clone, Debug)]
-struct Job {
-    since: Time,
-    entry: usize,
-    request: RouteRequest,
-    hold: Duration,
-    long: bool,
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     Arrive,
@@ -85,67 +59,6 @@
     Loss,
 }
 
-struct Scheduled {
-    at: Time,
-    sequence: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.sequence == other.sequence
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.sequence).cmp(&(other.at, other.sequence))
-    }
-}
-
-/// One target.
-#[derive(Clone, Debug, Default)]
-struct Engine {
-    lost: bool,
-    running: BTreeMap<u64, (Time, Job)>,
-    /// When its prompts so far are processed.
-    free: Time,
-    /// Cached blocks by last use, and the reverse.
-    uses: BTreeMap<u64, u64>,
-    order: BTreeMap<u64, u64>,
-}
-
-impl Engine {
-    /// Returns how many bytes of a prompt are cached, and caches all of it.
-    fn cache(&mut self, blocks: &[Block], clock: &mut u64, most: usize) -> u32 {
-        let known = blocks
-            .iter()
-            .take_while(|block| self.uses.contains_key(&block.hash));
-        let cached = known.last().map_or(0, |block| block.end);
-        for block in blocks {
-            *clock += 1;
-            if let Some(old) = self.uses.insert(block.hash, *clock) {
-                self.order.remove(&old);
-            }
-            self.order.insert(*clock, block.hash);
-        }
-        while self.order.len() > most {
-            if let Some((_, hash)) = self.order.pop_first() {
-                self.uses.remove(&hash);
-            }
-        }
-        cached
-    }
-}
-
 struct Entry {
     ledger: Ledger,
     index: Index,
@@ -157,7 +70,7 @@
     policy: Policy,
     costs: Costs,
     now: Time,
-    queue: BinaryHeap<Reverse<Scheduled>>,
+    queue: BinaryHeap<Reverse<Scheduled<Event>>>,
     sequence: u64,
     clock: u64,
     ids: Vec<TargetId>,
--- a/crates/cw_policy/benches/rounds/main.rs
+++ b/crates/cw_policy/benches/rounds/main.rs
@@ -3,7 +3,10 @@
 //! Run with `cargo bench -p cw_policy --bench rounds`, and `-- default` for the default policy
 //! alone. The same seed gives the same figures.
 
+mod engine;
 mod fleet;
+mod outcome;
+mod scheduled;
 mod shape;
 
 use std::time::Duration;
@@ -14,7 +17,7 @@
 use serde_json::json;
 
 use fleet::Fleet;
-use fleet::Outcome;
+use outcome::Outcome;
 use shape::Shape;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
--- a/crates/cw_policy/tests/routing/load.rs
+++ b/crates/cw_policy/tests/routing/load.rs
@@ -6,7 +6,7 @@
 use cw_policy::routing::Policy;
 
 use crate::fleet::Fleet;
-use crate::fleet::Outcome;
+use crate::outcome::Outcome;
 use crate::shape::Shape;
 
 fn run(shape: &Shape, policy: Policy) -> Outcome {
