--- a/crates/cw_types/src/record.rs
+++ b/crates/cw_types/src/record.rs
@@ -40,6 +40,10 @@
     ModelVersion,
     /// A [`Target`].
     Target,
+    /// A [`Drain`].
+    Drain,
+    /// An [`Operator`].
+    Operator,
 }
 
 impl fmt::Display for RecordKind {
@@ -50,6 +54,8 @@
             RecordKind::Priority => "priority",
             RecordKind::ModelVersion => "model_version",
             RecordKind::Target => "target",
+            RecordKind::Drain => "drain",
+            RecordKind::Operator => "operator",
         })
     }
 }
@@ -72,6 +78,8 @@
             "priority" => Ok(RecordKind::Priority),
             "model_version" => Ok(RecordKind::ModelVersion),
             "target" => Ok(RecordKind::Target),
+            "drain" => Ok(RecordKind::Drain),
+            "operator" => Ok(RecordKind::Operator),
             _ => Err(RecordKeyError {
                 text: text.to_owned(),
             }),
@@ -141,7 +149,8 @@
     pub name: String,
     /// The version of the body's schema.
     pub schema: SchemaVersion,
-    /// The body: one of [`Route`], [`Workspace`], [`Priority`], [`ModelVersion`], [`Target`].
+    /// The body: one of [`Route`], [`Workspace`], [`Priority`], [`ModelVersion`], [`Target`],
+    /// [`Drain`], [`Operator`].
     pub body: Map<String, Value>,
 }
 
@@ -318,3 +327,36 @@
     #[serde(default)]
     pub versions: BTreeMap<ModelName, BTreeSet<VersionName>>,
 }
+
+/// An operator's word that a target or host takes no new work. Its name is theirs.
+#[data(Default, Eq)]
+#[serde(default)]
+pub struct Drain {
+    /// Why, for other operators.
+    pub reason: String,
+}
+
+/// What an operator may do; each role includes those before it.
+#[data(Copy, Default, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum OperatorRole {
+    /// May see everything but secrets.
+    #[default]
+    Reader,
+    /// May propose changes.
+    Proposer,
+    /// May accept and reject changes.
+    Accepter,
+}
+
+/// A person or program that operates the system. Its name is the actor of audit entries.
+#[data(Eq)]
+pub struct Operator {
+    /// The hashes of its valid keys; two at once allow rotation.
+    pub keys: Vec<KeyHash>,
+    /// What it may do.
+    pub role: OperatorRole,
+    /// Whether it may accept what it proposed itself.
+    #[serde(default)]
+    pub alone: bool,
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/control/admin/server.rs
@@ -0,0 +1,133 @@
+//! The server for operators, metrics and health checks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cw_types::HostId;
+use dropshot::ApiDescription;
+use dropshot::ApiDescriptionRegisterError;
+use dropshot::Body;
+use dropshot::ConfigDropshot;
+use dropshot::HttpError;
+use dropshot::HttpServer;
+use dropshot::RequestContext;
+use dropshot::ServerBuilder;
+use dropshot::endpoint;
+use http::Response;
+use http::StatusCode;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use super::Desk;
+use super::endpoints;
+use super::traces;
+use crate::Health;
+use crate::StartError;
+use crate::TraceBook;
+
+/// The largest message, in bytes: a change of many records.
+const MESSAGE_MAX: usize = 1 << 20;
+
+/// The version of the interface.
+const VERSION: &str = "1.0.0";
+
+/// What the handlers share.
+pub(in crate::control) struct AdminContext {
+    pub(in crate::control) host: HostId,
+    pub(in crate::control) health: Arc<Health>,
+    pub(in crate::control) traces: Arc<TraceBook>,
+    pub(in crate::control) registry: Registry,
+    pub(in crate::control) secrets: Vec<String>,
+    pub(in crate::control) desk: Desk,
+}
+
+type Context = RequestContext<Arc<AdminContext>>;
+type Answer = Result<Response<Body>, HttpError>;
+type Description = ApiDescription<Arc<AdminContext>>;
+
+/// Starts the server on the present runtime.
+pub(in crate::control) fn start(
+    address: SocketAddr,
+    context: AdminContext,
+) -> Result<HttpServer<Arc<AdminContext>>, StartError> {
+    let api = description().map_err(|error| StartError {
+        message: error.to_string(),
+    })?;
+    let settings = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: MESSAGE_MAX,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    ServerBuilder::new(api, Arc::new(context), log)
+        .config(settings)
+        .start()
+        .map_err(|error| StartError {
+            message: format!("cannot listen on {address}: {error}"),
+        })
+}
+
+/// Returns the OpenAPI description of the operators' interface.
+///
+/// # Panics
+///
+/// Panics when two endpoints clash, which the tests would show.
+pub fn admin_description() -> serde_json::Value {
+    let api = description().expect("the endpoints do not clash");
+    let version = VERSION.parse().expect("the version is valid");
+    api.openapi("cyclamenwharf operators", version)
+        .json()
+        .expect("a description is JSON")
+}
+
+fn description() -> Result<Description, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(livez)?;
+    api.register(readyz)?;
+    api.register(metrics)?;
+    api.register(traces::list)?;
+    api.register(traces::fetch)?;
+    api.register(endpoints::status)?;
+    api.register(endpoints::records)?;
+    api.register(endpoints::propose)?;
+    api.register(endpoints::proposals)?;
+    api.register(endpoints::review)?;
+    api.register(endpoints::accept)?;
+    api.register(endpoints::reject)?;
+    api.register(endpoints::history)?;
+    api.register(endpoints::roll_forward)?;
+    api.register(endpoints::put_back)?;
+    Ok(api)
+}
+
+/// Say that the process lives.
+#[endpoint { method = GET, path = "/livez" }]
+async fn livez(_context: Context) -> Answer {
+    text(StatusCode::OK, "live\n")
+}
+
+/// Say whether the balancer should send work.
+#[endpoint { method = GET, path = "/readyz" }]
+async fn readyz(context: Context) -> Answer {
+    match context.context().health.is_ready() {
+        true => text(StatusCode::OK, "ready\n"),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+/// Answer with the metrics in Prometheus's text format.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(context: Context) -> Answer {
+    let mut buffer = Vec::new();
+    TextEncoder::new()
+        .encode(&context.context().registry.gather(), &mut buffer)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    Ok(Response::new(Body::from(buffer)))
+}
+
+fn text(status: StatusCode, body: &'static str) -> Answer {
+    let mut response = Response::new(Body::from(body.to_owned()));
+    *response.status_mut() = status;
+    Ok(response)
+}
