Let entries learn from answers what targets have cached

The router knew of sends but not of prompts, so the policy ran without learned overlap. Sends now count their prompts, accepted attempts teach the ledger, and an engine's death makes it forget that target. An entry only guesses a prompt's length in tokens, so trust is measured against the highest rate seen; else a guess that is too long costs all trust. Forgetting gives the target a new number in place of a walk over the table, which each of hundreds of streams of a lost zone would have made under the lock.

--- a/crates/cw_policy/src/prefix/overlap.rs
+++ b/crates/cw_policy/src/prefix/overlap.rs
@@ -16,6 +16,9 @@
 /// The weight of the newest answer in a target's trust.
 const TRUST_WEIGHT: f64 = 0.2;
 
+/// How much of the highest rate of tokens is kept from answer to answer.
+const RATE_KEPT: f64 = 0.995;
+
 /// The trust in a target that has not answered yet.
 const TRUST_FIRST: f64 = 0.8;
 
@@ -37,7 +40,11 @@
     young: BTreeMap<u64, Vec<u32>>,
     old: BTreeMap<u64, Vec<u32>>,
     numbers: BTreeMap<TargetId, u32>,
+    /// The trust in each number's target; none in one that was forgotten.
     targets: Vec<(TargetId, f64)>,
+    /// The tokens that are cached for each one expected, where the cache had all: the length of a
+    /// prompt in tokens is only guessed at an entry.
+    rate: f64,
 }
 
 impl Overlap {
@@ -60,16 +67,11 @@
 
     /// Forgets what `target` had, since its engine started anew.
     pub fn forget(&mut self, target: &TargetId) {
-        let Some(&number) = self.numbers.get(target) else {
-            return;
-        };
-        for table in [&mut self.young, &mut self.old] {
-            table.retain(|_, holders| {
-                holders.retain(|holder| *holder != number);
-                !holders.is_empty()
-            });
+        // The target gets a new number when it is learned of again. Blocks that name the old one
+        // leave the table with its older half.
+        if let Some(number) = self.numbers.remove(target) {
+            self.targets[number as usize].1 = 0.0;
         }
-        self.targets[number as usize].1 = TRUST_FIRST;
     }
 
     /// Returns the targets known to hold the longest known leading part of `blocks`.
@@ -77,12 +79,12 @@
         let whole = blocks.last().map_or(1, |block| block.end);
         let (numbers, end) = self.deepest(blocks);
         let share = f64::from(end) / f64::from(whole);
-        numbers.iter().map(move |&number| {
+        numbers.iter().filter_map(move |&number| {
             let (target, trust) = &self.targets[number as usize];
-            Holder {
+            (*trust > 0.0).then_some(Holder {
                 target,
                 share: share * trust,
-            }
+            })
         })
     }
 
@@ -117,7 +119,9 @@
         }
         let expected = f64::from(end) / f64::from(whole);
         let actual = cached.0 as f64 / tokens.0 as f64;
-        let sample = (actual / expected).min(1.0);
+        let ratio = actual / expected;
+        self.rate = ratio.max(self.rate * RATE_KEPT);
+        let sample = ratio / self.rate.max(f64::MIN_POSITIVE);
         let trust = &mut self.targets[number as usize].1;
         *trust += TRUST_WEIGHT * (sample - *trust);
     }
--- a/crates/cw_policy/tests/prefix.rs
+++ b/crates/cw_policy/tests/prefix.rs
@@ -85,6 +85,21 @@
     assert!(learned > 0.25 && learned <= 0.5, "{learned}");
     assert!(evicted < 0.05, "{evicted}");
     assert_eq!(share(&overlap), None);
+    overlap.learn(&target, &half, TokenCount(0), TokenCount(1000));
+    assert_eq!(share(&overlap), Some(learned));
+}
+
+/// An entry does not know how many tokens a prompt has, only about how many.
+#[test]
+fn a_wrong_guess_of_the_prompts_length_does_not_cost_trust() {
+    let target: TargetId = "t".parse().unwrap();
+    let prompt = cut("a", &text(8192));
+    let mut overlap = Overlap::default();
+    for _ in 0..30 {
+        overlap.learn(&target, &prompt, TokenCount(400), TokenCount(1000));
+    }
+    let share = overlap.holders(&prompt).next().unwrap().share;
+    assert!(share > 0.95, "{share}");
 }
 
 #[test]
--- a/crates/cyclamenwharf/src/entry/attempts.rs
+++ b/crates/cyclamenwharf/src/entry/attempts.rs
@@ -6,9 +6,11 @@
 
 use cw_policy::Event;
 use cw_policy::LinkId;
+use cw_policy::routing::RouteRequest;
 use cw_types::AttemptNo;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::Failure;
 use cw_wire::Frame;
 use cw_wire::Stamp;
 
@@ -20,6 +22,7 @@
 pub(crate) struct Attempts {
     front: Arc<Frontend>,
     job: Arc<Job>,
+    request: RouteRequest,
     sent: BTreeMap<AttemptNo, Sent>,
     links: BTreeMap<LinkId, AttemptNo>,
     suspects: BTreeSet<AttemptNo>,
@@ -27,10 +30,11 @@
 
 impl Attempts {
     /// Returns the attempts of `job`: none yet.
-    pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>) -> Self {
+    pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, request: RouteRequest) -> Self {
         Self {
             front,
             job,
+            request,
             sent: BTreeMap::new(),
             links: BTreeMap::new(),
             suspects: BTreeSet::new(),
@@ -53,7 +57,7 @@
         target: &TargetId,
     ) -> Option<Sent> {
         let sent = self.locate(now, attempt, target)?;
-        self.front.router.dispatched(now, target);
+        self.front.router.sent(now, target, &self.request);
         self.sent.insert(attempt, sent.clone());
         self.links.insert(link, attempt);
         Some(sent)
@@ -109,6 +113,12 @@
             return;
         };
         match frame {
+            Frame::Accepted { cached, .. } => {
+                if let Some(sent) = self.sent.get(&attempt) {
+                    let router = &self.front.router;
+                    router.accepted(&sent.target, &self.request, *cached);
+                }
+            }
             Frame::NotRun { retry, .. } => {
                 let Some(sent) = self.sent.get(&attempt).cloned() else {
                     return;
@@ -117,7 +127,17 @@
                 self.unplace(attempt, &sent);
             }
             Frame::Done { .. } | Frame::Failed { .. } => {
-                self.release(now, attempt);
+                let sent = self.release(now, attempt);
+                let crashed = matches!(
+                    frame,
+                    Frame::Failed {
+                        failure: Failure::TargetLost,
+                        ..
+                    }
+                );
+                if let Some(sent) = sent.filter(|_| crashed) {
+                    self.front.router.crashed(&sent.target);
+                }
             }
             _ => {}
         }
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -65,13 +65,14 @@
     /// Returns a driver that hands the output to `out`.
     pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
         let limits = job.limits(&front.settings);
+        let request = front.router.request(&job);
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
-            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
+            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
-            request: front.router.request(&job),
+            request,
             suspect: false,
             absent: false,
             front,
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -96,8 +96,22 @@
     }
 
     /// Records that an attempt was sent to `target`.
-    pub(crate) fn dispatched(&self, now: Time, target: &TargetId) {
-        self.ledger().dispatched(now, target);
+    pub(crate) fn sent(&self, now: Time, target: &TargetId, request: &RouteRequest) {
+        self.ledger().sent(now, target, request);
+    }
+
+    /// Learns how much of a prompt `target` had cached; it has all of it now.
+    pub(crate) fn accepted(&self, target: &TargetId, request: &RouteRequest, cached: TokenCount) {
+        if !request.blocks.is_empty() {
+            let mut ledger = self.ledger();
+            let overlap = &mut ledger.overlap;
+            overlap.learn(target, &request.blocks, cached, request.tokens);
+        }
+    }
+
+    /// Forgets what `target` had cached, since its engine died.
+    pub(crate) fn crashed(&self, target: &TargetId) {
+        self.ledger().overlap.forget(target);
     }
 
     /// Records that an attempt has ended, `held` after it was sent.
