--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -74,13 +74,14 @@
             let before = u32::try_from(crashes).unwrap_or(u32::MAX);
             limits.crashes = limits.crashes.saturating_sub(before).max(1);
         }
+        let request = front.router.request(&job);
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
-            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
+            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
-            request: front.router.request(&job),
+            request,
             verdict,
             suspect: false,
             absent: false,
