--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -146,7 +146,7 @@
 
     /// Returns whether the request was run, as far as the machine knows.
     pub fn ran(&self) -> Ran {
-        let answered = !self.output.is_empty() || self.held.head.is_some();
+        let answered = self.next().max(self.plan.from).0 > 0 || self.held.head.is_some();
         match (answered, self.dispatched) {
             (true, _) => Ran::Partly,
             (false, 0) => Ran::No,
--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -188,10 +188,15 @@
 
     /// The agent does not know the attempt.
     fn forgotten(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
-        match self.plan.idempotent {
-            true => self.lose(now, attempt, Ran::Unknown, steps),
-            false => self.prove(attempt, steps),
+        if self.plan.idempotent {
+            return self.lose(now, attempt, Ran::Unknown, steps);
+        }
+        if self.plan.from.0 == 0 {
+            return self.prove(attempt, steps);
         }
+        // Its caller holds output of it: an agent that never saw it is of a later life.
+        self.drop_track(attempt, steps);
+        self.unknown_outcome(steps);
     }
 
     fn prove(&mut self, attempt: AttemptNo, steps: &mut Vec<Step>) {
--- a/crates/cw_policy/tests/generation_fuzz.rs
+++ b/crates/cw_policy/tests/generation_fuzz.rs
@@ -33,25 +33,26 @@
 }
 
 fn op() -> impl Strategy<Value = Op> {
-    let any = || 0..8_usize;
+    let link = || 0..8_usize;
     let target = || 0..TARGETS;
     prop_oneof![
-        30 => any().prop_map(Op::Deliver),
+        30 => link().prop_map(Op::Deliver),
         20 => target().prop_map(Op::Engine),
         8 => (50..700_u64).prop_map(Op::Pass),
-        4 => any().prop_map(Op::Cancel),
-        2 => any().prop_map(Op::LoseCancel),
-        2 => any().prop_map(Op::Break),
-        2 => any().prop_map(Op::Silence),
-        2 => any().prop_map(Op::Repeat),
-        2 => any().prop_map(Op::Swap),
-        2 => any().prop_map(Op::Late),
+        4 => link().prop_map(Op::Cancel),
+        2 => link().prop_map(Op::LoseCancel),
+        2 => link().prop_map(Op::Break),
+        2 => link().prop_map(Op::Silence),
+        2 => link().prop_map(Op::Repeat),
+        2 => link().prop_map(Op::Swap),
+        2 => link().prop_map(Op::Late),
         2 => target().prop_map(Op::KillEngine),
         2 => target().prop_map(Op::Pause),
         1 => target().prop_map(Op::KillAgent),
         4 => target().prop_map(Op::Restart),
         3 => target().prop_map(Op::Report),
         1 => (0..3_usize).prop_map(Op::Leave),
+        2 => (0..8_usize, any::<bool>()).prop_map(|(at, held)| Op::Return(at, held)),
     ]
 }
 
--- a/crates/cw_policy/tests/generation_world/mod.rs
+++ b/crates/cw_policy/tests/generation_world/mod.rs
@@ -83,6 +83,8 @@
     Pass(u64),
     /// A caller goes away.
     Leave(usize),
+    /// A caller comes back through another entry, with its tokens or without.
+    Return(usize, bool),
 }
 
 #[derive(Debug)]
@@ -109,6 +111,10 @@
     links: BTreeMap<LinkId, Link>,
     sent: BTreeMap<AttemptNo, (usize, Stamp)>,
     output: Vec<TokenId>,
+    /// The attempt that made the newest token, and its target.
+    last: Option<(AttemptNo, TargetId)>,
+    /// Whether the caller listens to another entry now.
+    left: bool,
     end: Option<Step>,
 }
 
@@ -148,6 +154,8 @@
                 links: BTreeMap::new(),
                 sent: BTreeMap::new(),
                 output: Vec::new(),
+                last: None,
+                left: false,
                 end: None,
             }
         });
@@ -201,8 +209,10 @@
             Op::Pass(millis) => self.pass(Duration::from_millis(millis)),
             Op::Leave(at) => {
                 let caller = at % self.callers.len();
+                self.callers[caller].left = true;
                 self.feed(caller, Event::CallerGone);
             }
+            Op::Return(at, held) => self.come_back(at % self.callers.len(), held),
         }
         self.read_ahead();
     }
@@ -235,7 +245,7 @@
 
     /// Checks what must hold at any moment.
     pub(crate) fn check(&self) -> Result<(), String> {
-        for caller in &self.callers {
+        for caller in self.callers.iter().filter(|caller| !caller.left) {
             let starts = self.starts(caller.id);
             if !is_whole_chain(&caller.output) {
                 return Err(format!("mixed output: {:?}", caller.output));
@@ -441,8 +451,17 @@
                 let clock = self.agents[agent].clock(self.now);
                 self.agents[agent].take(clock, steps);
             }
-            Step::Deliver { first, tokens, .. } => {
+            Step::Deliver {
+                first,
+                attempt,
+                target,
+                tokens,
+            } => {
                 let caller = &mut self.callers[caller];
+                if caller.left {
+                    return None;
+                }
+                caller.last = Some((attempt, target));
                 assert_eq!(first.0, caller.output.len() as u64, "no gap, no repeat");
                 assert!(caller.end.is_none(), "nothing comes after the end");
                 caller.output.extend(tokens.iter().map(|token| token.id));
@@ -457,6 +476,42 @@
         None
     }
 
+    /// A caller hears nothing more from its entry, and calls again through another one.
+    fn come_back(&mut self, at: usize, held: bool) {
+        let caller = &mut self.callers[at];
+        let Some((attempt, target)) = caller.last.clone() else {
+            return;
+        };
+        if caller.left || caller.end.is_some() {
+            return;
+        }
+        caller.left = true;
+        let mut plan = caller.plan.clone();
+        plan.from = TokenIndex(caller.output.len() as u64);
+        plan.running = Some(target.clone());
+        plan.first = attempt;
+        plan.prefix = match held {
+            true => caller.output.clone(),
+            false => Vec::new(),
+        };
+        let agent = index(&target);
+        let stamp = self.agents[agent].stamp;
+        let back = Caller {
+            id: caller.id,
+            machine: Generation::new(plan.clone(), Limits::default()),
+            plan,
+            links: BTreeMap::new(),
+            sent: BTreeMap::from([(attempt, (agent, stamp))]),
+            output: caller.output.clone(),
+            last: caller.last.clone(),
+            left: false,
+            end: None,
+        };
+        self.feed(at, Event::CallerGone);
+        self.callers.push(back);
+        self.feed(self.callers.len() - 1, Event::Start);
+    }
+
     fn choose(&mut self, exclude: &std::collections::BTreeSet<TargetId>) -> Event {
         for _ in 0..TARGETS {
             self.turn = (self.turn + 1) % TARGETS;
