Give attempts of entries that take over numbers of their own

Two entries that took over from the same attempt gave their next attempts equal numbers, and the agent joined the second one to the first one's output; and a proof of 'not run' from a later life of the agent was believed though the caller held output.

--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -2,11 +2,9 @@
 
 use cw_types::AttemptId;
 use cw_types::AttemptNo;
-use cw_types::GenerationId;
 use cw_types::Ran;
 use cw_types::Time;
 use cw_types::TokenIndex;
-use cw_types::WorkspaceId;
 use cw_wire::Ack;
 use cw_wire::Attach;
 use cw_wire::Cancel;
@@ -75,9 +73,9 @@
         (self.open(id, from), steps)
     }
 
-    /// Attaches to the newest attempt of a generation of the same workspace.
+    /// Attaches to the attempt asked for, or to the newest of a generation, of the same workspace.
     pub fn on_attach(&mut self, now: Time, attach: &Attach) -> AttemptAnswer {
-        match self.newest(attach.generation, &attach.workspace) {
+        match self.find(attach) {
             Some(id) => self.open(id, attach.from),
             None => self.refuse(now, Reason::Unknown),
         }
@@ -146,15 +144,19 @@
         AttemptAnswer::Read(Reader::new(id, from.0))
     }
 
-    fn newest(&self, generation: GenerationId, workspace: &WorkspaceId) -> Option<AttemptId> {
+    fn find(&self, attach: &Attach) -> Option<AttemptId> {
         let id = |attempt| AttemptId {
-            generation,
+            generation: attach.generation,
             attempt,
         };
+        let range = match attach.attempt {
+            Some(attempt) => id(attempt)..=id(attempt),
+            None => id(AttemptNo(0))..=id(AttemptNo(u32::MAX)),
+        };
         self.attempts
-            .range(id(AttemptNo(0))..=id(AttemptNo(u32::MAX)))
+            .range(range)
             .rev()
-            .find(|(_, attempt)| attempt.workspace.as_ref() == Some(workspace))
+            .find(|(_, attempt)| attempt.workspace.as_ref() == Some(&attach.workspace))
             .map(|(id, _)| *id)
     }
 
--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -73,7 +73,7 @@
         let mut output = plan.prefix.clone();
         output.truncate(usize::try_from(plan.from.0).unwrap_or(usize::MAX));
         Self {
-            next_attempt: plan.first,
+            next_attempt: plan.next,
             base,
             output,
             plan,
@@ -167,7 +167,6 @@
     /// Attaches to the attempt that an earlier entry, or an earlier call, dispatched.
     fn come_back(&mut self, now: Time, target: TargetId, steps: &mut Vec<Step>) {
         let attempt = self.plan.first;
-        self.next_attempt = AttemptNo(attempt.0 + RETURN_STRIDE);
         self.dispatched += 1;
         let link = self.new_link();
         let track = Track {
@@ -365,8 +364,5 @@
     }
 }
 
-/// How far the attempt numbers of an entry that takes over lie above those of the entry before.
-const RETURN_STRIDE: u32 = 64;
-
 /// When to call again after a claim could not be written.
 const CLAIM_RETRY: Duration = Duration::from_secs(1);
--- a/crates/cw_policy/src/generation/plan.rs
+++ b/crates/cw_policy/src/generation/plan.rs
@@ -40,8 +40,18 @@
     pub from: TokenIndex,
     /// The target that runs the generation already, when the caller comes back to it.
     pub running: Option<TargetId>,
-    /// The number of the first attempt that this machine dispatches.
+    /// The number of the attempt that runs already.
     pub first: AttemptNo,
+    /// The number of the first attempt that this machine dispatches.
+    ///
+    /// Entries that take over from each other must not give two attempts the same number: a number
+    /// stands for one output to be continued.
+    #[serde(default = "first_attempt")]
+    pub next: AttemptNo,
+}
+
+fn first_attempt() -> AttemptNo {
+    AttemptNo(1)
 }
 
 impl Plan {
@@ -50,7 +60,7 @@
         Self {
             idempotent: true,
             patience,
-            first: AttemptNo(1),
+            next: AttemptNo(1),
             ..Self::default()
         }
     }
--- a/crates/cw_policy/tests/generation_world/mod.rs
+++ b/crates/cw_policy/tests/generation_world/mod.rs
@@ -137,6 +137,8 @@
     /// was not.
     dispatches: Vec<(usize, Dispatch)>,
     turn: usize,
+    /// How many entries have taken over a generation.
+    entries: u32,
 }
 
 impl World {
@@ -166,6 +168,7 @@
             cancels: VecDeque::new(),
             dispatches: Vec::new(),
             turn: 0,
+            entries: 0,
         };
         for caller in 0..world.callers.len() {
             world.feed(caller, Event::Start);
@@ -490,6 +493,8 @@
         plan.from = TokenIndex(caller.output.len() as u64);
         plan.running = Some(target.clone());
         plan.first = attempt;
+        self.entries += 1;
+        plan.next = AttemptNo(1000 * self.entries);
         plan.prefix = match held {
             true => caller.output.clone(),
             false => Vec::new(),
@@ -562,6 +567,7 @@
             }
             None => Ask::Attach(Attach {
                 generation: self.callers[caller].id,
+                attempt: Some(attempt),
                 workspace: name("w"),
                 from,
             }),
--- a/crates/cw_wire/src/dispatch.rs
+++ b/crates/cw_wire/src/dispatch.rs
@@ -7,6 +7,7 @@
 use cw_macro::data;
 use cw_types::AdapterName;
 use cw_types::AttemptId;
+use cw_types::AttemptNo;
 use cw_types::GenerationId;
 use cw_types::Incarnation;
 use cw_types::ModelName;
@@ -153,6 +154,12 @@
 pub struct Attach {
     /// The generation.
     pub generation: GenerationId,
+    /// The attempt, where the one who asks knows it; the newest otherwise.
+    ///
+    /// Entries that took over from each other may have dispatched several, and only one of them
+    /// continues what the caller has.
+    #[serde(default)]
+    pub attempt: Option<AttemptNo>,
     /// The workspace that asks; another's generation is never found.
     pub workspace: WorkspaceId,
     /// The first index to send.
--- a/crates/cyclamenwharf/src/entry/calls.rs
+++ b/crates/cyclamenwharf/src/entry/calls.rs
@@ -6,7 +6,6 @@
 use chrono::Utc;
 use cw_policy::Plan;
 use cw_policy::View;
-use cw_types::AttemptNo;
 use cw_types::ErrorKind;
 use cw_types::GenerationId;
 use cw_types::Route;
@@ -39,6 +38,7 @@
 use super::frontend::Frontend;
 use super::job::Job;
 use super::job::drawn_seed;
+use super::job::taken_over;
 use super::keyed;
 use super::keyed::Started;
 use super::keyed::key_of;
@@ -190,7 +190,8 @@
     plan.from = back.next;
     plan.prefix = asked.so_far.clone();
     plan.running = Some(back.target.clone());
-    plan.first = back.attempt.attempt.max(AttemptNo(1));
+    plan.first = back.attempt.attempt;
+    plan.next = taken_over();
     Ok(plan)
 }
 
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -325,6 +325,7 @@
         let Some(so_far) = repeat else {
             let message = Attach {
                 generation: self.job.generation,
+                attempt: Some(attempt),
                 workspace: self.job.workspace.clone(),
                 from,
             };
--- a/crates/cyclamenwharf/src/entry/job.rs
+++ b/crates/cyclamenwharf/src/entry/job.rs
@@ -86,6 +86,7 @@
         self.generation = sent.id.generation;
         self.plan.running = Some(sent.target.clone());
         self.plan.first = sent.id.attempt;
+        self.plan.next = taken_over();
         self.known = Some(sent);
         if let Work::Generate(work) = &mut self.work {
             work.sampling.seed = self.seed.unwrap_or(drawn_seed(self.generation));
@@ -188,6 +189,17 @@
     }
 }
 
+/// Returns a number for the next attempt of a generation that another entry began.
+///
+/// It is drawn, so that no two entries that take over give the same number to different attempts.
+pub(crate) fn taken_over() -> AttemptNo {
+    AttemptNo(rand::random_range(TAKEN_OVER))
+}
+
+/// The numbers of attempts of entries that take over: above those of the first entry, and with
+/// room for as many attempts as one entry makes.
+const TAKEN_OVER: std::ops::Range<u32> = 1 << 16..1 << 31;
+
 /// Returns the seed of a generation whose caller asked for none.
 ///
 /// It follows from the generation, so that an entry that takes over draws the same tokens.
--- a/crates/cyclamenwharf/tests/agent/attempts.rs
+++ b/crates/cyclamenwharf/tests/agent/attempts.rs
@@ -108,6 +108,7 @@
     call.token(1);
     let attach = |workspace: &str| Attach {
         generation: attempt(1, 1).generation,
+        attempt: None,
         workspace: workspace.parse().unwrap(),
         from: TokenIndex(0),
     };
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -54,6 +54,8 @@
 use cyclamenwharf::RecoverySettings;
 use cyclamenwharf::SecretSettings;
 use cyclamenwharf::SharedView;
+use cyclamenwharf::TraceBook;
+use cyclamenwharf::TraceSettings;
 use dropshot::ApiDescription;
 use dropshot::Body;
 use dropshot::ConfigDropshot;
@@ -440,6 +442,7 @@
             store: Arc::clone(&self.store) as Arc<dyn KeyValue>,
             registry: Registry::new(),
             health,
+            traces: Arc::new(TraceBook::new(TraceSettings::default())),
         })
         .expect("loopback can be listened on")
     }
@@ -540,6 +543,7 @@
         },
         recovery: RecoverySettings::default(),
         log: LogSettings::default(),
+        trace: TraceSettings::default(),
     }
 }
 
