--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -54,8 +54,6 @@
 use cyclamenwharf::RecoverySettings;
 use cyclamenwharf::SecretSettings;
 use cyclamenwharf::SharedView;
-use cyclamenwharf::TraceBook;
-use cyclamenwharf::TraceSettings;
 use dropshot::ApiDescription;
 use dropshot::Body;
 use dropshot::ConfigDropshot;
@@ -442,7 +440,7 @@
             store: Arc::clone(&self.store) as Arc<dyn KeyValue>,
             registry: Registry::new(),
             health,
-            traces: Arc::new(TraceBook::new(TraceSettings::default())),
+            traces: Default::default(),
         })
         .expect("loopback can be listened on")
     }
@@ -542,8 +540,8 @@
             ..LimitSettings::default()
         },
         recovery: RecoverySettings::default(),
+        trace: Default::default(),
         log: LogSettings::default(),
-        trace: TraceSettings::default(),
     }
 }
 
