--- /dev/null
+++ b/crates/cw_policy/tests/claim.rs
@@ -0,0 +1,187 @@
+//! A claim is taken once, whatever answers of the key-value service are lost.
+
+use cw_policy::Claim;
+use cw_policy::ClaimEvent;
+use cw_policy::ClaimId;
+use cw_policy::ClaimRevision;
+use cw_policy::ClaimState;
+use cw_policy::ClaimStep;
+use cw_policy::ClaimWrite;
+use cw_types::AttemptId;
+use cw_types::AttemptNo;
+use cw_types::GenerationId;
+use cw_types::Incarnation;
+use cw_types::WorkspaceId;
+use cw_wire::Fingerprint;
+use cw_wire::Stamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn claim(id: u64) -> Claim {
+    Claim {
+        id: ClaimId(id),
+        fingerprint: Fingerprint(7),
+        attempt: AttemptId {
+            generation: GenerationId(u128::from(id)),
+            attempt: AttemptNo(1),
+        },
+        target: "t".parse().expect("a name"),
+        agent: "127.0.0.1:1".parse().expect("an address"),
+        stamp: Stamp {
+            incarnation: Incarnation(1),
+            age: std::time::Duration::ZERO,
+        },
+        version: None,
+        state: ClaimState::Open,
+    }
+}
+
+fn held(id: u64, revision: i64) -> ClaimEvent {
+    ClaimEvent::Holds(Some((Box::new(claim(id)), ClaimRevision(revision))))
+}
+
+#[rstest]
+fn a_written_claim_is_mine() {
+    let mut write = ClaimWrite::new(claim(1), None);
+    write.start();
+
+    let step = write.on_event(ClaimEvent::Written(ClaimRevision(4)));
+
+    assert_eq!(step, ClaimStep::Mine(ClaimRevision(4)));
+}
+
+#[rstest]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let mut write = ClaimWrite::new(claim(1), None);
+    write.start();
+
+    assert_eq!(write.on_event(ClaimEvent::Lost), ClaimStep::Read);
+    assert_eq!(
+        write.on_event(held(1, 4)),
+        ClaimStep::Mine(ClaimRevision(4))
+    );
+}
+
+#[rstest]
+fn a_write_that_was_lost_on_its_way_is_tried_again() {
+    let mut write = ClaimWrite::new(claim(1), None);
+    let first = write.start();
+    write.on_event(ClaimEvent::Lost);
+
+    let step = write.on_event(ClaimEvent::Holds(None));
+
+    assert_eq!(step, first);
+}
+
+#[rstest]
+fn another_claim_keeps_the_attempt_from_being_dispatched() {
+    let mut write = ClaimWrite::new(claim(1), None);
+    write.start();
+
+    let step = write.on_event(held(2, 4));
+
+    let taken = ClaimStep::Taken(Box::new(claim(2)), ClaimRevision(4));
+    assert_eq!(step, taken);
+}
+
+#[rstest]
+fn a_claim_that_lapsed_is_not_written_anew() {
+    let mut write = ClaimWrite::new(claim(1), Some(ClaimRevision(3)));
+    write.start();
+
+    assert_eq!(
+        write.on_event(ClaimEvent::Holds(None)),
+        ClaimStep::Unavailable
+    );
+}
+
+#[rstest]
+fn keys_of_different_workspaces_differ() {
+    let key = |workspace: &str| {
+        let workspace: WorkspaceId = workspace.parse().expect("a name");
+        Claim::key(&workspace, "k")
+    };
+
+    assert_ne!(key("a"), key("b"));
+    assert!(!key("a").contains("/k"));
+}
+
+/// A store of one key, whose next answers the test chooses.
+#[derive(Default)]
+struct Store {
+    held: Option<(Claim, ClaimRevision)>,
+    revision: i64,
+}
+
+impl Store {
+    /// Answers `step`: 0 as it should, 1 losing the answer, 2 losing the call, 3 refusing it.
+    fn answer(&mut self, step: &ClaimStep, fault: u8) -> ClaimEvent {
+        if fault == 2 {
+            return ClaimEvent::Lost;
+        }
+        let event = match step {
+            ClaimStep::Swap { expected, claim } => self.swap(*expected, claim, fault),
+            _ => ClaimEvent::Holds(self.boxed()),
+        };
+        match fault {
+            1 => ClaimEvent::Lost,
+            _ => event,
+        }
+    }
+
+    fn swap(&mut self, expected: Option<ClaimRevision>, claim: &Claim, fault: u8) -> ClaimEvent {
+        if fault == 3 {
+            return ClaimEvent::Unavailable;
+        }
+        if self.held.as_ref().map(|held| held.1) != expected {
+            return ClaimEvent::Holds(self.boxed());
+        }
+        self.revision += 1;
+        let revision = ClaimRevision(self.revision);
+        self.held = Some((claim.clone(), revision));
+        ClaimEvent::Written(revision)
+    }
+
+    fn boxed(&self) -> Option<(Box<Claim>, ClaimRevision)> {
+        let held = self.held.clone();
+        held.map(|(claim, revision)| (Box::new(claim), revision))
+    }
+}
+
+fn runner() -> proptest::test_runner::TestRunner {
+    use proptest::test_runner::Config;
+    use proptest::test_runner::RngAlgorithm;
+    use proptest::test_runner::TestRng;
+    println!("seed 1, 2000 cases");
+    let config = Config {
+        cases: 2000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[1; 32]);
+    proptest::test_runner::TestRunner::new_with_rng(config, rng)
+}
+
+#[rstest]
+fn of_several_that_claim_one_key_at_most_one_is_told_that_it_is_theirs() {
+    let turns = proptest::collection::vec((0..3_usize, 0..4_u8), 1..40);
+
+    let result = runner().run(&turns, |turns| {
+        let mut store = Store::default();
+        let mut writes: Vec<ClaimWrite> =
+            (1..4).map(|id| ClaimWrite::new(claim(id), None)).collect();
+        let mut steps: Vec<ClaimStep> = writes.iter_mut().map(ClaimWrite::start).collect();
+        for (who, fault) in turns {
+            let open = matches!(steps[who], ClaimStep::Swap { .. } | ClaimStep::Read);
+            if open {
+                let event = store.answer(&steps[who], fault);
+                steps[who] = writes[who].on_event(event);
+            }
+        }
+        let mine = |step: &&ClaimStep| matches!(step, ClaimStep::Mine(_));
+        prop_assert!(steps.iter().filter(mine).count() <= 1, "{steps:?}");
+        Ok(())
+    });
+
+    result.expect("at most one claim is taken");
+}
