Let an agent's limit rise again, and not fall for what waits one step

Cause: the adaptive limit rose only when running reached it, but ordinary attempts never take the reserve, so after one decrease it stayed where it was for good; and one reading with requests that wait for the engine's next step set it to what ran at that moment. Both together let one attempt run at a time on a restarted target: callers waited 1 to 6 s for a first token. Change: the limit is reached when only the reserve is free, and queued requests count when two readings in a row show them.

--- a/crates/cw_policy/src/admission/adaptive_limit.rs
+++ b/crates/cw_policy/src/admission/adaptive_limit.rs
@@ -17,6 +17,7 @@
     target: Duration,
     floor: u32,
     ceiling: u32,
+    reserve: u32,
     limit: u32,
     step: Duration,
 }
@@ -28,11 +29,19 @@
             target,
             floor: floor.min(ceiling),
             ceiling,
+            reserve: 0,
             limit: ceiling,
             step: Duration::ZERO,
         }
     }
 
+    /// Sets how many slots ordinary attempts never take: without them the limit is reached.
+    #[must_use]
+    pub fn with_reserve(mut self, reserve: u32) -> Self {
+        self.reserve = reserve;
+        self
+    }
+
     /// Returns the smoothed time between tokens.
     pub fn step(&self) -> Duration {
         self.step
@@ -63,12 +72,16 @@
         } else if queued > 0 {
             // The engine has no room for them: letting more in would only hide the queue.
             self.set(running);
-        } else if step * 100 < self.target * HEADROOM_PERCENT && running >= self.limit {
+        } else if step * 100 < self.target * HEADROOM_PERCENT && self.is_reached(running) {
             // A limit that is not reached says nothing about a higher one.
             self.set(self.limit + 1 + self.limit / INCREASE_DIVISOR);
         }
     }
 
+    fn is_reached(&self, running: u32) -> bool {
+        running + self.reserve >= self.limit
+    }
+
     fn set(&mut self, limit: u32) {
         self.limit = limit.clamp(self.floor, self.ceiling);
     }
--- a/crates/cw_policy/src/admission/admission_control.rs
+++ b/crates/cw_policy/src/admission/admission_control.rs
@@ -84,6 +84,7 @@
     pub fn new(limits: AdmissionLimits) -> Self {
         let floor = limits.reserve + 1;
         let limit = AdaptiveLimit::new(limits.step, floor, limits.running);
+        let limit = limit.with_reserve(limits.reserve);
         Self {
             limits,
             limit,
@@ -155,8 +156,9 @@
 
     /// Takes in a reading of the engine's load.
     pub fn observe(&mut self, engine: Load) {
-        self.limit
-            .observe(engine.step, engine.running, engine.waiting);
+        // What waits for the next step of a batch is seen once; a full engine shows it again.
+        let queued = engine.waiting.min(self.engine.waiting);
+        self.limit.observe(engine.step, engine.running, queued);
         self.engine = engine;
     }
 
--- a/crates/cw_policy/tests/admission.rs
+++ b/crates/cw_policy/tests/admission.rs
@@ -236,6 +236,44 @@
     assert_eq!(limit.get(), low);
 }
 
+#[test]
+fn the_limit_rises_again_although_the_reserve_stays_free() {
+    let mut limit = AdaptiveLimit::new(TARGET, 5, 64).with_reserve(4);
+    for _ in 0..20 {
+        limit.observe(2 * TARGET, limit.get(), 0);
+    }
+    let low = limit.get();
+
+    for _ in 0..200 {
+        limit.observe(TARGET / 4, limit.get() - 4, 0);
+    }
+
+    assert_eq!(low, 5);
+    assert_eq!(limit.get(), 64);
+}
+
+#[rstest]
+#[case::for_the_next_step(&[6, 0, 6], 8)]
+#[case::for_room(&[6, 6], 5)]
+fn what_the_engine_queues_counts_when_it_is_seen_again(
+    #[case] readings: &[u32],
+    #[case] expected: u32,
+) {
+    let mut control = AdmissionControl::new(limits());
+    let reading = |waiting| Load {
+        running: 5,
+        waiting,
+        step: TARGET / 4,
+        ..Load::default()
+    };
+
+    for waiting in readings {
+        control.observe(reading(*waiting));
+    }
+
+    assert_eq!(control.load(Time(0)).limit, expected);
+}
+
 #[rstest]
 fn attempts_that_the_engine_queues_lower_the_limit_to_what_it_runs() {
     let mut limit = AdaptiveLimit::new(TARGET, 3, 64);
