Let an entry's settings name its routing policy, for experiments

The baselines of the routing policy can be measured only if an entry can be told to use them. The default stays affinity.

--- a/crates/cw_testkit/src/deployment/rig.rs
+++ b/crates/cw_testkit/src/deployment/rig.rs
@@ -295,6 +295,7 @@
             secrets: secrets(),
             limits: self.spec.limits.clone(),
             recovery: self.spec.recovery.clone(),
+            routing: self.spec.routing,
             trace: self.spec.trace.clone(),
             log: LogSettings::default(),
         }
--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -1,10 +1,12 @@
 //! How large a deployment is.
 
+use cw_policy::routing::Policy;
 use cw_types::Quota;
 use cw_types::Rate;
 use cyclamenwharf::EngineSettings;
 use cyclamenwharf::LimitSettings;
 use cyclamenwharf::RecoverySettings;
+use cyclamenwharf::RoutingSettings;
 use cyclamenwharf::TraceSettings;
 
 use crate::EngineTimings;
@@ -47,6 +49,8 @@
     pub recovery: RecoverySettings,
     /// What entries record of their decisions.
     pub trace: TraceSettings,
+    /// How entries choose targets.
+    pub routing: RoutingSettings,
     /// Whether entries reach each agent through a [`crate::Forwarder`].
     pub forwarded: bool,
 }
@@ -69,6 +73,7 @@
             limits: LimitSettings::default(),
             recovery: RecoverySettings::default(),
             trace: TraceSettings::default(),
+            routing: RoutingSettings::default(),
             forwarded: false,
         }
     }
@@ -123,4 +128,11 @@
         self.forwarded = true;
         self
     }
+
+    /// Sets how entries choose targets.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.routing.policy = policy;
+        self
+    }
 }
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -146,7 +146,11 @@
         slo,
         health: parts.health,
         metrics,
-        router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
+        router: Router::new(
+            parts.settings.zone.clone(),
+            parts.settings.region.clone(),
+            parts.settings.routing.policy,
+        ),
         progress: TaskTracker::new(),
         traces: parts.traces,
         settings: parts.settings,
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -41,16 +41,18 @@
 pub(crate) struct Router {
     zone: ZoneId,
     region: RegionId,
+    policy: Policy,
     ledger: Mutex<Ledger>,
     indexed: ArcSwapOption<Indexed>,
 }
 
 impl Router {
     /// Returns a router for an entry in `zone` of `region`.
-    pub(crate) fn new(zone: ZoneId, region: RegionId) -> Self {
+    pub(crate) fn new(zone: ZoneId, region: RegionId, policy: Policy) -> Self {
         Self {
             zone,
             region,
+            policy,
             ledger: Mutex::default(),
             indexed: ArcSwapOption::empty(),
         }
@@ -88,11 +90,10 @@
         let mut request = request.clone();
         request.excluded.extend(excluded.iter().cloned());
         let indexed = self.indexed(now, view);
-        let policy = Policy::default();
         let ledger = self.ledger();
         indexed
             .index
-            .choose(now, policy, &request, &ledger, &mut rand::rng())
+            .choose(now, self.policy, &request, &ledger, &mut rand::rng())
     }
 
     /// Records that an attempt was sent to `target`.
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -45,6 +45,7 @@
 pub use settings::PlatformSettings;
 pub use settings::RecoverySettings;
 pub use settings::Role;
+pub use settings::RoutingSettings;
 pub use settings::SecretSettings;
 pub use settings::SettingsError;
 pub use settings::TargetSettings;
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cw_macro::data;
+use cw_policy::routing::Policy;
 use cw_types::ByteSize;
 use cw_types::HostId;
 use cw_types::RegionId;
@@ -40,6 +41,9 @@
     /// How lost attempts are noticed.
     #[serde(default)]
     pub recovery: RecoverySettings,
+    /// How targets are chosen.
+    #[serde(default)]
+    pub routing: RoutingSettings,
     /// Recording of decisions.
     #[serde(default)]
     pub trace: TraceSettings,
@@ -87,6 +91,14 @@
     }
 }
 
+/// How targets are chosen.
+#[data(Copy, Default, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// The policy; all but the default are baselines to measure it against.
+    pub policy: Policy,
+}
+
 /// How lost attempts are noticed and replaced.
 #[serde_as]
 #[data(Eq)]
--- a/crates/cyclamenwharf/src/settings/mod.rs
+++ b/crates/cyclamenwharf/src/settings/mod.rs
@@ -12,6 +12,7 @@
 pub use entry_settings::EntrySettings;
 pub use entry_settings::LimitSettings;
 pub use entry_settings::RecoverySettings;
+pub use entry_settings::RoutingSettings;
 pub use shared_settings::LogLevel;
 pub use shared_settings::LogSettings;
 pub use shared_settings::PlatformSettings;
--- a/crates/cyclamenwharf/tests/control/rig.rs
+++ b/crates/cyclamenwharf/tests/control/rig.rs
@@ -126,6 +126,7 @@
             },
             limits: Default::default(),
             recovery: Default::default(),
+            routing: Default::default(),
             trace: Default::default(),
             log: Default::default(),
         }
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -540,6 +540,7 @@
             ..LimitSettings::default()
         },
         recovery: RecoverySettings::default(),
+        routing: Default::default(),
         trace: Default::default(),
         log: LogSettings::default(),
     }
