--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -1,10 +1,13 @@
 //! How large a deployment is.
 
+use cw_policy::routing::Policy;
 use cw_types::Quota;
 use cw_types::Rate;
 use cyclamenwharf::EngineSettings;
 use cyclamenwharf::LimitSettings;
 use cyclamenwharf::RecoverySettings;
+use cyclamenwharf::RoutingSettings;
+use cyclamenwharf::TraceSettings;
 
 use crate::EngineTimings;
 
@@ -44,6 +47,10 @@
     pub limits: LimitSettings,
     /// How entries notice lost attempts.
     pub recovery: RecoverySettings,
+    /// What entries record of their decisions.
+    pub trace: TraceSettings,
+    /// How entries choose targets.
+    pub routing: RoutingSettings,
     /// Whether entries reach each agent through a [`crate::Forwarder`].
     pub forwarded: bool,
 }
@@ -65,6 +72,8 @@
             agent: EngineSettings::default(),
             limits: LimitSettings::default(),
             recovery: RecoverySettings::default(),
+            trace: TraceSettings::default(),
+            routing: RoutingSettings::default(),
             forwarded: false,
         }
     }
@@ -106,10 +115,24 @@
         self
     }
 
+    /// Sets what entries record of their decisions.
+    #[must_use]
+    pub fn with_trace(mut self, trace: TraceSettings) -> Self {
+        self.trace = trace;
+        self
+    }
+
     /// Puts a forwarder before each agent.
     #[must_use]
     pub fn with_forwarders(mut self) -> Self {
         self.forwarded = true;
         self
     }
+
+    /// Sets how entries choose targets.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.routing.policy = policy;
+        self
+    }
 }
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cw_policy::EntryPeer;
+use dropshot::HttpServer;
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -13,6 +15,7 @@
 
 use super::ControlMetrics;
 use super::ControlParts;
+use super::DemandExchange;
 use super::Event;
 use super::Services;
 use super::SharedView;
@@ -38,6 +41,22 @@
 /// How many events may wait.
 const EVENTS_MAX: usize = 4096;
 
+/// How often the ports are tried.
+const LISTEN_ATTEMPTS: u32 = 40;
+
+/// The pause between two tries.
+const LISTEN_PAUSE: Duration = Duration::from_millis(25);
+
+/// The running servers, which stop when they are dropped.
+type Servers = (HttpServer<Arc<PeersContext>>, HttpServer<Arc<AdminContext>>);
+
+/// What the thread shares with the traffic threads.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) view: SharedView,
+    pub(super) demands: Arc<DemandExchange>,
+}
+
 /// Where the servers of a running thread listen.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Addresses {
@@ -49,12 +68,12 @@
 pub(super) async fn start(
     parts: ControlParts,
     services: Services,
-    view: SharedView,
+    shared: Shared,
 ) -> Result<Addresses, StartError> {
     let (started, start) = oneshot::channel();
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || run(parts, services, view, started))
+        .spawn(move || run(parts, services, shared, started))
         .map_err(|error| failed(&error))?;
     start.await.map_err(|error| failed(&error))?
 }
@@ -69,7 +88,7 @@
 fn run(
     parts: ControlParts,
     services: Services,
-    view: SharedView,
+    shared: Shared,
     started: oneshot::Sender<Result<Addresses, StartError>>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -84,7 +103,7 @@
     };
     let stop = parts.supervisor.token();
     runtime.block_on(async move {
-        match serve(parts, services, view) {
+        match serve_soon(&parts, &services, &shared).await {
             Ok((addresses, servers)) => {
                 let _ = started.send(Ok(addresses));
                 stop.cancelled().await;
@@ -98,11 +117,28 @@
     runtime.shutdown_background();
 }
 
+/// Starts the servers; a process in the same place that was just killed may hold the ports yet.
+async fn serve_soon(
+    parts: &ControlParts,
+    services: &Services,
+    shared: &Shared,
+) -> Result<(Addresses, Servers), StartError> {
+    let mut outcome = serve(parts, services.clone(), shared.clone());
+    for _ in 1..LISTEN_ATTEMPTS {
+        if outcome.is_ok() {
+            break;
+        }
+        tokio::time::sleep(LISTEN_PAUSE).await;
+        outcome = serve(parts, services.clone(), shared.clone());
+    }
+    outcome
+}
+
 fn serve(
-    parts: ControlParts,
+    parts: &ControlParts,
     services: Services,
-    view: SharedView,
-) -> Result<(Addresses, impl Sized), StartError> {
+    shared: Shared,
+) -> Result<(Addresses, Servers), StartError> {
     let (events, receiver) = mpsc::channel(EVENTS_MAX);
     let settings = &parts.settings;
     let metrics = ControlMetrics::new(&parts.registry);
@@ -117,6 +153,7 @@
     let peers = peers_server::start(settings.listen.peers, peers_context)?;
     let admin_context = AdminContext {
         host: settings.host.clone(),
+        traces: Arc::clone(&parts.traces),
         secrets: settings.secrets.peers.clone(),
         desk: Desk {
             key_value: services.key_value.clone(),
@@ -131,7 +168,7 @@
         admin: admin.local_addr(),
     };
     let usage = Arc::new(watch::Sender::new(StoreUse::Watch));
-    keep_services(&parts, &services, &events, &usage);
+    keep_services(parts, &services, &events, &usage);
     let secret = settings.secrets.peers.first().cloned().unwrap_or_default();
     let sender = Sender {
         client: PeerClient::new(&secret),
@@ -144,10 +181,11 @@
         region: settings.region.clone(),
         peers: addresses.peers,
     };
-    keep_planner(&parts, &services, &sender, &view);
-    keep_core(&parts, receiver, move |seed, health| CoreParts {
+    keep_planner(parts, &services, &sender, &shared.view);
+    keep_core(parts, receiver, move |seed, health| CoreParts {
         own: own.clone(),
-        view: view.clone(),
+        view: shared.view.clone(),
+        demands: shared.demands.clone(),
         health,
         metrics: metrics.clone(),
         sender: sender.clone(),
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -25,6 +25,8 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use crate::Recorder;
+
 use super::attempts::Attempts;
 use super::delivery::Delivery;
 use super::frontend::Frontend;
@@ -53,7 +55,9 @@
     inputs: Inputs,
     attempts: Attempts,
     delivery: Delivery,
+    recorder: Option<Recorder>,
     request: RouteRequest,
+    verdict: Verdict,
     suspect: bool,
     absent: bool,
 }
@@ -61,13 +65,24 @@
 impl Driver {
     /// Returns a driver that hands the output to `out`.
     pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
-        let limits = job.limits(&front.settings);
+        let view = front.view.load_full();
+        let now = front.clock.now();
+        let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
+        let mut limits = job.limits(&front.settings);
+        if let Verdict::Suspect { crashes } = verdict {
+            // Crashes that other calls of the request were in flight at count for this one too.
+            let before = u32::try_from(crashes).unwrap_or(u32::MAX);
+            limits.crashes = limits.crashes.saturating_sub(before).max(1);
+        }
+        let request = front.router.request(&job);
         Self {
+            recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
-            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
+            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
-            request: front.router.request(&job),
+            request,
+            verdict,
             suspect: false,
             absent: false,
             front,
@@ -78,10 +93,7 @@
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
         self.front.hedges().on_request();
-        let view = self.front.view.load_full();
-        let now = self.front.clock.now();
-        let verdict = (self.front.suspicion).verdict(now, &view, self.job.fingerprint);
-        self.feed(match verdict {
+        self.feed(match self.verdict {
             Verdict::Guilty => Event::Refuse(ErrorKind::CrashesTargets),
             Verdict::Clear | Verdict::Suspect { .. } => Event::Start,
         })
@@ -92,6 +104,9 @@
         }
         let now = self.front.clock.now();
         self.attempts.release_all(now);
+        if let Some(recorder) = self.recorder.take() {
+            self.front.traces.end(recorder);
+        }
     }
 
     async fn next_event(&mut self) -> Event {
@@ -120,12 +135,21 @@
         while let Some(event) = events.pop_front() {
             let now = self.front.clock.now();
             self.attempts.learn(now, &event);
-            for step in self.machine.on_event(now, event) {
+            for step in self.decide(now, event) {
                 events.extend(self.take(now, step).await);
             }
         }
     }
 
+    fn decide(&mut self, now: Time, event: Event) -> Vec<Step> {
+        let Some(recorder) = &mut self.recorder else {
+            return self.machine.on_event(now, event);
+        };
+        let steps = self.machine.on_event(now, event.clone());
+        recorder.record(now, event, &steps);
+        steps
+    }
+
     /// Takes one step; some are answered at once.
     async fn take(&mut self, now: Time, step: Step) -> Option<Event> {
         match step {
@@ -309,6 +333,7 @@
         let Some(so_far) = repeat else {
             let message = Attach {
                 generation: self.job.generation,
+                attempt: Some(attempt),
                 workspace: self.job.workspace.clone(),
                 from,
             };
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -41,16 +41,18 @@
 pub(crate) struct Router {
     zone: ZoneId,
     region: RegionId,
+    policy: Policy,
     ledger: Mutex<Ledger>,
     indexed: ArcSwapOption<Indexed>,
 }
 
 impl Router {
     /// Returns a router for an entry in `zone` of `region`.
-    pub(crate) fn new(zone: ZoneId, region: RegionId) -> Self {
+    pub(crate) fn new(zone: ZoneId, region: RegionId, policy: Policy) -> Self {
         Self {
             zone,
             region,
+            policy,
             ledger: Mutex::default(),
             indexed: ArcSwapOption::empty(),
         }
@@ -88,16 +90,29 @@
         let mut request = request.clone();
         request.excluded.extend(excluded.iter().cloned());
         let indexed = self.indexed(now, view);
-        let policy = Policy::default();
         let ledger = self.ledger();
         indexed
             .index
-            .choose(now, policy, &request, &ledger, &mut rand::rng())
+            .choose(now, self.policy, &request, &ledger, &mut rand::rng())
     }
 
     /// Records that an attempt was sent to `target`.
-    pub(crate) fn dispatched(&self, now: Time, target: &TargetId) {
-        self.ledger().dispatched(now, target);
+    pub(crate) fn sent(&self, now: Time, target: &TargetId, request: &RouteRequest) {
+        self.ledger().sent(now, target, request);
+    }
+
+    /// Learns how much of a prompt `target` had cached; it has all of it now.
+    pub(crate) fn accepted(&self, target: &TargetId, request: &RouteRequest, cached: TokenCount) {
+        if !request.blocks.is_empty() {
+            let mut ledger = self.ledger();
+            let overlap = &mut ledger.overlap;
+            overlap.learn(target, &request.blocks, cached, request.tokens);
+        }
+    }
+
+    /// Forgets what `target` had cached, since its engine died.
+    pub(crate) fn crashed(&self, target: &TargetId) {
+        self.ledger().overlap.forget(target);
     }
 
     /// Records that an attempt has ended, `held` after it was sent.
