--- a/crates/cw_policy/tests/attempt/world/entries.rs
+++ b/crates/cw_policy/tests/attempt/world/entries.rs
@@ -135,6 +135,7 @@
         let from = TokenIndex(0);
         let attach = Attach {
             generation: id.generation,
+            attempt: None,
             workspace,
             from,
         };
