Check an agent's limits, describe it to operators, test a paused engine

A heartbeat of zero would have stopped every stream, and a memory of ended attempts shorter than the time between whole reports would have refused every dispatch.

--- a/crates/cyclamenwharf/src/agent/call_runner.rs
+++ b/crates/cyclamenwharf/src/agent/call_runner.rs
@@ -74,7 +74,7 @@
             return Some(End::NotRun(Reason::TargetDown));
         }
         Err(error) => {
-            debug!(attempt = id.to_string(); "{error}");
+            debug!(generation = id.generation.to_string(), attempt = id.attempt.0; "{error}");
             return None;
         }
     };
--- a/crates/cyclamenwharf/src/agent/generate_runner.rs
+++ b/crates/cyclamenwharf/src/agent/generate_runner.rs
@@ -74,7 +74,7 @@
     let engine = state.engine.clone();
     state.supervisor.spawn(async move {
         if let Err(error) = engine.abort(id, ABORT_TIMEOUT).await {
-            debug!(attempt = id.to_string(); "the engine was not told of an abort: {error}");
+            debug!(generation = id.generation.to_string(), attempt = id.attempt.0; "the engine was not told of an abort: {error}");
         }
     });
 }
@@ -100,7 +100,7 @@
             return Outcome::End(End::NotRun(Reason::TargetDown));
         }
         Err(error) => {
-            warn!(attempt = id.to_string(); "{error}");
+            warn!(generation = id.generation.to_string(), attempt = id.attempt.0; "{error}");
             return Outcome::Break;
         }
     };
@@ -131,7 +131,7 @@
             break;
         }
         let Ok(event) = serde_json::from_str(&data) else {
-            warn!(attempt = id.to_string(); "the engine sent an event that makes no sense");
+            warn!(generation = id.generation.to_string(), attempt = id.attempt.0; "the engine sent an event that makes no sense");
             return Outcome::End(NONSENSE);
         };
         if let Some(outcome) = take(state, id, event, signal).await {
--- a/crates/cyclamenwharf/src/agent/order_runner.rs
+++ b/crates/cyclamenwharf/src/agent/order_runner.rs
@@ -10,6 +10,7 @@
 use cw_wire::OrderAnswer;
 use cw_wire::OrderKind;
 use http::StatusCode;
+use log::info;
 
 use super::agent_state::AgentState;
 use super::agent_state::lock;
@@ -55,6 +56,12 @@
         _ => {}
     }
     state.check.notify_one();
+    info!(
+        target = state.settings.target.id.as_str(),
+        fencing = order.fencing.0,
+        sequence = order.sequence;
+        "an order was passed on: {answer:?}"
+    );
     answer
 }
 
--- a/crates/cyclamenwharf/src/settings/agent_settings.rs
+++ b/crates/cyclamenwharf/src/settings/agent_settings.rs
@@ -19,6 +19,18 @@
 use super::SecretSettings;
 use super::SettingsError;
 
+/// The shortest time between heartbeats.
+const HEARTBEAT_MIN: Duration = Duration::from_millis(10);
+/// The longest time between heartbeats: entries take a longer silence for a loss.
+const HEARTBEAT_MAX: Duration = Duration::from_millis(300);
+/// The shortest time between readings of the target.
+const REPORT_MIN: Duration = Duration::from_millis(10);
+/// The shortest memory of ended attempts: whole reports, which date the stamps of entries, come
+/// every two minutes and may be lost once.
+const TOMBSTONE_MIN: Duration = Duration::from_secs(300);
+/// The least output that one running attempt must be able to keep, in bytes.
+const SHARE_MIN: u64 = 4 << 10;
+
 /// Settings of an agent.
 #[data]
 #[serde(deny_unknown_fields)]
@@ -132,6 +144,31 @@
         if settings.engine.running <= settings.engine.reserve {
             return Err(error("engine.running", "expected more than engine.reserve"));
         }
+        if let Some((key, expected)) = settings.engine.fault() {
+            return Err(error(key, expected));
+        }
         Ok(settings)
     }
 }
+
+impl EngineSettings {
+    /// Returns the first key whose value cannot be used, and what is expected.
+    fn fault(&self) -> Option<(&'static str, &'static str)> {
+        if self.heartbeat < HEARTBEAT_MIN || self.heartbeat > HEARTBEAT_MAX {
+            return Some(("engine.heartbeat", "expected from 10ms to 300ms"));
+        }
+        if self.report < REPORT_MIN {
+            return Some(("engine.report", "expected at least 10ms"));
+        }
+        if self.tombstone < TOMBSTONE_MIN {
+            return Some(("engine.tombstone", "expected at least 5m"));
+        }
+        if self.kept.0 / u64::from(self.running.max(1)) < SHARE_MIN {
+            return Some((
+                "engine.kept",
+                "expected at least 4KiB for each of engine.running",
+            ));
+        }
+        None
+    }
+}
--- a/crates/cyclamenwharf/tests/agent/fake_engine.rs
+++ b/crates/cyclamenwharf/tests/agent/fake_engine.rs
@@ -21,6 +21,7 @@
 use http_body_util::StreamBody;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::watch;
 
 type Piece = Result<Bytes, std::io::Error>;
 
@@ -85,6 +86,8 @@
 pub(crate) struct Shared {
     /// The engine's life.
     pub(crate) boot: AtomicU64,
+    /// Whether the engine is paused and says nothing of its load.
+    pub(crate) paused: watch::Sender<bool>,
     /// The ids of aborted attempts.
     pub(crate) aborted: Mutex<Vec<String>>,
     /// The orders received.
@@ -107,6 +110,7 @@
         let (sender, calls) = mpsc::unbounded();
         let shared = Arc::new(Shared {
             boot: AtomicU64::new(1),
+            paused: watch::Sender::new(false),
             aborted: Mutex::default(),
             orders: Mutex::default(),
             calls: sender,
@@ -180,6 +184,8 @@
 
 #[endpoint { method = GET, path = "/v1/load" }]
 async fn load(context: RequestContext<Arc<Shared>>) -> Answer {
+    let mut paused = context.context().paused.subscribe();
+    paused.wait_for(|paused| !paused).await.unwrap();
     answer(&json!({
         "boot": context.context().boot.load(Ordering::Relaxed),
         "running": 0,
--- a/crates/cyclamenwharf/tests/agent/reports.rs
+++ b/crates/cyclamenwharf/tests/agent/reports.rs
@@ -230,6 +230,28 @@
     ));
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_paused_engine_gets_nothing_new_and_keeps_what_it_has() {
+    let mut engine = FakeEngine::start();
+    let mut rig = Rig::start(engine.server.local_addr()).await;
+    let mut frames = rig.send(&rig.dispatch(attempt(1, 1))).await;
+    let call = engine.received().await;
+
+    engine.shared.paused.send_replace(true);
+    let down = |report: &Report| report.state == TargetState::Down;
+    let report = rig.relay.report(down).await;
+    let mut late = rig.send(&rig.dispatch(attempt(2, 1))).await;
+    let refused = next(&mut late).await;
+    engine.shared.paused.send_replace(false);
+    rig.relay.up().await;
+    call.token(1);
+
+    assert!(matches!(refused, Some(Frame::NotRun { .. })));
+    assert_eq!(report.crashes, Vec::new());
+    tokens_after_accepted(&mut frames).await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn operators_drain_through_relays_and_an_older_relay_does_not_undo_it() {
