Start nothing at a target that may have died

The attempts that waited at a crash took the places of those that broke, were started at the dead engine, and were reported as suspects of its crash.

--- a/crates/cw_policy/src/admission/admission_control.rs
+++ b/crates/cw_policy/src/admission/admission_control.rs
@@ -77,6 +77,7 @@
     engine: Load,
     released: Option<Time>,
     pace: Duration,
+    paused: bool,
 }
 
 impl AdmissionControl {
@@ -94,9 +95,15 @@
             engine: Load::default(),
             released: None,
             pace: RETRY_MIN,
+            paused: false,
         }
     }
 
+    /// Starts nothing, and lets everything wait, while it is not known whether the target lives.
+    pub fn set_paused(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
     /// Decides about a new ticket.
     pub fn offer(&mut self, now: Time, ticket: Ticket) -> Offer {
         if self.queue.is_empty() && self.has_room(&ticket) {
@@ -197,7 +204,7 @@
             true => 0,
             false => self.limits.reserve,
         };
-        self.free() > kept && self.fits(ticket.tokens)
+        !self.paused && self.free() > kept && self.fits(ticket.tokens)
     }
 
     fn fits(&self, tokens: u64) -> bool {
--- a/crates/cw_policy/src/attempt/table/mod.rs
+++ b/crates/cw_policy/src/attempt/table/mod.rs
@@ -56,6 +56,8 @@
     admission: AdmissionControl,
     gate: TargetGate,
     crashes: CrashLog,
+    /// When a connection broke, until the target is known to live or not.
+    broken: Option<Time>,
 }
 
 impl AttemptTable {
@@ -73,6 +75,7 @@
             readers: 0,
             gate: TargetGate::default(),
             crashes: CrashLog::default(),
+            broken: None,
         }
     }
 
--- a/crates/cw_policy/src/attempt/table/target_events.rs
+++ b/crates/cw_policy/src/attempt/table/target_events.rs
@@ -91,6 +91,9 @@
             let failure = Failure::TargetLost;
             let ran = attempt.ran();
             self.crashes.on_break(now, id);
+            // What starts at a target that has died would be taken for a cause of its death.
+            self.broken = Some(now);
+            self.admission.set_paused(true);
             self.end(now, id, End::Failed { failure, ran }, &mut steps);
         }
         steps
@@ -107,6 +110,9 @@
         let mut steps = Vec::new();
         self.gate.set_up(versions);
         self.crashes.on_alive(now, asked);
+        if self.broken.is_none_or(|broken| broken <= asked) {
+            self.resume_starts();
+        }
         self.admission.observe(load);
         self.start_waiting(now, &mut steps);
         steps
@@ -122,6 +128,7 @@
     /// The target does not answer.
     pub fn on_down(&mut self, now: Time) -> Vec<AttemptStep> {
         self.gate.set_down();
+        self.resume_starts();
         self.refuse_waiting(now, Reason::TargetDown)
     }
 
@@ -162,6 +169,11 @@
         pins
     }
 
+    fn resume_starts(&mut self) {
+        self.broken = None;
+        self.admission.set_paused(false);
+    }
+
     fn running(&mut self, id: AttemptId) -> Option<&mut super::AttemptState> {
         self.attempts
             .get_mut(&id)
--- a/crates/cw_policy/tests/attempt/cases.rs
+++ b/crates/cw_policy/tests/attempt/cases.rs
@@ -385,6 +385,35 @@
     assert_eq!(crashes[0].suspects, vec![Fingerprint(2), Fingerprint(3)]);
 }
 
+#[rstest]
+fn nothing_starts_at_a_target_that_may_have_died() {
+    let mut table = full();
+    let waiting = open(&mut table, at(0), ordinary(3));
+
+    let broken = table.on_break(at(2), attempt(1, 1));
+    let stale = table.on_load(at(3), at(1), Load::default(), versions());
+    let alive = table.on_load(at(4), at(3), Load::default(), versions());
+
+    let is_start = |step: &AttemptStep| matches!(step, AttemptStep::Start(_));
+    assert!(!broken.iter().any(is_start), "{broken:?}");
+    assert!(!stale.iter().any(is_start), "{stale:?}");
+    assert!(alive.iter().any(is_start), "{alive:?}");
+    assert_eq!(table.live(), 2);
+    assert_eq!(waiting.id, attempt(3, 1));
+}
+
+#[rstest]
+fn what_waited_at_a_crash_is_no_suspect() {
+    let mut table = full();
+    open(&mut table, at(0), ordinary(3));
+
+    table.on_break(at(2), attempt(1, 1));
+    table.on_crash(at(3));
+
+    let suspects = vec![Fingerprint(1), Fingerprint(2)];
+    assert_eq!(table.crashes()[0].suspects, suspects);
+}
+
 #[rstest]
 fn what_broke_before_the_target_answered_again_is_no_suspect() {
     let mut table = full();
