--- a/crates/cyclamenwharf/examples/control_cost/calls.rs
+++ b/crates/cyclamenwharf/examples/control_cost/calls.rs
@@ -115,6 +115,7 @@
         supervisor: supervisor.child(settings.host.as_str()),
         registry: prometheus::Registry::new(),
         health: Arc::new(Health::default()),
+        traces: Default::default(),
     };
     Control::start(parts).await.expect("ports")
 }
@@ -136,6 +137,8 @@
         },
         limits: Default::default(),
         recovery: Default::default(),
+        routing: Default::default(),
+        trace: Default::default(),
         log: Default::default(),
     }
 }
