Let requests wait, hold workspaces to their quotas and sends to budgets

A first attempt that finds every target busy now waits in the queue until a target has room or its patience ends, instead of being refused. Each request counts against its workspace's quota; demands are exchanged with the other entries. Hedges and redirects spend from the budgets. A request that another entry's evidence speaks against is refused from the third crash on. Recovery limits are shortened so that the worst sum with the next target silent too stays under 4 s (docs/design/recovery.md).

--- a/crates/cw_policy/src/generation/event.rs
+++ b/crates/cw_policy/src/generation/event.rs
@@ -37,6 +37,15 @@
         /// When it is worth asking again.
         retry: Duration,
     },
+    /// The request's turn in the queue has come: a target is to be chosen again.
+    Turn,
+    /// The queue gave the request up.
+    Unqueued {
+        /// Why.
+        kind: ErrorKind,
+        /// When it is worth calling again.
+        retry: Duration,
+    },
     /// A frame came in.
     Frame {
         /// The link it came over.
--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -48,6 +48,7 @@
     pub(super) next_link: LinkId,
     pub(super) dispatched: u32,
     pub(super) wanted: u32,
+    pub(super) queued: bool,
     pub(super) busy: BTreeSet<TargetId>,
     pub(super) lost: BTreeSet<TargetId>,
     pub(super) refused: u32,
@@ -86,6 +87,7 @@
             next_link: LinkId(0),
             dispatched: 0,
             wanted: 0,
+            queued: false,
             busy: BTreeSet::new(),
             lost: BTreeSet::new(),
             refused: 0,
@@ -111,13 +113,15 @@
             Event::Start => self.start(now, &mut steps),
             Event::Chosen(target) => self.chosen(now, target, &mut steps),
             Event::NoTarget { kind, retry } => self.no_target(now, kind, retry, &mut steps),
+            Event::Turn => self.turn(&mut steps),
+            Event::Unqueued { kind, retry } => self.unqueued(kind, retry, &mut steps),
             Event::Frame { link, frame } => self.frame(now, link, frame, &mut steps),
             Event::Closed { link, effect } => self.closed(now, link, effect, &mut steps),
             Event::Proof { attempt, ran } => self.proof(now, attempt, ran, &mut steps),
             Event::NotClaimed { link, kind } => self.not_claimed(link, kind, &mut steps),
             Event::Judged { guilty } => self.judged(guilty, &mut steps),
             Event::Refuse(kind) => self.fail(kind, self.ran(), Duration::ZERO, &mut steps),
-            Event::CallerGone => self.absent = self.absent.or(Some(now)),
+            Event::CallerGone => self.caller_gone(now, &mut steps),
             Event::Tick => self.tick(now, &mut steps),
         }
         steps
@@ -253,6 +257,14 @@
         absent.map(|absent| absent + self.limits.absence)
     }
 
+    fn caller_gone(&mut self, now: Time, steps: &mut Vec<Step>) {
+        self.absent = self.absent.or(Some(now));
+        if self.dispatched == 0 {
+            // Nothing runs that a caller could come back to.
+            self.abandon(steps);
+        }
+    }
+
     fn tick(&mut self, now: Time, steps: &mut Vec<Step>) {
         if self.leave_at().is_some_and(|at| at <= now) {
             return self.abandon(steps);
--- a/crates/cw_policy/src/generation/mod.rs
+++ b/crates/cw_policy/src/generation/mod.rs
@@ -6,7 +6,6 @@
 
 mod event;
 mod frames;
-mod hedge_budget;
 mod limits;
 mod machine;
 mod plan;
@@ -17,7 +16,6 @@
 pub use event::Effect;
 pub use event::Event;
 pub use event::LinkId;
-pub use hedge_budget::HedgeBudget;
 pub use limits::Limits;
 pub use machine::Generation;
 pub use plan::Plan;
--- a/crates/cw_policy/src/generation/step.rs
+++ b/crates/cw_policy/src/generation/step.rs
@@ -56,6 +56,8 @@
         /// Whether another attempt that replaces the same lost one is on its way.
         hedge: bool,
     },
+    /// Let the request wait in the queue, and answer with `Turn` or `Unqueued`.
+    Queue,
     /// Find out whether the request is what crashed its targets, and answer with `Judged`.
     Judge,
     /// Dispatch an attempt and feed its frames.
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -67,7 +67,6 @@
 pub use generation::Effect;
 pub use generation::Event;
 pub use generation::Generation;
-pub use generation::HedgeBudget;
 pub use generation::Limits;
 pub use generation::LinkId;
 pub use generation::Plan;
--- a/crates/cw_policy/src/suspicion/table.rs
+++ b/crates/cw_policy/src/suspicion/table.rs
@@ -34,6 +34,7 @@
     by_request: BTreeMap<Fingerprint, BTreeSet<u64>>,
     seen: BTreeMap<TargetId, Seen>,
     next: u64,
+    convicted: BTreeSet<Fingerprint>,
     /// How many suspects this entry has in flight at each target.
     placed: BTreeMap<TargetId, u32>,
 }
@@ -63,6 +64,7 @@
 
     /// A request has run to its end: it crashes nothing, whatever it was in flight at.
     pub fn finished(&mut self, request: Fingerprint) {
+        self.convicted.remove(&request);
         let Some(numbers) = self.by_request.remove(&request) else {
             return;
         };
@@ -87,14 +89,28 @@
         };
         let always = |suspect: &&Fingerprint| others.iter().all(|c| c.suspects.contains(suspect));
         let alone = first.suspects.iter().filter(always).count() == 1;
-        match alone && evidence.len() >= self.limits.crashes {
-            true => Verdict::Guilty,
-            false => Verdict::Suspect {
-                crashes: evidence.len(),
-            },
+        let crashes = evidence.len();
+        match alone && crashes >= self.limits.crashes {
+            true => Verdict::Guilty { crashes },
+            false => Verdict::Suspect { crashes },
         }
     }
 
+    /// Returns whether a new call with this request is refused.
+    pub fn is_refused(&self, request: Fingerprint) -> bool {
+        match self.verdict(request) {
+            Verdict::Guilty { crashes } => {
+                self.convicted.contains(&request) || crashes >= self.limits.foreign
+            }
+            Verdict::Clear | Verdict::Suspect { .. } => false,
+        }
+    }
+
+    /// This entry has found a request guilty.
+    pub fn convict(&mut self, request: Fingerprint) {
+        self.convicted.insert(request);
+    }
+
     /// Returns how many crashes are remembered.
     pub fn len(&self) -> usize {
         self.crashes.len()
@@ -180,6 +196,7 @@
                 numbers.remove(&crash.number);
                 if numbers.is_empty() {
                     self.by_request.remove(suspect);
+                    self.convicted.remove(suspect);
                 }
             }
         }
--- a/crates/cw_policy/src/suspicion/verdict.rs
+++ b/crates/cw_policy/src/suspicion/verdict.rs
@@ -7,6 +7,11 @@
 pub struct SuspicionLimits {
     /// How many crashes make a request guilty that alone was in flight at all of them.
     pub crashes: usize,
+    /// How many such crashes make a request guilty that this entry did not find guilty itself.
+    ///
+    /// Another entry may know that the request has run to its end since, or that its output went on
+    /// between the crashes.
+    pub foreign: usize,
     /// How many targets that crash within [`SuspicionLimits::window`] are taken for a loss that no
     /// request caused.
     pub mass: usize,
@@ -24,6 +29,7 @@
     fn default() -> Self {
         Self {
             crashes: 2,
+            foreign: 3,
             mass: 4,
             window: Duration::from_secs(2),
             memory: Duration::from_secs(600),
@@ -43,6 +49,9 @@
         /// The crashes.
         crashes: usize,
     },
-    /// It alone was in flight at several crashes: it is not to be run any more.
-    Guilty,
+    /// It alone was in flight at several crashes, or this entry has found it guilty before.
+    Guilty {
+        /// The crashes.
+        crashes: usize,
+    },
 }
--- a/crates/cw_policy/tests/generation_world/mod.rs
+++ b/crates/cw_policy/tests/generation_world/mod.rs
@@ -446,6 +446,10 @@
             Step::Close { link } => self.close(caller, link),
             Step::Cancel { attempt, .. } => self.push_cancel(caller, attempt, None),
             Step::Prove { attempt, .. } => self.push_cancel(caller, attempt, Some(caller)),
+            Step::Queue => {
+                let (kind, retry) = (ErrorKind::Overloaded, Duration::from_secs(1));
+                return Some(Event::Unqueued { kind, retry });
+            }
             Step::Judge => return Some(Event::Judged { guilty: false }),
             Step::Ack { attempt, next, .. } => {
                 let (agent, _) = self.callers[caller].sent[&attempt];
--- a/crates/cyclamenwharf/src/entry/calls.rs
+++ b/crates/cyclamenwharf/src/entry/calls.rs
@@ -6,6 +6,7 @@
 use chrono::Utc;
 use cw_policy::Plan;
 use cw_policy::View;
+use cw_types::ByteSize;
 use cw_types::ErrorKind;
 use cw_types::GenerationId;
 use cw_types::Route;
@@ -66,7 +67,15 @@
     };
     let (name, route) = caller.route(&view, &asked.model)?;
     let key = key_of(&parts.headers)?;
-    let job = generate_job(&view, &caller, name, &route, &asked, &parts.headers)?;
+    let job = generate_job(
+        &view,
+        &caller,
+        name,
+        &route,
+        &asked,
+        &parts.headers,
+        bytes.len(),
+    )?;
     let started = keyed::start(front, job, key).await?;
     let format = Arc::new(format_of(&started.job, &asked)?);
     match asked.stream {
@@ -105,6 +114,7 @@
     route: &Route,
     asked: &Asked,
     headers: &HeaderMap,
+    size: usize,
 ) -> Result<Job, Refusal> {
     let RouteTarget::Model {
         model,
@@ -149,6 +159,7 @@
         fingerprint: fingerprint(caller, &work)?,
         plan,
         work: Work::Generate(work),
+        size: ByteSize(size as u64),
         seed: asked.seed,
         key: None,
         known: None,
--- a/crates/cyclamenwharf/src/entry/delivery.rs
+++ b/crates/cyclamenwharf/src/entry/delivery.rs
@@ -21,6 +21,7 @@
 use super::output::Output;
 use super::output::Piece;
 use super::output::ServiceAnswer;
+use super::quota_gate::QuotaGuard;
 use super::refusal::Refusal;
 
 /// What a generation's caller gets, and what is counted of it.
@@ -32,11 +33,17 @@
     started: Time,
     last: Option<Time>,
     gaps: Counts,
+    quota: Option<QuotaGuard>,
 }
 
 impl Delivery {
     /// Returns the delivery of `job` to `out`.
-    pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
+    pub(crate) fn new(
+        front: Arc<Frontend>,
+        job: Arc<Job>,
+        out: mpsc::Sender<Output>,
+        quota: Option<QuotaGuard>,
+    ) -> Self {
         let class = Class {
             route: job.route.clone(),
             priority: job.priority.clone(),
@@ -50,6 +57,7 @@
             started,
             last: None,
             gaps: Counts { good: 0, total: 0 },
+            quota,
         }
     }
 
@@ -142,6 +150,9 @@
 
     fn time(&mut self, now: Time, count: usize) {
         self.front.metrics.tokens.inc_by(count as u64);
+        if let Some(quota) = &self.quota {
+            quota.produced(now, count as u64);
+        }
         let Some(last) = self.last.replace(now) else {
             let took = now.since(self.started);
             self.front.metrics.first_token(&self.job.route, took);
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -11,6 +11,9 @@
 use cw_policy::LinkId;
 use cw_policy::Step;
 use cw_policy::Verdict;
+use cw_policy::budget::Extra;
+use cw_policy::queue::Lane;
+use cw_policy::queue::Waiter;
 use cw_policy::routing::Choice;
 use cw_policy::routing::RouteRequest;
 use cw_types::AttemptNo;
@@ -36,7 +39,9 @@
 use super::job::Job;
 use super::job::KeyUse;
 use super::output::Output;
+use super::quota_gate::QuotaGuard;
 use super::sent::Sent;
+use super::wait_line::Turn;
 
 /// What a refusal says when no target can be chosen.
 const TARGET_RETRY: Duration = Duration::from_secs(1);
@@ -58,21 +63,49 @@
     recorder: Option<Recorder>,
     request: RouteRequest,
     suspect: bool,
+    /// The crashes that were known of the request when it began.
+    known: usize,
+    /// When the request came.
+    started: Time,
+    /// Whether a first target was tried.
+    tried: bool,
+    /// Whether the request has waited in the queue.
+    waited: bool,
     absent: bool,
 }
 
 impl Driver {
     /// Returns a driver that hands the output to `out`.
-    pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
-        let limits = job.limits(&front.settings);
+    pub(crate) fn new(
+        front: Arc<Frontend>,
+        job: Arc<Job>,
+        out: mpsc::Sender<Output>,
+        quota: Option<QuotaGuard>,
+    ) -> Self {
+        let now = front.clock.now();
+        let view = front.view.load_full();
+        let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
+        let mut limits = job.limits(&front.settings);
+        let known = match verdict {
+            Verdict::Guilty { crashes } => crashes,
+            Verdict::Clear | Verdict::Suspect { .. } => 0,
+        };
+        if known > 0 {
+            // Evidence from elsewhere: one more crash decides.
+            limits.crashes = 1;
+        }
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
             attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
-            delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
+            delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out, quota),
             request: front.router.request(&job),
             suspect: false,
+            known,
+            started: now,
+            tried: false,
+            waited: false,
             absent: false,
             front,
             job,
@@ -81,14 +114,12 @@
 
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
-        self.front.hedges().on_request();
-        let view = self.front.view.load_full();
-        let now = self.front.clock.now();
-        let verdict = (self.front.suspicion).verdict(now, &view, self.job.fingerprint);
-        self.feed(match verdict {
-            Verdict::Guilty => Event::Refuse(ErrorKind::CrashesTargets),
-            Verdict::Clear | Verdict::Suspect { .. } => Event::Start,
-        })
+        self.feed(
+            match self.front.suspicion.is_refused(self.job.fingerprint) {
+                true => Event::Refuse(ErrorKind::CrashesTargets),
+                false => Event::Start,
+            },
+        )
         .await;
         while !self.machine.is_ended() {
             let event = self.next_event().await;
@@ -96,6 +127,9 @@
         }
         let now = self.front.clock.now();
         self.attempts.release_all(now);
+        if self.waited {
+            self.front.line.leave(now, self.job.generation);
+        }
         if let Some(recorder) = self.recorder.take() {
             self.front.traces.end(recorder);
         }
@@ -178,6 +212,7 @@
                 }
             }
             Step::Prove { attempt, .. } => return self.prove(attempt),
+            Step::Queue => self.queue(now),
             Step::Judge => self.judge(),
             Step::Ack { attempt, next, .. } => {
                 if let Some(sent) = self.attempts.get(attempt) {
@@ -198,22 +233,70 @@
         hedge: bool,
         exclude: &BTreeSet<TargetId>,
     ) -> Event {
-        if hedge && !self.front.hedges().take() {
-            return no_target(ErrorKind::Overloaded, TARGET_RETRY);
-        }
-        if hedge {
-            self.front.metrics.hedges.inc();
-        }
         if resumed && !self.request.resumed {
             self.request = self.request.clone().resumed(self.job.recovery);
         }
         match self.choose_apart(now, exclude) {
-            Choice::Target(target) => Event::Chosen(target),
+            Choice::Target(target) if self.may_send(resumed, hedge, &target) => {
+                Event::Chosen(target)
+            }
+            Choice::Target(_) => no_target(ErrorKind::Overloaded, TARGET_RETRY),
             Choice::Wait { until } => no_target(ErrorKind::Overloaded, now.until(until)),
             Choice::NoTarget => no_target(ErrorKind::NoTarget, TARGET_RETRY),
         }
     }
 
+    /// Returns whether the budgets allow one more send. Replacing a lost attempt needs none.
+    fn may_send(&mut self, resumed: bool, hedge: bool, target: &TargetId) -> bool {
+        let route = &self.job.route;
+        let mut budgets = self.front.budgets();
+        if hedge {
+            let allowed = budgets.spend(Extra::Hedge, route, target);
+            if allowed {
+                self.front.metrics.hedges.inc();
+            }
+            return allowed;
+        }
+        if resumed {
+            return true;
+        }
+        match std::mem::replace(&mut self.tried, true) {
+            true => budgets.spend(Extra::Redirect, route, target),
+            false => {
+                budgets.first(route, target);
+                true
+            }
+        }
+    }
+
+    /// Lets the request wait for its turn.
+    fn queue(&mut self, now: Time) {
+        let waiter = Waiter {
+            id: self.job.generation,
+            lane: Lane::from(&self.job.to),
+            workspace: self.job.workspace.clone(),
+            weight: self.job.weight,
+            rank: self.job.rank,
+            arrived: self.started,
+            deadline: self.started + self.job.plan.patience,
+            bytes: self.job.size,
+        };
+        let again = std::mem::replace(&mut self.waited, true);
+        // A turn in the queue is a first try once more.
+        self.tried = false;
+        let turn = self.front.line.wait(now, waiter, again);
+        self.inputs.wait(async move {
+            match turn.await {
+                Ok(Turn::Start) => Event::Turn,
+                Ok(Turn::Refuse { kind, retry }) => Event::Unqueued { kind, retry },
+                Err(_) => Event::Unqueued {
+                    kind: ErrorKind::Overloaded,
+                    retry: TARGET_RETRY,
+                },
+            }
+        });
+    }
+
     /// Chooses a target that no other suspect is on, if the request is one and there is such.
     fn choose_apart(&mut self, now: Time, exclude: &BTreeSet<TargetId>) -> Choice {
         let view = self.front.view.load_full();
@@ -236,12 +319,15 @@
     fn judge(&mut self) {
         let front = Arc::clone(&self.front);
         let request = self.job.fingerprint;
+        let known = self.known;
         self.inputs.wait(async move {
             for _ in 0..JUDGE_TRIES {
                 tokio::time::sleep(JUDGE_PERIOD).await;
                 let view = front.view.load_full();
                 let now = front.clock.now();
-                if front.suspicion.verdict(now, &view, request) == Verdict::Guilty {
+                let verdict = front.suspicion.verdict(now, &view, request);
+                if matches!(verdict, Verdict::Guilty { crashes } if crashes > known) {
+                    front.suspicion.convict(request);
                     return Event::Judged { guilty: true };
                 }
             }
--- a/crates/cyclamenwharf/src/entry/frontend.rs
+++ b/crates/cyclamenwharf/src/entry/frontend.rs
@@ -7,7 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use cw_policy::HedgeBudget;
+use cw_policy::budget::Budgets;
 use cw_types::AttemptId;
 use cw_types::ErrorKind;
 use cw_types::Ran;
@@ -31,9 +31,11 @@
 use super::key_book::KeyBook;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
+use super::quota_gate::QuotaGate;
 use super::refusal::Refusal;
 use super::router::Router;
 use super::suspicion::Suspicion;
+use super::wait_line::WaitLine;
 
 /// How long a call that carries no output may take.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -58,8 +60,12 @@
     pub(crate) keys: KeyBook,
     /// Requests that crash their targets.
     pub(crate) suspicion: Suspicion,
-    /// How many hedges may still be sent.
-    pub(crate) budget: Mutex<HedgeBudget>,
+    /// How much may be sent beyond first tries.
+    pub(crate) budgets: Mutex<Budgets>,
+    /// The quotas of workspaces.
+    pub(crate) quotas: QuotaGate,
+    /// Requests that wait for a target.
+    pub(crate) line: WaitLine,
     /// The service-level events.
     pub(crate) slo: Arc<SloMetrics>,
     /// The promised time between tokens.
@@ -93,9 +99,9 @@
         }
     }
 
-    /// Returns the budget of hedges.
-    pub(crate) fn hedges(&self) -> MutexGuard<'_, HedgeBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the budgets of further sends.
+    pub(crate) fn budgets(&self) -> MutexGuard<'_, Budgets> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Cancels an attempt, and tries again a few times if the agent cannot be reached.
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -20,6 +20,7 @@
 use crate::Clock;
 use crate::Control;
 use crate::ControlParts;
+use crate::DemandExchange;
 use crate::EntrySettings;
 use crate::Health;
 use crate::SharedSlo;
@@ -35,8 +36,11 @@
 use super::key_book::KeyBook;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
+use super::quota_gate::QuotaGate;
 use super::router::Router;
 use super::suspicion::Suspicion;
+use super::upkeep;
+use super::wait_line::WaitLine;
 
 /// What an entry's servers are built from.
 pub struct EntryParts {
@@ -54,6 +58,8 @@
     pub health: Arc<Health>,
     /// The entry's traces.
     pub traces: Arc<TraceBook>,
+    /// The demands on quotas, to and from the other entries.
+    pub demands: Arc<DemandExchange>,
 }
 
 /// The entry, which takes callers' requests.
@@ -90,6 +96,7 @@
             registry: Registry::new(),
             health: Arc::default(),
             traces: Arc::new(TraceBook::new(settings.trace.clone())),
+            demands: Arc::default(),
             settings,
         };
         let control = ControlParts {
@@ -104,6 +111,7 @@
         let control = control.await.map_err(start_error)??;
         let parts = EntryParts {
             view: Arc::clone(&control.view),
+            demands: Arc::clone(&control.demands),
             ..parts
         };
         let mut handle = serve(traffic, supervisor, parts)?;
@@ -141,7 +149,9 @@
         claims: Arc::new(Claims::new(parts.store)),
         keys: KeyBook::default(),
         suspicion: Suspicion::new(parts.settings.host.clone()),
-        budget: Mutex::default(),
+        budgets: Mutex::default(),
+        quotas: QuotaGate::new(parts.settings.host.clone(), parts.demands),
+        line: WaitLine::new(&parts.settings.limits),
         gap: objectives.token_gap,
         slo,
         health: parts.health,
@@ -165,6 +175,7 @@
             .start()
             .map_err(start_error)?
     };
+    traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
--- a/crates/cyclamenwharf/src/entry/job.rs
+++ b/crates/cyclamenwharf/src/entry/job.rs
@@ -10,6 +10,7 @@
 use cw_policy::Plan;
 use cw_types::AttemptId;
 use cw_types::AttemptNo;
+use cw_types::ByteSize;
 use cw_types::GenerationId;
 use cw_types::PriorityName;
 use cw_types::Recovery;
@@ -64,6 +65,8 @@
     pub(crate) plan: Plan,
     /// The work, without output of earlier attempts.
     pub(crate) work: Work,
+    /// The size of the request's body.
+    pub(crate) size: ByteSize,
     /// The seed that the caller asked for.
     pub(crate) seed: Option<u64>,
     /// What its idempotency key is used for.
--- a/crates/cyclamenwharf/src/entry/keyed.rs
+++ b/crates/cyclamenwharf/src/entry/keyed.rs
@@ -6,6 +6,7 @@
 use cw_policy::Claim;
 use cw_policy::ClaimState;
 use cw_types::ErrorKind;
+use cw_wire::Work;
 use http::HeaderMap;
 use tokio::sync::mpsc;
 
@@ -17,7 +18,9 @@
 use super::job::KeyUse;
 use super::output::Output;
 use super::output::ServiceAnswer;
+use super::quota_gate::QuotaGuard;
 use super::refusal::Refusal;
+use super::router::prompt_tokens;
 use super::sent::Sent;
 
 /// The header that names a request's idempotency key.
@@ -179,11 +182,26 @@
     Refusal::new(kind).with_ran(cw_types::Ran::No)
 }
 
+/// Counts a new request against its workspace's quota; one that was begun before counts already.
+fn admit(front: &Frontend, job: &Job) -> Result<Option<QuotaGuard>, Refusal> {
+    if job.plan.running.is_some() {
+        return Ok(None);
+    }
+    let tokens = match &job.work {
+        Work::Generate(work) => prompt_tokens(work) as u64,
+        Work::Call(_) => 0,
+    };
+    let (now, view) = (front.clock.now(), front.view.load());
+    let guard = front.quotas.admit(now, &view, &job.workspace, tokens);
+    guard.map(Some)
+}
+
 /// Starts a generation's driver, and waits for its first output.
 async fn run(front: &Arc<Frontend>, job: Job) -> Result<Started, Refusal> {
     let (out, mut rest) = mpsc::channel(OUTPUTS);
     let job = Arc::new(job);
-    let driver = Driver::new(Arc::clone(front), Arc::clone(&job), out);
+    let quota = admit(front, &job)?;
+    let driver = Driver::new(Arc::clone(front), Arc::clone(&job), out, quota);
     front.progress.spawn(driver.run());
     match Started::next(&mut rest).await {
         Output::Refusal(refusal) => Err(refusal),
--- a/crates/cyclamenwharf/src/entry/metrics.rs
+++ b/crates/cyclamenwharf/src/entry/metrics.rs
@@ -34,8 +34,8 @@
     pub(crate) extra: IntCounter,
     /// Tokens passed on to callers.
     pub(crate) tokens: IntCounter,
-    /// Requests in progress.
-    pub(crate) progress: IntGauge,
+    /// Requests that wait for a target.
+    pub(crate) waiting: IntGauge,
 }
 
 impl EntryMetrics {
@@ -76,7 +76,7 @@
             )?,
             extra: counter("extra_tokens_total", "Output tokens processed again")?,
             tokens: counter("tokens_total", "Tokens passed on to callers")?,
-            progress: IntGauge::with_opts(opts("requests_in_progress", "Requests in progress"))?,
+            waiting: IntGauge::with_opts(opts("requests_waiting", "Requests that wait"))?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.first.clone()))?;
@@ -87,7 +87,7 @@
         registry.register(Box::new(metrics.hedges.clone()))?;
         registry.register(Box::new(metrics.extra.clone()))?;
         registry.register(Box::new(metrics.tokens.clone()))?;
-        registry.register(Box::new(metrics.progress.clone()))?;
+        registry.register(Box::new(metrics.waiting.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/cyclamenwharf/src/entry/mod.rs
+++ b/crates/cyclamenwharf/src/entry/mod.rs
@@ -21,11 +21,14 @@
 mod models;
 mod output;
 mod peer_pool;
+mod quota_gate;
 mod refusal;
 mod router;
 mod sent;
 mod service;
 mod suspicion;
+mod upkeep;
+mod wait_line;
 
 pub use handle::Entry;
 pub use handle::EntryHandle;
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -16,9 +16,11 @@
 use cw_policy::routing::Policy;
 use cw_policy::routing::RouteRequest;
 use cw_types::RegionId;
+use cw_types::RouteTarget;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::TokenCount;
+use cw_types::WorkspaceId;
 use cw_types::ZoneId;
 use cw_wire::Generate;
 use cw_wire::Prompt;
@@ -41,6 +43,7 @@
 pub(crate) struct Router {
     zone: ZoneId,
     region: RegionId,
+    nobody: WorkspaceId,
     ledger: Mutex<Ledger>,
     indexed: ArcSwapOption<Indexed>,
 }
@@ -51,6 +54,7 @@
         Self {
             zone,
             region,
+            nobody: "-".parse().expect("a dash is a name"),
             ledger: Mutex::default(),
             indexed: ArcSwapOption::empty(),
         }
@@ -95,6 +99,20 @@
             .choose(now, policy, &request, &ledger, &mut rand::rng())
     }
 
+    /// Returns whether some target that can run `to` does not ask for patience, or none is left to
+    /// wait for.
+    pub(crate) fn has_room(&self, now: Time, view: &Arc<View>, to: &RouteTarget) -> bool {
+        let request = RouteRequest::new(
+            to.clone(),
+            // Only the prompt's place in the cache depends on the workspace.
+            self.nobody.clone(),
+            self.zone.clone(),
+            self.region.clone(),
+        );
+        let choice = self.choose(now, view, &request, &BTreeSet::new());
+        !matches!(choice, Choice::Wait { .. })
+    }
+
     /// Records that an attempt was sent to `target`.
     pub(crate) fn dispatched(&self, now: Time, target: &TargetId) {
         self.ledger().dispatched(now, target);
@@ -131,7 +149,7 @@
 }
 
 /// Returns about how many tokens a prompt has.
-fn prompt_tokens(work: &Generate) -> usize {
+pub(crate) fn prompt_tokens(work: &Generate) -> usize {
     match &work.prompt {
         Prompt::Ids(ids) => ids.len(),
         Prompt::Text(text) => text.len() / TOKEN_BYTES,
--- a/crates/cyclamenwharf/src/entry/service.rs
+++ b/crates/cyclamenwharf/src/entry/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cw_policy::Plan;
+use cw_types::ByteSize;
 use cw_types::ErrorKind;
 use cw_types::GenerationId;
 use cw_types::RouteTarget;
@@ -88,6 +89,7 @@
         recovery: route.recovery,
         fingerprint: fingerprint(&caller, &call)?,
         plan: Plan::call(route.patience).with_idempotent(idempotent),
+        size: ByteSize(call.body.len() as u64),
         work: Work::Call(call),
         seed: None,
         key: None,
--- a/crates/cyclamenwharf/src/entry/suspicion.rs
+++ b/crates/cyclamenwharf/src/entry/suspicion.rs
@@ -57,6 +57,16 @@
         inner.table.verdict(request)
     }
 
+    /// Returns whether a new call with this request is refused.
+    pub(crate) fn is_refused(&self, request: Fingerprint) -> bool {
+        self.lock().table.is_refused(request)
+    }
+
+    /// Records that this entry has found a request guilty.
+    pub(crate) fn convict(&self, request: Fingerprint) {
+        self.lock().table.convict(request);
+    }
+
     /// Records that a request has run to its end.
     pub(crate) fn finished(&self, request: Fingerprint) {
         self.lock().table.finished(request);
--- /dev/null
+++ b/crates/cyclamenwharf/src/entry/upkeep.rs
@@ -0,0 +1,56 @@
+//! What an entry's traffic needs from time to time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_policy::queue::Lane;
+use cw_types::RouteTarget;
+use cw_types::Time;
+
+use super::frontend::Frontend;
+
+/// How often the queue is looked after.
+const QUEUE_PERIOD: Duration = Duration::from_millis(10);
+
+/// How often demands on quotas are exchanged, in periods of the queue.
+const EXCHANGE_PERIODS: u64 = 20;
+
+/// The most waiting requests of a lane that go on in one period.
+const STARTS: usize = 16;
+
+/// Looks after the queue and the quotas for as long as the entry runs.
+pub(crate) async fn run(front: Arc<Frontend>) {
+    let mut clock = tokio::time::interval(QUEUE_PERIOD);
+    clock.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for period in 0_u64.. {
+        clock.tick().await;
+        let now = front.clock.now();
+        for lane in front.line.tick(now) {
+            start_waiting(&front, now, &lane);
+        }
+        if period % EXCHANGE_PERIODS == 0 {
+            front.quotas.exchange(now, &front.view.load());
+            let waiting = i64::try_from(front.line.len()).unwrap_or(i64::MAX);
+            front.metrics.waiting.set(waiting);
+        }
+    }
+}
+
+/// Lets requests of a lane go on while a target seems to have room.
+fn start_waiting(front: &Frontend, now: Time, lane: &Lane) {
+    let view = front.view.load_full();
+    let to = match lane.clone() {
+        Lane::Model(model, version, adapter) => RouteTarget::Model {
+            model,
+            version,
+            adapter,
+        },
+        Lane::Service(service) => RouteTarget::Service { service },
+    };
+    for _ in 0..STARTS {
+        let room = front.router.has_room(now, &view, &to);
+        if !room || !front.line.start_one(now, lane) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/entry/wait_line.rs
@@ -0,0 +1,131 @@
+//! Requests that wait for a target, shared by all requests of an entry.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use cw_policy::queue::Lane;
+use cw_policy::queue::Queue;
+use cw_policy::queue::QueueEvent;
+use cw_policy::queue::QueueLimits;
+use cw_policy::queue::QueueStep;
+use cw_policy::queue::Waiter;
+use cw_types::ErrorKind;
+use cw_types::GenerationId;
+use cw_types::Time;
+use tokio::sync::oneshot;
+
+use crate::LimitSettings;
+
+/// What became of a request that waited.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Turn {
+    /// It may choose a target.
+    Start,
+    /// It is refused.
+    Refuse {
+        /// Why.
+        kind: ErrorKind,
+        /// When the caller should call again.
+        retry: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Inner {
+    queue: Queue,
+    waiting: BTreeMap<GenerationId, oneshot::Sender<Turn>>,
+}
+
+/// Requests that wait for a target, shared by all requests of an entry.
+#[derive(Debug)]
+pub(crate) struct WaitLine {
+    inner: Mutex<Inner>,
+}
+
+impl WaitLine {
+    /// Returns an empty line.
+    pub(crate) fn new(limits: &LimitSettings) -> Self {
+        let limits = QueueLimits {
+            items: limits.queue as usize,
+            bytes: limits.queue_bytes,
+            ..QueueLimits::default()
+        };
+        let inner = Inner {
+            queue: Queue::new(limits),
+            waiting: BTreeMap::new(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Lets a request wait; one that has waited before gets its old place.
+    pub(crate) fn wait(&self, now: Time, waiter: Waiter, again: bool) -> oneshot::Receiver<Turn> {
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        inner.waiting.insert(waiter.id, sender);
+        let event = match again {
+            true => QueueEvent::Returned(waiter),
+            false => QueueEvent::Offered(waiter),
+        };
+        inner.feed(now, event);
+        receiver
+    }
+
+    /// Forgets a request whose caller has gone.
+    pub(crate) fn leave(&self, now: Time, id: GenerationId) {
+        let mut inner = self.lock();
+        if inner.waiting.remove(&id).is_some() {
+            inner.feed(now, QueueEvent::Gone(id));
+        }
+    }
+
+    /// Lets one request of a lane go on; returns whether there was one.
+    pub(crate) fn start_one(&self, now: Time, lane: &Lane) -> bool {
+        let mut inner = self.lock();
+        let before = inner.queue.len();
+        inner.feed(now, QueueEvent::Room(lane.clone()));
+        inner.queue.len() < before
+    }
+
+    /// Gives up requests past their deadlines, and returns the lanes in which others wait.
+    pub(crate) fn tick(&self, now: Time) -> Vec<Lane> {
+        let mut inner = self.lock();
+        if inner.queue.is_empty() {
+            return Vec::new();
+        }
+        inner.feed(now, QueueEvent::Tick);
+        inner.queue.lanes().cloned().collect()
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().queue.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn feed(&mut self, now: Time, event: QueueEvent) {
+        for step in self.queue.on_event(now, event, &mut rand::rng()) {
+            let (id, turn) = match step {
+                QueueStep::Start(waiter) => (waiter.id, Turn::Start),
+                QueueStep::Refuse {
+                    waiter,
+                    kind,
+                    retry,
+                } => (waiter.id, Turn::Refuse { kind, retry }),
+            };
+            if let Some(sender) = self.waiting.remove(&id) {
+                // A driver that is gone needs no turn.
+                let _ = sender.send(turn);
+            }
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -120,11 +120,11 @@
     fn default() -> Self {
         Self {
             latency_silence: Duration::from_millis(600),
-            thrift_silence: Duration::from_millis(1500),
+            thrift_silence: Duration::from_millis(1200),
             latency_stall: Duration::from_millis(1200),
             stall: Duration::from_millis(2000),
-            head: Duration::from_millis(1000),
-            reattach: Duration::from_millis(400),
+            head: Duration::from_millis(600),
+            reattach: Duration::from_millis(300),
             attempts: 8,
         }
     }
