--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -144,19 +144,24 @@
         AttemptAnswer::Read(Reader::new(id, from.0))
     }
 
+    /// Returns the attempt asked for, or the newest that has output, or the newest of all.
     fn find(&self, attach: &Attach) -> Option<AttemptId> {
         let id = |attempt| AttemptId {
             generation: attach.generation,
             attempt,
         };
+        let own = |(_, attempt): &(&AttemptId, &AttemptState)| {
+            attempt.workspace.as_ref() == Some(&attach.workspace)
+        };
         let range = match attach.attempt {
             Some(attempt) => id(attempt)..=id(attempt),
             None => id(AttemptNo(0))..=id(AttemptNo(u32::MAX)),
         };
-        self.attempts
-            .range(range)
-            .rev()
-            .find(|(_, attempt)| attempt.workspace.as_ref() == Some(&attach.workspace))
+        let mut found = self.attempts.range(range).rev().filter(own);
+        let newest = found.clone().next();
+        found
+            .find(|(_, attempt)| attempt.has_output())
+            .or(newest)
             .map(|(id, _)| *id)
     }
 
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -86,21 +86,23 @@
         let view = front.view.load_full();
         let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
         let mut limits = job.limits(&front.settings);
+        if let Verdict::Suspect { crashes } | Verdict::Guilty { crashes } = verdict {
+            // Crashes that other calls of the request were in flight at count for this one too.
+            let before = u32::try_from(crashes).unwrap_or(u32::MAX);
+            limits.crashes = limits.crashes.saturating_sub(before).max(1);
+        }
         let known = match verdict {
             Verdict::Guilty { crashes } => crashes,
             Verdict::Clear | Verdict::Suspect { .. } => 0,
         };
-        if known > 0 {
-            // Evidence from elsewhere: one more crash decides.
-            limits.crashes = 1;
-        }
+        let request = front.router.request(&job);
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
             machine: Generation::new(job.plan.clone(), limits),
             inputs: Inputs::default(),
-            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job)),
+            attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out, quota),
-            request: front.router.request(&job),
+            request,
             suspect: false,
             known,
             started: now,
