--- a/crates/cw_testkit/src/experiment/mod.rs
+++ b/crates/cw_testkit/src/experiment/mod.rs
@@ -3,6 +3,8 @@
 mod drive;
 mod engine_death;
 mod fault;
+mod overhead;
+mod process;
 mod record;
 mod recovery;
 mod report;
@@ -12,6 +14,7 @@
 
 pub use engine_death::engine_death;
 pub use engine_death::faults;
+pub use overhead::overhead;
 pub use record::record;
 pub use report::ExperimentError;
 pub use report::Report;
--- /dev/null
+++ b/crates/cw_testkit/src/experiment/overhead.rs
@@ -0,0 +1,283 @@
+//! What entry and agent add to an engine.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use cw_macro::data;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::Ask;
+use crate::Caller;
+use crate::EngineFaults;
+use crate::EngineTimings;
+use crate::MODEL;
+use crate::ROUTE_LATENCY;
+use crate::Reading;
+use crate::Rig;
+use crate::RigSpec;
+use crate::VERSION;
+
+use super::ExperimentError;
+use super::Report;
+use super::Summary;
+use super::process::cpu_of_threads;
+use super::process::resident;
+
+/// The requests by which the time to the first token is measured, for each way.
+const SAMPLES: u64 = 2000;
+/// The streams that run at once.
+const STREAMS: u64 = 200;
+/// How long tokens are counted.
+const SPAN: Duration = Duration::from_secs(8);
+/// How long streams run before.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// The streams whose memory is measured, for each way.
+const OPEN: u64 = 600;
+/// The tokens that each of them has received.
+const OPEN_TOKENS: usize = 64;
+/// The tokens of a stream that does not end by itself.
+const ENDLESS: u64 = 1 << 20;
+/// The name of the threads that carry an entry's traffic.
+const ENTRY_THREAD: &str = "traffic";
+/// Longer than any experiment.
+const NEVER: Duration = Duration::from_secs(3600);
+
+/// The most that may be added to the first token at the median, in milliseconds.
+const AIM_ADDED_MS: f64 = 1.0;
+/// The tokens a second that a core of an entry should carry.
+const AIM_TOKENS: f64 = 100_000.0;
+/// The memory that a stream should take, in bytes.
+const AIM_BYTES: f64 = 65_536.0;
+
+#[data]
+struct FirstTokenRow {
+    measure: String,
+    direct: Summary,
+    through: Summary,
+    added_p50_ms: f64,
+    added_p95_ms: f64,
+    aim_p50_ms: f64,
+    met: bool,
+}
+
+#[data]
+struct ThroughputRow {
+    measure: String,
+    streams: u64,
+    tokens_per_s: f64,
+    cores_used: f64,
+    tokens_per_core_s: f64,
+    aim_per_core_s: f64,
+    met: bool,
+}
+
+#[data]
+struct MemoryRow {
+    measure: String,
+    streams: u64,
+    tokens_each: usize,
+    direct_bytes: f64,
+    through_bytes: f64,
+    added_bytes: f64,
+    aim_bytes: f64,
+    met: bool,
+}
+
+/// Measures what one entry and its agents add against the same engines called directly.
+///
+/// # Errors
+///
+/// Fails when a deployment does not start or a call fails.
+pub async fn overhead() -> Result<Report, ExperimentError> {
+    let setup = json!({
+        "entries": 1,
+        "samples": SAMPLES,
+        "streams": STREAMS,
+        "span_s": SPAN.as_secs(),
+        "core": "processor time of the entry's traffic threads, from /proc/self/task",
+        "memory": "growth of the process's resident set; callers and engines are in it both ways",
+    });
+    let mut report = Report::new("overhead", setup);
+    report.push(&memory().await?);
+    report.push(&first_token().await?);
+    report.push(&throughput().await?);
+    Ok(report)
+}
+
+fn timings(step: Duration) -> EngineTimings {
+    EngineTimings {
+        step,
+        sequence: Duration::ZERO,
+        prefill: Duration::ZERO,
+        batch: 1024,
+        queue: 1024,
+        capacity: 1 << 40,
+        ..EngineTimings::default()
+    }
+}
+
+fn spec(engines: usize, step: Duration) -> RigSpec {
+    let mut spec = RigSpec::default()
+        .with_entries(1)
+        .with_engines(engines)
+        .with_services(0)
+        .with_timings(timings(step));
+    spec.agent.running = 1024;
+    spec.agent.step = NEVER;
+    spec.recovery.stall = NEVER;
+    spec.recovery.latency_stall = NEVER;
+    spec
+}
+
+/// Returns a body for an engine that is called directly.
+fn direct(number: u64, tokens: u64) -> Value {
+    json!({
+        "model": MODEL,
+        "version": VERSION,
+        "prompt": format!("ledger {number}"),
+        "max_tokens": tokens,
+        "stream": true,
+        "return_token_ids": true,
+        "request_id": format!("{number:032x}/1"),
+    })
+}
+
+// ---- First token
+
+async fn first_token() -> Result<FirstTokenRow, ExperimentError> {
+    let rig = start(spec(1, Duration::ZERO)).await?;
+    let engine = Caller::new(rig.engines[0].address, "-");
+    let entry = rig.caller(0);
+    let (mut direct_times, mut through_times) = (Vec::new(), Vec::new());
+    for number in 0..SAMPLES {
+        let sent = Instant::now();
+        let mut reading = engine.open_body(&direct(number, 1)).await?;
+        reading.read_tokens(1).await?;
+        direct_times.push(sent.elapsed());
+        reading.finish().await?;
+        let ask = Ask::new(ROUTE_LATENCY, &format!("ledger {number}"), 1);
+        let sent = Instant::now();
+        let mut reading = entry.open(&ask).await?;
+        reading.read_tokens(1).await?;
+        through_times.push(sent.elapsed());
+        reading.finish().await?;
+    }
+    rig.stop().await;
+    let (direct, through) = (Summary::of(direct_times), Summary::of(through_times));
+    let added_p50_ms = through.p50_ms - direct.p50_ms;
+    Ok(FirstTokenRow {
+        measure: "time to first token".to_owned(),
+        direct,
+        through,
+        added_p50_ms,
+        added_p95_ms: through.p95_ms - direct.p95_ms,
+        aim_p50_ms: AIM_ADDED_MS,
+        met: added_p50_ms < AIM_ADDED_MS,
+    })
+}
+
+// ---- Throughput
+
+async fn throughput() -> Result<ThroughputRow, ExperimentError> {
+    let rig = start(spec(8, Duration::from_millis(1))).await?;
+    let counted = Arc::new(AtomicU64::new(0));
+    let mut tasks = JoinSet::new();
+    for number in 0..STREAMS {
+        let ask = Ask::new(ROUTE_LATENCY, &format!("ledger {number}"), ENDLESS);
+        tasks.spawn(count(rig.caller(0), ask, Arc::clone(&counted)));
+    }
+    tokio::time::sleep(WARM_UP).await;
+    let (start, tokens, cpu) = sample(&counted);
+    tokio::time::sleep(SPAN).await;
+    let (end, tokens_end, cpu_end) = sample(&counted);
+    tasks.shutdown().await;
+    rig.stop().await;
+    let seconds = (end - start).as_secs_f64();
+    let tokens_per_s = (tokens_end - tokens) as f64 / seconds;
+    let cores_used = (cpu_end.saturating_sub(cpu)).as_secs_f64() / seconds;
+    let tokens_per_core_s = tokens_per_s / cores_used.max(0.01);
+    Ok(ThroughputRow {
+        measure: "tokens through one entry".to_owned(),
+        streams: STREAMS,
+        tokens_per_s,
+        cores_used,
+        tokens_per_core_s,
+        aim_per_core_s: AIM_TOKENS,
+        met: tokens_per_core_s >= AIM_TOKENS,
+    })
+}
+
+fn sample(counted: &AtomicU64) -> (Instant, u64, Duration) {
+    let tokens = counted.load(Ordering::Relaxed);
+    (Instant::now(), tokens, cpu_of_threads(ENTRY_THREAD))
+}
+
+async fn count(caller: Caller, ask: Ask, counted: Arc<AtomicU64>) {
+    let Ok(mut reading) = caller.open(&ask).await else {
+        return;
+    };
+    let mut before = 0;
+    while let Ok(Some(_)) = reading.next().await {
+        let tokens = reading.answer.ids.len();
+        counted.fetch_add((tokens - before) as u64, Ordering::Relaxed);
+        before = tokens;
+    }
+}
+
+// ---- Memory
+
+async fn memory() -> Result<MemoryRow, ExperimentError> {
+    let rig = start(spec(4, Duration::from_millis(10))).await?;
+    for engine in &rig.engines {
+        engine.set_faults(EngineFaults {
+            hold: Some(OPEN_TOKENS as u64),
+            ..EngineFaults::default()
+        });
+    }
+    let empty = resident();
+    let mut direct_readings = Vec::new();
+    for number in 0..OPEN {
+        let engine = &rig.engines[(number % 4) as usize];
+        let caller = Caller::new(engine.address, "-");
+        direct_readings.push(caller.open_body(&direct(number, ENDLESS)).await?);
+    }
+    read_all(&mut direct_readings).await?;
+    let after_direct = resident();
+    let mut readings = Vec::new();
+    for number in 0..OPEN {
+        let ask = Ask::new(ROUTE_LATENCY, &format!("ledger {number}"), ENDLESS);
+        readings.push(rig.caller(0).open(&ask).await?);
+    }
+    read_all(&mut readings).await?;
+    let after_through = resident();
+    drop((readings, direct_readings));
+    rig.stop().await;
+    let direct_bytes = after_direct.saturating_sub(empty) as f64 / OPEN as f64;
+    let through_bytes = after_through.saturating_sub(after_direct) as f64 / OPEN as f64;
+    Ok(MemoryRow {
+        measure: "memory of an open stream".to_owned(),
+        streams: OPEN,
+        tokens_each: OPEN_TOKENS,
+        direct_bytes,
+        through_bytes,
+        added_bytes: through_bytes - direct_bytes,
+        aim_bytes: AIM_BYTES,
+        met: through_bytes - direct_bytes < AIM_BYTES,
+    })
+}
+
+async fn read_all(readings: &mut [Reading]) -> Result<(), ExperimentError> {
+    for reading in readings {
+        reading.read_tokens(OPEN_TOKENS).await?;
+    }
+    Ok(())
+}
+
+async fn start(spec: RigSpec) -> Result<Rig, ExperimentError> {
+    Rig::start(spec).await.map_err(ExperimentError::new)
+}
--- a/crates/cw_testkit/src/experiment/report.rs
+++ b/crates/cw_testkit/src/experiment/report.rs
@@ -6,6 +6,8 @@
 use serde_json::Value;
 use snafu::Snafu;
 
+use crate::CallError;
+
 /// An experiment that could not be run or written.
 #[derive(Debug, Snafu)]
 #[snafu(display("{message}"))]
@@ -22,6 +24,12 @@
     }
 }
 
+impl From<CallError> for ExperimentError {
+    fn from(error: CallError) -> Self {
+        Self::new(error)
+    }
+}
+
 /// What an experiment found.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Report {
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -64,9 +64,14 @@
         .subcommand(
             Command::new("faults")
                 .about("Causes each kind of fault in the middle of streams")
-                .arg(json)
+                .arg(json.clone())
                 .arg(rounds),
         )
+        .subcommand(
+            Command::new("overhead")
+                .about("Compares an entry and its agents with engines that are called directly")
+                .arg(json),
+        )
 }
 
 fn main() -> ExitCode {
@@ -142,8 +147,8 @@
 async fn measure(args: &ArgMatches) -> Result<(), String> {
     let (name, args) = args.subcommand().expect("clap requires it");
     let file: &PathBuf = args.get_one("json").expect("clap requires it");
-    let rounds: usize = *args.get_one("rounds").expect("it has a default");
-    let report = run(name, rounds).await?;
+    let rounds = args.try_get_one("rounds").ok().flatten();
+    let report = run(name, rounds.copied().unwrap_or_default()).await?;
     report.write(file).map_err(|e| e.to_string())
 }
 
@@ -151,6 +156,7 @@
     match name {
         "engine-death" => experiment::engine_death(rounds).await,
         "faults" => experiment::faults(rounds).await,
+        "overhead" => experiment::overhead().await,
         _ => return Err(format!("unknown experiment {name}")),
     }
     .map_err(|error| error.to_string())
--- a/crates/cw_testkit/src/model_engine/batch.rs
+++ b/crates/cw_testkit/src/model_engine/batch.rs
@@ -111,7 +111,8 @@
         let last = self.running.len().saturating_sub(1);
         let mut over = Vec::new();
         for (index, mut job) in std::mem::take(&mut self.running).into_iter().enumerate() {
-            let progress = match faults.reversed && index < last {
+            let held = faults.hold.is_some_and(|count| job.generated >= count);
+            let progress = match held || faults.reversed && index < last {
                 true => Progress::Blocked,
                 false => job.advance(),
             };
--- a/crates/cw_testkit/src/model_engine/faults.rs
+++ b/crates/cw_testkit/src/model_engine/faults.rs
@@ -12,4 +12,6 @@
     pub stalled: bool,
     /// Whether the request that came last is finished first.
     pub reversed: bool,
+    /// How many tokens each request gets before it stands still.
+    pub hold: Option<u64>,
 }
--- a/crates/cw_testkit/src/model_engine/life.rs
+++ b/crates/cw_testkit/src/model_engine/life.rs
@@ -97,7 +97,11 @@
                 }
                 Step::Compute(span) => {
                     due = due.max(tokio::time::Instant::now() - span) + span;
-                    tokio::time::sleep_until(due).await;
+                    match span.is_zero() {
+                        // A timer would round up to its next tick.
+                        true => tokio::task::yield_now().await,
+                        false => tokio::time::sleep_until(due).await,
+                    }
                     self.lasting.gate.wait().await;
                     self.finish();
                 }
