Take only a refused connection for a dead target

A connection that was not made in time also counted as a crash, so an engine that was paused with a full backlog would have accused all it ran. A reading without an answer is now repeated after 50 ms, since nothing starts until the target is known to live. A new test kills an engine for good: its stream fails at once and its request is the only suspect.

--- a/crates/cw_policy/tests/attempt/main.rs
+++ b/crates/cw_policy/tests/attempt/main.rs
@@ -6,3 +6,4 @@
 
 mod cases;
 mod histories;
+mod target_cases;
--- a/crates/cyclamenwharf/src/agent/call_runner.rs
+++ b/crates/cyclamenwharf/src/agent/call_runner.rs
@@ -23,7 +23,6 @@
 use log::debug;
 
 use super::agent_state::AgentState;
-use super::engine_client::EngineError;
 use super::signal::Signal;
 
 /// Headers that concern one connection only, and those that the client sets itself.
@@ -69,7 +68,7 @@
         .await;
     let response = match sent {
         Ok(response) => response,
-        Err(EngineError::Connect { .. }) => {
+        Err(error) if error.is_harmless() => {
             state.check.notify_one();
             return Some(End::NotRun(Reason::TargetDown));
         }
--- a/crates/cyclamenwharf/src/agent/engine_client.rs
+++ b/crates/cyclamenwharf/src/agent/engine_client.rs
@@ -29,6 +29,9 @@
 /// A call to the target that failed.
 #[derive(Debug, Snafu)]
 pub(super) enum EngineError {
+    /// Nobody listens at the target's address: the call had no effect.
+    #[snafu(display("the target refuses connections"))]
+    Refused,
     /// No connection could be made: the call had no effect.
     #[snafu(display("cannot connect to the target: {message}"))]
     Connect {
@@ -59,6 +62,13 @@
     address: SocketAddr,
 }
 
+impl EngineError {
+    /// Returns whether the call is known to have had no effect.
+    pub(super) fn is_harmless(&self) -> bool {
+        matches!(self, EngineError::Refused | EngineError::Connect { .. })
+    }
+}
+
 impl EngineClient {
     /// Returns a client of the target at `address`.
     pub(super) fn new(address: SocketAddr) -> Self {
@@ -76,7 +86,7 @@
     ///
     /// # Errors
     ///
-    /// Only `Connect` means that the call had no effect.
+    /// Only `Refused` and `Connect` mean that the call had no effect.
     pub(super) async fn send(
         &self,
         method: Method,
@@ -95,6 +105,7 @@
         self.client.request(request).await.map_err(|error| {
             let message = error.to_string();
             match error.is_connect() {
+                true if is_refused(&error) => EngineError::Refused,
                 true => EngineError::Connect { message },
                 false => EngineError::Broken { message },
             }
@@ -105,7 +116,7 @@
     ///
     /// # Errors
     ///
-    /// Only `Connect` means that the call had no effect.
+    /// Only `Refused` and `Connect` mean that the call had no effect.
     pub(super) async fn post<M: Serialize>(
         &self,
         path: &str,
@@ -123,7 +134,7 @@
     ///
     /// # Errors
     ///
-    /// Only `Connect` means that the call had no effect.
+    /// Only `Refused` and `Connect` mean that the call had no effect.
     pub(super) async fn control<M: Serialize>(
         &self,
         path: &str,
@@ -164,6 +175,7 @@
         let connection = tokio::net::TcpStream::connect(self.address);
         match tokio::time::timeout(CONNECT_TIMEOUT, connection).await {
             Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) if is_refused(&error) => Err(EngineError::Refused),
             Ok(Err(error)) => Err(EngineError::Connect {
                 message: error.to_string(),
             }),
@@ -178,3 +190,13 @@
             .await
     }
 }
+
+/// Returns whether an error comes from a connection that was refused.
+///
+/// One that is only not made in time may be to a target that is paused or overloaded.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let refused = |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+    std::iter::successors(Some(error), |error| error.source())
+        .filter_map(|error| error.downcast_ref::<std::io::Error>())
+        .any(refused)
+}
--- a/crates/cyclamenwharf/src/agent/generate_runner.rs
+++ b/crates/cyclamenwharf/src/agent/generate_runner.rs
@@ -19,7 +19,6 @@
 use log::warn;
 
 use super::agent_state::AgentState;
-use super::engine_client::EngineError;
 use super::engine_json::Completion;
 use super::engine_json::Event;
 use super::engine_json::remaining;
@@ -95,7 +94,7 @@
     drop(work);
     let response = match sent {
         Ok(response) => response,
-        Err(EngineError::Connect { .. }) => {
+        Err(error) if error.is_harmless() => {
             state.check.notify_one();
             return Outcome::End(End::NotRun(Reason::TargetDown));
         }
--- a/crates/cyclamenwharf/src/agent/monitor.rs
+++ b/crates/cyclamenwharf/src/agent/monitor.rs
@@ -16,6 +16,8 @@
 
 /// How long a reading may take.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// The pause after a reading without an answer: nothing starts until the target is known to live.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// After how many readings without an answer the target counts as down.
 const MISSES_MAX: u32 = 2;
 
@@ -37,8 +39,12 @@
             info!(target = state.settings.target.id.as_str(); "the target is {}", word(after));
             state.report.notify_one();
         }
+        let pause = match memory.misses {
+            0 => state.settings.engine.report,
+            _ => RETRY_PAUSE.min(state.settings.engine.report),
+        };
         tokio::select! {
-            () = tokio::time::sleep(state.settings.engine.report) => {}
+            () = tokio::time::sleep(pause) => {}
             () = state.check.notified() => {}
         }
     }
@@ -56,8 +62,8 @@
     let asked = state.clock.now();
     match read(state).await {
         Ok(reading) => alive(state, memory, asked, reading),
-        Err(EngineError::Connect { .. }) => dead(state, memory),
-        Err(EngineError::Broken { .. } | EngineError::Timeout { .. }) => {
+        Err(EngineError::Refused) => dead(state, memory),
+        Err(_) => {
             memory.misses += 1;
             if memory.misses >= MISSES_MAX {
                 state.tell(|table, now| table.on_down(now));
--- a/crates/cyclamenwharf/src/agent/order_runner.rs
+++ b/crates/cyclamenwharf/src/agent/order_runner.rs
@@ -14,7 +14,6 @@
 
 use super::agent_state::AgentState;
 use super::agent_state::lock;
-use super::engine_client::EngineError;
 use super::engine_json::OrderBody;
 use super::engine_json::OrderFenced;
 use super::engine_json::OrderState;
@@ -103,7 +102,7 @@
             open: false,
         },
         Err(error) => Passed {
-            open: !matches!(error, EngineError::Connect { .. }),
+            open: !error.is_harmless(),
             answer: OrderAnswer::Failed {
                 message: error.to_string(),
             },
--- a/crates/cyclamenwharf/tests/agent/reports.rs
+++ b/crates/cyclamenwharf/tests/agent/reports.rs
@@ -9,6 +9,7 @@
 use cw_store::HostRole;
 use cw_store::HostState;
 use cw_types::Revision;
+use cw_wire::Failure;
 use cw_wire::Fingerprint;
 use cw_wire::Frame;
 use cw_wire::Report;
@@ -189,6 +190,36 @@
     assert_eq!(report.crashes[0].suspects, vec![Fingerprint(5)]);
 }
 
+#[rstest]
+#[tokio::test]
+async fn an_engine_killed_for_good_has_crashed_and_its_streams_fail_at_once() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let mut engine = {
+        let _guard = runtime.enter();
+        FakeEngine::start()
+    };
+    let mut rig = Rig::start(engine.server.local_addr()).await;
+    let mut frames = rig.send(&rig.dispatch(attempt(5, 1))).await;
+    let call = engine.received().await;
+    call.token(1);
+    tokens_after_accepted(&mut frames).await;
+
+    runtime.shutdown_background();
+    let failed = next(&mut frames).await;
+    let report = rig.relay.report(|report| !report.crashes.is_empty()).await;
+
+    let lost = matches!(
+        failed,
+        Some(Frame::Failed {
+            failure: Failure::TargetLost,
+            ..
+        })
+    );
+    assert!(lost, "{failed:?}");
+    assert_eq!(report.state, TargetState::Down);
+    assert_eq!(report.crashes[0].suspects, vec![Fingerprint(5)]);
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_broken_connection_of_a_living_engine_is_no_crash() {
