Let one relay of a target pass its loads on; measure what control costs

Change: the first relay of a target passes its loads on, the others only while they hear nothing of it elsewhere; the period grows with the number of entries.

--- a/crates/cw_policy/src/membership/grid.rs
+++ b/crates/cw_policy/src/membership/grid.rs
@@ -20,6 +20,7 @@
     pub near: Vec<EntryPeer>,
     /// The entries of other groups to which this one passes on what its group says.
     pub far: Vec<EntryPeer>,
+    size: usize,
 }
 
 impl Grid {
@@ -38,7 +39,16 @@
             best.is_none_or(|best| rank(host) > best)
         };
         let far = rest.into_iter().filter(chosen).collect();
-        Self { near, far }
+        Self {
+            near,
+            far,
+            size: entries.len(),
+        }
+    }
+
+    /// Returns the number of all entries.
+    pub fn size(&self) -> usize {
+        self.size
     }
 }
 
--- a/crates/cw_policy/src/membership/limits.rs
+++ b/crates/cw_policy/src/membership/limits.rs
@@ -24,7 +24,7 @@
         Self {
             fresh: Duration::from_secs(3),
             gone: Duration::from_secs(15),
-            blind: Duration::from_secs(12),
+            blind: Duration::from_secs(20),
             statement: Duration::from_secs(8),
             witnesses: 2,
             pause: Duration::from_secs(1),
--- a/crates/cw_policy/src/membership/mod.rs
+++ b/crates/cw_policy/src/membership/mod.rs
@@ -11,6 +11,7 @@
 mod member;
 mod members;
 mod outbox;
+mod primary;
 mod processes;
 mod relay;
 
@@ -20,6 +21,7 @@
 pub use members::Members;
 pub use members::Outcome;
 pub use outbox::Outbox;
+pub use primary::primary_relay;
 pub use processes::Processes;
 pub use relay::Relay;
 pub use relay::Sendings;
--- a/crates/cw_policy/src/membership/relay.rs
+++ b/crates/cw_policy/src/membership/relay.rs
@@ -1,6 +1,7 @@
 //! What an entry passes on of the reports that it gets.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cw_types::HostId;
@@ -17,6 +18,7 @@
 use cw_wire::ProcessState;
 use cw_wire::Report;
 use cw_wire::Silence;
+use cw_wire::TargetHash;
 
 use super::Grid;
 use super::Members;
@@ -30,20 +32,19 @@
 /// How often a report is passed on whole because its pinned versions changed.
 const PINNED_PERIOD: Duration = Duration::from_secs(5);
 
-/// How long a target's load may go unsent while it hardly changes.
-const LOAD_PERIOD: Duration = Duration::from_secs(4);
+/// How long a relay that is not the first of a target leaves its loads to the first one.
+const BACKUP_PERIOD: Duration = Duration::from_secs(10);
 
 /// How long a silent target is spoken of before it is forgotten.
 const SILENCE_MAX: Duration = Duration::from_secs(90);
 
-/// The period of batches among few entries.
-const SHORT_PERIOD: Duration = Duration::from_millis(500);
-
-/// The period of batches among many entries.
-const LONG_PERIOD: Duration = Duration::from_secs(2);
-
-/// Entries times targets above which the longer period is kept.
-const MANY: usize = 2_500;
+/// The period of batches by the largest number of entries that it is for.
+const PERIODS: [(usize, Duration); 4] = [
+    (16, Duration::from_millis(500)),
+    (64, Duration::from_millis(1000)),
+    (160, Duration::from_millis(2000)),
+    (usize::MAX, Duration::from_millis(4000)),
+];
 
 /// A change of a load below this share of the limit, as a divisor, can wait.
 const LOAD_SHARE: u32 = 8;
@@ -53,6 +54,8 @@
 struct Direct {
     report: Report,
     heard: Time,
+    /// When another relay was last heard to pass its loads on.
+    elsewhere: Time,
     /// The report that was last passed on whole, and when.
     whole: Option<(Time, Report)>,
     /// The load that was last passed on, and when.
@@ -103,12 +106,11 @@
         }
     }
 
-    /// Returns how often batches are sent.
-    pub fn period(entries: usize, targets: usize) -> Duration {
-        match entries * targets > MANY {
-            true => LONG_PERIOD,
-            false => SHORT_PERIOD,
-        }
+    /// Returns how often batches are sent among so many entries.
+    pub fn period(entries: usize) -> Duration {
+        let fits = |(most, _): &&(usize, Duration)| entries <= *most;
+        let found = PERIODS.iter().find(fits);
+        found.map_or(PERIODS[0].1, |(_, period)| *period)
     }
 
     /// Takes a report that came from its agent.
@@ -119,6 +121,7 @@
             .or_insert_with(|| Direct {
                 report: report.clone(),
                 heard: now,
+                elsewhere: now,
                 whole: None,
                 load: (now, report.load),
             });
@@ -135,8 +138,9 @@
         }
     }
 
-    /// Takes a batch of an entry of the own group, to be passed on.
+    /// Takes a batch of another entry, to be passed on if it is of the own group.
     pub fn on_batch(&mut self, now: Time, batch: &Batch) {
+        self.note_elsewhere(now, batch);
         if batch.forwarded {
             return;
         }
@@ -157,18 +161,21 @@
         self.far.put_process(now, state.clone());
     }
 
-    /// Returns the batches of a round.
+    /// Returns the batches of a round. `is_first` tells the targets whose first relay this is:
+    /// it passes their loads on, the others only while they do not hear of them elsewhere.
     pub fn round(
         &mut self,
         now: Time,
         members: &Members,
         revision: Revision,
         grid: &Grid,
+        is_first: &dyn Fn(&TargetId) -> bool,
     ) -> Sendings {
         let awake = members.awake();
         self.direct
             .retain(|_, direct| is_kept(now, awake, direct, members));
-        self.gather(now, awake);
+        let period = Self::period(grid.size());
+        self.gather(now, awake, period * 3 / 2, is_first);
         self.sequence += 1;
         let mut near = self.near.take(now, &self.host, revision);
         let mut far = self.far.take(now, &self.host, revision);
@@ -200,18 +207,43 @@
             .collect()
     }
 
-    fn gather(&mut self, now: Time, awake: Time) {
+    fn note_elsewhere(&mut self, now: Time, batch: &Batch) {
+        let reported = batch.reports.iter().map(|(_, report)| &report.target);
+        for target in reported {
+            if let Some(direct) = self.direct.get_mut(target) {
+                direct.elsewhere = now;
+            }
+        }
+        if batch.loads.is_empty() {
+            return;
+        }
+        let loads: BTreeSet<_> = batch.loads.iter().map(|update| update.target).collect();
+        for (target, direct) in &mut self.direct {
+            if loads.contains(&TargetHash::from(target)) {
+                direct.elsewhere = now;
+            }
+        }
+    }
+
+    fn gather(
+        &mut self,
+        now: Time,
+        awake: Time,
+        load_period: Duration,
+        is_first: &dyn Fn(&TargetId) -> bool,
+    ) {
         for silence in self.silent(now, awake) {
             self.near.put_silence(silence.clone());
             self.far.put_silence(silence);
         }
-        for direct in self.direct.values_mut() {
+        for (target, direct) in &mut self.direct {
             if needs_whole(now, direct) {
                 direct.whole = Some((now, direct.report.clone()));
                 direct.load = (now, direct.report.load);
                 self.near.put_report(direct.heard, direct.report.clone());
                 self.far.put_report(direct.heard, direct.report.clone());
-            } else if needs_load(now, direct) {
+            } else if needs_load(now, load_period, direct) && speaks(now, direct, is_first(target))
+            {
                 direct.load = (now, direct.report.load);
                 let update = to_update(now, direct);
                 self.near.put_load(direct.heard, update);
@@ -263,8 +295,13 @@
     keys(&report.pinned) != keys(&whole.pinned)
 }
 
+/// Returns whether this relay is the one to pass a load on.
+fn speaks(now: Time, direct: &Direct, is_first: bool) -> bool {
+    is_first || now.since(direct.elsewhere) >= BACKUP_PERIOD
+}
+
 /// Returns whether the load has changed enough, or was last sent long enough ago.
-fn needs_load(now: Time, direct: &Direct) -> bool {
+fn needs_load(now: Time, load_period: Duration, direct: &Direct) -> bool {
     let (sent, old) = &direct.load;
     let load = &direct.report.load;
     if direct.heard <= *sent {
@@ -274,5 +311,5 @@
     load.running.abs_diff(old.running) >= step
         || load.waiting.abs_diff(old.waiting) >= step
         || load.limit.abs_diff(old.limit) >= step
-        || now.since(*sent) >= LOAD_PERIOD
+        || now.since(*sent) >= load_period
 }
--- a/crates/cw_policy/tests/membership.rs
+++ b/crates/cw_policy/tests/membership.rs
@@ -213,7 +213,7 @@
     run(&mut members, 0, 10);
     members.on_report(at(10), Duration::ZERO, up(1, 20));
 
-    relay.round(at(10), &members, Revision(0), &Grid::default());
+    relay.round(at(10), &members, Revision(0), &Grid::default(), &|_| true);
 
     assert_eq!(relay.silent(at(10), members.awake()), []);
 }
@@ -223,7 +223,7 @@
     let mut members = members();
     let mut relay = Relay::new(name("e0"), SECOND * 3);
     relay.on_report(at(0), up(1, 1));
-    relay.round(at(0), &members, Revision(0), &Grid::default());
+    relay.round(at(0), &members, Revision(0), &Grid::default(), &|_| true);
     let leaving = report(1, 2, TargetState::Leaving);
 
     let urgency = relay.on_report(at(1), leaving.clone());
@@ -263,10 +263,12 @@
     let mut relay = Relay::new(name("e0"), SECOND * 3);
     let grid = grid_of(2, 0);
     relay.on_report(at(0), up(1, 1));
-    relay.round(at(0), &sender, Revision(0), &grid);
+    relay.round(at(0), &sender, Revision(0), &grid, &|_| true);
     relay.on_report(at(5), up(1, 2));
     sender.on_report(at(5), Duration::ZERO, up(1, 2));
-    let update = relay.round(at(5), &sender, Revision(0), &grid).near;
+    let update = relay
+        .round(at(5), &sender, Revision(0), &grid, &|_| true)
+        .near;
     let update: Batch = update.expect("a batch for the other entry");
     let mut fresh = Members::new(name("e9"), MembershipLimits::default(), at(5));
 
@@ -388,7 +390,8 @@
     let mut heard = vec![(0, 0.0); count];
     for round in 0..2 {
         for from in 0..count {
-            let sendings = relays[from].round(at(round), &members, Revision(0), &grids[from]);
+            let sendings =
+                relays[from].round(at(round), &members, Revision(0), &grids[from], &|_| true);
             let near = sendings.near.map(|batch| (&grids[from].near, batch));
             let far = sendings.far.map(|batch| (&grids[from].far, batch));
             for (peers, batch) in near.into_iter().chain(far) {
--- a/crates/cyclamenwharf/examples/control_cost/calls.rs
+++ b/crates/cyclamenwharf/examples/control_cost/calls.rs
@@ -36,7 +36,7 @@
 /// Entries' control states around stand-ins of the platform.
 pub(crate) struct Place {
     pub(crate) controls: Vec<Control>,
-    key_value: KeyValue,
+    pub(crate) key_value: KeyValue,
     supervisor: Supervisor,
     _host_list: HostList,
     _weight_store: WeightStore,
--- a/crates/cyclamenwharf/examples/control_cost/spread.rs
+++ b/crates/cyclamenwharf/examples/control_cost/spread.rs
@@ -1,6 +1,7 @@
 //! Reports spread among many entries: the machines of membership without sockets.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,10 +10,14 @@
 use cw_policy::membership::Members;
 use cw_policy::membership::MembershipLimits;
 use cw_policy::membership::Relay;
+use cw_policy::membership::primary_relay;
+use cw_types::Config;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::Revision;
+use cw_types::Target;
 use cw_types::TargetId;
+use cw_types::TargetKind;
 use cw_types::Time;
 use cw_types::TokenCount;
 use cw_wire::Batch;
@@ -28,13 +33,10 @@
 use crate::message::MessageCost;
 
 /// How much time is played.
-const PLAYED: Duration = Duration::from_secs(60);
+const PLAYED: Duration = Duration::from_secs(64);
 
 /// How much of it passes before the count begins.
-const WARM: Duration = Duration::from_secs(8);
-
-/// How often an agent reports.
-const REPORT_PERIOD: Duration = Duration::from_millis(500);
+const WARM: Duration = Duration::from_secs(16);
 
 /// To how many entries an agent reports.
 const RELAYS: usize = 3;
@@ -50,6 +52,9 @@
 pub(crate) struct SpreadCost {
     entries: usize,
     targets: usize,
+    /// How often agents report.
+    report_ms: u128,
+    /// How often batches are sent.
     period_ms: u128,
     /// Whole bytes a second in and out, HTTP included.
     bytes_per_second: f64,
@@ -63,11 +68,19 @@
     decision_share: f64,
     /// Processor time with that of HTTP, as a share of a core.
     total_share: f64,
+    /// Processor time of making the view four times a second, as a share of a core.
+    view_share: f64,
     /// The age of a load as an entry sees it, at the end.
     age_p50_ms: u128,
     age_max_ms: u128,
 }
 
+/// How often an entry makes its view.
+const VIEWS_PER_SECOND: f64 = 4.0;
+
+/// How many views are made for the measurement.
+const VIEWS: u32 = 50;
+
 struct Entry {
     members: Members,
     relay: Relay,
@@ -76,9 +89,10 @@
 }
 
 struct World {
-    peers: Vec<EntryPeer>,
     entries: Vec<Entry>,
     reports: Vec<Report>,
+    relays: Vec<Vec<usize>>,
+    firsts: Vec<BTreeSet<TargetId>>,
     index: BTreeMap<HostId, usize>,
     rng: StdRng,
     messages: u64,
@@ -88,9 +102,13 @@
 }
 
 /// Plays reports and batches.
-pub(crate) fn measure(entries: usize, targets: usize, message: &MessageCost) -> SpreadCost {
+pub(crate) fn measure(
+    (entries, targets): (usize, usize),
+    report_period: Duration,
+    message: &MessageCost,
+) -> SpreadCost {
     let mut world = World::new(entries, targets, message.overhead_bytes);
-    let period = Relay::period(entries, targets);
+    let period = Relay::period(entries);
     let mut now = Time(1_000_000_000);
     let (start, mut next_round) = (now, now);
     while now.since(start) < WARM + PLAYED {
@@ -102,9 +120,12 @@
             next_round = now + period;
             world.round(now);
         }
-        now = now + REPORT_PERIOD;
+        now = now + report_period;
+    }
+    SpreadCost {
+        report_ms: report_period.as_millis(),
+        ..world.cost(now, targets, period, message)
     }
-    world.cost(now, targets, period, message)
 }
 
 impl World {
@@ -118,15 +139,17 @@
             grid: Grid::new(&peer.host, &peers),
             bytes: 0,
         };
+        let reports: Vec<_> = (0..targets).map(report).collect();
         Self {
             entries: peers.iter().map(entry).collect(),
-            reports: (0..targets).map(report).collect(),
+            firsts: firsts(&peers, &reports),
+            relays: (0..targets).map(|n| relays(&peers, &reports, n)).collect(),
+            reports,
             index: peers
                 .iter()
                 .enumerate()
                 .map(|(n, p)| (p.host.clone(), n))
                 .collect(),
-            peers,
             rng: StdRng::seed_from_u64(SEED),
             messages: 0,
             report_bytes: 0,
@@ -150,7 +173,7 @@
             wander(&mut report.load, rng);
             let report = report.clone();
             let bytes = cw_wire::encode(&report).expect("a message").len() as u64;
-            for relay in self.relays(n) {
+            for relay in self.relays[n].clone() {
                 let begin = Instant::now();
                 let entry = &mut self.entries[relay];
                 entry.relay.on_report(now, report.clone());
@@ -163,22 +186,18 @@
         }
     }
 
-    fn relays(&self, target: usize) -> Vec<usize> {
-        let id = self.reports[target].target.as_str();
-        let near = |n: &usize| n % REGIONS == target % REGIONS;
-        let mut ranked: Vec<_> = (0..self.peers.len()).filter(near).collect();
-        ranked.sort_by_key(|n| xxh3_64(format!("{}/{id}", self.peers[*n].host).as_bytes()));
-        ranked.truncate(RELAYS);
-        ranked
-    }
-
     fn round(&mut self, now: Time) {
         for from in 0..self.entries.len() {
             let entry = &mut self.entries[from];
             let begin = Instant::now();
             entry.members.on_tick(now);
             let grid = entry.grid.clone();
-            let sendings = entry.relay.round(now, &entry.members, Revision(1), &grid);
+            let firsts = &self.firsts[from];
+            let is_first = |target: &TargetId| firsts.contains(target);
+            let revision = Revision(1);
+            let sendings = entry
+                .relay
+                .round(now, &entry.members, revision, &grid, &is_first);
             self.busy += begin.elapsed();
             for (peers, batch) in [(&grid.near, sendings.near), (&grid.far, sendings.far)] {
                 let Some(batch) = batch else { continue };
@@ -205,7 +224,13 @@
         }
     }
 
-    fn cost(&self, now: Time, targets: usize, period: Duration, http: &MessageCost) -> SpreadCost {
+    fn cost(
+        &mut self,
+        now: Time,
+        targets: usize,
+        period: Duration,
+        http: &MessageCost,
+    ) -> SpreadCost {
         let entries = self.entries.len();
         let each = PLAYED.as_secs_f64() * entries as f64;
         let total: u64 = self.entries.iter().map(|entry| entry.bytes).sum();
@@ -214,6 +239,7 @@
         let decision = self.busy.as_secs_f64() / each;
         // The time of a message is that of both its sides, and each message is counted at both.
         let http_share = messages * http.cpu_micros / 2.0 / 1e6;
+        let view_share = self.view_time(now, targets).as_secs_f64() * VIEWS_PER_SECOND;
         let mut ages: Vec<_> = self.entries[0]
             .members
             .reports(now)
@@ -225,19 +251,74 @@
         SpreadCost {
             entries,
             targets,
+            report_ms: 0,
             period_ms: period.as_millis(),
             bytes_per_second: total as f64 / each,
             report_bytes_per_second: self.report_bytes as f64 / each,
             worst_bytes_per_second: worst.unwrap_or_default() as f64 / PLAYED.as_secs_f64(),
             messages_per_second: messages,
             decision_share: decision,
-            total_share: decision + http_share,
+            view_share,
+            total_share: decision + http_share + view_share,
             age_p50_ms: ages[ages.len() / 2],
             age_max_ms: ages[ages.len() - 1],
         }
     }
 }
 
+impl World {
+    /// Returns how long it takes to make the view of an entry.
+    fn view_time(&mut self, now: Time, targets: usize) -> Duration {
+        let config = Config {
+            targets: (0..targets).map(record).collect(),
+            ..Config::default()
+        };
+        let members = &mut self.entries[0].members;
+        members.on_config(&config);
+        let begin = Instant::now();
+        for _ in 0..VIEWS {
+            assert_eq!(members.view(now).len(), targets);
+        }
+        begin.elapsed() / VIEWS
+    }
+}
+
+fn record(n: usize) -> (TargetId, Target) {
+    let report = report(n);
+    let target = Target {
+        agent: "10.0.0.1:7000".parse().expect("an address"),
+        host: report.host,
+        zone: "zone-1".parse().expect("a valid name"),
+        region: "region-1".parse().expect("a valid name"),
+        kind: TargetKind::Engine,
+        fenced: true,
+        versions: report.versions,
+    };
+    (report.target, target)
+}
+
+/// Returns, for each entry, the targets whose first relay it is.
+fn firsts(peers: &[EntryPeer], reports: &[Report]) -> Vec<BTreeSet<TargetId>> {
+    let mut found = vec![BTreeSet::new(); peers.len()];
+    for (n, report) in reports.iter().enumerate() {
+        let region = &peers[n % REGIONS].region;
+        let first = primary_relay(&report.target, region, peers).expect("an entry");
+        let index = peers.iter().position(|peer| peer.host == *first);
+        found[index.expect("one of them")].insert(report.target.clone());
+    }
+    found
+}
+
+/// Chooses the entries that an agent reports to, as agents do.
+fn relays(peers: &[EntryPeer], reports: &[Report], target: usize) -> Vec<usize> {
+    let id = reports[target].target.as_str();
+    let near = |n: &usize| n % REGIONS == target % REGIONS;
+    let mut ranked: Vec<_> = (0..peers.len()).filter(near).collect();
+    ranked.sort_by_key(|n| xxh3_64(format!("{}/{id}", peers[*n].host).as_bytes()));
+    ranked.truncate(RELAYS);
+    ranked
+}
+
 fn peer(n: usize) -> EntryPeer {
     EntryPeer {
         host: format!("entry-host-{n:04}").parse().expect("a valid name"),
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -21,10 +21,12 @@
 use cw_policy::membership::Relay;
 use cw_policy::membership::Urgency;
 use cw_policy::membership::ago;
+use cw_policy::membership::primary_relay;
 use cw_store::Host;
 use cw_types::HostId;
 use cw_types::Revision;
 use cw_types::Snapshot;
+use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::readable_schemas;
 use cw_wire::Batch;
@@ -286,8 +288,7 @@
     }
 
     fn round(&mut self, now: Time) {
-        let targets = self.in_force.config().targets.len();
-        self.next_round = now + Relay::period(self.entries.len(), targets);
+        self.next_round = now + Relay::period(self.entries.len());
         for silence in self.relay.silent(now, self.members.awake()) {
             let host = self.members.host().clone();
             self.members.on_silence(now, &host, &silence);
@@ -296,7 +297,16 @@
             self.relay.on_demand(now, demand);
         }
         let revision = self.in_force.revision();
-        let sendings = self.relay.round(now, &self.members, revision, &self.grid);
+        let (own, entries) = (&self.parts.own.host, &self.entries);
+        let config = self.in_force.config();
+        let is_first = |target: &TargetId| {
+            let region = config.targets.get(target).map(|target| &target.region);
+            let first = region.and_then(|region| primary_relay(target, region, entries));
+            first.is_none_or(|first| first == own)
+        };
+        let sendings = self
+            .relay
+            .round(now, &self.members, revision, &self.grid, &is_first);
         let behind = std::mem::take(&mut self.behind);
         let is_behind = |peer: &EntryPeer| behind.contains(&peer.host);
         for (peers, batch) in [
