--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -48,12 +48,15 @@
     pub(super) next_link: LinkId,
     pub(super) dispatched: u32,
     pub(super) wanted: u32,
+    pub(super) queued: bool,
     pub(super) busy: BTreeSet<TargetId>,
     pub(super) lost: BTreeSet<TargetId>,
     pub(super) refused: u32,
     /// When the targets that refused are worth asking again, as the soonest of them says.
     pub(super) retry: Option<Duration>,
     pub(super) crashes: u32,
+    pub(super) crashed_at: TokenIndex,
+    pub(super) cleared_at: TokenIndex,
     pub(super) judging: bool,
     pub(super) lost_at: Option<Time>,
     pub(super) retry_at: Option<Time>,
@@ -73,7 +76,7 @@
         let mut output = plan.prefix.clone();
         output.truncate(usize::try_from(plan.from.0).unwrap_or(usize::MAX));
         Self {
-            next_attempt: plan.first,
+            next_attempt: plan.next,
             base,
             output,
             plan,
@@ -85,11 +88,14 @@
             next_link: LinkId(0),
             dispatched: 0,
             wanted: 0,
+            queued: false,
             busy: BTreeSet::new(),
             lost: BTreeSet::new(),
             refused: 0,
             retry: None,
             crashes: 0,
+            crashed_at: TokenIndex(0),
+            cleared_at: TokenIndex(0),
             judging: false,
             lost_at: None,
             retry_at: None,
@@ -109,13 +115,15 @@
             Event::Start => self.start(now, &mut steps),
             Event::Chosen(target) => self.chosen(now, target, &mut steps),
             Event::NoTarget { kind, retry } => self.no_target(now, kind, retry, &mut steps),
+            Event::Turn => self.turn(&mut steps),
+            Event::Unqueued { kind, retry } => self.unqueued(kind, retry, &mut steps),
             Event::Frame { link, frame } => self.frame(now, link, frame, &mut steps),
             Event::Closed { link, effect } => self.closed(now, link, effect, &mut steps),
             Event::Proof { attempt, ran } => self.proof(now, attempt, ran, &mut steps),
             Event::NotClaimed { link, kind } => self.not_claimed(link, kind, &mut steps),
             Event::Judged { guilty } => self.judged(guilty, &mut steps),
             Event::Refuse(kind) => self.fail(kind, self.ran(), Duration::ZERO, &mut steps),
-            Event::CallerGone => self.absent = self.absent.or(Some(now)),
+            Event::CallerGone => self.caller_gone(now, &mut steps),
             Event::Tick => self.tick(now, &mut steps),
         }
         steps
@@ -146,7 +154,7 @@
 
     /// Returns whether the request was run, as far as the machine knows.
     pub fn ran(&self) -> Ran {
-        let answered = !self.output.is_empty() || self.held.head.is_some();
+        let answered = self.next().max(self.plan.from).0 > 0 || self.held.head.is_some();
         match (answered, self.dispatched) {
             (true, _) => Ran::Partly,
             (false, 0) => Ran::No,
@@ -167,7 +175,6 @@
     /// Attaches to the attempt that an earlier entry, or an earlier call, dispatched.
     fn come_back(&mut self, now: Time, target: TargetId, steps: &mut Vec<Step>) {
         let attempt = self.plan.first;
-        self.next_attempt = AttemptNo(attempt.0 + RETURN_STRIDE);
         self.dispatched += 1;
         let link = self.new_link();
         let track = Track {
@@ -252,6 +259,14 @@
         absent.map(|absent| absent + self.limits.absence)
     }
 
+    fn caller_gone(&mut self, now: Time, steps: &mut Vec<Step>) {
+        self.absent = self.absent.or(Some(now));
+        if self.dispatched == 0 {
+            // Nothing runs that a caller could come back to.
+            self.abandon(steps);
+        }
+    }
+
     fn tick(&mut self, now: Time, steps: &mut Vec<Step>) {
         if self.leave_at().is_some_and(|at| at <= now) {
             return self.abandon(steps);
@@ -365,8 +380,5 @@
     }
 }
 
-/// How far the attempt numbers of an entry that takes over lie above those of the entry before.
-const RETURN_STRIDE: u32 = 64;
-
 /// When to call again after a claim could not be written.
 const CLAIM_RETRY: Duration = Duration::from_secs(1);
--- a/crates/cw_policy/tests/attempt/fixtures.rs
+++ b/crates/cw_policy/tests/attempt/fixtures.rs
@@ -38,6 +38,7 @@
         admission: AdmissionLimits {
             running: 3,
             waiting: 2,
+            bytes: ByteSize::kib(64),
             reserve: 1,
             step: Duration::from_millis(78),
         },
@@ -60,6 +61,11 @@
     table
 }
 
+/// Returns a moment, in milliseconds.
+pub(crate) fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
 /// Returns the stamp of an attempt made in `life` at `now`.
 pub(crate) fn stamp(life: u64, now: Time) -> Stamp {
     Stamp {
--- a/crates/cyclamenwharf/src/agent/call_runner.rs
+++ b/crates/cyclamenwharf/src/agent/call_runner.rs
@@ -74,7 +74,7 @@
             return Some(End::NotRun(Reason::TargetDown));
         }
         Err(error) => {
-            debug!(attempt = id.to_string(); "{error}");
+            debug!(generation = id.generation.to_string(), attempt = id.attempt.0; "{error}");
             return None;
         }
     };
@@ -112,6 +112,10 @@
 }
 
 fn request_head(head: &CallHead) -> Option<(Method, HeaderMap)> {
+    if !head.path.starts_with('/') {
+        // It would change the address that the call goes to.
+        return None;
+    }
     let method = head.method.parse().ok()?;
     let mut headers = HeaderMap::new();
     for (name, value) in &head.headers {
--- a/crates/cyclamenwharf/src/agent/generate_runner.rs
+++ b/crates/cyclamenwharf/src/agent/generate_runner.rs
@@ -56,7 +56,7 @@
     signal: &Signal,
 ) {
     let outcome = tokio::select! {
-        outcome = generate(state, id, rank, &work, signal) => outcome,
+        outcome = generate(state, id, rank, work, signal) => outcome,
         () = signal.abort.cancelled() => Outcome::Stopped,
     };
     match outcome {
@@ -74,7 +74,7 @@
     let engine = state.engine.clone();
     state.supervisor.spawn(async move {
         if let Err(error) = engine.abort(id, ABORT_TIMEOUT).await {
-            debug!(attempt = id.to_string(); "the engine was not told of an abort: {error}");
+            debug!(generation = id.generation.to_string(), attempt = id.attempt.0; "the engine was not told of an abort: {error}");
         }
     });
 }
@@ -83,21 +83,24 @@
     state: &Arc<AgentState>,
     id: AttemptId,
     rank: u8,
-    work: &Generate,
+    work: Generate,
     signal: &Signal,
 ) -> Outcome {
-    if remaining(work) == 0 {
+    if remaining(&work) == 0 {
         return Outcome::End(End::Done(Finish::Length));
     }
-    let (path, body) = Completion::new(id, rank, work);
-    let response = match state.engine.post(path, &body).await {
+    let (path, body) = Completion::new(id, rank, &work);
+    let sent = state.engine.post(path, &body).await;
+    // A long run must not keep its prompt.
+    drop(work);
+    let response = match sent {
         Ok(response) => response,
         Err(EngineError::Connect { .. }) => {
             state.check.notify_one();
             return Outcome::End(End::NotRun(Reason::TargetDown));
         }
         Err(error) => {
-            warn!(attempt = id.to_string(); "{error}");
+            warn!(generation = id.generation.to_string(), attempt = id.attempt.0; "{error}");
             return Outcome::Break;
         }
     };
@@ -128,7 +131,7 @@
             break;
         }
         let Ok(event) = serde_json::from_str(&data) else {
-            warn!(attempt = id.to_string(); "the engine sent an event that makes no sense");
+            warn!(generation = id.generation.to_string(), attempt = id.attempt.0; "the engine sent an event that makes no sense");
             return Outcome::End(NONSENSE);
         };
         if let Some(outcome) = take(state, id, event, signal).await {
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -20,6 +20,7 @@
 use crate::Clock;
 use crate::Control;
 use crate::ControlParts;
+use crate::DemandExchange;
 use crate::EntrySettings;
 use crate::Health;
 use crate::SharedSlo;
@@ -27,6 +28,7 @@
 use crate::SloMetrics;
 use crate::StartError;
 use crate::Supervisor;
+use crate::TraceBook;
 
 use super::api;
 use super::claims::Claims;
@@ -34,8 +36,11 @@
 use super::key_book::KeyBook;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
+use super::quota_gate::QuotaGate;
 use super::router::Router;
 use super::suspicion::Suspicion;
+use super::upkeep;
+use super::wait_line::WaitLine;
 
 /// What an entry's servers are built from.
 pub struct EntryParts {
@@ -51,6 +56,10 @@
     pub registry: Registry,
     /// The entry's health.
     pub health: Arc<Health>,
+    /// The entry's traces.
+    pub traces: Arc<TraceBook>,
+    /// The demands on quotas, to and from the other entries.
+    pub demands: Arc<DemandExchange>,
 }
 
 /// The entry, which takes callers' requests.
@@ -86,6 +95,8 @@
             store: Arc::new(EtcdGateway::new(settings.platform.key_value.clone())),
             registry: Registry::new(),
             health: Arc::default(),
+            traces: Arc::new(TraceBook::new(settings.trace.clone())),
+            demands: Arc::default(),
             settings,
         };
         let control = ControlParts {
@@ -94,11 +105,13 @@
             supervisor: supervisor.child("control"),
             registry: parts.registry.clone(),
             health: Arc::clone(&parts.health),
+            traces: Arc::clone(&parts.traces),
         };
         let control = traffic.spawn(Control::start(control));
         let control = control.await.map_err(start_error)??;
         let parts = EntryParts {
             view: Arc::clone(&control.view),
+            demands: Arc::clone(&control.demands),
             ..parts
         };
         let mut handle = serve(traffic, supervisor, parts)?;
@@ -136,13 +149,20 @@
         claims: Arc::new(Claims::new(parts.store)),
         keys: KeyBook::default(),
         suspicion: Suspicion::new(parts.settings.host.clone()),
-        budget: Mutex::default(),
+        budgets: Mutex::default(),
+        quotas: QuotaGate::new(parts.settings.host.clone(), parts.demands),
+        line: WaitLine::new(&parts.settings.limits),
         gap: objectives.token_gap,
         slo,
         health: parts.health,
         metrics,
-        router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
+        router: Router::new(
+            parts.settings.zone.clone(),
+            parts.settings.region.clone(),
+            parts.settings.routing.policy,
+        ),
         progress: TaskTracker::new(),
+        traces: parts.traces,
         settings: parts.settings,
     });
     let config = ConfigDropshot {
@@ -159,6 +179,7 @@
             .start()
             .map_err(start_error)?
     };
+    traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
@@ -185,6 +206,13 @@
 }
 
 impl EntryHandle {
+    /// Returns the recorded decisions that it keeps, oldest first, each as JSON lines.
+    pub fn traces(&self) -> Vec<String> {
+        let traces = &self.front.traces;
+        let list = traces.list();
+        list.into_iter().filter_map(|id| traces.get(id)).collect()
+    }
+
     /// Is not ready any more, and returns when all work in progress has ended.
     pub async fn drain(&self) {
         self.front.health.set_draining();
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cw_macro::data;
+use cw_policy::routing::Policy;
 use cw_types::ByteSize;
 use cw_types::HostId;
 use cw_types::RegionId;
@@ -16,6 +17,7 @@
 use super::PlatformSettings;
 use super::SecretSettings;
 use super::SettingsError;
+use super::TraceSettings;
 
 /// Settings of an entry.
 #[data]
@@ -39,6 +41,12 @@
     /// How lost attempts are noticed.
     #[serde(default)]
     pub recovery: RecoverySettings,
+    /// How targets are chosen.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+    /// Recording of decisions.
+    #[serde(default)]
+    pub trace: TraceSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -83,6 +91,14 @@
     }
 }
 
+/// How targets are chosen.
+#[data(Copy, Default, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// The policy; all but the default are baselines to measure it against.
+    pub policy: Policy,
+}
+
 /// How lost attempts are noticed and replaced.
 #[serde_as]
 #[data(Eq)]
@@ -116,11 +132,11 @@
     fn default() -> Self {
         Self {
             latency_silence: Duration::from_millis(600),
-            thrift_silence: Duration::from_millis(1500),
+            thrift_silence: Duration::from_millis(1200),
             latency_stall: Duration::from_millis(1200),
             stall: Duration::from_millis(2000),
-            head: Duration::from_millis(1000),
-            reattach: Duration::from_millis(400),
+            head: Duration::from_millis(600),
+            reattach: Duration::from_millis(300),
             attempts: 8,
         }
     }
--- a/crates/cyclamenwharf/tests/agent/attempts.rs
+++ b/crates/cyclamenwharf/tests/agent/attempts.rs
@@ -108,6 +108,7 @@
     call.token(1);
     let attach = |workspace: &str| Attach {
         generation: attempt(1, 1).generation,
+        attempt: None,
         workspace: workspace.parse().unwrap(),
         from: TokenIndex(0),
     };
@@ -275,9 +276,11 @@
         if let Frame::Tokens { first, tokens } = frame {
             assert_eq!(first.0, received.len() as u64);
             received.extend(tokens.iter().map(|token| token.id.0));
-            let id = attempt(1, 1);
-            let next = TokenIndex(received.len() as u64);
-            rig.call::<_, ()>(path::ACK, &Ack { id, next }).await;
+            if received.len().is_multiple_of(100) {
+                let id = attempt(1, 1);
+                let next = TokenIndex(received.len() as u64);
+                rig.call::<_, ()>(path::ACK, &Ack { id, next }).await;
+            }
         }
     }
 
