--- a/crates/cw_policy/tests/membership.rs
+++ b/crates/cw_policy/tests/membership.rs
@@ -423,3 +423,42 @@
         parts: [(name("w"), 0.25)].into(),
     }
 }
+
+#[test]
+fn loads_come_from_the_first_relay_and_from_the_others_only_in_its_absence() {
+    let members = members();
+    let grid = grid_of(2, 0);
+    let mut other = Relay::new(name("e0"), SECOND * 3);
+    other.on_report(at(0), up(1, 1));
+    other.round(at(0), &members, Revision(0), &grid, &|_| false);
+    let mut sent = Vec::new();
+
+    for second in 1..30 {
+        other.on_report(at(second), up(1, second + 1));
+        if second < 15 {
+            let mut batch = empty_batch();
+            batch.reports.push((Duration::ZERO, up(1, second + 1)));
+            other.on_batch(at(second), &batch);
+        }
+        let sendings = other.round(at(second), &members, Revision(0), &grid, &|_| false);
+        let batch = sendings.near.expect("a batch for the other entry");
+        sent.extend(batch.loads.iter().map(|_| second));
+    }
+
+    let first = *sent.first().expect("a load");
+    assert!((20..=25).contains(&first), "{sent:?}");
+}
+
+fn empty_batch() -> Batch {
+    Batch {
+        relay: name("e1"),
+        sequence: 0,
+        revision: Revision(0),
+        reports: Vec::new(),
+        loads: Vec::new(),
+        silent: Vec::new(),
+        processes: Vec::new(),
+        forwarded: false,
+        demands: Vec::new(),
+    }
+}
