Fuzz claims, lost answers of the store, repeats and dying entries

The fuzzer's world gets a key-value service that loses calls and answers, callers that repeat with the same idempotency key through other entries, and entries that die between claim and dispatch, with their writes still on the way. A claim that is being written has no head limit any more, since nothing is sent until it is written.

--- a/crates/cw_policy/src/generation/event.rs
+++ b/crates/cw_policy/src/generation/event.rs
@@ -67,6 +67,11 @@
         /// Whether it was run.
         ran: Option<Ran>,
     },
+    /// The claim of an attempt is written, and the attempt is sent only now.
+    Claimed {
+        /// The link that is opened.
+        link: LinkId,
+    },
     /// An attempt was not dispatched, since its claim could not be written.
     NotClaimed {
         /// The link that was to be opened.
--- a/crates/cw_policy/src/generation/machine.rs
+++ b/crates/cw_policy/src/generation/machine.rs
@@ -120,6 +120,7 @@
             Event::Frame { link, frame } => self.frame(now, link, frame, &mut steps),
             Event::Closed { link, effect } => self.closed(now, link, effect, &mut steps),
             Event::Proof { attempt, ran } => self.proof(now, attempt, ran, &mut steps),
+            Event::Claimed { link } => self.claimed(now, link),
             Event::NotClaimed { link, kind } => self.not_claimed(link, kind, &mut steps),
             Event::Judged { guilty } => self.judged(guilty, &mut steps),
             Event::Refuse(kind) => self.fail(kind, self.ran(), Duration::ZERO, &mut steps),
@@ -225,7 +226,10 @@
             attempt,
             target: target.clone(),
             link,
-            phase: Phase::Dispatched,
+            phase: match self.plan.claimed {
+                true => Phase::Claiming,
+                false => Phase::Dispatched,
+            },
             heard: now,
             moved: now,
             so_far: Some(so_far.clone()),
@@ -358,13 +362,22 @@
             return self.abandon(steps);
         }
         match (phase, effect) {
-            (Phase::Dispatched, Effect::None) => self.not_sent(now, attempt, steps),
+            (Phase::Claiming, _) | (Phase::Dispatched, Effect::None) => {
+                self.not_sent(now, attempt, steps)
+            }
             (Phase::Reattached, _) => self.unreachable(now, attempt, steps),
             // A call that may have been read is asked for by its id, whatever became of it.
             _ => self.reattach(now, attempt, steps),
         }
     }
 
+    fn claimed(&mut self, now: Time, link: LinkId) {
+        if let Some(track) = self.track_of(link) {
+            track.phase = Phase::Dispatched;
+            track.heard = now;
+        }
+    }
+
     fn not_claimed(&mut self, link: LinkId, kind: ErrorKind, steps: &mut Vec<Step>) {
         let Some(track) = self.track_of(link) else {
             return;
--- a/crates/cw_policy/src/generation/plan.rs
+++ b/crates/cw_policy/src/generation/plan.rs
@@ -29,6 +29,9 @@
     pub kind: WorkKind,
     /// Whether the work may run more than once.
     pub idempotent: bool,
+    /// Whether a claim is written before each dispatch.
+    #[serde(default)]
+    pub claimed: bool,
     /// How long the request may wait before its first token.
     #[serde_as(as = "Span")]
     pub patience: Duration,
--- a/crates/cw_policy/src/generation/track.rs
+++ b/crates/cw_policy/src/generation/track.rs
@@ -13,6 +13,8 @@
 /// What the present link of an attempt waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
+    /// The writing of its claim; nothing is sent.
+    Claiming,
     /// The first frame after the dispatch.
     Dispatched,
     /// The first frame after a re-attachment.
@@ -65,7 +67,7 @@
             Phase::Reattached => Some(self.heard + limits.reattach),
             Phase::Flowing => Some(self.heard + limits.silence),
             Phase::Pausing => Some(self.heard + limits.pause * self.reattached),
-            Phase::Proving => None,
+            Phase::Claiming | Phase::Proving => None,
         }
     }
 
--- a/crates/cw_policy/tests/generation_fuzz.rs
+++ b/crates/cw_policy/tests/generation_fuzz.rs
@@ -52,6 +52,11 @@
         4 => target().prop_map(Op::Restart),
         3 => target().prop_map(Op::Report),
         1 => (0..3_usize).prop_map(Op::Leave),
+        4 => (0..3_usize, prop_oneof![4 => Just(0_u8), 2 => 1..4_u8])
+            .prop_map(|(at, fault)| Op::Store(at, fault)),
+        1 => Just(Op::LateSwap),
+        1 => Just(Op::Again),
+        1 => (0..8_usize).prop_map(Op::KillEntry),
         2 => (0..8_usize, any::<bool>()).prop_map(|(at, held)| Op::Return(at, held)),
     ]
 }
--- a/crates/cw_policy/tests/generation_world/agent_sim.rs
+++ b/crates/cw_policy/tests/generation_world/agent_sim.rs
@@ -13,7 +13,6 @@
 use cw_policy::End;
 use cw_policy::Flow;
 use cw_types::AttemptId;
-use cw_types::GenerationId;
 use cw_types::Incarnation;
 use cw_types::Time;
 use cw_types::TokenCount;
@@ -43,8 +42,8 @@
     pub(crate) up: bool,
     /// Whether its engine stands still.
     pub(crate) paused: bool,
-    /// How often each generation was given to the engine.
-    pub(crate) starts: BTreeMap<GenerationId, u32>,
+    /// How often each attempt was given to the engine.
+    pub(crate) starts: BTreeMap<AttemptId, u32>,
     /// What entries know of the agent's life.
     pub(crate) stamp: Stamp,
     runs: BTreeMap<AttemptId, Run>,
@@ -112,7 +111,7 @@
 
     fn start(&mut self, clock: Time, dispatch: Dispatch) {
         let id = dispatch.id;
-        *self.starts.entry(id.generation).or_default() += 1;
+        *self.starts.entry(id).or_default() += 1;
         let Work::Generate(work) = dispatch.work else {
             return;
         };
--- a/crates/cw_policy/tests/generation_world/mod.rs
+++ b/crates/cw_policy/tests/generation_world/mod.rs
@@ -1,6 +1,7 @@
 //! Entries, agents and engines with a network between them that a fuzzer decides over.
 
 mod agent_sim;
+mod claims;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -8,6 +9,8 @@
 
 use agent_sim::AgentSim;
 use agent_sim::is_whole_chain;
+use claims::KeyUse;
+use claims::StoreSim;
 use cw_policy::AttemptAnswer;
 use cw_policy::Effect;
 use cw_policy::Event;
@@ -42,6 +45,9 @@
 /// How many targets there are.
 pub(crate) const TARGETS: usize = 3;
 
+/// The caller with an idempotency key.
+const KEYED: usize = 2;
+
 /// The most tokens of each output.
 const MOST: u64 = 12;
 
@@ -83,6 +89,14 @@
     Pass(u64),
     /// A caller goes away.
     Leave(usize),
+    /// The key-value service answers, with a fault or without.
+    Store(usize, u8),
+    /// A write that was on its way when its entry died takes effect.
+    LateSwap,
+    /// A caller with the idempotency key calls again through another entry.
+    Again,
+    /// An entry dies, with all that it does for a caller.
+    KillEntry(usize),
     /// A caller comes back through another entry, with its tokens or without.
     Return(usize, bool),
 }
@@ -115,6 +129,10 @@
     last: Option<(AttemptNo, TargetId)>,
     /// Whether the caller listens to another entry now.
     left: bool,
+    /// Whether its entry is dead.
+    dead: bool,
+    /// The use of the idempotency key, if it has it.
+    key: Option<KeyUse>,
     end: Option<Step>,
 }
 
@@ -139,6 +157,7 @@
     turn: usize,
     /// How many entries have taken over a generation.
     entries: u32,
+    store: StoreSim,
 }
 
 impl World {
@@ -149,6 +168,7 @@
         let callers = plans.into_iter().enumerate().map(|(at, (plan, limits))| {
             let mut plan = plan;
             plan.max_tokens = Some(TokenCount(MOST));
+            plan.claimed = at == KEYED;
             Caller {
                 id: GenerationId(at as u128 + 1),
                 machine: Generation::new(plan.clone(), limits),
@@ -158,6 +178,8 @@
                 output: Vec::new(),
                 last: None,
                 left: false,
+                dead: false,
+                key: (at == KEYED).then(KeyUse::default),
                 end: None,
             }
         });
@@ -169,6 +191,7 @@
             dispatches: Vec::new(),
             turn: 0,
             entries: 0,
+            store: StoreSim::default(),
         };
         for caller in 0..world.callers.len() {
             world.feed(caller, Event::Start);
@@ -215,6 +238,10 @@
                 self.callers[caller].left = true;
                 self.feed(caller, Event::CallerGone);
             }
+            Op::Store(at, fault) => self.answer_store(at, fault),
+            Op::LateSwap => self.store.late_swap(),
+            Op::Again => self.call_again(),
+            Op::KillEntry(at) => self.kill_entry(at % self.callers.len()),
             Op::Return(at, held) => self.come_back(at % self.callers.len(), held),
         }
         self.read_ahead();
@@ -231,6 +258,9 @@
                 self.agents[at].report(self.now);
                 self.agents[at].step(self.now);
             }
+            for at in 0..self.claiming().len() {
+                self.answer_store(at, 0);
+            }
             while !self.cancels.is_empty() {
                 self.cancel(0, false);
             }
@@ -249,7 +279,8 @@
     /// Checks what must hold at any moment.
     pub(crate) fn check(&self) -> Result<(), String> {
         for caller in self.callers.iter().filter(|caller| !caller.left) {
-            let starts = self.starts(caller.id);
+            let starts = self.starts(|id| id.generation == caller.id);
+            let own = self.starts(|id| self.is_sent(caller, id));
             if !is_whole_chain(&caller.output) {
                 return Err(format!("mixed output: {:?}", caller.output));
             }
@@ -260,19 +291,27 @@
                 Some(Step::Finish(_)) if caller.output.len() as u64 != MOST => {
                     return Err(format!("{} tokens are whole", caller.output.len()));
                 }
-                Some(Step::Fail { ran: Ran::No, .. }) if starts > 0 => {
-                    return Err(format!("run {starts} times after all: {}", caller.id));
+                Some(Step::Fail { ran: Ran::No, .. }) if own > 0 => {
+                    return Err(format!("run {own} times after all: {}", caller.id));
                 }
                 _ => {}
             }
         }
-        Ok(())
+        let keyed = |id: &AttemptId| {
+            self.callers
+                .iter()
+                .any(|c| c.key.is_some() && c.id == id.generation)
+        };
+        match self.starts(keyed) {
+            0 | 1 => Ok(()),
+            starts => Err(format!("the key was run {starts} times")),
+        }
     }
 
     /// Checks what must hold when everything has settled.
     pub(crate) fn check_settled(&self) -> Result<(), String> {
         self.check()?;
-        if let Some(caller) = self.callers.iter().find(|c| c.end.is_none()) {
+        if let Some(caller) = self.callers.iter().find(|c| c.end.is_none() && !c.dead) {
             return Err(format!("no end: {:?}", caller.machine));
         }
         let left = self.agents.iter().map(AgentSim::running).sum::<usize>();
@@ -288,9 +327,14 @@
         self.callers.iter().filter(whole).count()
     }
 
-    fn starts(&self, id: GenerationId) -> u32 {
-        let starts = self.agents.iter().filter_map(|agent| agent.starts.get(&id));
-        starts.sum()
+    fn starts(&self, counts: impl Fn(&AttemptId) -> bool) -> u32 {
+        let starts = self.agents.iter().flat_map(|agent| &agent.starts);
+        let counted = starts.filter(|(id, _)| counts(id));
+        counted.map(|(_, count)| count).sum()
+    }
+
+    fn is_sent(&self, caller: &Caller, id: &AttemptId) -> bool {
+        caller.id == id.generation && caller.sent.contains_key(&id.attempt)
     }
 
     // ---- Links ----
@@ -408,6 +452,9 @@
     // ---- Machines ----
 
     fn feed(&mut self, caller: usize, event: Event) {
+        if self.callers[caller].dead {
+            return;
+        }
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let steps = self.callers[caller].machine.on_event(self.now, event);
@@ -431,6 +478,10 @@
                 let stamp = self.agents[agent].stamp;
                 self.callers[caller].sent.insert(attempt, (agent, stamp));
                 let dispatch = self.dispatch(caller, attempt, so_far, resumed);
+                if self.callers[caller].key.is_some() {
+                    self.claim(caller, link, agent, dispatch);
+                    return None;
+                }
                 self.open(caller, link, agent, Ask::Dispatch(Box::new(dispatch)));
             }
             Step::Attach {
@@ -489,7 +540,8 @@
         let Some((attempt, target)) = caller.last.clone() else {
             return;
         };
-        if caller.left || caller.end.is_some() {
+        // A caller with a key calls again by its key.
+        if caller.left || caller.end.is_some() || caller.key.is_some() {
             return;
         }
         caller.left = true;
@@ -514,6 +566,8 @@
             output: caller.output.clone(),
             last: caller.last.clone(),
             left: false,
+            dead: false,
+            key: None,
             end: None,
         };
         self.feed(at, Event::CallerGone);
--- a/crates/cyclamenwharf/src/entry/inputs.rs
+++ b/crates/cyclamenwharf/src/entry/inputs.rs
@@ -89,7 +89,9 @@
 {
     claim
         .map(move |claimed| match claimed {
-            Ok(()) => frames(link, call),
+            Ok(()) => stream::once(async move { Event::Claimed { link } })
+                .chain(frames(link, call))
+                .boxed(),
             Err(kind) => stream::once(async move { Event::NotClaimed { link, kind } }).boxed(),
         })
         .flatten_stream()
--- a/crates/cyclamenwharf/src/entry/job.rs
+++ b/crates/cyclamenwharf/src/entry/job.rs
@@ -79,6 +79,7 @@
     /// Sets what the idempotency key is used for.
     #[must_use]
     pub(crate) fn with_key(mut self, key: KeyUse) -> Self {
+        self.plan.claimed = matches!(key, KeyUse::Claimed(_));
         self.key = Some(key);
         self
     }
