--- a/crates/cw_policy/src/generation/mod.rs
+++ b/crates/cw_policy/src/generation/mod.rs
@@ -10,6 +10,7 @@
 mod machine;
 mod plan;
 mod recover;
+mod refuse;
 mod step;
 mod track;
 
--- a/crates/cw_policy/tests/generation_fuzz.rs
+++ b/crates/cw_policy/tests/generation_fuzz.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 /// How many sequences of operations are tried.
-const CASES: u32 = 400;
+const CASES: u32 = 800;
 
 /// The longest sequence.
 const OPS: usize = 120;
@@ -44,7 +44,7 @@
         2 => link().prop_map(Op::Break),
         2 => link().prop_map(Op::Silence),
         2 => link().prop_map(Op::Repeat),
-        2 => link().prop_map(Op::Swap),
+        4 => link().prop_map(Op::Swap),
         2 => link().prop_map(Op::Late),
         2 => target().prop_map(Op::KillEngine),
         2 => target().prop_map(Op::Pause),
