--- a/crates/cyclamenwharf/tests/entry.rs
+++ b/crates/cyclamenwharf/tests/entry.rs
@@ -64,6 +64,8 @@
 #[case::engine_dies(Script::DieAfter(5))]
 #[case::connection_breaks(Script::BreakAfter(5))]
 #[case::connection_goes_silent(Script::SilentAfter(5))]
+#[case::engine_stalls(Script::StallAfter(5))]
+#[case::head_never_comes(Script::Mute)]
 #[case::frames_repeated_and_skipped(Script::RepeatAndSkip(5))]
 #[case::dies_before_the_first_token(Script::DieAfter(0))]
 #[tokio::test]
@@ -235,6 +237,59 @@
     assert_eq!(reply.streamed_text(), rest);
 }
 
+/// Lets a caller leave in the middle of its answer, and returns the cancellations that follow.
+async fn cancels_after_leaving(setup: &Setup, wait: impl AsyncFn(&Setup)) -> usize {
+    let entry = std::sync::Arc::new(setup.entry());
+    let call = {
+        let entry = std::sync::Arc::clone(&entry);
+        tokio::spawn(async move { complete(&entry, &[], STREAM).await })
+    };
+    while setup.dispatched() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    call.abort();
+    wait(setup).await;
+    cancels(setup)
+}
+
+fn cancels(setup: &Setup) -> usize {
+    let state = setup.engines[0].state.lock().expect("no test panics here");
+    state.cancels.len()
+}
+
+fn idle(idempotent: bool) -> Setup {
+    let mut setup = Setup::engines(1, &[Script::IdleAfter(5)]);
+    setup.idempotent = idempotent;
+    setup.absence = Duration::from_millis(100);
+    setup
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_generation_whose_caller_stays_away_is_cancelled() {
+    let setup = idle(true);
+    let until_cancelled = async |setup: &Setup| {
+        while cancels(setup) == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+
+    let cancels = cancels_after_leaving(&setup, until_cancelled).await;
+
+    assert_eq!(cancels, 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn work_that_may_run_once_goes_on_without_its_caller() {
+    let setup = idle(false);
+    let a_while = async |_: &Setup| tokio::time::sleep(Duration::from_millis(600)).await;
+
+    let cancels = cancels_after_leaving(&setup, a_while).await;
+
+    assert_eq!((cancels, setup.dispatched()), (0, 1));
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_plain_service_answers_as_it_was_asked() {
--- a/crates/cyclamenwharf/tests/entry_kit/fake_agent.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/fake_agent.rs
@@ -54,6 +54,12 @@
     BreakAfter(u64),
     /// Produces some tokens, and then nothing comes any more, not even heartbeats.
     SilentAfter(u64),
+    /// Produces some tokens, and then heartbeats of an engine that stands still.
+    StallAfter(u64),
+    /// Produces some tokens, and then heartbeats of an engine that goes on.
+    IdleAfter(u64),
+    /// Never answers, not even with a head.
+    Mute,
     /// Produces some tokens, then repeats them and sends one from beyond a gap.
     RepeatAndSkip(u64),
     /// Answers a call with a body of this many bytes.
@@ -162,6 +168,9 @@
             _ => scripts.remove(0),
         }
     };
+    if let Script::Mute = script {
+        std::future::pending::<()>().await;
+    }
     Ok(frames(frames_of(script, &dispatch), script))
 }
 
@@ -239,10 +248,12 @@
         std::iter::once(accepted.clone()).chain(tokens).collect()
     };
     let mut frames: Vec<Frame> = match script {
-        Script::Run | Script::Large(_) => run(most),
+        Script::Run | Script::Large(_) | Script::Mute => run(most),
         Script::DieAfter(count)
         | Script::BreakAfter(count)
         | Script::SilentAfter(count)
+        | Script::StallAfter(count)
+        | Script::IdleAfter(count)
         | Script::RepeatAndSkip(count) => run(first + count),
         Script::Refuse(reason) => return vec![refusal(reason)],
     };
@@ -316,6 +327,8 @@
     let sent = stream::iter(frames.into_iter().map(encode));
     let end = match script {
         Script::SilentAfter(_) => stream::pending().boxed(),
+        Script::StallAfter(_) => heartbeats(1).map(encode).boxed(),
+        Script::IdleAfter(_) => heartbeats(0).map(encode).boxed(),
         Script::BreakAfter(_) => {
             stream::iter([Err(std::io::Error::other("the connection breaks"))]).boxed()
         }
@@ -327,6 +340,16 @@
     )))))
 }
 
+/// Heartbeats of an engine that has been quiet for this many intervals more with each of them.
+fn heartbeats(growth: u32) -> impl futures::Stream<Item = Frame> + Send {
+    let interval = Duration::from_millis(150);
+    stream::unfold(0, move |count: u32| async move {
+        tokio::time::sleep(interval).await;
+        let quiet = interval * count;
+        Some((Frame::Heartbeat { quiet }, count + growth))
+    })
+}
+
 /// A stream that can be shared, as response bodies must be.
 struct SyncStream<T>(Mutex<stream::BoxStream<'static, T>>);
 
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) idempotent: bool,
     /// How long a request may wait before its first token.
     pub(crate) patience: Duration,
+    /// How long a caller may be gone.
+    pub(crate) absence: Duration,
     /// The quota of each workspace.
     pub(crate) quota: Quota,
     /// The key-value service.
@@ -86,6 +88,7 @@
             recovery: Recovery::Latency,
             idempotent: true,
             patience: Duration::from_secs(10),
+            absence: Duration::from_secs(30),
             quota: Quota::default(),
             store: Arc::default(),
         }
@@ -111,7 +114,7 @@
         let health = Arc::new(Health::default());
         health.set_configured();
         Entry::serve(EntryParts {
-            settings: settings(),
+            settings: settings(self.absence),
             clock: Clock::default(),
             view,
             store: Arc::clone(&self.store) as Arc<dyn KeyValue>,
@@ -195,7 +198,7 @@
     }
 }
 
-fn settings() -> EntrySettings {
+fn settings(absence: Duration) -> EntrySettings {
     EntrySettings {
         host: name_of("entry"),
         zone: name_of("z"),
@@ -215,6 +218,7 @@
         },
         limits: LimitSettings {
             body: cw_types::ByteSize::kib(64),
+            absence,
             ..LimitSettings::default()
         },
         recovery: RecoverySettings::default(),
