--- a/crates/cw_policy/tests/generation_fuzz.rs
+++ b/crates/cw_policy/tests/generation_fuzz.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 /// How many sequences of operations are tried.
-const CASES: u32 = 400;
+const CASES: u32 = 800;
 
 /// The longest sequence.
 const OPS: usize = 120;
@@ -44,7 +44,7 @@
         2 => link().prop_map(Op::Break),
         2 => link().prop_map(Op::Silence),
         2 => link().prop_map(Op::Repeat),
-        2 => link().prop_map(Op::Swap),
+        4 => link().prop_map(Op::Swap),
         2 => link().prop_map(Op::Late),
         2 => target().prop_map(Op::KillEngine),
         2 => target().prop_map(Op::Pause),
@@ -52,6 +52,11 @@
         4 => target().prop_map(Op::Restart),
         3 => target().prop_map(Op::Report),
         1 => (0..3_usize).prop_map(Op::Leave),
+        4 => (0..3_usize, prop_oneof![4 => Just(0_u8), 2 => 1..4_u8])
+            .prop_map(|(at, fault)| Op::Store(at, fault)),
+        1 => Just(Op::LateSwap),
+        1 => Just(Op::Again),
+        1 => (0..8_usize).prop_map(Op::KillEntry),
         2 => (0..8_usize, any::<bool>()).prop_map(|(at, held)| Op::Return(at, held)),
     ]
 }
