--- a/crates/cw_testkit/src/experiment/drive.rs
+++ b/crates/cw_testkit/src/experiment/drive.rs
@@ -15,6 +15,8 @@
 /// One request and what became of it.
 #[derive(Debug)]
 pub(super) struct Stream {
+    /// The API key.
+    pub(super) key: String,
     /// The request.
     pub(super) ask: Ask,
     /// When it was sent.
@@ -35,7 +37,12 @@
         self.tasks.spawn(async move {
             let sent = Instant::now();
             let outcome = caller.ask(&ask).await;
-            Stream { ask, sent, outcome }
+            Stream {
+                key: caller.key,
+                ask,
+                sent,
+                outcome,
+            }
         });
     }
 
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -70,6 +70,16 @@
         .subcommand(
             Command::new("overhead")
                 .about("Compares an entry and its agents with engines that are called directly")
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("routing")
+                .about("Compares the routing policy with its baselines")
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("overload")
+                .about("Offers up to twice of what the engines can serve")
                 .arg(json),
         )
 }
@@ -157,6 +167,8 @@
         "engine-death" => experiment::engine_death(rounds).await,
         "faults" => experiment::faults(rounds).await,
         "overhead" => experiment::overhead().await,
+        "routing" => experiment::routing().await,
+        "overload" => experiment::overload().await,
         _ => return Err(format!("unknown experiment {name}")),
     }
     .map_err(|error| error.to_string())
