--- a/crates/cw_policy/src/generation/step.rs
+++ b/crates/cw_policy/src/generation/step.rs
@@ -56,6 +56,10 @@
         /// Whether another attempt that replaces the same lost one is on its way.
         hedge: bool,
     },
+    /// Let the request wait in the queue, and answer with `Turn` or `Unqueued`.
+    Queue,
+    /// Output has gone on past the place of a crash: the request did not cause it.
+    Cleared,
     /// Find out whether the request is what crashed its targets, and answer with `Judged`.
     Judge,
     /// Dispatch an attempt and feed its frames.
--- a/crates/cw_policy/tests/attempt/cases.rs
+++ b/crates/cw_policy/tests/attempt/cases.rs
@@ -214,6 +214,7 @@
     table.on_tick(at(5_000));
     let attach = Attach {
         generation: attempt(1, 1).generation,
+        attempt: None,
         workspace: "partagez".parse().unwrap(),
         from: TokenIndex(0),
     };
