Document settings, burn report and first steps; make objectives a setting

Cause: the objectives of the burn report were fixed in code, and no page named every setting. Change: [slo] in an entry's settings; docs/SETTINGS.md, which a test compares with the code in both directions; README, the index of docs and the operators' page on burn.

--- a/crates/cw_testkit/src/deployment/rig.rs
+++ b/crates/cw_testkit/src/deployment/rig.rs
@@ -296,6 +296,7 @@
             limits: self.spec.limits.clone(),
             recovery: self.spec.recovery.clone(),
             routing: self.spec.routing,
+            slo: Default::default(),
             trace: self.spec.trace.clone(),
             log: LogSettings::default(),
         }
--- a/crates/cw_testkit/tests/examples.rs
+++ b/crates/cw_testkit/tests/examples.rs
@@ -21,6 +21,7 @@
     assert_eq!(settings.limits, LimitSettings::default());
     assert_eq!(settings.recovery, Default::default());
     assert_eq!(settings.routing, Default::default());
+    assert_eq!(settings.slo, Default::default());
     assert_eq!(settings.trace, Default::default());
     assert_eq!(settings.log, LogSettings::default());
 }
--- a/crates/cyclamenwharf/examples/control_cost/calls.rs
+++ b/crates/cyclamenwharf/examples/control_cost/calls.rs
@@ -138,6 +138,7 @@
         limits: Default::default(),
         recovery: Default::default(),
         routing: Default::default(),
+        slo: Default::default(),
         trace: Default::default(),
         log: Default::default(),
     }
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use cw_policy::slo::Objectives;
 use cw_store::EtcdGateway;
 use cw_store::KeyValue;
 use dropshot::ConfigDropshot;
@@ -136,7 +135,7 @@
     parts: EntryParts,
 ) -> Result<EntryHandle, StartError> {
     let metrics = EntryMetrics::new(&parts.registry).map_err(start_error)?;
-    let objectives = Objectives::default();
+    let objectives = parts.settings.slo.clone();
     let slo = SloMetrics::new(parts.clock, objectives.clone()).map_err(start_error)?;
     let slo = Arc::new(slo);
     let shown = SharedSlo(Arc::clone(&slo));
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -6,6 +6,7 @@
 
 use cw_macro::data;
 use cw_policy::routing::Policy;
+use cw_policy::slo::Objectives;
 use cw_types::ByteSize;
 use cw_types::HostId;
 use cw_types::RegionId;
@@ -44,6 +45,9 @@
     /// How targets are chosen.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// What is promised to callers, for the report on service-level burn.
+    #[serde(default)]
+    pub slo: Objectives,
     /// Recording of decisions.
     #[serde(default)]
     pub trace: TraceSettings,
@@ -161,6 +165,10 @@
         if settings.platform.key_value.is_empty() {
             return Err(error("platform.key_value", "expected at least one address"));
         }
+        let fractions = [settings.slo.timely, settings.slo.kept];
+        if !fractions.iter().all(|part| (0.0..1.0).contains(part)) {
+            return Err(error("slo", "expected fractions from 0 to below 1"));
+        }
         if settings.recovery.attempts == 0 {
             return Err(error("recovery.attempts", "expected at least 1"));
         }
--- a/crates/cyclamenwharf/tests/control/rig.rs
+++ b/crates/cyclamenwharf/tests/control/rig.rs
@@ -127,6 +127,7 @@
             limits: Default::default(),
             recovery: Default::default(),
             routing: Default::default(),
+            slo: Default::default(),
             trace: Default::default(),
             log: Default::default(),
         }
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -223,6 +223,7 @@
         },
         recovery: RecoverySettings::default(),
         routing: Default::default(),
+        slo: Default::default(),
         trace: Default::default(),
         log: LogSettings::default(),
     }
--- /dev/null
+++ b/crates/cyclamenwharf/tests/settings.rs
@@ -0,0 +1,139 @@
+//! Settings are checked before anything starts, and their page names each of them.
+
+use std::collections::BTreeSet;
+use std::io::Write;
+
+use cyclamenwharf::AgentSettings;
+use cyclamenwharf::EntrySettings;
+use rstest::rstest;
+use tempfile::NamedTempFile;
+use toml::Table;
+use toml::Value;
+
+const ENTRY: &str = r#"
+host = "entry-1"
+zone = "zone-a"
+region = "region-1"
+
+[listen]
+callers = "127.0.0.1:8080"
+peers = "127.0.0.1:8081"
+admin = "127.0.0.1:8082"
+
+[platform]
+key_value = ["127.0.0.1:2379"]
+host_list = "127.0.0.1:2380"
+weight_store = "127.0.0.1:2381"
+
+[secrets]
+peers = ["one"]
+"#;
+
+const AGENT: &str = r#"
+host = "target-1"
+zone = "zone-a"
+region = "region-1"
+
+[listen]
+peers = "127.0.0.1:8083"
+admin = "127.0.0.1:8084"
+
+[target]
+id = "engine-1"
+kind = "engine"
+address = "127.0.0.1:9000"
+
+[platform]
+key_value = ["127.0.0.1:2379"]
+host_list = "127.0.0.1:2380"
+weight_store = "127.0.0.1:2381"
+
+[secrets]
+peers = ["one"]
+"#;
+
+const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
+
+fn file(text: &str) -> NamedTempFile {
+    let mut file = NamedTempFile::new().expect("a temporary file");
+    file.write_all(text.as_bytes()).expect("room for the file");
+    file
+}
+
+fn entry_error(text: &str) -> String {
+    let file = file(text);
+    let name = file.path().display().to_string();
+    let error = EntrySettings::read(file.path()).expect_err("the settings are wrong");
+    let message = error.to_string();
+    assert!(message.contains(&name), "names the file: {message}");
+    message
+}
+
+fn keys(prefix: &str, table: &Table, out: &mut BTreeSet<String>) {
+    for (key, value) in table {
+        match value {
+            Value::Table(inner) => keys(&format!("{prefix}{key}."), inner, out),
+            _ => {
+                out.insert(format!("{prefix}{key}"));
+            }
+        }
+    }
+}
+
+fn documented(section: &str) -> BTreeSet<String> {
+    let start = PAGE.find(section).expect("the section is there") + section.len();
+    let rest = &PAGE[start..];
+    let end = rest.find("\n## ").unwrap_or(rest.len());
+    let rows = rest[..end].lines().filter(|line| line.starts_with("| `"));
+    rows.filter_map(|row| row.split('`').nth(1))
+        .map(str::to_owned)
+        .collect()
+}
+
+#[rstest]
+fn a_complete_file_is_read() {
+    let entry = EntrySettings::read(file(ENTRY).path()).expect("the entry's settings are right");
+    let agent = AgentSettings::read(file(AGENT).path()).expect("the agent's settings are right");
+
+    assert_eq!(entry.host.to_string(), "entry-1");
+    assert_eq!(agent.target.id.to_string(), "engine-1");
+}
+
+#[rstest]
+#[case("colour = \"blue\"\n", "colour")]
+#[case("log = { level = \"loud\" }\n", "loud")]
+#[case("limits = { body = \"4\" }\n", "64KiB")]
+#[case("limits = { absence = \"30\" }\n", "250ms")]
+#[case("recovery = { attempts = 0 }\n", "recovery.attempts")]
+fn a_wrong_value_is_named_with_what_is_expected(#[case] line: &str, #[case] named: &str) {
+    let message = entry_error(&format!("{line}{ENTRY}"));
+
+    assert!(message.contains(named), "{message}");
+}
+
+#[rstest]
+fn a_missing_address_is_named() {
+    let message = entry_error(&ENTRY.replace("admin = \"127.0.0.1:8082\"", ""));
+
+    assert!(message.contains("admin"), "{message}");
+}
+
+#[rstest]
+fn no_secret_is_refused() {
+    let message = entry_error(&ENTRY.replace("[\"one\"]", "[]"));
+
+    assert!(message.contains("secrets.peers"), "{message}");
+}
+
+#[rstest]
+fn the_page_names_each_setting_and_no_other() {
+    let entry = EntrySettings::read(file(ENTRY).path()).expect("the entry's settings are right");
+    let agent = AgentSettings::read(file(AGENT).path()).expect("the agent's settings are right");
+    let (mut of_entry, mut of_agent) = (BTreeSet::new(), BTreeSet::new());
+
+    keys("", &Table::try_from(entry).expect("TOML"), &mut of_entry);
+    keys("", &Table::try_from(agent).expect("TOML"), &mut of_agent);
+
+    assert_eq!(documented("## Entry"), of_entry);
+    assert_eq!(documented("## Agent"), of_agent);
+}
