--- a/crates/cyclamenwharf/tests/agent/main.rs
+++ b/crates/cyclamenwharf/tests/agent/main.rs
@@ -7,4 +7,5 @@
 mod calls;
 mod drains;
 mod orders;
+mod overloads;
 mod reports;
