Let requests wait at the entry for a target that has room

Cause: a request was refused as soon as three targets were full, or all had asked for patience, although there was room moments later; and new requests overtook none, since nobody waited. Change: the driver takes such a refusal to the entry's queue and starts anew at the request's turn, with attempt numbers of its own, since agents remember what they refused. New requests wait behind those that wait for the same targets. What a request waited is taken off its patience at the agent. A caller that leaves is taken out of the queue. Refusals by targets that are leaving or down are told at once, as before, and a claimed key is not dispatched anew. The test that busy targets are a refusal now sets a queue of 0, and asserts the same; with the default queue the request waits. Two tests are new: a wait that ends well, and a caller that leaves.

--- a/crates/cw_policy/src/queue/lane.rs
+++ b/crates/cw_policy/src/queue/lane.rs
@@ -35,6 +35,19 @@
     }
 }
 
+impl From<&Lane> for RouteTarget {
+    fn from(lane: &Lane) -> Self {
+        match lane.clone() {
+            Lane::Model(model, version, adapter) => RouteTarget::Model {
+                model,
+                version,
+                adapter,
+            },
+            Lane::Service(service) => RouteTarget::Service { service },
+        }
+    }
+}
+
 /// The requests of one lane.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Line {
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -22,6 +22,15 @@
     pub(super) utilisation: f64,
     /// How long a new attempt waits before it starts.
     pub(super) wait: Duration,
+    /// Attempts that it can take beyond those that are there; below zero when it is too full.
+    free: f64,
+}
+
+impl Estimate {
+    /// Returns how many more attempts the target can take.
+    pub(super) fn room(&self) -> usize {
+        self.free.max(0.0) as usize
+    }
 }
 
 /// Estimates the load of `candidate` from its report and what this entry sent since.
@@ -54,6 +63,7 @@
     Estimate {
         utilisation,
         wait: Duration::from_secs_f64(wait),
+        free: limit - outstanding,
     }
 }
 
--- a/crates/cw_policy/src/routing/index.rs
+++ b/crates/cw_policy/src/routing/index.rs
@@ -15,6 +15,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Costs;
+use super::Ledger;
+use super::estimate::estimate;
 use crate::Liveness;
 use crate::TargetView;
 use crate::View;
@@ -88,6 +90,25 @@
         self
     }
 
+    /// Returns about how many more attempts the targets can take now: at least one while any of
+    /// them has not asked for patience, since reports are late.
+    pub fn room(&self, now: Time, to: &RouteTarget, ledger: &Ledger) -> usize {
+        let group = self.group(to);
+        let members = match group.alive.is_empty() {
+            true => &group.suspect,
+            false => &group.alive,
+        };
+        let open = members
+            .iter()
+            .map(|member| &self.candidates[member.at])
+            .filter(|candidate| ledger.busy_until(&candidate.id) <= now);
+        let room = |candidate| estimate(now, candidate, ledger, &self.costs, group).room();
+        let (any, sum) = open.fold((false, 0), |(_, sum), candidate| {
+            (true, sum + room(candidate))
+        });
+        sum.max(usize::from(any))
+    }
+
     // -----------------------------------------------------------------------------------------
 
     fn insert(&mut self, id: &TargetId, view: &TargetView) {
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -1,5 +1,8 @@
 //! Turns links into events and steps into links, for one generation.
 
+mod trace;
+mod turns;
+
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -15,6 +18,7 @@
 use cw_policy::routing::RouteRequest;
 use cw_types::AttemptNo;
 use cw_types::ErrorKind;
+use cw_types::Ran;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::TokenId;
@@ -37,6 +41,7 @@
 use super::job::KeyUse;
 use super::output::Output;
 use super::sent::Sent;
+use super::wait_turn::WaitTurn;
 
 /// What a refusal says when no target can be chosen.
 const TARGET_RETRY: Duration = Duration::from_secs(1);
@@ -57,6 +62,9 @@
     delivery: Delivery,
     recorder: Option<Recorder>,
     request: RouteRequest,
+    turn: WaitTurn,
+    /// What all targets said that refused the request, before it is told to the caller.
+    refused: Option<Duration>,
     suspect: bool,
     absent: bool,
 }
@@ -73,6 +81,8 @@
             attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
             request,
+            turn: WaitTurn::new(Arc::clone(&front), &job),
+            refused: None,
             suspect: false,
             absent: false,
             front,
@@ -83,25 +93,28 @@
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
         self.front.hedges().on_request();
-        let view = self.front.view.load_full();
-        let now = self.front.clock.now();
-        let verdict = (self.front.suspicion).verdict(now, &view, self.job.fingerprint);
-        self.feed(match verdict {
-            Verdict::Guilty => Event::Refuse(ErrorKind::CrashesTargets),
-            Verdict::Clear | Verdict::Suspect { .. } => Event::Start,
-        })
-        .await;
-        while !self.machine.is_ended() {
-            let event = self.next_event().await;
+        let mut turn = match self.is_guilty() {
+            true => Some(Event::Refuse(ErrorKind::CrashesTargets)),
+            false => self.first_turn().await,
+        };
+        while let Some(event) = turn {
             self.feed(event).await;
+            while !self.machine.is_ended() {
+                let event = self.next_event().await;
+                self.feed(event).await;
+            }
+            turn = match self.refused.take() {
+                Some(retry) => self.next_turn(retry).await,
+                None => None,
+            };
         }
         let now = self.front.clock.now();
         self.attempts.release_all(now);
-        if let Some(recorder) = self.recorder.take() {
-            self.front.traces.end(recorder);
-        }
+        self.end_trace();
     }
 
+    // ---- Events ----
+
     async fn next_event(&mut self) -> Event {
         let deadline = self.machine.deadline();
         let deadline = deadline.map(|deadline| self.front.clock.instant(deadline));
@@ -128,21 +141,13 @@
         while let Some(event) = events.pop_front() {
             let now = self.front.clock.now();
             self.attempts.learn(now, &event);
+            self.turn.learn(&event);
             for step in self.decide(now, event) {
                 events.extend(self.take(now, step).await);
             }
         }
     }
 
-    fn decide(&mut self, now: Time, event: Event) -> Vec<Step> {
-        let Some(recorder) = &mut self.recorder else {
-            return self.machine.on_event(now, event);
-        };
-        let steps = self.machine.on_event(now, event.clone());
-        recorder.record(now, event, &steps);
-        steps
-    }
-
     /// Takes one step; some are answered at once.
     async fn take(&mut self, now: Time, step: Step) -> Option<Event> {
         match step {
@@ -185,6 +190,11 @@
                     self.front.ack(sent.peer, sent.id, next);
                 }
             }
+            Step::Fail {
+                kind: ErrorKind::Overloaded,
+                ran: Ran::No,
+                retry,
+            } if self.turn.has_next() => self.refused = Some(retry),
             step => self.delivery.take(now, step).await,
         }
         None
@@ -210,7 +220,10 @@
         }
         match self.choose_apart(now, exclude) {
             Choice::Target(target) => Event::Chosen(target),
-            Choice::Wait { until } => no_target(ErrorKind::Overloaded, now.until(until)),
+            Choice::Wait { until } => {
+                self.turn.set_full();
+                no_target(ErrorKind::Overloaded, now.until(until))
+            }
             Choice::NoTarget => no_target(ErrorKind::NoTarget, TARGET_RETRY),
         }
     }
@@ -280,11 +293,15 @@
             self.front.metrics.extra.inc_by(so_far.len() as u64);
         }
         let claim = self.claim(now, &sent);
+        let mut message = self.job.dispatch(attempt, sent.stamp, so_far, resumed);
+        if !resumed {
+            message.patience = self.turn.patience(now);
+        }
         let call = LinkCall {
             client: self.front.peers.client(sent.peer),
             peer: sent.peer,
             path: path::ATTEMPTS,
-            message: self.job.dispatch(attempt, sent.stamp, so_far, resumed),
+            message,
             limit: self.front.settings.recovery.head,
         };
         self.inputs.open(link, claim, call);
--- a/crates/cyclamenwharf/src/entry/frontend.rs
+++ b/crates/cyclamenwharf/src/entry/frontend.rs
@@ -34,6 +34,7 @@
 use super::refusal::Refusal;
 use super::router::Router;
 use super::suspicion::Suspicion;
+use super::wait_queue::WaitQueue;
 
 /// How long a call that carries no output may take.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -70,6 +71,8 @@
     pub(crate) metrics: EntryMetrics,
     /// Clients for the agents.
     pub(crate) peers: PeerPool,
+    /// Requests that wait for a target.
+    pub(crate) queue: WaitQueue,
     /// The choice of targets.
     pub(crate) router: Router,
     /// Recorded decisions.
@@ -98,6 +101,16 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives requests that wait their turns, for as long as the entry runs.
+    pub(crate) async fn pump(self: Arc<Self>) {
+        loop {
+            self.queue.changed().await;
+            let now = self.clock.now();
+            let view = self.view.load_full();
+            self.queue.pump(|lane| self.router.room(now, &view, lane));
+        }
+    }
+
     /// Cancels an attempt, and tries again a few times if the agent cannot be reached.
     pub(crate) fn cancel(self: &Arc<Self>, peer: SocketAddr, cancel: Cancel) {
         let front = Arc::clone(self);
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -37,6 +37,7 @@
 use super::peer_pool::PeerPool;
 use super::router::Router;
 use super::suspicion::Suspicion;
+use super::wait_queue::WaitQueue;
 
 /// What an entry's servers are built from.
 pub struct EntryParts {
@@ -147,6 +148,7 @@
         health: parts.health,
         metrics,
         router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
+        queue: WaitQueue::new(parts.clock, &parts.settings.limits),
         progress: TaskTracker::new(),
         traces: parts.traces,
         settings: parts.settings,
@@ -160,6 +162,8 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let server = {
         let _inside = traffic.enter();
+        let pumped = Arc::clone(&front);
+        supervisor.keep("queue", move || Arc::clone(&pumped).pump());
         ServerBuilder::new(api::description(), Arc::clone(&front), log)
             .config(config)
             .start()
--- a/crates/cyclamenwharf/src/entry/mod.rs
+++ b/crates/cyclamenwharf/src/entry/mod.rs
@@ -26,6 +26,8 @@
 mod sent;
 mod service;
 mod suspicion;
+mod wait_queue;
+mod wait_turn;
 
 pub use handle::Entry;
 pub use handle::EntryHandle;
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -10,12 +10,14 @@
 use arc_swap::ArcSwapOption;
 use cw_policy::View;
 use cw_policy::prefix::blocks;
+use cw_policy::queue::Lane;
 use cw_policy::routing::Choice;
 use cw_policy::routing::Index;
 use cw_policy::routing::Ledger;
 use cw_policy::routing::Policy;
 use cw_policy::routing::RouteRequest;
 use cw_types::RegionId;
+use cw_types::RouteTarget;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::TokenCount;
@@ -95,6 +97,13 @@
             .choose(now, policy, &request, &ledger, &mut rand::rng())
     }
 
+    /// Returns about how many more attempts the targets of a lane can take now.
+    pub(crate) fn room(&self, now: Time, view: &Arc<View>, lane: &Lane) -> usize {
+        let indexed = self.indexed(now, view);
+        let ledger = self.ledger();
+        indexed.index.room(now, &RouteTarget::from(lane), &ledger)
+    }
+
     /// Records that an attempt was sent to `target`.
     pub(crate) fn sent(&self, now: Time, target: &TargetId, request: &RouteRequest) {
         self.ledger().sent(now, target, request);
