--- a/crates/cw_policy/src/generation/recover.rs
+++ b/crates/cw_policy/src/generation/recover.rs
@@ -188,10 +188,15 @@
 
     /// The agent does not know the attempt.
     fn forgotten(&mut self, now: Time, attempt: AttemptNo, steps: &mut Vec<Step>) {
-        match self.plan.idempotent {
-            true => self.lose(now, attempt, Ran::Unknown, steps),
-            false => self.prove(attempt, steps),
+        if self.plan.idempotent {
+            return self.lose(now, attempt, Ran::Unknown, steps);
+        }
+        if self.plan.from.0 == 0 {
+            return self.prove(attempt, steps);
         }
+        // Its caller holds output of it: an agent that never saw it is of a later life.
+        self.drop_track(attempt, steps);
+        self.unknown_outcome(steps);
     }
 
     fn prove(&mut self, attempt: AttemptNo, steps: &mut Vec<Step>) {
@@ -303,11 +308,23 @@
     /// whose output went on since the last crash was only there when an engine died.
     fn count_crash(&mut self) {
         let here = self.next();
-        if here.0.saturating_sub(self.crashed_at.0) >= self.limits.progress {
-            self.crashes = 0;
-        }
-        self.crashes += 1;
+        let progress = here.0.saturating_sub(self.crashed_at.0);
+        self.crashes = match progress >= self.limits.progress {
+            true => 1,
+            false => self.crashes + 1,
+        };
         self.crashed_at = here;
+        self.cleared_at = here;
+    }
+
+    /// Output that goes on past the place of a crash speaks for the request.
+    pub(super) fn clear(&mut self, steps: &mut Vec<Step>) {
+        let here = self.next();
+        let progress = here.0.saturating_sub(self.cleared_at.0);
+        if self.crashes > 0 && progress >= self.limits.progress {
+            self.cleared_at = here;
+            steps.push(Step::Cleared);
+        }
     }
 
     pub(super) fn judged(&mut self, guilty: bool, steps: &mut Vec<Step>) {
--- a/crates/cyclamenwharf/src/entry/driver.rs
+++ b/crates/cyclamenwharf/src/entry/driver.rs
@@ -62,6 +62,7 @@
     delivery: Delivery,
     recorder: Option<Recorder>,
     request: RouteRequest,
+    verdict: Verdict,
     turn: WaitTurn,
     /// What all targets said that refused the request, before it is told to the caller.
     refused: Option<Duration>,
@@ -72,7 +73,10 @@
 impl Driver {
     /// Returns a driver that hands the output to `out`.
     pub(crate) fn new(front: Arc<Frontend>, job: Arc<Job>, out: mpsc::Sender<Output>) -> Self {
-        let limits = job.limits(&front.settings);
+        let view = front.view.load_full();
+        let now = front.clock.now();
+        let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
+        let limits = turns::limits(&front, &job, verdict);
         let request = front.router.request(&job);
         Self {
             recorder: front.traces.begin(job.generation, &job.plan, &limits),
@@ -81,6 +85,7 @@
             attempts: Attempts::new(Arc::clone(&front), Arc::clone(&job), request.clone()),
             delivery: Delivery::new(Arc::clone(&front), Arc::clone(&job), out),
             request,
+            verdict,
             turn: WaitTurn::new(Arc::clone(&front), &job),
             refused: None,
             suspect: false,
@@ -93,10 +98,7 @@
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
         self.front.hedges().on_request();
-        let mut turn = match self.is_guilty() {
-            true => Some(Event::Refuse(ErrorKind::CrashesTargets)),
-            false => self.first_turn().await,
-        };
+        let mut turn = self.first_turn().await;
         while let Some(event) = turn {
             self.feed(event).await;
             while !self.machine.is_ended() {
@@ -343,6 +345,7 @@
         let Some(so_far) = repeat else {
             let message = Attach {
                 generation: self.job.generation,
+                attempt: Some(attempt),
                 workspace: self.job.workspace.clone(),
                 from,
             };
--- a/crates/cyclamenwharf/src/entry/driver/turns.rs
+++ b/crates/cyclamenwharf/src/entry/driver/turns.rs
@@ -4,17 +4,23 @@
 
 use cw_policy::Event;
 use cw_policy::Generation;
+use cw_policy::Limits;
 use cw_policy::Step;
 use cw_policy::Verdict;
 use cw_types::ErrorKind;
 use cw_types::Ran;
 
 use super::Driver;
+use crate::entry::frontend::Frontend;
+use crate::entry::job::Job;
 use crate::entry::wait_queue::Turn;
 
 impl Driver {
     /// Waits behind others that wait for the same targets, and says how to begin.
     pub(super) async fn first_turn(&mut self) -> Option<Event> {
+        if self.verdict == Verdict::Guilty {
+            return Some(Event::Refuse(ErrorKind::CrashesTargets));
+        }
         let turn = tokio::select! {
             turn = self.turn.first() => Some(turn),
             () = self.delivery.closed() => None,
@@ -34,7 +40,7 @@
         };
         match turn {
             Some(Turn::Start) => {
-                let limits = self.job.limits(&self.front.settings);
+                let limits = limits(&self.front, &self.job, self.verdict);
                 let plan = self.turn.plan(&self.job.plan);
                 self.end_trace();
                 let traces = &self.front.traces;
@@ -63,12 +69,15 @@
         self.delivery.take(now, Step::Abandon).await;
         None
     }
+}
 
-    /// Returns whether the request is known to crash its targets.
-    pub(super) fn is_guilty(&self) -> bool {
-        let view = self.front.view.load_full();
-        let now = self.front.clock.now();
-        let suspicion = &self.front.suspicion;
-        suspicion.verdict(now, &view, self.job.fingerprint) == Verdict::Guilty
+/// Returns the limits of a generation, whose request may be one that crashes its targets.
+pub(super) fn limits(front: &Frontend, job: &Job, verdict: Verdict) -> Limits {
+    let mut limits = job.limits(&front.settings);
+    if let Verdict::Suspect { crashes } = verdict {
+        // Crashes that other calls of the request were in flight at count for this one too.
+        let before = u32::try_from(crashes).unwrap_or(u32::MAX);
+        limits.crashes = limits.crashes.saturating_sub(before).max(1);
     }
+    limits
 }
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -147,7 +147,11 @@
         slo,
         health: parts.health,
         metrics,
-        router: Router::new(parts.settings.zone.clone(), parts.settings.region.clone()),
+        router: Router::new(
+            parts.settings.zone.clone(),
+            parts.settings.region.clone(),
+            parts.settings.routing.policy,
+        ),
         queue: WaitQueue::new(parts.clock, &parts.settings.limits),
         progress: TaskTracker::new(),
         traces: parts.traces,
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -43,16 +43,18 @@
 pub(crate) struct Router {
     zone: ZoneId,
     region: RegionId,
+    policy: Policy,
     ledger: Mutex<Ledger>,
     indexed: ArcSwapOption<Indexed>,
 }
 
 impl Router {
     /// Returns a router for an entry in `zone` of `region`.
-    pub(crate) fn new(zone: ZoneId, region: RegionId) -> Self {
+    pub(crate) fn new(zone: ZoneId, region: RegionId, policy: Policy) -> Self {
         Self {
             zone,
             region,
+            policy,
             ledger: Mutex::default(),
             indexed: ArcSwapOption::empty(),
         }
@@ -90,11 +92,10 @@
         let mut request = request.clone();
         request.excluded.extend(excluded.iter().cloned());
         let indexed = self.indexed(now, view);
-        let policy = Policy::default();
         let ledger = self.ledger();
         indexed
             .index
-            .choose(now, policy, &request, &ledger, &mut rand::rng())
+            .choose(now, self.policy, &request, &ledger, &mut rand::rng())
     }
 
     /// Returns about how many more attempts the targets of a lane can take now.
