--- a/crates/cyclamenwharf/src/entry/wait_turn.rs
+++ b/crates/cyclamenwharf/src/entry/wait_turn.rs
@@ -111,7 +111,7 @@
     /// Returns the plan of this turn.
     pub(crate) fn plan(&self, plan: &Plan) -> Plan {
         let mut plan = plan.clone();
-        plan.first = AttemptNo(plan.first.0 + STRIDE * self.turn);
+        plan.next = AttemptNo(plan.next.0 + STRIDE * self.turn);
         plan
     }
 
