--- a/crates/cw_policy/src/routing/index.rs
+++ b/crates/cw_policy/src/routing/index.rs
@@ -90,14 +90,17 @@
         self
     }
 
-    /// Returns about how many more attempts the targets can take now: at least one while any of
-    /// them has not asked for patience, since reports are late.
-    pub fn room(&self, now: Time, to: &RouteTarget, ledger: &Ledger) -> usize {
+    /// Returns about how many more attempts the targets can take now, or nothing when there are no
+    /// targets. It is at least one while any has not asked for patience, since reports are late.
+    pub fn room(&self, now: Time, to: &RouteTarget, ledger: &Ledger) -> Option<usize> {
         let group = self.group(to);
         let members = match group.alive.is_empty() {
             true => &group.suspect,
             false => &group.alive,
         };
+        if members.is_empty() {
+            return None;
+        }
         let open = members
             .iter()
             .map(|member| &self.candidates[member.at])
@@ -106,7 +109,7 @@
         let (any, sum) = open.fold((false, 0), |(_, sum), candidate| {
             (true, sum + room(candidate))
         });
-        sum.max(usize::from(any))
+        Some(sum.max(usize::from(any)))
     }
 
     // -----------------------------------------------------------------------------------------
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -20,6 +20,7 @@
 use crate::Clock;
 use crate::Control;
 use crate::ControlParts;
+use crate::DemandExchange;
 use crate::EntrySettings;
 use crate::Health;
 use crate::SharedSlo;
@@ -35,9 +36,11 @@
 use super::key_book::KeyBook;
 use super::metrics::EntryMetrics;
 use super::peer_pool::PeerPool;
+use super::quota_gate::QuotaGate;
 use super::router::Router;
 use super::suspicion::Suspicion;
-use super::wait_queue::WaitQueue;
+use super::upkeep;
+use super::wait_line::WaitLine;
 
 /// What an entry's servers are built from.
 pub struct EntryParts {
@@ -55,6 +58,8 @@
     pub health: Arc<Health>,
     /// The entry's traces.
     pub traces: Arc<TraceBook>,
+    /// The demands on quotas, to and from the other entries.
+    pub demands: Arc<DemandExchange>,
 }
 
 /// The entry, which takes callers' requests.
@@ -91,6 +96,7 @@
             registry: Registry::new(),
             health: Arc::default(),
             traces: Arc::new(TraceBook::new(settings.trace.clone())),
+            demands: Arc::default(),
             settings,
         };
         let control = ControlParts {
@@ -105,6 +111,7 @@
         let control = control.await.map_err(start_error)??;
         let parts = EntryParts {
             view: Arc::clone(&control.view),
+            demands: Arc::clone(&control.demands),
             ..parts
         };
         let mut handle = serve(traffic, supervisor, parts)?;
@@ -142,7 +149,9 @@
         claims: Arc::new(Claims::new(parts.store)),
         keys: KeyBook::default(),
         suspicion: Suspicion::new(parts.settings.host.clone()),
-        budget: Mutex::default(),
+        budgets: Mutex::default(),
+        quotas: QuotaGate::new(parts.settings.host.clone(), parts.demands),
+        line: WaitLine::new(&parts.settings.limits),
         gap: objectives.token_gap,
         slo,
         health: parts.health,
@@ -152,7 +161,6 @@
             parts.settings.region.clone(),
             parts.settings.routing.policy,
         ),
-        queue: WaitQueue::new(parts.clock, &parts.settings.limits),
         progress: TaskTracker::new(),
         traces: parts.traces,
         settings: parts.settings,
@@ -166,13 +174,12 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let server = {
         let _inside = traffic.enter();
-        let pumped = Arc::clone(&front);
-        supervisor.keep("queue", move || Arc::clone(&pumped).pump());
         ServerBuilder::new(api::description(), Arc::clone(&front), log)
             .config(config)
             .start()
             .map_err(start_error)?
     };
+    traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
--- a/crates/cyclamenwharf/src/entry/mod.rs
+++ b/crates/cyclamenwharf/src/entry/mod.rs
@@ -21,13 +21,14 @@
 mod models;
 mod output;
 mod peer_pool;
+mod quota_gate;
 mod refusal;
 mod router;
 mod sent;
 mod service;
 mod suspicion;
-mod wait_queue;
-mod wait_turn;
+mod upkeep;
+mod wait_line;
 
 pub use handle::Entry;
 pub use handle::EntryHandle;
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -10,7 +10,6 @@
 use arc_swap::ArcSwapOption;
 use cw_policy::View;
 use cw_policy::prefix::blocks;
-use cw_policy::queue::Lane;
 use cw_policy::routing::Choice;
 use cw_policy::routing::Index;
 use cw_policy::routing::Ledger;
@@ -98,11 +97,11 @@
             .choose(now, self.policy, &request, &ledger, &mut rand::rng())
     }
 
-    /// Returns about how many more attempts the targets of a lane can take now.
-    pub(crate) fn room(&self, now: Time, view: &Arc<View>, lane: &Lane) -> usize {
+    /// Returns whether some target that can run `to` does not ask for patience, or none is left to
+    /// Returns about how many more attempts the targets can take now, if there are any targets.
+    pub(crate) fn room(&self, now: Time, view: &Arc<View>, to: &RouteTarget) -> Option<usize> {
         let indexed = self.indexed(now, view);
-        let ledger = self.ledger();
-        indexed.index.room(now, &RouteTarget::from(lane), &ledger)
+        indexed.index.room(now, to, &self.ledger())
     }
 
     /// Records that an attempt was sent to `target`.
@@ -155,7 +154,7 @@
 }
 
 /// Returns about how many tokens a prompt has.
-fn prompt_tokens(work: &Generate) -> usize {
+pub(crate) fn prompt_tokens(work: &Generate) -> usize {
     match &work.prompt {
         Prompt::Ids(ids) => ids.len(),
         Prompt::Text(text) => text.len() / TOKEN_BYTES,
--- a/crates/cyclamenwharf/tests/entry_kit/mod.rs
+++ b/crates/cyclamenwharf/tests/entry_kit/mod.rs
@@ -19,6 +19,7 @@
 use cw_types::Config;
 use cw_types::Incarnation;
 use cw_types::KeyHash;
+use cw_types::Quota;
 use cw_types::Ran;
 use cw_types::Recovery;
 use cw_types::Route;
@@ -260,7 +261,7 @@
 fn refusal(reason: Reason) -> Frame {
     Frame::NotRun {
         reason,
-        retry: Duration::from_secs(2),
+        retry: Duration::from_millis(100),
         load: Load::default(),
     }
 }
@@ -396,10 +397,12 @@
     pub(crate) recovery: Recovery,
     /// Whether requests may run more than once.
     pub(crate) idempotent: bool,
+    /// How long a request may wait before its first token.
+    pub(crate) patience: Duration,
+    /// The quota of each workspace.
+    pub(crate) quota: Quota,
     /// The key-value service.
     pub(crate) store: Arc<MemoryStore>,
-    /// The most requests that wait for a target.
-    pub(crate) queue: u32,
 }
 
 impl Setup {
@@ -412,8 +415,9 @@
             services: Vec::new(),
             recovery: Recovery::Latency,
             idempotent: true,
+            patience: Duration::from_secs(10),
+            quota: Quota::default(),
             store: Arc::default(),
-            queue: LimitSettings::default().queue,
         }
     }
 
@@ -436,16 +440,15 @@
         view.store(Arc::new(self.view()));
         let health = Arc::new(Health::default());
         health.set_configured();
-        let mut settings = settings();
-        settings.limits.queue = self.queue;
         Entry::serve(EntryParts {
-            settings,
+            settings: settings(),
             clock: Clock::default(),
             view,
             store: Arc::clone(&self.store) as Arc<dyn KeyValue>,
             registry: Registry::new(),
             health,
             traces: Default::default(),
+            demands: Default::default(),
         })
         .expect("loopback can be listened on")
     }
@@ -459,7 +462,7 @@
             priority: name_of("normal"),
             recovery: self.recovery,
             idempotent: self.idempotent,
-            patience: Duration::from_secs(10),
+            patience: self.patience,
         };
         let model = RouteTarget::Model {
             model: name_of("m"),
@@ -473,7 +476,7 @@
         config.routes.insert(name_of("loans"), route(service));
         let workspace = |key| Workspace {
             keys: vec![KeyHash::of(key)],
-            quota: Default::default(),
+            quota: self.quota.clone(),
             weight: 1,
         };
         config.workspaces.insert(name_of("a"), workspace(KEY));
