--- a/crates/cyclamenwharf/src/entry/quota_gate.rs
+++ b/crates/cyclamenwharf/src/entry/quota_gate.rs
@@ -5,8 +5,10 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use cw_policy::View;
+use cw_policy::membership::Relay;
 use cw_policy::quota::QuotaSettings;
 use cw_policy::quota::QuotaStep;
 use cw_policy::quota::Quotas;
@@ -19,6 +21,12 @@
 
 use super::refusal::Refusal;
 
+/// How many relays a demand passes on its way.
+const RELAYS: u32 = 2;
+
+/// What the calls between relays may take, and the time between two statements of demand.
+const SLACK: Duration = Duration::from_secs(1);
+
 /// The quotas of workspaces, shared by all requests of an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct QuotaGate {
@@ -77,6 +85,8 @@
         let heard = self.demands.take();
         let mut quotas = self.lock();
         quotas.set_entries(&hosts);
+        let period = Relay::period(hosts.len(), view.targets.len());
+        quotas.set_stale(period * RELAYS + SLACK);
         for (at, demand) in heard {
             quotas.on_demand(now, now.since(at), demand);
         }
