Use the period of batches by the number of entries

Cause: the period of batches no longer depends on the number of targets. Change: the quota gate asks for it accordingly.

--- a/crates/cyclamenwharf/src/entry/quota_gate.rs
+++ b/crates/cyclamenwharf/src/entry/quota_gate.rs
@@ -85,7 +85,7 @@
         let heard = self.demands.take();
         let mut quotas = self.lock();
         quotas.set_entries(&hosts);
-        let period = Relay::period(hosts.len(), view.targets.len());
+        let period = Relay::period(hosts.len());
         quotas.set_stale(period * RELAYS + SLACK);
         for (at, demand) in heard {
             quotas.on_demand(now, now.since(at), demand);
