--- a/crates/cyclamenwharf/src/entry/upkeep.rs
+++ b/crates/cyclamenwharf/src/entry/upkeep.rs
@@ -36,20 +36,13 @@
     }
 }
 
-/// Lets requests of a lane go on while a target seems to have room.
+/// Lets as many requests of a lane go on as the targets seem to have room for.
 fn start_waiting(front: &Frontend, now: Time, lane: &Lane) {
     let view = front.view.load_full();
-    let to = match lane.clone() {
-        Lane::Model(model, version, adapter) => RouteTarget::Model {
-            model,
-            version,
-            adapter,
-        },
-        Lane::Service(service) => RouteTarget::Service { service },
-    };
-    for _ in 0..STARTS {
-        let room = front.router.has_room(now, &view, &to);
-        if !room || !front.line.start_one(now, lane) {
+    let room = front.router.room(now, &view, &RouteTarget::from(lane));
+    // Without targets they go on too, and are told so.
+    for _ in 0..room.unwrap_or(STARTS).min(STARTS) {
+        if !front.line.start_one(now, lane) {
             return;
         }
     }
