--- a/crates/cyclamenwharf/examples/control_cost/calls.rs
+++ b/crates/cyclamenwharf/examples/control_cost/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the key-value service, counted by a stand-in of it.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,6 +48,8 @@
 pub(crate) struct CallCount {
     processes: usize,
     calls_per_second: f64,
+    /// Calls a second by path.
+    paths: BTreeMap<String, f64>,
     seconds: u64,
 }
 
@@ -54,13 +57,17 @@
 pub(crate) async fn measure(processes: usize) -> CallCount {
     let place = Place::start(processes).await;
     tokio::time::sleep(SETTLING).await;
-    let total = || place.key_value.calls().values().sum::<u64>();
-    let before = total();
+    let before = place.key_value.calls();
     tokio::time::sleep(COUNTED).await;
-    let calls = total() - before;
+    let rate = |(path, count): (String, u64)| {
+        let calls = count - before.get(&path).copied().unwrap_or_default();
+        (path, calls as f64 / COUNTED.as_secs_f64())
+    };
+    let paths: BTreeMap<_, _> = place.key_value.calls().into_iter().map(rate).collect();
     CallCount {
         processes,
-        calls_per_second: calls as f64 / COUNTED.as_secs_f64(),
+        calls_per_second: paths.values().sum(),
+        paths,
         seconds: COUNTED.as_secs(),
     }
 }
