--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -4,8 +4,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use cw_policy::EntryPeer;
 use cw_policy::View;
@@ -28,10 +26,8 @@
 use cw_types::Snapshot;
 use cw_types::TargetId;
 use cw_types::Time;
-use cw_types::readable_schemas;
 use cw_wire::Batch;
 use cw_wire::ConfigAnswer;
-use cw_wire::ProcessState;
 use cw_wire::Report;
 use cw_wire::ReportAnswer;
 use log::error;
@@ -42,7 +38,6 @@
 use super::ControlMetrics;
 use super::DemandExchange;
 use super::Event;
-use super::Inspection;
 use super::PlannerStatus;
 use super::Sender;
 use super::SharedView;
@@ -80,15 +75,15 @@
 
 /// The control state of an entry.
 pub(super) struct Core {
-    parts: CoreParts,
-    in_force: InForce,
-    members: Members,
+    pub(super) parts: CoreParts,
+    pub(super) in_force: InForce,
+    pub(super) members: Members,
     relay: Relay,
-    processes: Processes,
+    pub(super) processes: Processes,
     entries: Vec<EntryPeer>,
     grid: Grid,
     behind: BTreeSet<HostId>,
-    planner: PlannerStatus,
+    pub(super) planner: PlannerStatus,
     next_round: Time,
     next_view: Time,
     next_state: Time,
@@ -330,6 +325,13 @@
         }));
     }
 
+    fn ask_config(&self, host: &HostId) {
+        if let Some(peer) = self.entries.iter().find(|entry| entry.host == *host) {
+            let have = self.in_force.revision();
+            self.parts.sender.ask_config(peer, have);
+        }
+    }
+
     /// Asks peers for what is missing here.
     fn repair(&mut self) {
         let own = &self.parts.own.host;
@@ -346,61 +348,6 @@
             }
         }
     }
-
-    // ------------------------------------------------------------------------
-    // Answers
-
-    fn ask_config(&self, host: &HostId) {
-        if let Some(peer) = self.entries.iter().find(|entry| entry.host == *host) {
-            let have = self.in_force.revision();
-            self.parts.sender.ask_config(peer, have);
-        }
-    }
-
-    fn whole(&self, now: Time) -> Batch {
-        let aged = |(age, state): (Duration, &ProcessState)| ProcessState {
-            age,
-            ..state.clone()
-        };
-        Batch {
-            relay: self.parts.own.host.clone(),
-            sequence: 0,
-            revision: self.in_force.revision(),
-            reports: self.members.reports(now),
-            loads: Vec::new(),
-            silent: Vec::new(),
-            processes: self.processes.live(now).map(aged).collect(),
-            forwarded: true,
-            demands: Vec::new(),
-        }
-    }
-
-    fn state(&self) -> ProcessState {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        ProcessState {
-            host: self.parts.own.host.clone(),
-            sequence: since.unwrap_or_default().as_micros() as u64,
-            age: Duration::ZERO,
-            revision: self.in_force.revision(),
-            schemas: readable_schemas(),
-        }
-    }
-
-    fn inspect(&self, now: Time) -> Inspection {
-        let aged = |(age, state): (Duration, &ProcessState)| (age, state.clone());
-        let reports = self.members.reports(now);
-        let pins =
-            |(_, report): &(Duration, Report)| (report.target.clone(), report.pinned.clone());
-        let revision = |(_, report): &(Duration, Report)| (report.target.clone(), report.revision);
-        Inspection {
-            in_force: self.in_force.clone(),
-            processes: self.processes.live(now).map(aged).collect(),
-            pins: reports.iter().map(pins).collect(),
-            agents: reports.iter().map(revision).collect(),
-            planner: self.planner.clone(),
-            view: self.parts.view.load_full(),
-        }
-    }
 }
 
 fn pick<'a>(peers: &[&'a EntryPeer], count: usize) -> Vec<&'a EntryPeer> {
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 mod core;
+mod core_answers;
 mod counted;
 mod demand_exchange;
 mod event;
--- a/crates/cyclamenwharf/src/control/thread.rs
+++ b/crates/cyclamenwharf/src/control/thread.rs
@@ -146,23 +146,7 @@
         key_value: Arc::new(Counted::new(services.key_value, metrics.calls.clone())),
         ..services
     };
-    let peers_context = PeersContext {
-        events: events.clone(),
-        secrets: settings.secrets.peers.clone(),
-    };
-    let peers = peers_server::start(settings.listen.peers, peers_context)?;
-    let admin_context = AdminContext {
-        host: settings.host.clone(),
-        traces: Arc::clone(&parts.traces),
-        secrets: settings.secrets.peers.clone(),
-        desk: Desk {
-            key_value: services.key_value.clone(),
-            events: events.clone(),
-        },
-        health: parts.health.clone(),
-        registry: parts.registry.clone(),
-    };
-    let admin = admin::start(settings.listen.admin, admin_context)?;
+    let (peers, admin) = listen(parts, &services, &events)?;
     let addresses = Addresses {
         peers: peers.local_addr(),
         admin: admin.local_addr(),
@@ -195,6 +179,31 @@
     Ok((addresses, (peers, admin)))
 }
 
+fn listen(
+    parts: &ControlParts,
+    services: &Services,
+    events: &mpsc::Sender<Event>,
+) -> Result<Servers, StartError> {
+    let peers_context = PeersContext {
+        events: events.clone(),
+        secrets: parts.settings.secrets.peers.clone(),
+    };
+    let peers = peers_server::start(parts.settings.listen.peers, peers_context)?;
+    let admin_context = AdminContext {
+        host: parts.settings.host.clone(),
+        traces: Arc::clone(&parts.traces),
+        secrets: parts.settings.secrets.peers.clone(),
+        desk: Desk {
+            key_value: services.key_value.clone(),
+            events: events.clone(),
+        },
+        health: parts.health.clone(),
+        registry: parts.registry.clone(),
+    };
+    let admin = admin::start(parts.settings.listen.admin, admin_context)?;
+    Ok((peers, admin))
+}
+
 fn keep_services(
     parts: &ControlParts,
     services: &Services,
