--- a/crates/cw_policy/benches/rounds/fleet.rs
+++ b/crates/cw_policy/benches/rounds/fleet.rs
@@ -158,7 +158,7 @@
         let workspace = session * self.shape.workspaces / self.shape.sessions;
         let turn = self.turns[session];
         self.turns[session] = (turn + 1) % self.shape.turns;
-        let blocks = self.shape.blocks(workspace, session, turn);
+        let blocks = self.shape.blocks(workspace, session, turn, self.sequence);
         let bytes = blocks.last().map_or(0, |block| block.end);
         let tokens = TokenCount(u64::from(bytes / TOKEN_BYTES));
         let long = self.rng.random::<f64>() < self.shape.long;
--- a/crates/cw_policy/benches/rounds/main.rs
+++ b/crates/cw_policy/benches/rounds/main.rs
@@ -66,6 +66,17 @@
                 ..base()
             },
         ),
+        (
+            "documents of 2 KiB, asked about again and again",
+            Shape {
+                shared: 0,
+                added: 2,
+                turns: 1,
+                sessions: 8000,
+                prefill: Duration::from_micros(240),
+                ..base()
+            },
+        ),
         (
             "long and short work",
             Shape {
--- a/crates/cw_policy/benches/rounds/shape.rs
+++ b/crates/cw_policy/benches/rounds/shape.rs
@@ -20,6 +20,8 @@
     pub(crate) turns: u64,
     /// Blocks that all prompts of a workspace begin with.
     pub(crate) shared: u64,
+    /// The length of what no other prompt has, at the end of each, in bytes.
+    pub(crate) tail: u32,
     /// Blocks that each turn adds.
     pub(crate) added: u64,
     /// Requests a second.
@@ -53,6 +55,7 @@
             sessions: 1500,
             turns: 8,
             shared: 4,
+            tail: 200,
             added: 2,
             rate: 144.0,
             hold: Duration::from_secs(3),
@@ -70,8 +73,14 @@
 }
 
 impl Shape {
-    /// Returns the prompt of a turn of a session, as blocks.
-    pub(crate) fn blocks(&self, workspace: usize, session: usize, turn: u64) -> Vec<Block> {
+    /// Returns the prompt of a turn of a session, as blocks; `request` is the number of the request.
+    pub(crate) fn blocks(
+        &self,
+        workspace: usize,
+        session: usize,
+        turn: u64,
+        request: u64,
+    ) -> Vec<Block> {
         let count = self.shared + self.added * (turn + 1);
         let block = |number: u64| {
             let owner = if number < self.shared {
@@ -87,6 +96,13 @@
                 end: BLOCK * u32::try_from(number + 1).unwrap_or(u32::MAX),
             }
         };
-        (0..count).map(block).collect()
+        let mut blocks: Vec<Block> = (0..count).map(block).collect();
+        if let Some(last) = blocks.last().filter(|_| self.tail > 0) {
+            blocks.push(Block {
+                hash: xxh3_64(&request.to_le_bytes()),
+                end: last.end + self.tail,
+            });
+        }
+        blocks
     }
 }
