Order targets by the part of a prompt that others share

Cause: the key of the rendezvous order was the deepest block within 8 KiB, which for a shorter prompt is the block that ends with it, so each question about one document had an order of its own; and the first of that order, taken to have 80 % of the prompt cached, won over targets that were known to have it. Change: the last block is left out unless it is the only one.

--- a/crates/cw_policy/src/routing/affinity.rs
+++ b/crates/cw_policy/src/routing/affinity.rs
@@ -23,7 +23,12 @@
     /// A block's hash covers the workspace, the version and all blocks before it.
     pub(super) fn of(request: &RouteRequest) -> Self {
         let blocks = &request.blocks;
-        let count = blocks.partition_point(|block| block.end <= DEPTH);
+        // The last block ends with the prompt, which few other prompts do at the same place.
+        let shared = match blocks.split_last() {
+            Some((_, leading)) if !leading.is_empty() => leading,
+            _ => blocks,
+        };
+        let count = shared.partition_point(|block| block.end <= DEPTH);
         let deepest = blocks.get(count.saturating_sub(1));
         let workspace = || xxh3_64(request.workspace.as_str().as_bytes());
         let hash = deepest.map_or_else(workspace, |block| block.hash);
--- a/crates/cw_policy/tests/routing/preference.rs
+++ b/crates/cw_policy/tests/routing/preference.rs
@@ -67,6 +67,23 @@
     }
 }
 
+#[test]
+fn prompts_that_differ_only_at_their_end_prefer_the_same_target() {
+    let index = Index::new(&view(40));
+    let chosen = |question: u64| {
+        let block = |hash, end| Block { hash, end };
+        let blocks = vec![block(1, 1024), block(2, 2048), block(100 + question, 2400)];
+        let request = request("w").with_prompt(blocks, TokenCount(600));
+        let mut rng = SmallRng::seed_from_u64(question);
+        let ledger = Ledger::default();
+        index.choose(now(), Policy::default(), &request, &ledger, &mut rng)
+    };
+
+    let first = chosen(0);
+
+    assert!((1..20).all(|question| chosen(question) == first));
+}
+
 #[test]
 fn the_own_availability_zone_is_preferred_until_it_is_loaded() {
     let in_zone = |counts: &BTreeMap<TargetId, u32>| -> u32 {
