--- a/crates/cw_policy/src/quota/quotas.rs
+++ b/crates/cw_policy/src/quota/quotas.rs
@@ -77,6 +77,11 @@
         self.others.retain(|host| entries.contains(host));
     }
 
+    /// Sets how old a message may be that counts: at least its whole way, with one loss.
+    pub fn set_stale(&mut self, stale: Duration) {
+        self.settings.stale = stale;
+    }
+
     /// Admits a request with a prompt of `tokens`, or refuses it.
     pub fn admit(
         &mut self,
@@ -164,11 +169,11 @@
 
     fn usage(&mut self, now: Time, workspace: &WorkspaceId, quota: &Quota) -> &mut Usage {
         let equal = 1.0 / self.entries as f64;
-        let floor = self.settings.floor * equal;
+        let settings = &self.settings;
         let usage = self
             .usages
             .entry(workspace.clone())
-            .or_insert_with(|| Usage::new(now, quota, floor));
+            .or_insert_with(|| Usage::new(now, quota, equal, settings));
         if usage.quota != *quota {
             usage.quota = quota.clone();
         }
--- a/crates/cw_policy/src/quota/settings.rs
+++ b/crates/cw_policy/src/quota/settings.rs
@@ -20,7 +20,7 @@
 impl Default for QuotaSettings {
     fn default() -> Self {
         Self {
-            stale: Duration::from_secs(1),
+            stale: Duration::from_secs(2),
             growth: 0.5,
             floor: 0.1,
             burst: Duration::from_secs(1),
--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -20,7 +20,6 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::TokenCount;
-use cw_types::WorkspaceId;
 use cw_types::ZoneId;
 use cw_wire::Generate;
 use cw_wire::Prompt;
@@ -43,7 +42,6 @@
 pub(crate) struct Router {
     zone: ZoneId,
     region: RegionId,
-    nobody: WorkspaceId,
     policy: Policy,
     ledger: Mutex<Ledger>,
     indexed: ArcSwapOption<Indexed>,
@@ -55,7 +53,6 @@
         Self {
             zone,
             region,
-            nobody: "-".parse().expect("a dash is a name"),
             policy,
             ledger: Mutex::default(),
             indexed: ArcSwapOption::empty(),
@@ -101,17 +98,10 @@
     }
 
     /// Returns whether some target that can run `to` does not ask for patience, or none is left to
-    /// wait for.
-    pub(crate) fn has_room(&self, now: Time, view: &Arc<View>, to: &RouteTarget) -> bool {
-        let request = RouteRequest::new(
-            to.clone(),
-            // Only the prompt's place in the cache depends on the workspace.
-            self.nobody.clone(),
-            self.zone.clone(),
-            self.region.clone(),
-        );
-        let choice = self.choose(now, view, &request, &BTreeSet::new());
-        !matches!(choice, Choice::Wait { .. })
+    /// Returns about how many more attempts the targets can take now, if there are any targets.
+    pub(crate) fn room(&self, now: Time, view: &Arc<View>, to: &RouteTarget) -> Option<usize> {
+        let indexed = self.indexed(now, view);
+        indexed.index.room(now, to, &self.ledger())
     }
 
     /// Records that an attempt was sent to `target`.
