Serve ports that carry tokens with an accept loop that sets TCP_NODELAY

Cause: the first token came up to 46 ms late: the second small write on a connection (tokens after Accepted, the first event after the head) waits for a delayed acknowledgement, since dropshot never sets TCP_NODELAY and gives no access to its sockets. Change: callers' and agents' ports are served by hyper-util; dropshot keeps the operators' ports. The loop also bounds connections and the time that a head or a body may take.

--- a/crates/cyclamenwharf/src/agent/agent_handle.rs
+++ b/crates/cyclamenwharf/src/agent/agent_handle.rs
@@ -23,7 +23,7 @@
 use super::host_watch;
 use super::metrics::Metrics;
 use super::monitor;
-use super::peer_api;
+use super::peer_api::PeerApi;
 use super::reporter;
 use super::server;
 use crate::AgentSettings;
@@ -31,11 +31,19 @@
 use crate::EngineSettings;
 use crate::StartError;
 use crate::Supervisor;
+use crate::stream_server::ServerLimits;
+use crate::stream_server::StreamServer;
 
 /// How often the table is told that time has passed.
 const TICK: Duration = Duration::from_millis(20);
 
-type Server = HttpServer<Arc<AgentState>>;
+type AdminServer = HttpServer<Arc<AgentState>>;
+
+/// Entries are few and known, so their connections have no bound of time.
+const PEER_LIMITS: ServerLimits = ServerLimits {
+    connections: 4096,
+    head: None,
+};
 
 /// The agent beside one target.
 #[derive(Debug)]
@@ -48,7 +56,7 @@
     /// Where it listens for operators.
     pub admin: SocketAddr,
     state: Arc<AgentState>,
-    servers: Mutex<Vec<Server>>,
+    servers: Mutex<Option<(StreamServer, AdminServer)>>,
 }
 
 impl std::fmt::Debug for AgentHandle {
@@ -69,11 +77,7 @@
     pub async fn start(settings: AgentSettings) -> Result<AgentHandle, StartError> {
         let list = HttpHostList::new(settings.platform.host_list);
         let state = Arc::new(new_state(settings)?);
-        let peers = server::start(
-            state.settings.listen.peers,
-            describe(peer_api::api())?,
-            &state,
-        )?;
+        let peers = start_peers(&state)?;
         let admin = server::start(
             state.settings.listen.admin,
             describe(admin_api::api())?,
@@ -84,7 +88,7 @@
             peers: peers.local_addr(),
             admin: admin.local_addr(),
             state,
-            servers: Mutex::new(vec![peers, admin]),
+            servers: Mutex::new(Some((peers, admin))),
         })
     }
 }
@@ -96,10 +100,11 @@
         while !self.state.look(|table, _| table.is_drained()) {
             tokio::time::sleep(TICK).await;
         }
-        let servers = std::mem::take(&mut *lock(&self.servers));
-        for server in servers {
+        let servers = lock(&self.servers).take();
+        if let Some((peers, admin)) = servers {
+            peers.close().await;
             // A server that fails to close has nothing left to cut.
-            let _ = server.close().await;
+            let _ = admin.close().await;
         }
         self.state.supervisor.stop();
     }
@@ -108,10 +113,20 @@
     pub fn kill(&self) {
         self.state.supervisor.stop();
         // Servers that are dropped accept nothing more; their streams break with the supervisor.
-        lock(&self.servers).clear();
+        *lock(&self.servers) = None;
     }
 }
 
+fn start_peers(state: &Arc<AgentState>) -> Result<StreamServer, StartError> {
+    let address = state.settings.listen.peers;
+    let handler = Arc::new(PeerApi {
+        state: Arc::clone(state),
+    });
+    StreamServer::start(address, PEER_LIMITS, handler).map_err(|error| StartError {
+        message: format!("{address}: {error}"),
+    })
+}
+
 fn new_state(settings: AgentSettings) -> Result<AgentState, StartError> {
     let table = AttemptTable::new(incarnation(), limits(&settings.engine));
     let metrics = Metrics::new(Registry::new()).map_err(|error| StartError {
--- a/crates/cyclamenwharf/src/agent/peer_api.rs
+++ b/crates/cyclamenwharf/src/agent/peer_api.rs
@@ -13,15 +13,15 @@
 use cw_wire::Order;
 use cw_wire::Reason;
 use cw_wire::Work;
-use dropshot::ApiDescription;
-use dropshot::ApiDescriptionRegisterError;
+use cw_wire::path;
 use dropshot::Body;
-use dropshot::ClientErrorStatusCode;
-use dropshot::HttpError;
-use dropshot::RequestContext;
-use dropshot::UntypedBody;
-use dropshot::endpoint;
+use futures::future::BoxFuture;
+use http::Method;
+use http::Request;
 use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -29,48 +29,74 @@
 use super::frame_stream;
 use super::order_runner;
 use crate::peer_auth;
+use crate::stream_server::Handler;
 
-type Context = RequestContext<Arc<AgentState>>;
-type Answer = Result<Response<Body>, HttpError>;
+/// The largest message from a peer, in bytes.
+const MESSAGE_MAX: usize = 16 << 20;
 
-/// Returns the description of the interface.
-///
-/// # Errors
-///
-/// Fails when two endpoints clash.
-pub(super) fn api() -> Result<ApiDescription<Arc<AgentState>>, ApiDescriptionRegisterError> {
-    let mut api = ApiDescription::new();
-    api.register(attempts)?;
-    api.register(attach)?;
-    api.register(ack)?;
-    api.register(cancel)?;
-    api.register(orders)?;
-    Ok(api)
+/// An answer, or the status of a refusal.
+type Answer = Result<Response<Body>, StatusCode>;
+
+/// Answers other processes of the system.
+pub(super) struct PeerApi {
+    /// The agent.
+    pub(super) state: Arc<AgentState>,
+}
+
+impl Handler for PeerApi {
+    fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
+        // An event is taken in whole even when its sender does not wait for the answer.
+        let work = tokio::spawn(async move { answer(&self.state, request).await });
+        Box::pin(async move {
+            let answer = work.await;
+            answer
+                .unwrap_or(Err(StatusCode::INTERNAL_SERVER_ERROR))
+                .unwrap_or_else(refusal)
+        })
+    }
 }
 
-/// Checks the secret and reads the message.
-fn receive<M: DeserializeOwned>(context: &Context, body: &UntypedBody) -> Result<M, HttpError> {
-    let secrets = &context.context().settings.secrets.peers;
-    if !peer_auth::check(context.request.headers(), secrets) {
-        let status = ClientErrorStatusCode::UNAUTHORIZED;
-        let message = "a valid secret is needed".to_owned();
-        return Err(HttpError::for_client_error(None, status, message));
+fn refusal(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Checks the secret, reads the message and passes it on.
+async fn answer(state: &Arc<AgentState>, request: Request<Body>) -> Answer {
+    let (parts, body) = request.into_parts();
+    if !peer_auth::check(&parts.headers, &state.settings.secrets.peers) {
+        return Err(StatusCode::UNAUTHORIZED);
+    }
+    if parts.method != Method::POST {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
     }
-    cw_wire::decode(body.as_bytes())
-        .map_err(|error| HttpError::for_bad_request(None, error.to_string()))
+    let body = Limited::new(body, MESSAGE_MAX).collect().await;
+    let bytes = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
+    match parts.uri.path() {
+        path::ATTEMPTS => attempts(state, receive(&bytes)?),
+        path::ATTACH => attach(state, &receive(&bytes)?),
+        path::ACK => ack(state, &receive(&bytes)?),
+        path::CANCEL => cancel(state, &receive(&bytes)?),
+        path::ORDERS => orders(state, &receive(&bytes)?).await,
+        _ => Err(StatusCode::NOT_FOUND),
+    }
+}
+
+fn receive<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, StatusCode> {
+    cw_wire::decode(bytes).map_err(|_| StatusCode::BAD_REQUEST)
 }
 
 fn send<M: Serialize>(state: &AgentState, message: &M) -> Answer {
-    let bytes = cw_wire::encode(message)
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
-    respond(state, Body::from(bytes))
+    let bytes = cw_wire::encode(message).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(respond(state, Body::from(bytes)))
 }
 
-fn respond(state: &AgentState, body: Body) -> Answer {
+fn respond(state: &AgentState, body: Body) -> Response<Body> {
     let killed = state.supervisor.token().is_cancelled();
     match killed {
-        true => Ok(Response::new(frame_stream::broken_body())),
-        false => Ok(Response::new(body)),
+        true => Response::new(frame_stream::broken_body()),
+        false => Response::new(body),
     }
 }
 
@@ -78,7 +104,7 @@
     if let AttemptAnswer::Frame(frame) = &answer {
         state.metrics.count(frame);
     }
-    respond(state, frame_stream::body(state, answer))
+    Ok(respond(state, frame_stream::body(state, answer)))
 }
 
 /// Returns whether work is of the target's kind.
@@ -100,10 +126,7 @@
 }
 
 /// Runs an attempt, or attaches to it.
-#[endpoint { method = POST, path = "/peer/v1/attempts" }]
-async fn attempts(context: Context, body: UntypedBody) -> Answer {
-    let dispatch: Dispatch = receive(&context, &body)?;
-    let state = context.context();
+fn attempts(state: &Arc<AgentState>, dispatch: Dispatch) -> Answer {
     let answer = match is_served(state, &dispatch.work) {
         true => state.decide(|table, now| table.on_dispatch(now, dispatch)),
         false => wrong_kind(state),
@@ -111,38 +134,26 @@
     respond_frames(state, answer)
 }
 
-/// Attaches to the newest attempt of a generation.
-#[endpoint { method = POST, path = "/peer/v1/attach" }]
-async fn attach(context: Context, body: UntypedBody) -> Answer {
-    let attach: Attach = receive(&context, &body)?;
-    let state = context.context();
-    let answer = state.decide(|table, now| (table.on_attach(now, &attach), Vec::new()));
+/// Attaches to an attempt of a generation.
+fn attach(state: &Arc<AgentState>, attach: &Attach) -> Answer {
+    let answer = state.decide(|table, now| (table.on_attach(now, attach), Vec::new()));
     respond_frames(state, answer)
 }
 
 /// Forgets output that is safe with the entry.
-#[endpoint { method = POST, path = "/peer/v1/ack" }]
-async fn ack(context: Context, body: UntypedBody) -> Answer {
-    let ack: Ack = receive(&context, &body)?;
-    let state = context.context();
-    state.tell(|table, _| table.on_ack(&ack));
+fn ack(state: &Arc<AgentState>, ack: &Ack) -> Answer {
+    state.tell(|table, _| table.on_ack(ack));
     send(state, &())
 }
 
 /// Ends an attempt.
-#[endpoint { method = POST, path = "/peer/v1/cancel" }]
-async fn cancel(context: Context, body: UntypedBody) -> Answer {
-    let cancel: Cancel = receive(&context, &body)?;
-    let state = context.context();
-    let answer = state.decide(|table, now| table.on_cancel(now, &cancel));
+fn cancel(state: &Arc<AgentState>, cancel: &Cancel) -> Answer {
+    let answer = state.decide(|table, now| table.on_cancel(now, cancel));
     send(state, &answer)
 }
 
 /// Passes an order on to the engine.
-#[endpoint { method = POST, path = "/peer/v1/orders" }]
-async fn orders(context: Context, body: UntypedBody) -> Answer {
-    let order: Order = receive(&context, &body)?;
-    let state = context.context();
-    let answer = order_runner::run(state, &order).await;
+async fn orders(state: &Arc<AgentState>, order: &Order) -> Answer {
+    let answer = order_runner::run(state, order).await;
     send(state, &answer)
 }
--- a/crates/cyclamenwharf/src/entry/api.rs
+++ b/crates/cyclamenwharf/src/entry/api.rs
@@ -2,16 +2,14 @@
 
 use std::sync::Arc;
 
-use dropshot::ApiDescription;
+use cw_types::ErrorKind;
 use dropshot::Body;
-use dropshot::HttpError;
-use dropshot::Path;
-use dropshot::RawRequest;
-use dropshot::RequestContext;
-use dropshot::endpoint;
+use futures::future::BoxFuture;
+use http::Method;
+use http::Request;
 use http::Response;
-use schemars::JsonSchema;
-use serde::Deserialize;
+
+use crate::stream_server::Handler;
 
 use super::calls;
 use super::completion::Form;
@@ -20,93 +18,49 @@
 use super::refusal::Refusal;
 use super::service;
 
-type Context = RequestContext<Arc<Frontend>>;
-type Answer = Result<Response<Body>, HttpError>;
+/// What comes before a service's name in a path.
+const SERVICES: &str = "/v1/services/";
 
-/// The path of a call to a plain service.
-#[derive(Deserialize, JsonSchema)]
-struct ServicePath {
-    /// The name of the route.
-    service: String,
-    /// The path below the service.
-    #[expect(dead_code, reason = "the path is passed on as the caller wrote it")]
-    path: Vec<String>,
+/// Answers callers.
+pub(crate) struct CallerApi {
+    /// What all requests share.
+    pub(crate) front: Arc<Frontend>,
 }
 
-/// Returns the callers' interface.
-pub(crate) fn description() -> ApiDescription<Arc<Frontend>> {
-    let mut api = ApiDescription::new();
-    let registered = [
-        api.register(completions),
-        api.register(chat_completions),
-        api.register(list_models),
-        api.register(service_get),
-        api.register(service_post),
-        api.register(service_put),
-        api.register(service_patch),
-        api.register(service_delete),
-    ];
-    for result in registered {
-        result.expect("the paths of the interface do not overlap");
+impl Handler for CallerApi {
+    fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
+        Box::pin(async move {
+            let answer = route(&self.front, request).await;
+            answer.unwrap_or_else(Refusal::into_response)
+        })
     }
-    api
-}
-
-fn answer(result: Result<Response<Body>, Refusal>) -> Answer {
-    Ok(result.unwrap_or_else(Refusal::into_response))
-}
-
-/// Continues a text.
-#[endpoint { method = POST, path = "/v1/completions" }]
-async fn completions(context: Context, request: RawRequest) -> Answer {
-    let request = request.into_inner();
-    answer(calls::generate(context.context(), request, Form::Text).await)
 }
 
-/// Continues a chat.
-#[endpoint { method = POST, path = "/v1/chat/completions" }]
-async fn chat_completions(context: Context, request: RawRequest) -> Answer {
-    let request = request.into_inner();
-    answer(calls::generate(context.context(), request, Form::Chat).await)
-}
-
-/// Lists the models that the caller may use.
-#[endpoint { method = GET, path = "/v1/models" }]
-async fn list_models(context: Context) -> Answer {
-    answer(models::list(context.context(), context.request.headers()))
-}
-
-async fn call_service(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    let service = path.into_inner().service;
-    answer(service::call(context.context(), &service, request.into_inner()).await)
-}
-
-/// Calls a plain service.
-#[endpoint { method = GET, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
-async fn service_get(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    call_service(context, path, request).await
-}
-
-/// Calls a plain service.
-#[endpoint { method = POST, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
-async fn service_post(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    call_service(context, path, request).await
-}
-
-/// Calls a plain service.
-#[endpoint { method = PUT, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
-async fn service_put(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    call_service(context, path, request).await
-}
-
-/// Calls a plain service.
-#[endpoint { method = PATCH, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
-async fn service_patch(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    call_service(context, path, request).await
+async fn route(front: &Arc<Frontend>, request: Request<Body>) -> Result<Response<Body>, Refusal> {
+    let path = request.uri().path().to_owned();
+    let expected = match path.as_str() {
+        "/v1/completions" | "/v1/chat/completions" => Method::POST,
+        "/v1/models" => Method::GET,
+        _ => request.method().clone(),
+    };
+    if *request.method() != expected {
+        let detail = format!("{path} is called with {expected}");
+        return Err(Refusal::bad_request(detail));
+    }
+    match path.as_str() {
+        "/v1/completions" => calls::generate(front, request, Form::Text).await,
+        "/v1/chat/completions" => calls::generate(front, request, Form::Chat).await,
+        "/v1/models" => models::list(front, request.headers()),
+        path => match service_of(path) {
+            Some(name) => service::call(front, name, request).await,
+            None => Err(Refusal::new(ErrorKind::UnknownModel)),
+        },
+    }
 }
 
-/// Calls a plain service.
-#[endpoint { method = DELETE, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
-async fn service_delete(context: Context, path: Path<ServicePath>, request: RawRequest) -> Answer {
-    call_service(context, path, request).await
+/// Returns the name of the service that a path is below.
+fn service_of(path: &str) -> Option<&str> {
+    let rest = path.strip_prefix(SERVICES)?;
+    let name = rest.split('/').next()?;
+    (!name.is_empty()).then_some(name)
 }
--- a/crates/cyclamenwharf/src/entry/calls.rs
+++ b/crates/cyclamenwharf/src/entry/calls.rs
@@ -91,10 +91,14 @@
 ///
 /// # Errors
 ///
-/// Refuses a body that is too large or that breaks off.
+/// Refuses a body that is too large, takes too long or breaks off.
 pub(crate) async fn read_body(front: &Frontend, body: Body) -> Result<Bytes, Refusal> {
     let limit = front.settings.limits.body.as_usize();
-    match Limited::new(body, limit).collect().await {
+    let read = Limited::new(body, limit).collect();
+    let Ok(read) = tokio::time::timeout(front.settings.limits.request, read).await else {
+        return Err(Refusal::bad_request("the body took too long"));
+    };
+    match read {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Refusal::new(ErrorKind::TooLarge)),
         Err(error) => Err(Refusal::bad_request(error)),
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -8,10 +8,6 @@
 
 use cw_store::EtcdGateway;
 use cw_store::KeyValue;
-use dropshot::ConfigDropshot;
-use dropshot::HandlerTaskMode;
-use dropshot::HttpServer;
-use dropshot::ServerBuilder;
 use prometheus::Registry;
 use tokio::runtime::Runtime;
 use tokio_util::task::TaskTracker;
@@ -28,8 +24,10 @@
 use crate::StartError;
 use crate::Supervisor;
 use crate::TraceBook;
+use crate::stream_server::ServerLimits;
+use crate::stream_server::StreamServer;
 
-use super::api;
+use super::api::CallerApi;
 use super::claims::Claims;
 use super::frontend::Frontend;
 use super::key_book::KeyBook;
@@ -75,7 +73,7 @@
     pub admin: SocketAddr,
     supervisor: Supervisor,
     front: Arc<Frontend>,
-    server: Mutex<Option<HttpServer<Arc<Frontend>>>>,
+    server: Mutex<Option<StreamServer>>,
     traffic: Mutex<Option<Runtime>>,
 }
 
@@ -164,19 +162,17 @@
         traces: parts.traces,
         settings: parts.settings,
     });
-    let config = ConfigDropshot {
-        bind_address: front.settings.listen.callers,
-        default_request_body_max_bytes: front.settings.limits.body.as_usize(),
-        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-        ..ConfigDropshot::default()
-    };
-    let log = slog::Logger::root(slog::Discard, slog::o!());
     let server = {
         let _inside = traffic.enter();
-        ServerBuilder::new(api::description(), Arc::clone(&front), log)
-            .config(config)
-            .start()
-            .map_err(start_error)?
+        let limits = ServerLimits {
+            connections: front.settings.limits.connections as usize,
+            head: Some(front.settings.limits.request),
+        };
+        let api = CallerApi {
+            front: Arc::clone(&front),
+        };
+        let address = front.settings.listen.callers;
+        StreamServer::start(address, limits, Arc::new(api)).map_err(start_error)?
     };
     traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
@@ -220,7 +216,7 @@
         let server = take(&self.server);
         if let Some(server) = server {
             // The server closes when the last answer has been written out.
-            let _ = server.close().await;
+            server.close().await;
         }
     }
 
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod slo_metrics;
 mod start_error;
+mod stream_server;
 mod supervisor;
 mod trace_book;
 
--- a/crates/cyclamenwharf/src/settings/entry_settings.rs
+++ b/crates/cyclamenwharf/src/settings/entry_settings.rs
@@ -75,6 +75,12 @@
 pub struct LimitSettings {
     /// The largest body.
     pub body: ByteSize,
+    /// The most connections of callers at once; others wait to be accepted.
+    pub connections: u32,
+    /// How long the head of a request may take, how long its body may take, and how long a
+    /// connection may be idle.
+    #[serde_as(as = "Span")]
+    pub request: Duration,
     /// The most requests that wait for a target.
     pub queue: u32,
     /// The most bytes of requests that wait for a target.
@@ -88,6 +94,8 @@
     fn default() -> Self {
         Self {
             body: ByteSize::mib(4),
+            connections: 16_384,
+            request: Duration::from_secs(60),
             queue: 1024,
             queue_bytes: ByteSize::mib(64),
             absence: Duration::from_secs(30),
