Do not accept on top of another history

An entry whose history differs from the service's accepted on the service's, as its revision was not lower. It refuses while the alarm says so.

--- a/crates/cyclamenwharf/src/control/admin/desk.rs
+++ b/crates/cyclamenwharf/src/control/admin/desk.rs
@@ -7,6 +7,7 @@
 
 use cw_policy::configuration::AcceptFlow;
 use cw_policy::configuration::Acceptance;
+use cw_policy::configuration::Alarm;
 use cw_policy::configuration::Breakage;
 use cw_policy::configuration::Edit;
 use cw_policy::configuration::Fault;
@@ -204,6 +205,9 @@
         id: &ChangeId,
     ) -> Result<Change, ErrorMessage> {
         let inspection = self.inspect().await?;
+        if let Some(alarm @ Alarm::Diverged { .. }) = inspection.in_force.alarm() {
+            return Err(ErrorMessage::new(AdminErrorKind::Reverted, alarm));
+        }
         let mut flow = AcceptFlow::new();
         let mut step = FlowStep::Read;
         let (mut proposal, mut snapshot) = (None, None);
--- a/crates/cyclamenwharf/tests/control/operators.rs
+++ b/crates/cyclamenwharf/tests/control/operators.rs
@@ -343,3 +343,35 @@
         assert!(refused.message.contains(host), "{}", refused.message);
     }
 }
+
+#[tokio::test]
+async fn entry_does_not_accept_on_top_of_another_history() {
+    let (platform, a, _b) = two().await;
+    let operator = Operator::first(a.control.admin);
+    let proposed = operator.propose("ours", vec![priority("p", 1)]).await;
+    proposed.expect("a proposal");
+    operator.accept("ours").await.expect("an acceptance");
+    until("ours is in force", || a.revision() == Revision(2)).await;
+    let mut other = snapshot(3);
+    for (id, revision) in [("theirs-2", 2), ("theirs-3", 3)] {
+        other.changes.push(cw_types::Change {
+            id: id.parse().expect("a valid name"),
+            revision: Revision(revision),
+            proposer: "x".parse().expect("a valid name"),
+            accepter: "y".parse().expect("a valid name"),
+            touched: Vec::new(),
+            accepted_at: 0,
+        });
+    }
+    platform.write(&other);
+    while operator.status().await.alarm.is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let proposed = operator.propose("next", vec![priority("q", 1)]).await;
+    proposed.expect("a proposal");
+
+    let refused = operator.accept("next").await.expect_err("a refusal");
+
+    assert_eq!(refused.kind, AdminErrorKind::Reverted);
+    assert_eq!(a.revision(), Revision(2));
+}
