--- a/crates/cyclamenwharf/src/entry/attempts.rs
+++ b/crates/cyclamenwharf/src/entry/attempts.rs
@@ -12,6 +12,7 @@
 use cw_types::Time;
 use cw_wire::Failure;
 use cw_wire::Frame;
+use cw_wire::Reason;
 use cw_wire::Stamp;
 
 use super::frontend::Frontend;
@@ -119,8 +120,13 @@
                     router.accepted(&sent.target, &self.request, *cached);
                 }
             }
+            // The agent may have forgotten it; whether it was run is asked for by its id.
+            Frame::NotRun {
+                reason: Reason::Unknown,
+                ..
+            } => {}
             Frame::NotRun { retry, .. } => {
-                let Some(sent) = self.sent.get(&attempt).cloned() else {
+                let Some(sent) = self.sent.remove(&attempt) else {
                     return;
                 };
                 self.front.router.refused(now, &sent.target, *retry);
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -174,12 +174,13 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let server = {
         let _inside = traffic.enter();
+        let tended = Arc::clone(&front);
+        supervisor.keep("upkeep", move || upkeep::run(Arc::clone(&tended)));
         ServerBuilder::new(api::description(), Arc::clone(&front), log)
             .config(config)
             .start()
             .map_err(start_error)?
     };
-    traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
