--- a/crates/cw_policy/src/quota/usage.rs
+++ b/crates/cw_policy/src/quota/usage.rs
@@ -44,16 +44,18 @@
 }
 
 impl Usage {
-    pub(super) fn new(now: Time, quota: &Quota, equal: f64) -> Self {
+    /// Returns the usage of a workspace that is new here: an equal share is saved up for it.
+    pub(super) fn new(now: Time, quota: &Quota, equal: f64, settings: &QuotaSettings) -> Self {
+        let saved = equal * settings.burst.as_secs_f64();
         Self {
             quota: quota.clone(),
             concurrent: 0,
-            requests: Bucket::new(now, (quota.requests.0 * equal).max(1.0)),
-            tokens: Bucket::new(now, quota.tokens.0 * equal),
+            requests: Bucket::new(now, (quota.requests.0 * saved).max(1.0)),
+            tokens: Bucket::new(now, quota.tokens.0 * saved),
             wanted_concurrent: Meter::default(),
             wanted_requests: Meter::default(),
             wanted_tokens: Meter::default(),
-            stated: equal,
+            stated: equal * settings.floor,
             stated_at: now,
         }
     }
--- a/crates/cw_policy/tests/routing/filters.rs
+++ b/crates/cw_policy/tests/routing/filters.rs
@@ -114,3 +114,30 @@
     assert_eq!(at_once, Choice::Wait { until });
     assert_eq!(later, Choice::Target(id(0)));
 }
+
+#[test]
+fn room_is_what_open_targets_have_free_and_never_nothing_while_one_is_open() {
+    let mut view = view(3);
+    for (number, running) in [(0, 10), (1, 16), (2, 20)] {
+        view.targets.get_mut(&id(number)).unwrap().load.running = running;
+    }
+    let index = Index::new(&view);
+    let mut ledger = Ledger::default();
+    let to = request("w").to;
+    let unknown = RouteTarget::Service {
+        service: "loans".to_owned(),
+    };
+    let retry = Duration::from_millis(200);
+    let room = |ledger: &Ledger, at| index.room(at, &to, ledger).unwrap();
+    let before = room(&ledger, now());
+    ledger.refused(now(), &id(0), retry);
+    let full = room(&ledger, now());
+    ledger.refused(now(), &id(1), retry);
+    ledger.refused(now(), &id(2), retry);
+    let closed = room(&ledger, now());
+
+    // The report of 6 free places is some 100 ms old and counts for nearly all of it.
+    assert!((4..=6).contains(&before), "{before}");
+    assert_eq!((full, closed), (1, 0));
+    assert_eq!(index.room(now(), &unknown, &ledger), None);
+}
