--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -164,6 +164,8 @@
     });
     let server = {
         let _inside = traffic.enter();
+        let tended = Arc::clone(&front);
+        supervisor.keep("upkeep", move || upkeep::run(Arc::clone(&tended)));
         let limits = ServerLimits {
             connections: front.settings.limits.connections as usize,
             head: Some(front.settings.limits.request),
@@ -174,7 +176,6 @@
         let address = front.settings.listen.callers;
         StreamServer::start(address, limits, Arc::new(api)).map_err(start_error)?
     };
-    traffic.spawn(upkeep::run(Arc::clone(&front)));
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
