Test a rolling restart of every process under load

The test fails at this state: at the first restart of an agent a request is answered 504 expired, although other targets are free. Cause: its stamp is of the agent's earlier life, the new life answers NotRun{Expired}, and the entry takes that for the end of the request's patience instead of trying the next target.

--- a/crates/cyclamenwharf/tests/control/main.rs
+++ b/crates/cyclamenwharf/tests/control/main.rs
@@ -5,4 +5,5 @@
 mod openapi;
 mod operators;
 mod rig;
+mod rolling_restart;
 mod version_change;
