Answer an attempt with an earlier life's stamp as unknown, not as expired

Cause: a request whose entry had not heard yet that an agent was started anew was answered 504 expired although other targets were free: NotRun{Expired} ends the request, since it says that its patience is over. Change: NotRun{Unknown}, on which the entry tries the next target.

--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -187,7 +187,7 @@
     fn stale(&self, now: Time, dispatch: &Dispatch) -> AttemptAnswer {
         if !dispatch.repeat {
             // It was never sent before, so this is the only time that it could have run.
-            return self.refuse(now, Reason::Expired);
+            return self.refuse(now, Reason::Unknown);
         }
         AttemptAnswer::Frame(Box::new(Frame::Failed {
             failure: Failure::TargetLost,
