--- a/crates/cw_testkit/src/experiment/load.rs
+++ b/crates/cw_testkit/src/experiment/load.rs
@@ -68,6 +68,11 @@
 impl Demand {
     /// Sends the requests and returns what became of them.
     pub(super) async fn run(&self, rig: &Rig) -> LoadRow {
+        self.run_streams(rig).await.0
+    }
+
+    /// Sends the requests and returns what became of them, all together and one by one.
+    pub(super) async fn run_streams(&self, rig: &Rig) -> (LoadRow, Vec<Stream>) {
         let mut random = StdRng::seed_from_u64(self.seed);
         let before = Work::of(&rig.engines);
         let known = requests(&rig.engines);
@@ -85,7 +90,7 @@
         super::work::wait_idle(&rig.engines).await;
         let work = Work::of(&rig.engines).since(before);
         let run = ran(&rig.engines, &known);
-        self.row(&streams, work, &run)
+        (self.row(&streams, work, &run), streams)
     }
 
     /// Draws one request: few documents are asked for often, many seldom.
--- a/crates/cw_testkit/src/experiment/report.rs
+++ b/crates/cw_testkit/src/experiment/report.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 use snafu::Snafu;
@@ -31,7 +32,7 @@
 }
 
 /// What an experiment found.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Report {
     /// The experiment.
     pub experiment: String,
@@ -72,4 +73,14 @@
         let text = serde_json::to_string_pretty(self).map_err(ExperimentError::new)?;
         std::fs::write(file, text + "\n").map_err(ExperimentError::new)
     }
+
+    /// Reads a report from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or is no report.
+    pub fn read(file: &Path) -> Result<Self, ExperimentError> {
+        let bytes = std::fs::read(file).map_err(ExperimentError::new)?;
+        serde_json::from_slice(&bytes).map_err(ExperimentError::new)
+    }
 }
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -80,8 +80,50 @@
         .subcommand(
             Command::new("overload")
                 .about("Offers up to twice of what the engines can serve")
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("zone-loss")
+                .about("Loses an availability zone under load")
                 .arg(json),
         )
+        .subcommand(all_command())
+        .subcommand(tables_command())
+}
+
+fn all_command() -> Command {
+    let directory = Arg::new("dir")
+        .long("dir")
+        .value_name("DIR")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The directory for the reports");
+    Command::new("all")
+        .about("Runs all experiments and writes their tables")
+        .arg(directory)
+        .arg(page())
+}
+
+fn tables_command() -> Command {
+    let reports = Arg::new("reports")
+        .value_name("FILE")
+        .num_args(1..)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The reports");
+    Command::new("tables")
+        .about("Writes the tables of reports that exist")
+        .arg(reports)
+        .arg(page())
+}
+
+fn page() -> Arg {
+    Arg::new("page")
+        .long("page")
+        .value_name("FILE")
+        .default_value("docs/MEASUREMENTS.md")
+        .value_parser(value_parser!(PathBuf))
+        .help("The page for the tables")
 }
 
 fn main() -> ExitCode {
@@ -156,12 +198,53 @@
 
 async fn measure(args: &ArgMatches) -> Result<(), String> {
     let (name, args) = args.subcommand().expect("clap requires it");
+    match name {
+        "all" => return measure_all(args).await,
+        "tables" => return write_tables(args),
+        _ => {}
+    }
     let file: &PathBuf = args.get_one("json").expect("clap requires it");
     let rounds = args.try_get_one("rounds").ok().flatten();
     let report = run(name, rounds.copied().unwrap_or_default()).await?;
     report.write(file).map_err(|e| e.to_string())
 }
 
+/// The experiments that `all` runs.
+const ALL: [&str; 6] = [
+    "engine-death",
+    "faults",
+    "overhead",
+    "routing",
+    "overload",
+    "zone-loss",
+];
+
+/// How often `all` causes each fault.
+const ALL_ROUNDS: usize = 6;
+
+async fn measure_all(args: &ArgMatches) -> Result<(), String> {
+    let directory: &PathBuf = args.get_one("dir").expect("clap requires it");
+    let page: &PathBuf = args.get_one("page").expect("it has a default");
+    std::fs::create_dir_all(directory).map_err(|e| e.to_string())?;
+    for name in ALL {
+        let report = run(name, ALL_ROUNDS).await?;
+        let file = directory.join(format!("{name}.json"));
+        report.write(&file).map_err(|e| e.to_string())?;
+        experiment::write_table(page, &report).map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
+fn write_tables(args: &ArgMatches) -> Result<(), String> {
+    let page: &PathBuf = args.get_one("page").expect("it has a default");
+    let files = args.get_many::<PathBuf>("reports").into_iter().flatten();
+    for file in files {
+        let report = Report::read(file).map_err(|e| e.to_string())?;
+        experiment::write_table(page, &report).map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
 async fn run(name: &str, rounds: usize) -> Result<Report, String> {
     match name {
         "engine-death" => experiment::engine_death(rounds).await,
@@ -169,6 +252,7 @@
         "overhead" => experiment::overhead().await,
         "routing" => experiment::routing().await,
         "overload" => experiment::overload().await,
+        "zone-loss" => experiment::zone_loss().await,
         _ => return Err(format!("unknown experiment {name}")),
     }
     .map_err(|error| error.to_string())
--- a/crates/cw_testkit/tests/experiment.rs
+++ b/crates/cw_testkit/tests/experiment.rs
@@ -8,8 +8,10 @@
 use cw_testkit::Event;
 use cw_testkit::MODEL;
 use cw_testkit::VERSION;
+use cw_testkit::experiment::Report;
 use cw_testkit::experiment::Summary;
 use cw_testkit::experiment::Tally;
+use cw_testkit::experiment::write_table;
 use cw_types::TokenId;
 use rstest::rstest;
 use serde_json::json;
@@ -89,3 +91,23 @@
     assert_eq!(answer.target_at(at(25)), Some("a"));
     assert_eq!(resumed, Some(Duration::from_millis(506)));
 }
+
+#[test]
+fn a_table_takes_the_place_of_the_one_before() {
+    let directory = tempfile::tempdir().expect("a directory can be made");
+    let page = directory.path().join("page.md");
+    std::fs::write(&page, "# Figures\n\nWords before.\n").expect("it can be written");
+    let report = |rate: f64| {
+        let mut report = Report::new("routing", json!({}));
+        report.rows = vec![json!({ "policy": "affinity", "load": { "prefix_hit_rate": rate } })];
+        report
+    };
+
+    write_table(&page, &report(0.25)).expect("it can be written");
+    write_table(&page, &report(0.75)).expect("it can be written");
+
+    let text = std::fs::read_to_string(&page).expect("it can be read");
+    assert!(text.starts_with("# Figures\n\nWords before.\n"));
+    assert!(text.contains("| policy | prefix hits |\n|---|---|\n| affinity | 0.7500 |"));
+    assert!(!text.contains("0.2500"));
+}
