Find the engines' capacity while demand lasts, and give callers a deadline

Cause: the capacity counted answers that came after demand had ended, so what was called half of it was about all; and callers waited 10 s for first tokens of which only those within 1.5 s count, so nothing was refused in time. Change: only answers between 3 and 10 s count, and the route's patience in this experiment is the 1.5 s of the target.

--- a/crates/cw_testkit/src/deployment/records.rs
+++ b/crates/cw_testkit/src/deployment/records.rs
@@ -33,8 +33,6 @@
 const PRIORITY: &str = "normal";
 /// The priority above it.
 const PRIORITY_HIGH: &str = "high";
-/// How long a request may wait before its first token.
-const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Returns the API key of a workspace.
 pub fn api_key(workspace: usize) -> String {
@@ -47,13 +45,21 @@
         record(RecordKind::Priority, PRIORITY, &Priority { rank: 1 }),
         record(RecordKind::Priority, PRIORITY_HIGH, &Priority { rank: 2 }),
         record(RecordKind::ModelVersion, "settlement-v1", &version(spec)),
-        record(RecordKind::Route, ROUTE_LATENCY, &model(Recovery::Latency)),
-        record(RecordKind::Route, ROUTE_THRIFT, &model(Recovery::Thrift)),
-        record(RecordKind::Route, SERVICE, &service(SERVICE, true)),
+        record(
+            RecordKind::Route,
+            ROUTE_LATENCY,
+            &model(spec, Recovery::Latency),
+        ),
+        record(
+            RecordKind::Route,
+            ROUTE_THRIFT,
+            &model(spec, Recovery::Thrift),
+        ),
+        record(RecordKind::Route, SERVICE, &service(spec, SERVICE, true)),
         record(
             RecordKind::Route,
             SERVICE_ONCE,
-            &service(SERVICE_ONCE, false),
+            &service(spec, SERVICE_ONCE, false),
         ),
     ];
     for number in 0..spec.workspaces {
@@ -89,30 +95,30 @@
     }
 }
 
-fn model(recovery: Recovery) -> Route {
+fn model(spec: &RigSpec, recovery: Recovery) -> Route {
     let to = RouteTarget::Model {
         model: MODEL.parse().expect("a valid name"),
         version: VERSION.parse().expect("a valid name"),
         adapter: None,
     };
-    route(to, recovery, true)
+    route(spec, to, recovery, true)
 }
 
-fn service(name: &str, idempotent: bool) -> Route {
+fn service(spec: &RigSpec, name: &str, idempotent: bool) -> Route {
     let to = RouteTarget::Service {
         service: name.to_owned(),
     };
-    route(to, Recovery::Latency, idempotent)
+    route(spec, to, Recovery::Latency, idempotent)
 }
 
-fn route(to: RouteTarget, recovery: Recovery, idempotent: bool) -> Route {
+fn route(spec: &RigSpec, to: RouteTarget, recovery: Recovery, idempotent: bool) -> Route {
     Route {
         to,
         workspaces: BTreeSet::new(),
         priority: PRIORITY.parse().expect("a valid name"),
         recovery,
         idempotent,
-        patience: PATIENCE,
+        patience: spec.patience,
     }
 }
 
--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -1,5 +1,7 @@
 //! How large a deployment is.
 
+use std::time::Duration;
+
 use cw_policy::routing::Policy;
 use cw_types::Quota;
 use cw_types::Rate;
@@ -39,6 +41,8 @@
     pub workspaces: usize,
     /// The quota of each.
     pub quota: Quota,
+    /// How long a request may wait before its first token.
+    pub patience: Duration,
     /// How fast engines are.
     pub timings: EngineTimings,
     /// The agents' limits.
@@ -68,6 +72,7 @@
                 requests: Rate(1e6),
                 tokens: Rate(1e9),
             },
+            patience: Duration::from_secs(10),
             timings: EngineTimings::default(),
             agent: EngineSettings::default(),
             limits: LimitSettings::default(),
--- a/crates/cw_testkit/src/experiment/drive.rs
+++ b/crates/cw_testkit/src/experiment/drive.rs
@@ -21,6 +21,8 @@
     pub(super) ask: Ask,
     /// When it was sent.
     pub(super) sent: Instant,
+    /// When its outcome was known.
+    pub(super) ended: Instant,
     /// What became of it.
     pub(super) outcome: Result<Answer, CallError>,
 }
@@ -41,6 +43,7 @@
                 key: caller.key,
                 ask,
                 sent,
+                ended: Instant::now(),
                 outcome,
             }
         });
--- a/crates/cw_testkit/src/experiment/load.rs
+++ b/crates/cw_testkit/src/experiment/load.rs
@@ -131,13 +131,6 @@
     }
 }
 
-impl LoadRow {
-    /// Returns how many answers came whole in a second.
-    pub(super) fn whole_per_s(&self, span: Duration) -> f64 {
-        self.tally.whole as f64 / span.as_secs_f64()
-    }
-}
-
 /// Returns whether a whole answer came, its first token in time.
 fn is_good(stream: &Stream) -> bool {
     let whole = stream.outcome.as_ref().is_ok_and(Answer::is_whole);
--- a/crates/cw_testkit/src/experiment/overload.rs
+++ b/crates/cw_testkit/src/experiment/overload.rs
@@ -1,18 +1,22 @@
 //! More demand than the engines can serve.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cw_macro::data;
 use cw_policy::routing::Policy;
 use cw_types::ByteSize;
 use serde_json::json;
 
+use crate::Answer;
 use crate::Rig;
 use crate::RigSpec;
 
 use super::ExperimentError;
 use super::Report;
+use super::drive::Stream;
 use super::load::Demand;
+use super::load::FIRST_TOKEN;
 use super::load::LoadRow;
 use super::routing::demand;
 use super::routing::spec;
@@ -21,6 +25,8 @@
 const SATURATION: f64 = 1200.0;
 /// How long requests come.
 const SPAN: Duration = Duration::from_secs(10);
+/// How long the engines fill before their answers are counted.
+const WARM_UP: Duration = Duration::from_secs(3);
 /// More than ever wait or run.
 const UNLIMITED: u32 = 1_000_000;
 
@@ -75,9 +81,18 @@
 
 /// Finds how many requests a second the engines answer when they are full.
 async fn capacity() -> Result<f64, ExperimentError> {
-    let demand = demand(SATURATION, SPAN);
-    let row = run(Policy::Affinity, Admission::Adaptive, &demand).await?;
-    Ok(row.whole_per_s(SPAN))
+    let rig = Rig::start(spec(Policy::Affinity)).await;
+    let rig = rig.map_err(ExperimentError::new)?;
+    let start = Instant::now();
+    let (_, streams) = demand(SATURATION, SPAN).run_streams(&rig).await;
+    rig.stop().await;
+    let counted = (start + WARM_UP)..(start + SPAN);
+    let is_whole = |stream: &&Stream| stream.outcome.as_ref().is_ok_and(Answer::is_whole);
+    let whole = streams.iter().filter(is_whole);
+    let count = whole
+        .filter(|stream| counted.contains(&stream.ended))
+        .count();
+    Ok(count as f64 / (SPAN - WARM_UP).as_secs_f64())
 }
 
 async fn run(
@@ -85,10 +100,11 @@
     admission: Admission,
     demand: &Demand,
 ) -> Result<LoadRow, ExperimentError> {
-    let spec = match admission {
-        Admission::Adaptive => spec(policy),
-        Admission::None => without_admission(spec(policy)),
-    };
+    let mut spec = spec(policy);
+    spec.patience = FIRST_TOKEN;
+    if admission == Admission::None {
+        spec = without_admission(spec);
+    }
     let rig = Rig::start(spec).await.map_err(ExperimentError::new)?;
     let row = demand.run(&rig).await;
     rig.stop().await;
