Measure capacity and the time to force by the developers' tool

Cause: the slopes for the capacity page came from an example, a benchmark and a test, each with its own form; the page needs one command that shows every fit's residual. Conclusion: one command measures what docs/CAPACITY.md works with.

--- a/crates/cyclamenwharf/examples/control_cost/calls.rs
+++ b/crates/cw_testkit/src/experiment/capacity/calls.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::HostList;
+use crate::KeyValue;
+use crate::WeightStore;
 use cw_store::Host;
 use cw_store::HostRole;
 use cw_store::HostState;
-use cw_testkit::HostList;
-use cw_testkit::KeyValue;
-use cw_testkit::WeightStore;
 use cw_types::ByteSize;
 use cw_types::Snapshot;
 use cyclamenwharf::Clock;
@@ -35,9 +35,9 @@
 const ZONES: usize = 6;
 
 /// Entries' control states around stand-ins of the platform.
-pub(crate) struct Place {
-    pub(crate) controls: Vec<Control>,
-    pub(crate) key_value: KeyValue,
+pub(super) struct Place {
+    pub(super) controls: Vec<Control>,
+    pub(super) key_value: KeyValue,
     supervisor: Supervisor,
     _host_list: HostList,
     _weight_store: WeightStore,
@@ -45,7 +45,7 @@
 
 /// Calls at one number of entries.
 #[derive(Debug, Serialize)]
-pub(crate) struct CallCount {
+pub(super) struct CallCount {
     processes: usize,
     calls_per_second: f64,
     /// Calls a second by path.
@@ -54,7 +54,7 @@
 }
 
 /// Runs the control states of `processes` entries and counts their calls.
-pub(crate) async fn measure(processes: usize) -> CallCount {
+pub(super) async fn measure(processes: usize) -> CallCount {
     let place = Place::start(processes).await;
     tokio::time::sleep(SETTLING).await;
     let before = place.key_value.calls();
@@ -72,12 +72,19 @@
     }
 }
 
+impl CallCount {
+    /// Returns the calls a second of all entries together.
+    pub(super) fn calls_per_second(&self) -> f64 {
+        self.calls_per_second
+    }
+}
+
 impl Place {
     /// The secret of all processes.
-    pub(crate) const SECRET: &str = "0123456789abcdef0123456789abcdef";
+    pub(super) const SECRET: &str = "0123456789abcdef0123456789abcdef";
 
     /// Starts so many entries' control states.
-    pub(crate) async fn start(count: usize) -> Self {
+    pub(super) async fn start(count: usize) -> Self {
         let key_value = KeyValue::start().await.expect("a port");
         let host_list = HostList::start().await.expect("a port");
         let weights = [].into();
--- a/crates/cw_policy/benches/choice/main.rs
+++ b/crates/cw_testkit/src/experiment/capacity/choice.rs
@@ -1,6 +1,4 @@
-//! The cost of choosing a target, by the number of targets, as JSON on standard output.
-//!
-//! Run with `cargo bench -p cw_policy --bench choice`.
+//! The cost of choosing a target, by the number of targets.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,13 +26,17 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde_json::json;
 
-const SIZES: [usize; 5] = [40, 165, 330, 660, 1320];
+use super::TARGETS;
+use super::line::Line;
+
+/// The workspaces that ask.
 const WORKSPACES: usize = 420;
 /// Decisions between two reports, 250 ms apart, at 2300 a second.
 const DECISIONS: usize = 575;
+/// How often all decisions are made.
 const REPEATS: usize = 40;
+/// The moment of the first decision.
 const NOW: Time = Time(1_000_000_000);
 
 fn name<T: std::str::FromStr>(text: String) -> T
@@ -144,42 +146,17 @@
     }
 }
 
-/// Fits a line by least squares: intercept, slope and root of the mean squared residual.
-fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
-    let count = points.len() as f64;
-    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
-    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
-    let covariance: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
-    let variance: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
-    let slope = covariance / variance;
-    let intercept = mean_y - slope * mean_x;
-    let square = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).powi(2);
-    let residual = (points.iter().map(square).sum::<f64>() / count).sqrt();
-    (intercept, slope, residual)
-}
-
-fn line(points: &[(f64, f64)]) -> serde_json::Value {
-    let (intercept, slope, residual) = fit(points);
-    json!({
-        "points": points,
-        "intercept_micros": intercept,
-        "slope_micros_per_target": slope,
-        "residual_micros": residual,
-    })
-}
-
-fn report(all_busy: bool) -> serde_json::Value {
-    let times = SIZES.map(|size| (size as f64, measure(size, all_busy)));
-    json!({
-        "all_busy": all_busy,
-        "workspaces": WORKSPACES,
-        "decision": line(&times.map(|(size, times)| (size, times.decision))),
-        "index": line(&times.map(|(size, times)| (size, times.index))),
-    })
-}
-
-fn main() {
-    let reports = [report(false), report(true)];
-    let text = serde_json::to_string_pretty(&reports).expect("plain values");
-    println!("{text}");
+/// Returns the lines of a decision and of an index, with free and with busy targets.
+pub(super) fn lines() -> Vec<Line> {
+    let mut lines = Vec::new();
+    for (all_busy, name) in [(false, "targets free"), (true, "all targets busy")] {
+        let times = TARGETS.map(|count| (count as f64, measure(count, all_busy)));
+        let decision = times.map(|(count, times)| (count, times.decision)).to_vec();
+        let index = times.map(|(count, times)| (count, times.index)).to_vec();
+        let measure = format!("choice of a target, {name}");
+        lines.push(Line::fit(&measure, "us", "target", decision));
+        let measure = format!("index of a view, {name}");
+        lines.push(Line::fit(&measure, "us", "target", index));
+    }
+    lines
 }
--- a/crates/cyclamenwharf/examples/control_cost/in_force.rs
+++ b/crates/cw_testkit/src/experiment/capacity/in_force.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::StoreFaults;
 use bytes::Bytes;
-use cw_testkit::StoreFaults;
 use cyclamenwharf::admin::EditMessage;
 use cyclamenwharf::admin::ProposeMessage;
 use cyclamenwharf::admin::RecordMessage;
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::calls::Place;
+use super::calls::Place;
 
 /// The entries.
 const ENTRIES: usize = 24;
@@ -34,7 +34,7 @@
 
 /// The times of one case.
 #[derive(Debug, Serialize)]
-pub(crate) struct InForceTimes {
+pub(super) struct InForceTimes {
     case: &'static str,
     entries: usize,
     changes: usize,
@@ -44,7 +44,7 @@
 }
 
 /// Measures every case.
-pub(crate) async fn measure() -> Vec<InForceTimes> {
+pub(super) async fn measure() -> Vec<InForceTimes> {
     let place = Place::start(ENTRIES).await;
     tokio::time::sleep(SETTLING).await;
     let none = StoreFaults::default;
--- a/crates/cyclamenwharf/examples/control_cost/message.rs
+++ b/crates/cw_testkit/src/experiment/capacity/message.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::calls::Place;
+use super::calls::Place;
 
 /// How many messages are sent for the measurement.
 const MESSAGES: u32 = 5_000;
@@ -23,17 +23,17 @@
 
 /// What one message costs.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct MessageCost {
+pub(super) struct MessageCost {
     /// Bytes of HTTP around the body, there and back, without those of TCP and IP.
-    pub(crate) overhead_bytes: u64,
+    pub(super) overhead_bytes: u64,
     /// Processor time of sending and receiving an empty batch, both sides together.
-    pub(crate) cpu_micros: f64,
+    pub(super) cpu_micros: f64,
     /// How many messages were sent.
     messages: u32,
 }
 
 /// Sends empty batches to an entry's control state.
-pub(crate) async fn measure() -> MessageCost {
+pub(super) async fn measure() -> MessageCost {
     let place = Place::start(1).await;
     let peer = place.controls[0].peers;
     let client = PeerClient::new(Place::SECRET);
--- a/crates/cyclamenwharf/examples/control_cost/spread.rs
+++ b/crates/cw_testkit/src/experiment/capacity/spread.rs
@@ -30,7 +30,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::message::MessageCost;
+use super::message::MessageCost;
 
 /// How much time is played.
 const PLAYED: Duration = Duration::from_secs(64);
@@ -49,7 +49,7 @@
 
 /// What an entry pays, on average over all entries.
 #[derive(Debug, Serialize)]
-pub(crate) struct SpreadCost {
+pub(super) struct SpreadCost {
     entries: usize,
     targets: usize,
     /// How often agents report.
@@ -102,7 +102,7 @@
 }
 
 /// Plays reports and batches.
-pub(crate) fn measure(
+pub(super) fn measure(
     (entries, targets): (usize, usize),
     report_period: Duration,
     message: &MessageCost,
--- a/crates/cw_testkit/src/experiment/mod.rs
+++ b/crates/cw_testkit/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements of a deployment on loopback.
 
+mod capacity;
 mod drive;
 mod engine_death;
 mod fault;
@@ -17,6 +18,8 @@
 mod work;
 mod zone_loss;
 
+pub use capacity::capacity;
+pub use capacity::in_force;
 pub use engine_death::engine_death;
 pub use engine_death::faults;
 pub use overhead::overhead;
--- a/crates/cw_testkit/src/experiment/page.rs
+++ b/crates/cw_testkit/src/experiment/page.rs
@@ -42,6 +42,38 @@
     ("bytes a stream", "/added_bytes"),
     ("aim met", "/met"),
 ];
+/// The columns of slopes, and of what an entry pays for control.
+const CAPACITY: &[Column] = &[
+    ("measure", "/measure"),
+    ("unit", "/unit"),
+    ("per", "/per"),
+    ("at none", "/intercept"),
+    ("slope", "/slope"),
+    ("residual", "/residual"),
+    ("points", "/points"),
+    ("HTTP bytes a message", "/overhead_bytes"),
+    ("HTTP us a message", "/cpu_micros"),
+    ("entries", "/entries"),
+    ("targets", "/targets"),
+    ("report ms", "/report_ms"),
+    ("batch ms", "/period_ms"),
+    ("bytes/s", "/bytes_per_second"),
+    ("of them reports", "/report_bytes_per_second"),
+    ("worst bytes/s", "/worst_bytes_per_second"),
+    ("messages/s", "/messages_per_second"),
+    ("share of a core", "/total_share"),
+    ("of it view", "/view_share"),
+    ("age of a load p50 ms", "/age_p50_ms"),
+    ("max ms", "/age_max_ms"),
+];
+/// The columns of changes coming into force.
+const IN_FORCE: &[Column] = &[
+    ("case", "/case"),
+    ("entries", "/entries"),
+    ("changes", "/changes"),
+    ("p50 ms", "/p50_ms"),
+    ("max ms", "/max_ms"),
+];
 /// The columns of open demand.
 const LOAD: &[Column] = &[
     ("policy", "/policy"),
@@ -115,6 +147,8 @@
     match experiment {
         "engine-death" | "faults" => RECOVERY,
         "overhead" => OVERHEAD,
+        "capacity" => CAPACITY,
+        "in-force" => IN_FORCE,
         _ => LOAD,
     }
 }
--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -85,6 +85,16 @@
         .subcommand(
             Command::new("zone-loss")
                 .about("Loses an availability zone under load")
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("capacity")
+                .about("Measures the slopes of control and decisions")
+                .arg(json.clone()),
+        )
+        .subcommand(
+            Command::new("in-force")
+                .about("Measures how long an accepted change takes to be in force")
                 .arg(json),
         )
         .subcommand(all_command())
@@ -210,13 +220,15 @@
 }
 
 /// The experiments that `all` runs.
-const ALL: [&str; 6] = [
+const ALL: [&str; 8] = [
     "engine-death",
     "faults",
     "overhead",
     "routing",
     "overload",
     "zone-loss",
+    "capacity",
+    "in-force",
 ];
 
 /// How often `all` causes each fault.
@@ -253,6 +265,8 @@
         "routing" => experiment::routing().await,
         "overload" => experiment::overload().await,
         "zone-loss" => experiment::zone_loss().await,
+        "capacity" => experiment::capacity().await,
+        "in-force" => experiment::in_force().await,
         _ => return Err(format!("unknown experiment {name}")),
     }
     .map_err(|error| error.to_string())
