Count no quiet time while a target was held back

Cause: a target that was not read from because its caller was slow looked stalled for all that time in the first heartbeat after it was read from again, so the entry resumed the generation elsewhere. Ruled out: heartbeats while it is held back, which say zero. Change: the time since the last output begins when the target is read from again. Conclusion: a slow caller costs no second attempt.

--- a/crates/cw_policy/src/attempt/table/mod.rs
+++ b/crates/cw_policy/src/attempt/table/mod.rs
@@ -137,7 +137,7 @@
         let step = self.next_frame(now, reader);
         if let Some(attempt) = self.attempts.get_mut(&reader.id) {
             attempt.sent = attempt.sent.max(reader.next);
-            self.make_room(reader.id, &mut steps);
+            self.make_room(now, reader.id, &mut steps);
         }
         (step, steps)
     }
@@ -210,7 +210,7 @@
 
     /// Forgets output that a reader has where an attempt keeps more than its share, and reads on
     /// from the target once there is room.
-    fn make_room(&mut self, id: AttemptId, steps: &mut Vec<AttemptStep>) {
+    fn make_room(&mut self, now: Time, id: AttemptId, steps: &mut Vec<AttemptStep>) {
         let share = self.limits.share();
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
@@ -221,6 +221,8 @@
         self.kept -= before - after;
         if attempt.held && after < share {
             attempt.held = false;
+            // The target could produce nothing while it was not read from.
+            attempt.active = now;
             steps.push(AttemptStep::Resume(id));
         }
     }
--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -82,13 +82,13 @@
     }
 
     /// Forgets output that the entry has.
-    pub fn on_ack(&mut self, ack: &Ack) -> Vec<AttemptStep> {
+    pub fn on_ack(&mut self, now: Time, ack: &Ack) -> Vec<AttemptStep> {
         let mut steps = Vec::new();
         if let Some(attempt) = self.attempts.get_mut(&ack.id) {
             let before = attempt.output.bytes();
             attempt.output.trim(ack.next.0);
             self.kept -= before - attempt.output.bytes();
-            self.make_room(ack.id, &mut steps);
+            self.make_room(now, ack.id, &mut steps);
         }
         steps
     }
--- a/crates/cw_policy/src/attempt/table/target_events.rs
+++ b/crates/cw_policy/src/attempt/table/target_events.rs
@@ -64,7 +64,7 @@
         self.kept += added;
         self.admission.grow(id, tokens);
         let mut steps = vec![AttemptStep::Wake(id)];
-        self.make_room(id, &mut steps);
+        self.make_room(now, id, &mut steps);
         self.evict();
         let held = self.running(id).is_some_and(|attempt| attempt.held);
         // The caller is told by `Flow`, not by a step, that it may read on.
--- a/crates/cw_policy/tests/attempt/cases.rs
+++ b/crates/cw_policy/tests/attempt/cases.rs
@@ -269,7 +269,7 @@
     table.on_end(at(0), id, End::Done(Finish::Stop));
 
     let next = TokenIndex(5);
-    table.on_ack(&Ack { id, next });
+    table.on_ack(at(0), &Ack { id, next });
     let again = |from| Dispatch {
         repeat: true,
         from: TokenIndex(from),
@@ -307,9 +307,12 @@
         steps.extend(more);
     }
 
+    let resumed = table.heartbeat(at(9_000), id);
+
     let quiet = Duration::ZERO;
     assert_eq!(heartbeat, Frame::Heartbeat { quiet });
     assert_eq!(steps, vec![AttemptStep::Resume(id)]);
+    assert_eq!(resumed, Frame::Heartbeat { quiet });
     assert_eq!(reader.next, count + 1);
 }
 
--- a/crates/cw_policy/tests/attempt/world/entries.rs
+++ b/crates/cw_policy/tests/attempt/world/entries.rs
@@ -121,7 +121,7 @@
         if let Some(at) = pick(n, self.readers.len()) {
             let reader = self.readers[at].0;
             let (id, next) = (reader.id, TokenIndex(reader.next));
-            let steps = self.table.on_ack(&Ack { id, next });
+            let steps = self.table.on_ack(self.now, &Ack { id, next });
             self.apply(steps);
         }
     }
--- a/crates/cw_policy/tests/generation_world/machines.rs
+++ b/crates/cw_policy/tests/generation_world/machines.rs
@@ -89,8 +89,8 @@
             Step::Ack { attempt, next, .. } => {
                 let (agent, _) = self.callers[caller].sent[&attempt];
                 let id = self.attempt(caller, attempt);
-                let steps = self.agents[agent].table.on_ack(&Ack { id, next });
                 let clock = self.agents[agent].clock(self.now);
+                let steps = self.agents[agent].table.on_ack(clock, &Ack { id, next });
                 self.agents[agent].take(clock, steps);
             }
             Step::Deliver {
--- a/crates/cyclamenwharf/src/agent/peer_api.rs
+++ b/crates/cyclamenwharf/src/agent/peer_api.rs
@@ -142,7 +142,7 @@
 
 /// Forgets output that is safe with the entry.
 fn ack(state: &Arc<AgentState>, ack: &Ack) -> Answer {
-    state.tell(|table, _| table.on_ack(ack));
+    state.tell(|table, now| table.on_ack(now, ack));
     send(state, &())
 }
 
