--- a/crates/cw_policy/src/suspicion/verdict.rs
+++ b/crates/cw_policy/src/suspicion/verdict.rs
@@ -55,3 +55,18 @@
         crashes: usize,
     },
 }
+
+impl Verdict {
+    /// Returns after how many more crashes a new call of the request is judged, of `limit`.
+    ///
+    /// One earlier crash says nothing: the request may have been there by chance, and may have
+    /// run to its end at another entry since. More of them count for the new call too.
+    pub fn crashes_left(self, limit: u32) -> u32 {
+        let earlier = match self {
+            Verdict::Clear => 0,
+            Verdict::Suspect { crashes } | Verdict::Guilty { crashes } => crashes,
+        };
+        let counted = u32::try_from(earlier.saturating_sub(1)).unwrap_or(u32::MAX);
+        limit.saturating_sub(counted).max(1)
+    }
+}
--- a/crates/cw_policy/tests/suspicion.rs
+++ b/crates/cw_policy/tests/suspicion.rs
@@ -178,3 +178,15 @@
     table.observe(later, &view(&BTreeMap::new()));
     assert!(table.is_empty());
 }
+
+#[rstest]
+#[case(Verdict::Clear, 2)]
+#[case(Verdict::Suspect { crashes: 1 }, 2)]
+#[case(Verdict::Suspect { crashes: 2 }, 1)]
+#[case(Verdict::Guilty { crashes: 3 }, 1)]
+fn one_earlier_crash_does_not_judge_a_new_call_sooner(
+    #[case] verdict: Verdict,
+    #[case] expected: u32,
+) {
+    assert_eq!(verdict.crashes_left(2), expected);
+}
--- a/crates/cyclamenwharf/src/entry/driver/mod.rs
+++ b/crates/cyclamenwharf/src/entry/driver/mod.rs
@@ -59,11 +59,7 @@
         let view = front.view.load_full();
         let verdict = (front.suspicion).verdict(now, &view, job.fingerprint);
         let mut limits = job.limits(&front.settings);
-        if let Verdict::Suspect { crashes } | Verdict::Guilty { crashes } = verdict {
-            // Crashes that other calls of the request were in flight at count for this one too.
-            let before = u32::try_from(crashes).unwrap_or(u32::MAX);
-            limits.crashes = limits.crashes.saturating_sub(before).max(1);
-        }
+        limits.crashes = verdict.crashes_left(limits.crashes);
         let known = match verdict {
             Verdict::Guilty { crashes } => crashes,
             Verdict::Clear | Verdict::Suspect { .. } => 0,
