Test that a prompt which meets a dying engine twice is not refused

Cause: the failure found by the engine-death experiment needs a test of its own. Change: one prompt through two entries, its engine killed in the middle each time. Conclusion: the refusal of bystanders that the experiment found is covered.

--- a/crates/cw_testkit/tests/poison.rs
+++ b/crates/cw_testkit/tests/poison.rs
@@ -4,6 +4,7 @@
 
 use common::expected;
 use common::rig;
+use common::serving;
 use common::small;
 use common::soon;
 use cw_testkit::Ask;
@@ -52,3 +53,20 @@
     }
     rig.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_that_meets_a_dying_engine_twice_is_not_refused() {
+    let rig = rig(small()).await;
+    let ask = Ask::new(ROUTE_LATENCY, "a trip's ledger", 150);
+
+    for entry in [0, 1] {
+        let mut reading = soon(rig.caller(entry).open(&ask)).await.expect("accepted");
+        soon(reading.read_tokens(40)).await.expect("tokens come");
+        rig.engines[serving(&rig, &reading)].kill().await;
+        let answer = soon(reading.finish()).await.expect("the stream goes on");
+
+        assert_eq!(answer.error, None);
+        assert_eq!(answer.ids, expected(&ask));
+    }
+    rig.stop().await;
+}
