Let an event's id name only adapters of the caller's routes

Cause: Last-Event-ID is the caller's word, and its version and adapter were taken as they stood, so a workspace could run an adapter that none of its routes has. Change: the adapter must be that of a route of the same model which the workspace may use; otherwise the generation is unknown. Conclusion: a route whose adapter was changed cannot be come back to by the old one; its caller hears unknown_generation.

--- a/crates/cyclamenwharf/src/entry/caller.rs
+++ b/crates/cyclamenwharf/src/entry/caller.rs
@@ -1,10 +1,13 @@
 //! Who calls, and what it asks for beside the body.
 
 use cw_policy::View;
+use cw_types::AdapterName;
 use cw_types::ErrorKind;
 use cw_types::KeyHash;
+use cw_types::ModelName;
 use cw_types::Route;
 use cw_types::RouteName;
+use cw_types::RouteTarget;
 use cw_types::Workspace;
 use cw_types::WorkspaceId;
 use http::HeaderMap;
@@ -71,6 +74,27 @@
     pub(crate) fn may_use(&self, route: &Route) -> bool {
         route.workspaces.is_empty() || route.workspaces.contains(&self.workspace)
     }
+
+    /// Returns whether the workspace may continue output of this model and adapter.
+    ///
+    /// An event's id is the caller's word, so the adapter must be that of a route it may use.
+    pub(crate) fn may_continue(
+        &self,
+        view: &View,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+    ) -> bool {
+        let fits = |route: &Route| match &route.to {
+            RouteTarget::Model {
+                model: other,
+                adapter: allowed,
+                ..
+            } => other == model && allowed.as_ref() == adapter,
+            RouteTarget::Service { .. } => false,
+        };
+        let mut routes = view.config.routes.values();
+        routes.any(|route| self.may_use(route) && fits(route))
+    }
 }
 
 /// Returns whether a request may run more than once: the caller can only make the route stricter.
--- a/crates/cyclamenwharf/src/entry/calls.rs
+++ b/crates/cyclamenwharf/src/entry/calls.rs
@@ -134,6 +134,9 @@
         None => GenerationId(rand::random()),
     };
     let (version, adapter) = match &back {
+        Some(back) if !caller.may_continue(view, &model, back.adapter.as_ref()) => {
+            return Err(Refusal::new(ErrorKind::UnknownGeneration));
+        }
         Some(back) => (back.version.clone(), back.adapter.clone()),
         None => (version, adapter),
     };
--- a/crates/cyclamenwharf/tests/entry.rs
+++ b/crates/cyclamenwharf/tests/entry.rs
@@ -237,6 +237,21 @@
     assert_eq!(reply.streamed_text(), rest);
 }
 
+#[rstest]
+#[tokio::test]
+async fn an_event_id_that_names_an_adapter_of_no_route_starts_nothing() {
+    let setup = Setup::engines(1, &[Script::Run]);
+    let entry = setup.entry();
+    let reply = complete(&entry, &[], STREAM).await;
+    let id = reply.last_id().expect("events have ids");
+    let forged = format!("{}/foreign-adapter", id.replacen("/20/", "/0/", 1));
+
+    let reply = complete(&entry, &[("last-event-id", &forged)], STREAM).await;
+
+    assert_eq!(reply.code(), "unknown_generation");
+    assert_eq!(setup.dispatched(), 1);
+}
+
 /// Lets a caller leave in the middle of its answer, and returns the cancellations that follow.
 async fn cancels_after_leaving(setup: &Setup, wait: impl AsyncFn(&Setup)) -> usize {
     let entry = std::sync::Arc::new(setup.entry());
