Choose an agent's relays in one place

Cause: agents, control and the capacity experiment each had the formula by which an agent's relays are found; if one had changed, loads would have been passed on by nobody.

--- a/crates/cw_policy/src/membership/mod.rs
+++ b/crates/cw_policy/src/membership/mod.rs
@@ -11,9 +11,9 @@
 mod member;
 mod members;
 mod outbox;
-mod primary;
 mod processes;
 mod relay;
+mod relays;
 
 pub use grid::Grid;
 pub use limits::MembershipLimits;
@@ -21,11 +21,13 @@
 pub use members::Members;
 pub use members::Outcome;
 pub use outbox::Outbox;
-pub use primary::primary_relay;
 pub use processes::Processes;
 pub use relay::Relay;
 pub use relay::Sendings;
 pub use relay::Urgency;
+pub use relays::RELAYS;
+pub use relays::primary_relay;
+pub use relays::relays;
 
 use std::time::Duration;
 
--- a/crates/cw_testkit/src/experiment/capacity/spread.rs
+++ b/crates/cw_testkit/src/experiment/capacity/spread.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use cw_policy::EntryPeer;
+use cw_policy::membership;
 use cw_policy::membership::Grid;
 use cw_policy::membership::Members;
 use cw_policy::membership::MembershipLimits;
@@ -28,7 +29,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::message::MessageCost;
 
@@ -38,9 +38,6 @@
 /// How much of it passes before the count begins.
 const WARM: Duration = Duration::from_secs(16);
 
-/// To how many entries an agent reports.
-const RELAYS: usize = 3;
-
 /// The regions, over which entries and targets are spread in turn.
 const REGIONS: usize = 2;
 
@@ -309,14 +306,12 @@
     found
 }
 
-/// Chooses the entries that an agent reports to, as agents do.
+/// Returns the entries that an agent reports to.
 fn relays(peers: &[EntryPeer], reports: &[Report], target: usize) -> Vec<usize> {
-    let id = reports[target].target.as_str();
-    let near = |n: &usize| n % REGIONS == target % REGIONS;
-    let mut ranked: Vec<_> = (0..peers.len()).filter(near).collect();
-    ranked.sort_by_key(|n| xxh3_64(format!("{}/{id}", peers[*n].host).as_bytes()));
-    ranked.truncate(RELAYS);
-    ranked
+    let region = &peers[target % REGIONS].region;
+    let chosen = membership::relays(&reports[target].target, region, peers);
+    let index = |relay: &EntryPeer| peers.iter().position(|peer| peer == relay);
+    chosen.into_iter().filter_map(index).collect()
 }
 
 fn peer(n: usize) -> EntryPeer {
--- a/crates/cyclamenwharf/src/agent/mod.rs
+++ b/crates/cyclamenwharf/src/agent/mod.rs
@@ -18,7 +18,6 @@
 mod monitor;
 mod order_runner;
 mod peer_api;
-mod relays;
 mod reporter;
 mod server;
 mod signal;
--- a/crates/cyclamenwharf/src/agent/reporter.rs
+++ b/crates/cyclamenwharf/src/agent/reporter.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::EntryPeer;
+use cw_policy::membership::relays;
 use cw_store::Host;
 use cw_wire::Report;
 use cw_wire::ReportAnswer;
@@ -12,8 +14,8 @@
 use tokio::sync::watch;
 
 use super::agent_state::AgentState;
-use super::relays;
 use crate::PeerClient;
+use crate::host_entry::to_entry;
 
 /// How long a relay may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -53,10 +55,11 @@
 
 async fn send(state: &Arc<AgentState>, client: &PeerClient, hosts: &[Host], report: &Report) {
     let settings = &state.settings;
-    let relays = relays::choose(hosts, &settings.region, &settings.target.id);
+    let entries: Vec<EntryPeer> = hosts.iter().filter_map(to_entry).collect();
+    let relays = relays(&settings.target.id, &settings.region, &entries);
     let calls = relays
         .iter()
-        .map(|host| client.call(host.peers, path::REPORTS, report, TIMEOUT));
+        .map(|entry| client.call(entry.peers, path::REPORTS, report, TIMEOUT));
     for answer in join_all(calls).await {
         match answer {
             Ok(ReportAnswer { revision, drained }) => {
--- a/crates/cyclamenwharf/src/agent/server.rs
+++ b/crates/cyclamenwharf/src/agent/server.rs
@@ -1,4 +1,4 @@
-//! Starts the agent's servers.
+//! Starts the agent's server for operators.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,10 +12,10 @@
 use super::agent_state::AgentState;
 use crate::StartError;
 
-/// The largest message from a peer, in bytes.
-const MESSAGE_MAX: usize = 16 << 20;
+/// The largest message from an operator, in bytes.
+const MESSAGE_MAX: usize = 16 << 10;
 
-/// Starts a server.
+/// Starts the server.
 ///
 /// # Errors
 ///
--- a/crates/cyclamenwharf/src/control/core.rs
+++ b/crates/cyclamenwharf/src/control/core.rs
@@ -42,9 +42,9 @@
 use super::Sender;
 use super::SharedView;
 use super::StoreUse;
-use super::host_entry::mark;
-use super::host_entry::to_entry;
 use crate::Health;
+use crate::host_entry::mark;
+use crate::host_entry::to_entry;
 
 /// How often the state looks at the clock.
 pub(super) const TICK: Duration = Duration::from_millis(50);
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -8,7 +8,6 @@
 mod counted;
 mod demand_exchange;
 mod event;
-mod host_entry;
 mod hosts_task;
 mod lease_calls;
 mod metrics;
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -162,20 +162,7 @@
         traces: parts.traces,
         settings: parts.settings,
     });
-    let server = {
-        let _inside = traffic.enter();
-        let tended = Arc::clone(&front);
-        supervisor.keep("upkeep", move || upkeep::run(Arc::clone(&tended)));
-        let limits = ServerLimits {
-            connections: front.settings.limits.connections as usize,
-            head: Some(front.settings.limits.request),
-        };
-        let api = CallerApi {
-            front: Arc::clone(&front),
-        };
-        let address = front.settings.listen.callers;
-        StreamServer::start(address, limits, Arc::new(api)).map_err(start_error)?
-    };
+    let server = start_server(&traffic, &supervisor, &front)?;
     Ok(EntryHandle {
         callers: server.local_addr(),
         peers: front.settings.listen.peers,
@@ -187,6 +174,25 @@
     })
 }
 
+fn start_server(
+    traffic: &Runtime,
+    supervisor: &Supervisor,
+    front: &Arc<Frontend>,
+) -> Result<StreamServer, StartError> {
+    let _inside = traffic.enter();
+    let tended = Arc::clone(front);
+    supervisor.keep("upkeep", move || upkeep::run(Arc::clone(&tended)));
+    let limits = ServerLimits {
+        connections: front.settings.limits.connections as usize,
+        head: Some(front.settings.limits.request),
+    };
+    let api = CallerApi {
+        front: Arc::clone(front),
+    };
+    let address = front.settings.listen.callers;
+    StreamServer::start(address, limits, Arc::new(api)).map_err(start_error)
+}
+
 fn runtime() -> Result<Runtime, StartError> {
     tokio::runtime::Builder::new_multi_thread()
         .thread_name("traffic")
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod entry;
 mod health;
+mod host_entry;
 mod json_log;
 mod peer_auth;
 mod peer_client;
