--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -13,26 +13,17 @@
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
 //! - [`routing`]: the choice of a target; [`prefix`]: where prompts are cached.
 
-mod generation;
 mod admission;
 mod attempt;
 pub mod configuration;
 mod fencing;
+mod generation;
 pub mod membership;
 pub mod prefix;
 pub mod routing;
 pub mod slo;
 mod view;
 
-pub use generation::DropReason;
-pub use generation::Effect;
-pub use generation::Event;
-pub use generation::Generation;
-pub use generation::Limits;
-pub use generation::LinkId;
-pub use generation::Plan;
-pub use generation::Step;
-pub use generation::WorkKind;
 pub use admission::AdaptiveLimit;
 pub use admission::AdmissionControl;
 pub use admission::AdmissionLimits;
@@ -53,6 +44,15 @@
 pub use attempt::TargetGate;
 pub use fencing::OrderGuard;
 pub use fencing::OrderStep;
+pub use generation::DropReason;
+pub use generation::Effect;
+pub use generation::Event;
+pub use generation::Generation;
+pub use generation::Limits;
+pub use generation::LinkId;
+pub use generation::Plan;
+pub use generation::Step;
+pub use generation::WorkKind;
 pub use view::EntryPeer;
 pub use view::Liveness;
 pub use view::TargetView;
