List the experiments once

Cause: the developers' tool named each experiment in its commands, in the list of all and in its dispatch. Change: one table gives the commands and the list of all.

--- a/crates/cw_testkit/src/main.rs
+++ b/crates/cw_testkit/src/main.rs
@@ -39,6 +39,46 @@
         .subcommand(experiment_command())
 }
 
+/// The experiments, what they do, and whether they cause faults in rounds.
+const EXPERIMENTS: [(&str, &str, bool); 8] = [
+    (
+        "engine-death",
+        "Kills engines in the middle of streams",
+        true,
+    ),
+    (
+        "faults",
+        "Causes each kind of fault in the middle of streams",
+        true,
+    ),
+    (
+        "overhead",
+        "Compares an entry and its agents with engines that are called directly",
+        false,
+    ),
+    (
+        "routing",
+        "Compares the routing policy with its baselines",
+        false,
+    ),
+    (
+        "overload",
+        "Offers up to twice of what the engines can serve",
+        false,
+    ),
+    ("zone-loss", "Loses an availability zone under load", false),
+    (
+        "capacity",
+        "Measures the slopes of control and decisions",
+        false,
+    ),
+    (
+        "in-force",
+        "Measures how long an accepted change takes to be in force",
+        false,
+    ),
+];
+
 fn experiment_command() -> Command {
     let json = Arg::new("json")
         .long("json")
@@ -52,51 +92,17 @@
         .default_value("12")
         .value_parser(value_parser!(usize))
         .help("How often each fault is caused");
+    let one = |(name, about, in_rounds): (&'static str, &'static str, bool)| {
+        let command = Command::new(name).about(about).arg(json.clone());
+        match in_rounds {
+            true => command.arg(rounds.clone()),
+            false => command,
+        }
+    };
     Command::new("experiment")
         .about("Measures a deployment on loopback")
         .subcommand_required(true)
-        .subcommand(
-            Command::new("engine-death")
-                .about("Kills engines in the middle of streams")
-                .arg(json.clone())
-                .arg(rounds.clone()),
-        )
-        .subcommand(
-            Command::new("faults")
-                .about("Causes each kind of fault in the middle of streams")
-                .arg(json.clone())
-                .arg(rounds),
-        )
-        .subcommand(
-            Command::new("overhead")
-                .about("Compares an entry and its agents with engines that are called directly")
-                .arg(json.clone()),
-        )
-        .subcommand(
-            Command::new("routing")
-                .about("Compares the routing policy with its baselines")
-                .arg(json.clone()),
-        )
-        .subcommand(
-            Command::new("overload")
-                .about("Offers up to twice of what the engines can serve")
-                .arg(json.clone()),
-        )
-        .subcommand(
-            Command::new("zone-loss")
-                .about("Loses an availability zone under load")
-                .arg(json.clone()),
-        )
-        .subcommand(
-            Command::new("capacity")
-                .about("Measures the slopes of control and decisions")
-                .arg(json.clone()),
-        )
-        .subcommand(
-            Command::new("in-force")
-                .about("Measures how long an accepted change takes to be in force")
-                .arg(json),
-        )
+        .subcommands(EXPERIMENTS.map(one))
         .subcommand(all_command())
         .subcommand(tables_command())
 }
@@ -219,18 +225,6 @@
     report.write(file).map_err(|e| e.to_string())
 }
 
-/// The experiments that `all` runs.
-const ALL: [&str; 8] = [
-    "engine-death",
-    "faults",
-    "overhead",
-    "routing",
-    "overload",
-    "zone-loss",
-    "capacity",
-    "in-force",
-];
-
 /// How often `all` causes each fault.
 const ALL_ROUNDS: usize = 6;
 
@@ -238,7 +232,7 @@
     let directory: &PathBuf = args.get_one("dir").expect("clap requires it");
     let page: &PathBuf = args.get_one("page").expect("it has a default");
     std::fs::create_dir_all(directory).map_err(|e| e.to_string())?;
-    for name in ALL {
+    for (name, _, _) in EXPERIMENTS {
         let report = run(name, ALL_ROUNDS).await?;
         let file = directory.join(format!("{name}.json"));
         report.write(&file).map_err(|e| e.to_string())?;
