--- a/crates/cw_testkit/src/experiment/record.rs
+++ b/crates/cw_testkit/src/experiment/record.rs
@@ -1,5 +1,6 @@
 //! Records the traces that the tests replay, one for each kind of failure.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
@@ -9,12 +10,12 @@
 use cw_types::Recovery;
 use cyclamenwharf::TraceSettings;
 use http::Method;
-use std::collections::BTreeMap;
 
 use crate::Ask;
 use crate::EngineTimings;
 use crate::ROUTE_LATENCY;
 use crate::ROUTE_THRIFT;
+use crate::Reading;
 use crate::Rig;
 use crate::RigSpec;
 use crate::SERVICE_ONCE;
@@ -77,16 +78,17 @@
     Rig::start(spec).await.map_err(ExperimentError::new)
 }
 
+/// Opens a stream and reads its beginning.
+async fn begun(rig: &Rig, route: &str) -> Result<Reading, ExperimentError> {
+    let ask = Ask::new(route, "a ledger", TOKENS);
+    let mut reading = rig.caller(0).open(&ask).await?;
+    reading.read_tokens(BEFORE).await?;
+    Ok(reading)
+}
+
 async fn broken_stream(route: &str, fault: Fault) -> Result<String, ExperimentError> {
     let rig = rig().await?;
-    let ask = Ask::new(route, "a ledger", TOKENS);
-    let mut reading = rig
-        .caller(0)
-        .open(&ask)
-        .await
-        .map_err(ExperimentError::new)?;
-    let read = reading.read_tokens(BEFORE).await;
-    read.map_err(ExperimentError::new)?;
+    let reading = begun(&rig, route).await?;
     let target = reading.answer.target_at(std::time::Instant::now());
     let victim = rig.engine_number(target.unwrap_or_default());
     fault.cause(&rig, &[victim]).await;
@@ -97,14 +99,7 @@
 
 async fn every_engine_lost() -> Result<String, ExperimentError> {
     let rig = rig().await?;
-    let ask = Ask::new(ROUTE_LATENCY, "a ledger", TOKENS);
-    let mut reading = rig
-        .caller(0)
-        .open(&ask)
-        .await
-        .map_err(ExperimentError::new)?;
-    let read = reading.read_tokens(BEFORE).await;
-    read.map_err(ExperimentError::new)?;
+    let reading = begun(&rig, ROUTE_LATENCY).await?;
     for engine in &rig.engines {
         engine.kill().await;
     }
--- a/crates/cw_testkit/src/experiment/report.rs
+++ b/crates/cw_testkit/src/experiment/report.rs
@@ -49,9 +49,7 @@
     pub fn new(experiment: &str, setup: Value) -> Self {
         Self {
             experiment: experiment.to_owned(),
-            command: format!(
-                "cargo run --release --bin cyclamenwharf-dev -- experiment {experiment}"
-            ),
+            command: command(experiment, &setup),
             setup,
             rows: Vec::new(),
         }
@@ -84,3 +82,13 @@
         serde_json::from_slice(&bytes).map_err(ExperimentError::new)
     }
 }
+
+/// Returns the command that makes a report.
+fn command(experiment: &str, setup: &Value) -> String {
+    let rounds = setup["rounds"].as_u64();
+    let rounds = rounds.map_or(String::new(), |count| format!(" --rounds {count}"));
+    format!(
+        "cargo run --release --bin cyclamenwharf-dev -- experiment {experiment}{rounds} \
+         --json {experiment}.json"
+    )
+}
