--- a/crates/cw_policy/src/budget/mod.rs
+++ b/crates/cw_policy/src/budget/mod.rs
@@ -6,8 +6,11 @@
 mod backoff;
 mod bucket;
 mod budgets;
+mod service_budgets;
 
 pub use backoff::Backoff;
 pub use budgets::BudgetSettings;
 pub use budgets::Budgets;
 pub use budgets::Extra;
+pub use service_budgets::ServiceBudgets;
+pub use service_budgets::SharedBudget;
--- /dev/null
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -0,0 +1,241 @@
+//! The targets that the directory names.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cw_types::TargetId;
+use cw_types::Time;
+
+use super::Demand;
+use super::Fault;
+use super::Listing;
+use super::ReportedLoad;
+use super::member::Member;
+
+/// Bounds of the fleet's beliefs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetLimits {
+    /// How long after the directory's return a target that lapsed meanwhile may still come back.
+    pub relist: Duration,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            relist: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Whether the directory can be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Directory {
+    /// It answers, and has done so since then.
+    Up(Time),
+    /// Its last call failed.
+    Down,
+}
+
+/// The targets that the directory names, with what this entry has seen of them.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    limits: FleetLimits,
+    directory: Directory,
+    pub(super) members: BTreeMap<TargetId, Member>,
+}
+
+impl Fleet {
+    /// Returns an empty fleet.
+    pub fn new(limits: FleetLimits) -> Self {
+        Self {
+            limits,
+            directory: Directory::Up(Time::default()),
+            members: BTreeMap::new(),
+        }
+    }
+
+    // ---- The directory ----
+
+    /// The directory has an entry, or a new value of one. Returns whether a belief changed.
+    pub fn listed(&mut self, listing: Listing) -> bool {
+        match self.members.get_mut(&listing.id) {
+            Some(member) if member.listing == listing && member.missing.is_none() => false,
+            Some(member) if member.listing.same_life(&listing) => {
+                // A target that is leaving does not stay after all, whatever an old entry says.
+                let leaving = member.listing.leaving || listing.leaving;
+                member.listing = Listing { leaving, ..listing };
+                member.missing = None;
+                true
+            }
+            Some(member) => {
+                member.reborn(listing);
+                true
+            }
+            None => {
+                self.members
+                    .insert(listing.id.clone(), Member::new(listing));
+                true
+            }
+        }
+    }
+
+    /// An entry has vanished from the directory. Returns whether a belief changed.
+    ///
+    /// An entry that lapsed while the directory was away may come back; until then its target is
+    /// used on.
+    pub fn removed(&mut self, now: Time, id: &TargetId) -> bool {
+        let trusted = match self.directory {
+            Directory::Up(since) => now.since(since) >= self.limits.relist,
+            Directory::Down => false,
+        };
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        if trusted || member.listing.leaving {
+            self.members.remove(id);
+            return true;
+        }
+        let first = member.missing.is_none();
+        member.missing.get_or_insert(now);
+        first
+    }
+
+    /// The directory was read as a whole, and names these targets only.
+    pub fn relisted(&mut self, now: Time, names: &BTreeSet<TargetId>) {
+        let gone: Vec<TargetId> = self
+            .members
+            .keys()
+            .filter(|id| !names.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.removed(now, &id);
+        }
+    }
+
+    /// A call to the directory failed. Returns whether it answered before.
+    pub fn directory_lost(&mut self) -> bool {
+        let was_up = self.directory != Directory::Down;
+        self.directory = Directory::Down;
+        was_up
+    }
+
+    /// A call to the directory was answered. Returns whether it had failed before.
+    pub fn directory_back(&mut self, now: Time) -> bool {
+        let was_down = self.directory == Directory::Down;
+        if was_down {
+            self.directory = Directory::Up(now);
+        }
+        was_down
+    }
+
+    /// Drops targets whose entries did not come back in time. Returns which.
+    pub fn expire(&mut self, now: Time) -> Vec<TargetId> {
+        let Directory::Up(since) = self.directory else {
+            return Vec::new();
+        };
+        if now.since(since) < self.limits.relist {
+            return Vec::new();
+        }
+        let gone: Vec<TargetId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.missing.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.members.remove(id);
+        }
+        gone
+    }
+
+    // ---- Traffic ----
+
+    /// A request was sent to a target.
+    pub fn sent(&mut self, id: &TargetId, demand: Demand) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.runs += 1;
+            member.unanswered += 1;
+            member.tokens += demand.tokens();
+        }
+    }
+
+    /// The answer of a request has begun.
+    pub fn began(&mut self, id: &TargetId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.unanswered = member.unanswered.saturating_sub(1);
+            member.heard();
+        }
+    }
+
+    /// A request has left its target; `began` says whether its answer had begun.
+    pub fn ended(&mut self, id: &TargetId, demand: Demand, began: bool) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.runs = member.runs.saturating_sub(1);
+            member.tokens = member.tokens.saturating_sub(demand.tokens());
+            if !began {
+                member.unanswered = member.unanswered.saturating_sub(1);
+            }
+        }
+    }
+
+    /// A target keeps a copy of a run, or no longer does.
+    pub fn copy(&mut self, id: &TargetId, demand: Demand, kept: bool) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        if kept {
+            member.copies += 1;
+            member.tokens += demand.tokens();
+        } else {
+            member.copies = member.copies.saturating_sub(1);
+            member.tokens = member.tokens.saturating_sub(demand.tokens());
+        }
+    }
+
+    /// A target reported its load with an answer.
+    pub fn reported(&mut self, now: Time, id: &TargetId, load: ReportedLoad) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.reported(now, load);
+        }
+    }
+
+    /// Something went wrong at a target.
+    pub fn failed(&mut self, now: Time, id: &TargetId, fault: Fault) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.failed(now, fault);
+        }
+    }
+
+    // ---- Questions ----
+
+    /// Returns what the directory says of a target.
+    pub fn listing(&self, id: &TargetId) -> Option<&Listing> {
+        self.members.get(id).map(|member| &member.listing)
+    }
+
+    /// Returns whether work at this target should go on elsewhere.
+    pub fn is_leaving(&self, id: &TargetId) -> bool {
+        self.members
+            .get(id)
+            .is_none_or(|member| member.listing.leaving)
+    }
+
+    /// Returns whether a request may go to this target now.
+    pub fn is_usable(&self, now: Time, id: &TargetId) -> bool {
+        self.members
+            .get(id)
+            .is_some_and(|member| !member.listing.leaving && member.rest <= now)
+    }
+
+    /// Returns how many targets there are.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/forward/member.rs
@@ -0,0 +1,166 @@
+//! One target of the fleet, as this entry sees it.
+
+use std::time::Duration;
+
+use cw_types::Time;
+
+use super::Listing;
+
+/// The time over which evidence against a target loses half of its weight.
+const STRIKE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// The first rest of a target that could not be reached; the rest doubles with each failure.
+const REST_BASE: Duration = Duration::from_millis(250);
+
+/// How often the rest of a target doubles at most; it is back within seconds as a rule.
+const REST_DOUBLINGS: u32 = 3;
+
+/// The time over which a reported load is believed: about half the length of a generation.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// What one request takes up at its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens that it may generate at most.
+    pub output: u64,
+}
+
+impl Demand {
+    /// Returns the cache memory that it takes at its end, in tokens.
+    pub fn tokens(self) -> u64 {
+        self.prompt.saturating_add(self.output)
+    }
+}
+
+/// What went wrong at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// No connection could be made.
+    Unreachable,
+    /// A connection broke before the answer was whole.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It was too full to take the request.
+    Full,
+}
+
+impl Fault {
+    /// Returns how much it says against the target.
+    fn weight(self) -> f64 {
+        match self {
+            Fault::Unreachable | Fault::Silent => 2.0,
+            Fault::Broken => 1.0,
+            Fault::Failed | Fault::Full => 0.5,
+        }
+    }
+
+    /// Returns whether the target is likely to be down.
+    fn is_loss(self) -> bool {
+        matches!(self, Fault::Unreachable | Fault::Broken | Fault::Silent)
+    }
+}
+
+/// The load that a target reports with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) listing: Listing,
+    /// Requests that this entry has there.
+    pub(super) runs: u32,
+    /// Those of them whose answer has not begun.
+    pub(super) unanswered: u32,
+    /// Copies of this entry's runs that it keeps.
+    pub(super) copies: u32,
+    /// Cache memory that runs and copies take, in tokens.
+    pub(super) tokens: u64,
+    /// When its entry vanished from the directory while the directory was not to be trusted.
+    pub(super) missing: Option<Time>,
+    /// No request goes there before this, while others are left.
+    pub(super) rest: Time,
+    /// Losses in a row.
+    losses: u32,
+    strikes: f64,
+    struck: Time,
+    /// Requests of other entries, by the last report.
+    foreign: f64,
+    reported: Time,
+    /// Requests that other entries say they have there.
+    pub(super) peers: u32,
+}
+
+impl Member {
+    pub(super) fn new(listing: Listing) -> Self {
+        Self {
+            listing,
+            runs: 0,
+            unanswered: 0,
+            copies: 0,
+            tokens: 0,
+            missing: None,
+            rest: Time::default(),
+            losses: 0,
+            strikes: 0.0,
+            struck: Time::default(),
+            foreign: 0.0,
+            reported: Time::default(),
+            peers: 0,
+        }
+    }
+
+    /// A new life begins under the same id: nothing of the old one holds.
+    pub(super) fn reborn(&mut self, listing: Listing) {
+        *self = Self {
+            runs: self.runs,
+            unanswered: self.unanswered,
+            copies: self.copies,
+            tokens: self.tokens,
+            ..Self::new(listing)
+        };
+    }
+
+    pub(super) fn strikes(&self, now: Time) -> f64 {
+        let age = now.since(self.struck).as_secs_f64() / STRIKE_HALF_LIFE.as_secs_f64();
+        self.strikes * (-age * std::f64::consts::LN_2).exp()
+    }
+
+    pub(super) fn failed(&mut self, now: Time, fault: Fault) {
+        self.strikes = self.strikes(now) + fault.weight();
+        self.struck = now;
+        if fault.is_loss() {
+            let rest = REST_BASE * 2_u32.pow(self.losses.min(REST_DOUBLINGS));
+            self.rest = self.rest.max(now + rest);
+            self.losses += 1;
+        }
+    }
+
+    /// Something came from it: it lives.
+    pub(super) fn heard(&mut self) {
+        self.losses = 0;
+        self.rest = Time::default();
+    }
+
+    pub(super) fn reported(&mut self, now: Time, load: ReportedLoad) {
+        let all = f64::from(load.running) + f64::from(load.waiting);
+        self.foreign = (all - f64::from(self.runs)).max(0.0);
+        self.reported = now;
+    }
+
+    /// Returns how many requests of other entries are thought to be there.
+    pub(super) fn foreign(&self, now: Time) -> f64 {
+        let age = now.since(self.reported).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+        self.foreign * (1.0 - age).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -0,0 +1,40 @@
+//! Forwarded requests: opaque calls that pass through an entry to one of a service's targets.
+//!
+//! An entry neither reads nor writes what such a request or its answer says. It decides where the
+//! request goes, whether it may be sent again, and how a stream of events goes on after a loss.
+//!
+//! - [`ForwardConfig`]: routes by host and path, services and callers' keys, at one version.
+//! - [`Fleet`]: which targets there are, how loaded, and which one is next ([`Placement`]).
+//! - [`Exchange`]: one request, from its arrival to its end.
+//! - [`EventStream`]: cuts a target's bytes into events and keeps them in order.
+
+mod event_stream;
+mod exchange;
+mod fleet;
+mod forward_config;
+mod listing;
+mod member;
+mod placement;
+
+pub use event_stream::EventStream;
+pub use event_stream::StreamFault;
+pub use exchange::Exchange;
+pub use exchange::ExchangeEvent;
+pub use exchange::ExchangePlan;
+pub use exchange::ExchangeStep;
+pub use exchange::Resume;
+pub use fleet::Fleet;
+pub use fleet::FleetLimits;
+pub use forward_config::Admitted;
+pub use forward_config::CallerLimits;
+pub use forward_config::ForwardConfig;
+pub use forward_config::ForwardRoute;
+pub use forward_config::ForwardService;
+pub use forward_config::KeyHolder;
+pub use forward_config::Repeat;
+pub use listing::Listing;
+pub use member::Demand;
+pub use member::Fault;
+pub use member::ReportedLoad;
+pub use placement::Need;
+pub use placement::Placement;
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`configuration`]: what operators accept, and what of it is in force.
 //! - [`membership`]: which targets and entries are there, and who passes it on.
 //! - [`planner`]: who orders engines, and what.
+//! - [`forward`]: opaque requests that pass through to a service's targets.
 //! - [`slo`]: service-level objectives and the burn of their budgets.
 //! - [`trace`]: recorded decisions, replayed and compared.
 //! - [`View`]: what an entry knows of configuration and targets; the input to most decisions.
@@ -23,6 +24,7 @@
 mod claim;
 pub mod configuration;
 mod fencing;
+pub mod forward;
 mod generation;
 pub mod membership;
 pub mod planner;
--- /dev/null
+++ b/crates/cw_store/src/dialect.rs
@@ -0,0 +1,121 @@
+//! What callers, targets and the directory say, in the product's own terms.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cw_policy::forward::Demand;
+use cw_policy::forward::ForwardConfig;
+use cw_policy::forward::Listing;
+use cw_policy::forward::ReportedLoad;
+use cw_types::ErrorKind;
+use cw_types::TargetId;
+use cw_types::WorkspaceId;
+use http::HeaderMap;
+use http::Response;
+use http::request;
+use http::response;
+
+/// What a caller says of its request, beside method, path and body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The id of this call; the caller's next one has another.
+    pub id: String,
+    /// The host that the caller names, without a port.
+    pub host: String,
+    /// The caller's API key.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// What the request takes up at its target.
+    pub demand: Demand,
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+}
+
+/// What goes with a request to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendHead<'a> {
+    /// The id of the call.
+    pub id: &'a str,
+    /// The target that is to run it, and no other.
+    pub target: &'a TargetId,
+    /// The workspace of the caller.
+    pub workspace: Option<&'a WorkspaceId>,
+    /// The time that is left.
+    pub left: Duration,
+    /// Its rank, for targets that know ranks; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+    /// The version of the weights that began the answer.
+    pub weights: Option<u64>,
+    /// Where the target sends a copy of the run.
+    pub copy: Option<SocketAddr>,
+    /// Whether the target goes on from the copy that it keeps; its own address.
+    pub resume: Option<SocketAddr>,
+}
+
+/// What a target says of its answer, beside status and body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The id of the call that it answers.
+    pub id: Option<String>,
+    /// Whether it is the target's own answer to a request that ran.
+    pub own: bool,
+    /// Whether the target proves that it did not run the request.
+    pub refused: bool,
+    /// Whether another target has the address.
+    pub stranger: bool,
+    /// Its load.
+    pub load: Option<ReportedLoad>,
+    /// How long the target keeps an idle connection.
+    pub idle: Option<Duration>,
+    /// Whether the target closes the connection.
+    pub close: bool,
+    /// The version of its weights.
+    pub weights: Option<u64>,
+}
+
+/// Translates between a platform's messages and the types of a forwarding entry.
+///
+/// It decides nothing: two dialects differ in names and encodings only.
+pub trait Dialect: Send + Sync {
+    /// Reads what a caller says of its request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] when something is missing or no value of its kind.
+    fn read_request(&self, head: &request::Parts) -> Result<RequestHead, ErrorKind>;
+
+    /// Returns the headers of a request as a target gets it.
+    fn to_target(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
+
+    /// Reads what a target says of its answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerHead;
+
+    /// Returns the headers of an answer as the caller gets it.
+    fn to_caller(&self, target: &HeaderMap) -> HeaderMap;
+
+    /// Returns the head of an answer of the entry's own.
+    fn refusal(&self, kind: ErrorKind, again: Option<Duration>, id: Option<&str>) -> Response<()>;
+
+    /// The key of the configuration.
+    fn config_key(&self) -> &str;
+
+    /// What the keys of targets begin with; the rest is the target's id.
+    fn targets_prefix(&self) -> &str;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Says what cannot be read.
+    fn read_config(&self, value: &[u8]) -> Result<ForwardConfig, String>;
+
+    /// Reads the directory's entry of a target.
+    ///
+    /// # Errors
+    ///
+    /// Says what cannot be read; such an entry names no target.
+    fn read_listing(&self, id: &str, value: &[u8]) -> Result<Listing, String>;
+}
--- a/crates/cw_store/src/etcd/gateway.rs
+++ b/crates/cw_store/src/etcd/gateway.rs
@@ -166,7 +166,7 @@
     match error {
         StoreError::Unavailable { .. } => true,
         StoreError::Lost { .. } => repeat == Repeat::Safe,
-        StoreError::Lapsed | StoreError::Protocol { .. } => false,
+        StoreError::Lapsed | StoreError::Compacted | StoreError::Protocol { .. } => false,
     }
 }
 
--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -22,22 +22,23 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long a call may take.
+/// How long a call may take as a rule.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// An answer's status and body.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub struct Answer {
     /// The HTTP status.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// The whole body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 /// An HTTP client whose errors say whether the call may have had an effect.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    patience: Duration,
 }
 
 impl Default for HttpClient {
@@ -47,13 +48,27 @@
         connector.set_nodelay(true);
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
+            patience: CALL_TIMEOUT,
         }
     }
 }
 
 impl HttpClient {
+    /// Returns a client that shares its connections, and gives its calls another time.
+    #[must_use]
+    pub fn with_patience(&self, patience: Duration) -> Self {
+        Self {
+            client: self.client.clone(),
+            patience,
+        }
+    }
+
     /// Sends a `GET` and reads JSON from an answer with status 200.
-    pub(crate) async fn read<T: DeserializeOwned>(
+    ///
+    /// # Errors
+    ///
+    /// Says whether the call may have had an effect.
+    pub async fn read<T: DeserializeOwned>(
         &self,
         peer: SocketAddr,
         path: &str,
@@ -68,7 +83,11 @@
     }
 
     /// Sends a call and reads the whole answer, whatever its status.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// Says whether the call may have had an effect.
+    pub async fn call(
         &self,
         method: Method,
         peer: SocketAddr,
@@ -84,17 +103,35 @@
                 body: body.to_bytes(),
             })
         };
-        in_time(peer, work).await
+        self.in_time(peer, work).await
     }
 
     /// Sends a call and returns as soon as the head of the answer is there.
-    pub(crate) async fn open(
+    ///
+    /// # Errors
+    ///
+    /// Says whether the call may have had an effect.
+    pub async fn open(
         &self,
         peer: SocketAddr,
         path: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>, StoreError> {
-        in_time(peer, self.send(Method::POST, peer, path, body)).await
+        self.in_time(peer, self.send(Method::POST, peer, path, body))
+            .await
+    }
+
+    async fn in_time<T>(
+        &self,
+        peer: SocketAddr,
+        work: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let late = || StoreError::Lost {
+            message: format!("no answer from {peer} in {:?}", self.patience),
+        };
+        tokio::time::timeout(self.patience, work)
+            .await
+            .unwrap_or_else(|_| Err(late()))
     }
 
     async fn send(
@@ -122,18 +159,6 @@
     }
 }
 
-async fn in_time<T>(
-    peer: SocketAddr,
-    work: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    let late = || StoreError::Lost {
-        message: format!("no answer from {peer} in {CALL_TIMEOUT:?}"),
-    };
-    tokio::time::timeout(CALL_TIMEOUT, work)
-        .await
-        .unwrap_or_else(|_| Err(late()))
-}
-
 fn lost(error: impl std::fmt::Display) -> StoreError {
     StoreError::Lost {
         message: error.to_string(),
@@ -141,7 +166,11 @@
 }
 
 /// Reads JSON that a service answered.
-pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+///
+/// # Errors
+///
+/// Fails when the body is not what the caller expects.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(body).map_err(|error| StoreError::Protocol {
         message: error.to_string(),
     })
--- a/crates/cw_store/src/key_value.rs
+++ b/crates/cw_store/src/key_value.rs
@@ -75,6 +75,9 @@
     /// The lease does not exist or has lapsed.
     #[snafu(display("the lease has lapsed"))]
     Lapsed,
+    /// The changes that a watch asks for are no longer kept: what they led to must be read.
+    #[snafu(display("the history that the watch needs is gone"))]
+    Compacted,
     /// The answer makes no sense.
     #[snafu(display("the service answered what it should not: {message}"))]
     Protocol {
@@ -99,6 +102,19 @@
     /// Reads all keys that begin with `prefix`, in order.
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>>;
 
+    /// Reads all keys that begin with `prefix`, and the revision from which to watch them.
+    fn snapshot<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<(Vec<Versioned>, ModRevision), StoreError>> {
+        async move {
+            let found = self.list(prefix).await?;
+            let newest = found.iter().map(|item| item.modified).max();
+            Ok((found, newest.unwrap_or_default()))
+        }
+        .boxed()
+    }
+
     /// Writes `value` if the key was last changed at `expected`; `None` if it does not exist.
     fn swap<'a>(
         &'a self,
--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -4,9 +4,12 @@
 //! - [`HostList`]: which hosts are live and which are leaving.
 //! - [`WeightStore`]: how fast model weights may be read.
 //!
+//! - [`Dialect`]: what callers, targets and the directory say to a forwarding entry.
+//!
 //! Each is one trait, so that another deployment's service is one more implementation.
 //! [`EtcdGateway`], [`HttpHostList`] and [`HttpWeightStore`] are those of today's platform.
 
+mod dialect;
 mod etcd;
 mod host_list;
 mod http_client;
@@ -15,11 +18,18 @@
 mod key_value;
 mod weight_store;
 
+pub use dialect::AnswerHead;
+pub use dialect::Dialect;
+pub use dialect::RequestHead;
+pub use dialect::SendHead;
 pub use etcd::EtcdGateway;
 pub use host_list::Host;
 pub use host_list::HostList;
 pub use host_list::HostRole;
 pub use host_list::HostState;
+pub use http_client::Answer;
+pub use http_client::HttpClient;
+pub use http_client::parse;
 pub use http_host_list::HttpHostList;
 pub use http_weight_store::HttpWeightStore;
 pub use key_value::KeyValue;
--- a/crates/cw_types/src/name.rs
+++ b/crates/cw_types/src/name.rs
@@ -97,6 +97,8 @@
     WorkspaceId;
     /// A route: which targets answer which callers, and how.
     RouteName;
+    /// A service: the targets that answer alike.
+    ServiceName;
     /// A model, as callers name it.
     ModelName;
     /// One version of a model.
--- a/crates/cyclamenwharf/src/control/admin/error.rs
+++ b/crates/cyclamenwharf/src/control/admin/error.rs
@@ -103,7 +103,9 @@
         let kind = match &error {
             StoreError::Unavailable { .. } => AdminErrorKind::Unavailable,
             StoreError::Lost { .. } => AdminErrorKind::OutcomeUnknown,
-            StoreError::Lapsed | StoreError::Protocol { .. } => AdminErrorKind::Internal,
+            StoreError::Lapsed | StoreError::Compacted | StoreError::Protocol { .. } => {
+                AdminErrorKind::Internal
+            }
         };
         Self::new(kind, error)
     }
--- a/crates/cyclamenwharf/src/entry/claims.rs
+++ b/crates/cyclamenwharf/src/entry/claims.rs
@@ -111,7 +111,9 @@
                 let held = value.as_ref().map(parse).transpose()?;
                 Ok(ClaimEvent::Holds(held))
             }
-            Err(StoreError::Unavailable { .. }) => Ok(ClaimEvent::Unavailable),
+            Err(StoreError::Unavailable { .. } | StoreError::Compacted) => {
+                Ok(ClaimEvent::Unavailable)
+            }
             Err(StoreError::Lapsed) => {
                 *self.lease.lock().await = None;
                 Ok(ClaimEvent::Unavailable)
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -105,7 +105,7 @@
             traces: Arc::clone(&parts.traces),
         };
         let control = traffic.spawn(Control::start(control));
-        let control = control.await.map_err(start_error)??;
+        let control = control.await.map_err(StartError::new)??;
         let parts = EntryParts {
             view: Arc::clone(&control.view),
             demands: Arc::clone(&control.demands),
@@ -132,12 +132,12 @@
     supervisor: Supervisor,
     parts: EntryParts,
 ) -> Result<EntryHandle, StartError> {
-    let metrics = EntryMetrics::new(&parts.registry).map_err(start_error)?;
+    let metrics = EntryMetrics::new(&parts.registry).map_err(StartError::new)?;
     let objectives = parts.settings.slo.clone();
-    let slo = SloMetrics::new(parts.clock, objectives.clone()).map_err(start_error)?;
+    let slo = SloMetrics::new(parts.clock, objectives.clone()).map_err(StartError::new)?;
     let slo = Arc::new(slo);
     let shown = SharedSlo(Arc::clone(&slo));
-    (parts.registry.register(Box::new(shown))).map_err(start_error)?;
+    (parts.registry.register(Box::new(shown))).map_err(StartError::new)?;
     let secret = parts.settings.secrets.peers.first();
     let front = Arc::new(Frontend {
         peers: PeerPool::new(secret.map_or("", String::as_str)),
@@ -190,7 +190,7 @@
         front: Arc::clone(front),
     };
     let address = front.settings.listen.callers;
-    StreamServer::start(address, limits, Arc::new(api)).map_err(start_error)
+    StreamServer::start(address, limits, Arc::new(api)).map_err(StartError::new)
 }
 
 fn runtime() -> Result<Runtime, StartError> {
@@ -198,13 +198,7 @@
         .thread_name("traffic")
         .enable_all()
         .build()
-        .map_err(start_error)
-}
-
-fn start_error(error: impl fmt::Display) -> StartError {
-    StartError {
-        message: error.to_string(),
-    }
+        .map_err(StartError::new)
 }
 
 impl EntryHandle {
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -0,0 +1,87 @@
+//! Settings of a forwarding entry.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use cw_macro::data;
+use cw_types::HostId;
+use cw_types::ZoneId;
+use cw_types::units::Span;
+use serde_with::serde_as;
+
+use crate::LogSettings;
+use crate::SettingsError;
+use crate::settings::read;
+
+/// Settings of a forwarding entry.
+#[serde_as]
+#[data]
+#[serde(deny_unknown_fields)]
+pub struct ForwardSettings {
+    /// The host it runs on.
+    pub host: HostId,
+    /// The host's availability zone.
+    pub zone: ZoneId,
+    /// Where it listens.
+    pub listen: ForwardListen,
+    /// The key-value service.
+    pub store: SocketAddr,
+    /// How long a graceful shutdown may take.
+    #[serde_as(as = "Span")]
+    pub grace: Duration,
+    /// What may be sent more than once.
+    pub budget: BudgetSettings,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Where a forwarding entry listens.
+#[data(Eq)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether it is ready, and for metrics.
+    pub health: SocketAddr,
+    /// For metrics, where they are asked for elsewhere too.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// What may be sent to a service beyond the first send of each request, over all entries.
+#[data(Copy)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetSettings {
+    /// Further sends as a part of the requests.
+    pub ratio: f64,
+    /// Further sends beside those, in any window.
+    pub slack: f64,
+}
+
+impl ForwardSettings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the key and what is expected.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let settings: Self = read(file)?;
+        let value = |key, expected| SettingsError::Value {
+            file: file.to_owned(),
+            key,
+            expected,
+        };
+        if !(settings.budget.ratio >= 0.0) {
+            return Err(value("budget.ratio", "a number that is not negative"));
+        }
+        if !(settings.budget.slack >= 0.0) {
+            return Err(value("budget.slack", "a number that is not negative"));
+        }
+        if settings.grace.is_zero() {
+            return Err(value("grace", "a duration above zero"));
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -0,0 +1,161 @@
+//! Starting and stopping a forwarding entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_store::Dialect;
+use cw_store::KeyValue;
+use log::info;
+use prometheus::Registry;
+
+use crate::StartError;
+use crate::Supervisor;
+use crate::stream_server::ServerLimits;
+use crate::stream_server::StreamServer;
+
+use super::ForwardSettings;
+use super::directory::Directory;
+use super::directory::Topic;
+use super::front::Front;
+use super::metrics::ForwardMetrics;
+use super::operator_api::OperatorApi;
+use super::shared::Shared;
+
+/// The most connections of callers at once; a process has some four thousand descriptors.
+const CALLERS_MAX: usize = 3000;
+
+/// The most connections of operators at once.
+const OPERATORS_MAX: usize = 32;
+
+/// How often old connections are closed and old beliefs dropped.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
+
+/// How long a balancer takes to see that an entry is not ready: two questions, a second apart.
+const BALANCER_LAG: Duration = Duration::from_millis(2500);
+
+/// What the end of the process takes of the grace period.
+const EXIT_TIME: Duration = Duration::from_millis(300);
+
+/// What a forwarding entry is built from.
+pub struct ForwardParts {
+    /// What callers, targets and directory speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The key-value service.
+    pub store: Arc<dyn KeyValue>,
+}
+
+/// The forwarding entry.
+#[derive(Debug)]
+pub struct Forwarder;
+
+/// A running forwarding entry. Dropping it breaks off what is in progress.
+pub struct ForwarderHandle {
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it answers whether it is ready.
+    pub health: SocketAddr,
+    shared: Arc<Shared>,
+    supervisor: Supervisor,
+    server: StreamServer,
+    _operators: Vec<StreamServer>,
+}
+
+impl Forwarder {
+    /// Starts a forwarding entry on the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub fn start(
+        settings: ForwardSettings,
+        parts: ForwardParts,
+    ) -> Result<ForwarderHandle, StartError> {
+        let registry = Registry::new();
+        let metrics = ForwardMetrics::new(&registry).map_err(StartError::new)?;
+        let listen = settings.listen.clone();
+        let shared = Arc::new(Shared::new(settings, parts.dialect, metrics));
+        let supervisor = Supervisor::new("forward");
+        for (name, topic) in [("config", Topic::Config), ("targets", Topic::Targets)] {
+            let shared = Arc::clone(&shared);
+            let store = Arc::clone(&parts.store);
+            supervisor.keep(name, move || {
+                let shared = Arc::clone(&shared);
+                let store = Arc::clone(&store);
+                let directory = Directory {
+                    shared,
+                    store,
+                    topic,
+                };
+                directory.run()
+            });
+        }
+        let kept = Arc::clone(&shared);
+        supervisor.keep("upkeep", move || upkeep(Arc::clone(&kept)));
+        let callers = ServerLimits {
+            connections: CALLERS_MAX,
+            head: None,
+        };
+        let front = Arc::new(Front {
+            shared: Arc::clone(&shared),
+        });
+        let server =
+            StreamServer::start(listen.callers, callers, front).map_err(StartError::new)?;
+        let operators = ServerLimits {
+            connections: OPERATORS_MAX,
+            head: Some(Duration::from_secs(10)),
+        };
+        let api = Arc::new(OperatorApi {
+            shared: Arc::clone(&shared),
+            registry,
+        });
+        let health = StreamServer::start(listen.health, operators, Arc::clone(&api))
+            .map_err(StartError::new)?;
+        let mut servers = vec![health];
+        if let Some(address) = listen.metrics {
+            servers.push(StreamServer::start(address, operators, api).map_err(StartError::new)?);
+        }
+        Ok(ForwarderHandle {
+            callers: server.local_addr(),
+            health: servers[0].local_addr(),
+            shared,
+            supervisor,
+            server,
+            _operators: servers,
+        })
+    }
+}
+
+impl ForwarderHandle {
+    /// Takes nothing new, and returns when all in progress has ended or the grace is over.
+    pub async fn drain(self) {
+        let grace = self.shared.settings.grace.saturating_sub(EXIT_TIME);
+        self.shared.health.set_draining();
+        let work = async {
+            // Callers are still sent here until the balancer has noticed.
+            tokio::time::sleep(BALANCER_LAG.min(grace)).await;
+            self.server.close().await;
+        };
+        match tokio::time::timeout(grace, work).await {
+            Ok(()) => info!("everything in progress has ended"),
+            Err(_) => info!(
+                streams = self.shared.metrics.streams.get();
+                "the grace is over; what is in progress breaks off"
+            ),
+        }
+        self.supervisor.stop();
+    }
+}
+
+async fn upkeep(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(UPKEEP_PERIOD).await;
+        let now = shared.now();
+        let mut beliefs = shared.beliefs();
+        for id in beliefs.fleet.expire(now) {
+            info!(target_id = id.as_str(); "a target's entry did not come back");
+        }
+        let fleet = &beliefs.fleet;
+        shared.pool.sweep(now, |id| fleet.listing(id).is_some());
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/front.rs
@@ -0,0 +1,168 @@
+//! Takes requests in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_policy::forward::EventStream;
+use cw_policy::forward::Exchange;
+use cw_policy::forward::ExchangePlan;
+use cw_types::ErrorKind;
+use dropshot::Body;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use log::info;
+use rand::RngExt;
+
+use crate::stream_server::Handler;
+
+use super::answer::close_after;
+use super::courier::Courier;
+use super::courier::Parcel;
+use super::shared::Shared;
+
+/// How long a caller waits that does not say so.
+const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// The parts of the caller's time between which it is told to come again: callers follow it up to
+/// a third of their time, and spreading them avoids that all come at once.
+const AGAIN_SHARE: std::ops::Range<f64> = 0.1..0.33;
+
+/// Takes requests in.
+pub(super) struct Front {
+    pub(super) shared: Arc<Shared>,
+}
+
+/// A request that is not carried any further.
+struct Refusal {
+    kind: ErrorKind,
+    id: Option<String>,
+    patience: Option<Duration>,
+}
+
+impl Handler for Front {
+    fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
+        async move {
+            let mut response = match self.accept(request).await {
+                Ok(courier) => courier.carry().await,
+                Err(refusal) => self.refuse(&refusal),
+            };
+            if self.shared.health.is_draining() {
+                close_after(&mut response);
+            }
+            response
+        }
+        .boxed()
+    }
+}
+
+impl Front {
+    /// Reads a request, and finds out where it may go.
+    async fn accept(&self, request: Request<Body>) -> Result<Courier, Refusal> {
+        let arrived = self.shared.now();
+        let (parts, body) = request.into_parts();
+        let head = self
+            .shared
+            .dialect
+            .read_request(&parts)
+            .map_err(|kind| Refusal {
+                kind,
+                id: None,
+                patience: None,
+            })?;
+        let refuse = |kind| Refusal {
+            kind,
+            id: Some(head.id.clone()),
+            patience: head.patience,
+        };
+        let config = self
+            .shared
+            .config()
+            .ok_or_else(|| refuse(ErrorKind::NotReady))?;
+        let admitted = config
+            .admit(&head.host, parts.uri.path(), head.key.as_deref())
+            .map_err(refuse)?;
+        let route = &admitted.route;
+        let draw = self.shared.beliefs().rng.random();
+        let service = route
+            .service(draw)
+            .cloned()
+            .ok_or_else(|| refuse(ErrorKind::NoTarget))?;
+        let patience = head.patience.unwrap_or(PATIENCE_DEFAULT);
+        let deadline = arrived + patience.min(route.timeout);
+        let body = self
+            .read(body, config.limits().body, patience.min(route.timeout))
+            .await
+            .map_err(refuse)?;
+        let plan = ExchangePlan {
+            repeat: route.repeat,
+            streaming: route.streaming,
+            attempts: route.attempts,
+            arrived,
+            deadline,
+            objective: route.objective,
+            pause: route.pause,
+        };
+        let known = config.service(&service);
+        let parcel = Parcel {
+            memory: known.and_then(|service| service.memory),
+            copies: known.is_some_and(|service| service.copies),
+            events: EventStream::after(head.after),
+            parts,
+            body,
+            head,
+            admitted,
+            service,
+        };
+        let shared = Arc::clone(&self.shared);
+        Ok(Courier::new(shared, parcel, Exchange::new(plan)))
+    }
+
+    async fn read(&self, body: Body, most: usize, time: Duration) -> Result<Bytes, ErrorKind> {
+        let body = Limited::new(body, most).collect();
+        match tokio::time::timeout(time, body).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::TooLarge),
+            Ok(Err(_)) => Err(ErrorKind::BadRequest),
+            Err(_) => Err(ErrorKind::Expired),
+        }
+    }
+
+    fn refuse(&self, refusal: &Refusal) -> Response<Body> {
+        info!(
+            request = refusal.id.as_deref().unwrap_or("none"),
+            outcome = refusal.kind.code(),
+            version = self.shared.metrics.version.get();
+            "a request was refused on arrival"
+        );
+        self.shared.metrics.ended(None, refusal.kind.code());
+        refusal_response(
+            &self.shared,
+            refusal.kind,
+            refusal.patience,
+            refusal.id.as_deref(),
+        )
+    }
+}
+
+/// Returns an answer of the entry's own. `left` is the time that the caller has.
+pub(super) fn refusal_response(
+    shared: &Shared,
+    kind: ErrorKind,
+    left: Option<Duration>,
+    id: Option<&str>,
+) -> Response<Body> {
+    let share = shared.beliefs().rng.random_range(AGAIN_SHARE);
+    let again = left
+        .filter(|_| kind.is_retryable())
+        .map(|left| left.mul_f64(share));
+    shared
+        .dialect
+        .refusal(kind, again, id)
+        .map(|()| Body::empty())
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -0,0 +1,68 @@
+//! What a request takes up, given back however it ends.
+
+use std::sync::Arc;
+
+use cw_policy::forward::Demand;
+use cw_types::TargetId;
+
+use super::shared::Shared;
+
+/// A request's place at its target.
+pub(super) struct Place {
+    shared: Arc<Shared>,
+    target: TargetId,
+    demand: Demand,
+    began: bool,
+}
+
+impl Place {
+    pub(super) fn take(shared: &Arc<Shared>, target: &TargetId, demand: Demand) -> Self {
+        shared.beliefs().fleet.sent(target, demand);
+        Self {
+            shared: Arc::clone(shared),
+            target: target.clone(),
+            demand,
+            began: false,
+        }
+    }
+
+    /// The answer has begun.
+    pub(super) fn begin(&mut self) {
+        if !self.began {
+            self.began = true;
+            self.shared.beliefs().fleet.began(&self.target);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut beliefs = self.shared.beliefs();
+        beliefs.fleet.ended(&self.target, self.demand, self.began);
+    }
+}
+
+/// The memory that a copy of a run takes.
+pub(super) struct CopyPlace {
+    shared: Arc<Shared>,
+    keeper: TargetId,
+    demand: Demand,
+}
+
+impl CopyPlace {
+    pub(super) fn take(shared: &Arc<Shared>, keeper: &TargetId, demand: Demand) -> Self {
+        shared.beliefs().fleet.copy(keeper, demand, true);
+        Self {
+            shared: Arc::clone(shared),
+            keeper: keeper.clone(),
+            demand,
+        }
+    }
+}
+
+impl Drop for CopyPlace {
+    fn drop(&mut self) {
+        let mut beliefs = self.shared.beliefs();
+        beliefs.fleet.copy(&self.keeper, self.demand, false);
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/operator_api.rs
@@ -0,0 +1,61 @@
+//! What the balancer and the operators ask.
+
+use std::sync::Arc;
+
+use dropshot::Body;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use log::warn;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::stream_server::Handler;
+
+use super::shared::Shared;
+
+/// Answers whether the entry is ready, and what it counts.
+pub(super) struct OperatorApi {
+    pub(super) shared: Arc<Shared>,
+    pub(super) registry: Registry,
+}
+
+impl Handler for OperatorApi {
+    fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
+        let response = match request.uri().path() {
+            "/readyz" => self.ready(),
+            "/metrics" => self.metrics(),
+            _ => status(StatusCode::NOT_FOUND),
+        };
+        async move { response }.boxed()
+    }
+}
+
+impl OperatorApi {
+    fn ready(&self) -> Response<Body> {
+        status(match self.shared.health.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        })
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => Response::new(Body::from(text)),
+            Err(error) => {
+                warn!("metrics cannot be written: {error}");
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -0,0 +1,196 @@
+//! Passes the events of a stream on, from one target after the other.
+
+use std::io;
+
+use bytes::Bytes;
+use cw_policy::forward::ExchangeEvent;
+use cw_policy::forward::ExchangeStep;
+use cw_policy::forward::Fault;
+use cw_policy::forward::Resume;
+use cw_types::ErrorKind;
+use cw_types::Time;
+use dropshot::Body;
+use http::Response;
+use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt;
+use log::info;
+use tokio::sync::mpsc;
+
+use super::answer::EventBody;
+use super::answer::WholeAnswer;
+use super::courier::Courier;
+use super::outcome::Flow;
+use super::outcome::Outcome;
+
+/// How many writes may wait for a caller that reads slowly.
+const EVENTS_WAITING: usize = 16;
+
+type Events = mpsc::Sender<Result<Bytes, io::Error>>;
+
+/// How the part of a stream that one target sends ends.
+enum End {
+    /// It is whole.
+    Whole,
+    /// The caller has gone away.
+    Gone,
+    /// Something else happened.
+    Event(ExchangeEvent),
+}
+
+impl Courier {
+    /// Answers with a stream, which then goes on by itself.
+    pub(super) fn open(self, flow: Flow) -> Response<Body> {
+        let (events, body) = mpsc::channel(EVENTS_WAITING);
+        let WholeAnswer {
+            status, headers, ..
+        } = flow.head.clone();
+        let mut response = Response::new(Body::wrap(EventBody::new(body)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        // The target's length says nothing about a stream that goes on elsewhere.
+        response.headers_mut().remove(CONTENT_LENGTH);
+        let age = self.shared.now().since(self.exchange.plan().arrived);
+        self.shared.metrics.answered(&self.parcel.service, age);
+        tokio::spawn(self.stream(flow, events));
+        response
+    }
+
+    async fn stream(mut self, flow: Flow, events: Events) {
+        self.shared.metrics.streams.inc();
+        let outcome = self.pass_on(flow, &events).await;
+        self.shared.metrics.streams.dec();
+        match outcome {
+            Ok(outcome) => self.ended(outcome),
+            Err(kind) => {
+                self.ended(kind.code());
+                // The error makes the connection end without the end of the body.
+                let broken = io::Error::other("the stream broke off");
+                let _ = events.send(Err(broken)).await;
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        mut flow: Flow,
+        events: &Events,
+    ) -> Result<&'static str, ErrorKind> {
+        loop {
+            let end = self.relay(&mut flow, events).await;
+            let event = match end {
+                End::Whole => {
+                    self.give_back(flow.run, flow.reuse);
+                    return Ok("answered");
+                }
+                End::Gone => return Ok("caller_gone"),
+                End::Event(event) => event,
+            };
+            // The old target must not work on it while another one does.
+            drop(flow);
+            let lost = self.shared.now();
+            let step = self.next(event);
+            flow = tokio::select! {
+                found = self.resume(step) => found?,
+                () = events.closed() => return Ok("caller_gone"),
+            };
+            let now = self.shared.now();
+            self.shared.metrics.resumed(now.since(lost));
+        }
+    }
+
+    /// Sends the request again until its stream goes on.
+    async fn resume(&mut self, mut step: ExchangeStep) -> Result<Flow, ErrorKind> {
+        loop {
+            step = match step {
+                ExchangeStep::Send(resume) => match self.send(&resume).await {
+                    Outcome::Stream(flow) => return Ok(*flow),
+                    Outcome::Event(event) => self.next(event),
+                    Outcome::Answer(_) | Outcome::Failure(_) => self.next(ExchangeEvent::Failed),
+                },
+                ExchangeStep::Wait(pause) => {
+                    tokio::time::sleep(pause).await;
+                    ExchangeStep::Send(Resume::default())
+                }
+                ExchangeStep::PassOn => ExchangeStep::Break(ErrorKind::TargetFailed),
+                ExchangeStep::Refuse(kind) | ExchangeStep::Break(kind) => return Err(kind),
+            };
+        }
+    }
+
+    /// Passes on what one target sends.
+    async fn relay(&mut self, flow: &mut Flow, events: &Events) -> End {
+        let deadline = self.exchange.plan().deadline;
+        let mut heard = self.shared.now();
+        let first = std::mem::take(&mut flow.first);
+        if !self.give(first, events).await {
+            return End::Gone;
+        }
+        let timer = tokio::time::sleep(std::time::Duration::ZERO);
+        tokio::pin!(timer);
+        loop {
+            if self.should_move() {
+                return End::Event(ExchangeEvent::Leaving);
+            }
+            let until = self.exchange.patience(heard).unwrap_or(deadline);
+            timer
+                .as_mut()
+                .reset(self.shared.clock.instant(until.min(deadline)));
+            let frame = tokio::select! {
+                biased;
+                frame = flow.body.frame() => frame,
+                () = events.closed() => return End::Gone,
+                () = timer.as_mut() => return self.overdue(deadline),
+            };
+            let data = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return End::Event(ExchangeEvent::Lost(Fault::Broken)),
+                None if self.parcel.events.is_torn() => {
+                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
+                None => return End::Whole,
+            };
+            let now = self.shared.now();
+            match self.parcel.events.push(&data) {
+                Ok(whole) if whole.is_empty() => {}
+                Ok(whole) => {
+                    self.shared.metrics.paused(now.since(heard));
+                    if !self.give(whole, events).await {
+                        return End::Gone;
+                    }
+                }
+                Err(fault) => {
+                    info!(request = self.parcel.head.id.as_str(); "a stream is broken: {fault}");
+                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
+            }
+            heard = self.shared.now();
+        }
+    }
+
+    /// Passes events on to the caller. Returns whether it is still there.
+    async fn give(&self, whole: Bytes, events: &Events) -> bool {
+        self.shared.metrics.events.inc();
+        events.send(Ok(whole)).await.is_ok()
+    }
+
+    fn overdue(&self, deadline: Time) -> End {
+        End::Event(match self.shared.now() >= deadline {
+            true => ExchangeEvent::Expired,
+            false => ExchangeEvent::Lost(Fault::Silent),
+        })
+    }
+
+    /// Returns whether the stream should go on at the target that has a copy of the run.
+    fn should_move(&self) -> bool {
+        let Some(placed) = self.exchange.placed() else {
+            return false;
+        };
+        let now = self.shared.now();
+        let beliefs = self.shared.beliefs();
+        beliefs.fleet.is_leaving(&placed.target)
+            && placed
+                .copy
+                .as_ref()
+                .is_some_and(|keeper| beliefs.fleet.is_usable(now, keeper))
+    }
+}
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -1,13 +1,15 @@
-//! The daemon as a library: an entry and an agent, each with its settings.
+//! The daemon as a library: an entry, an agent and a forwarding entry, each with its settings.
 //!
 //! - [`EntrySettings`] and [`AgentSettings`] are read and checked before anything starts.
 //! - [`Entry::start`] and [`Agent::start`] run a role on the present runtime and return a handle.
+//! - [`Forwarder::start`] runs an entry for opaque requests.
 //! - [`Clock`] is the only source of the present time; deciding code gets it as an argument.
 
 mod agent;
 mod clock;
 mod control;
 mod entry;
+mod forward;
 mod health;
 mod host_entry;
 mod json_log;
@@ -33,6 +35,12 @@
 pub use entry::Entry;
 pub use entry::EntryHandle;
 pub use entry::EntryParts;
+pub use forward::BudgetSettings;
+pub use forward::ForwardListen;
+pub use forward::ForwardParts;
+pub use forward::ForwardSettings;
+pub use forward::Forwarder;
+pub use forward::ForwarderHandle;
 pub use health::Health;
 pub use json_log::JsonLog;
 pub use peer_client::PeerClient;
--- a/crates/cyclamenwharf/src/main.rs
+++ b/crates/cyclamenwharf/src/main.rs
@@ -1,19 +1,26 @@
-//! The daemon: `cyclamenwharf entry|agent --settings FILE`.
+//! The daemon: `cyclamenwharf entry|agent|forward --settings FILE`.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use cw_platform::PlatformDialect;
+use cw_platform::PlatformStore;
 use cyclamenwharf::Agent;
 use cyclamenwharf::AgentSettings;
 use cyclamenwharf::Entry;
 use cyclamenwharf::EntrySettings;
+use cyclamenwharf::ForwardParts;
+use cyclamenwharf::ForwardSettings;
+use cyclamenwharf::Forwarder;
 use cyclamenwharf::JsonLog;
 use log::error;
 use log::info;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -39,6 +46,11 @@
         .subcommand(
             Command::new("agent")
                 .about("Runs attempts on the one target beside it")
+                .arg(settings.clone()),
+        )
+        .subcommand(
+            Command::new("forward")
+                .about("Passes opaque requests through to the targets of a service")
                 .arg(settings),
         )
 }
@@ -48,6 +60,7 @@
     match matches.subcommand() {
         Some(("entry", args)) => run_entry(args),
         Some(("agent", args)) => run_agent(args),
+        Some(("forward", args)) => run_forward(args),
         _ => ExitCode::FAILURE,
     }
 }
@@ -66,7 +79,7 @@
         Ok(settings) => settings,
         Err(error) => return refuse(&error),
     };
-    serve(settings.log.level.into(), async {
+    serve(Runtime::new(), settings.log.level.into(), async {
         let entry = Entry::start(settings).await.map_err(|e| e.to_string())?;
         info!(callers = entry.callers.to_string(); "the entry has started");
         wait_for_signal().await;
@@ -81,7 +94,7 @@
         Ok(settings) => settings,
         Err(error) => return refuse(&error),
     };
-    serve(settings.log.level.into(), async {
+    serve(Runtime::new(), settings.log.level.into(), async {
         let agent = Agent::start(settings).await.map_err(|e| e.to_string())?;
         info!(peers = agent.peers.to_string(); "the agent has started");
         wait_for_signal().await;
@@ -91,11 +104,54 @@
     })
 }
 
-fn serve(level: log::LevelFilter, work: impl Future<Output = Result<(), String>>) -> ExitCode {
+fn run_forward(args: &ArgMatches) -> ExitCode {
+    let file = file(args);
+    let settings = match ForwardSettings::read(file) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    // One thread: such an entry waits far more than it computes, and its hosts have one core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    serve(runtime, settings.log.level.into(), async {
+        let parts = ForwardParts {
+            dialect: Arc::new(PlatformDialect),
+            store: Arc::new(PlatformStore::new(settings.store)),
+        };
+        let entry = Forwarder::start(settings, parts).map_err(|e| e.to_string())?;
+        info!(callers = entry.callers.to_string(); "the forwarding entry has started");
+        check_on_hangup(file.clone());
+        wait_for_signal().await;
+        info!("the forwarding entry is draining");
+        entry.drain().await;
+        Ok(())
+    })
+}
+
+/// Checks the settings on each `SIGHUP`. All of them describe the host, so what has changed holds
+/// from the next start.
+fn check_on_hangup(file: PathBuf) {
+    let mut hangup = signal(SignalKind::hangup()).expect("the runtime handles signals");
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match ForwardSettings::read(&file) {
+                Ok(_) => info!("the settings were read again; changes hold from the next start"),
+                Err(error) => error!("the settings have become unusable: {error}"),
+            }
+        }
+    });
+}
+
+fn serve(
+    runtime: std::io::Result<Runtime>,
+    level: log::LevelFilter,
+    work: impl Future<Output = Result<(), String>>,
+) -> ExitCode {
     if let Err(error) = JsonLog::install(level) {
         return refuse(&error);
     }
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return refuse(&error),
     };
