Count a prompt as unanswered until its first event

Cause: targets send the head of an answer before the prompt is read, so prompts queued up behind each other unseen and streams were restarted after 2.5 s.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -70,6 +70,8 @@
     NoTarget,
     /// The target proves that it did not run the request, and will not.
     NotRun(Fault),
+    /// The target that was to go on from a copy of the run has none.
+    NoCopy,
     /// It may have run, and the rest of its answer will not come.
     Lost(Fault),
     /// The target is leaving, and a copy of the run is elsewhere.
@@ -178,6 +180,10 @@
     /// Returns when a target that was sent the request now is given up if it does not answer,
     /// `None` for never. `resumed` says that it goes on from a copy of the run.
     pub fn start_patience(&self, now: Time, resumed: bool) -> Option<Time> {
+        if self.runs >= self.plan.attempts {
+            // It cannot be sent again, so a late answer is the best that can come.
+            return None;
+        }
         match self.plan.repeat {
             Repeat::Never => None,
             Repeat::Whole => Some(now + now.until(self.plan.deadline).mul_f64(REPEAT_SHARE)),
@@ -188,10 +194,8 @@
 
     /// Returns when a target whose last event came now is given up, `None` for never.
     pub fn patience(&self, now: Time) -> Option<Time> {
-        match self.plan.repeat {
-            Repeat::Resume => Some(now + self.silence()),
-            Repeat::Never | Repeat::Whole => None,
-        }
+        let resumes = self.plan.repeat == Repeat::Resume && self.runs < self.plan.attempts;
+        resumes.then(|| now + self.silence())
     }
 
     fn pause(&self) -> Duration {
@@ -217,6 +221,7 @@
         match event {
             ExchangeEvent::NoTarget => self.unplaced(now),
             ExchangeEvent::NotRun(fault) => self.not_run(now, fault, spend),
+            ExchangeEvent::NoCopy => self.no_copy(now, spend),
             ExchangeEvent::Lost(fault) => self.lost(now, fault, spend),
             ExchangeEvent::Leaving => self.leave(spend),
             ExchangeEvent::Failed => self.failed(now, spend),
@@ -258,6 +263,20 @@
         ExchangeStep::Send(Resume::default())
     }
 
+    fn no_copy(&mut self, now: Time, spend: impl FnOnce() -> bool) -> ExchangeStep {
+        self.runs = self.runs.saturating_sub(1);
+        self.refused += 1;
+        // The target is as good as any other for a start from the beginning.
+        self.placed = None;
+        if now >= self.plan.deadline {
+            return self.end(ErrorKind::Expired);
+        }
+        match spend() {
+            true => ExchangeStep::Send(Resume::default()),
+            false => self.end(ErrorKind::TargetFailed),
+        }
+    }
+
     fn lost(&mut self, now: Time, fault: Fault, spend: impl FnOnce() -> bool) -> ExchangeStep {
         if fault == Fault::Silent {
             self.growth *= SILENCE_GROWTH;
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -169,7 +169,7 @@
         };
         let until = self.exchange.start_patience(now, resumed);
         let demand = self.parcel.head.demand;
-        let mut place = Place::take(&self.shared, id, demand);
+        let place = Place::take(&self.shared, id, demand);
         let copy = placement
             .copy
             .as_ref()
@@ -198,10 +198,9 @@
         };
         let (parts, body) = response.into_parts();
         let answer = self.shared.dialect.read_answer(&parts);
-        if let Some(event) = self.misplaced(&answer) {
+        if let Some(event) = self.misplaced(&answer, resumed) {
             return Outcome::Event(event);
         }
-        place.begin();
         if let Some(load) = answer.load {
             let now = self.shared.now();
             self.shared.beliefs().fleet.reported(now, id, load);
@@ -217,7 +216,7 @@
         };
         let run = Run {
             link,
-            _place: place,
+            place,
             _copy: copy,
         };
         if parts.status.is_success() && self.exchange.plan().streaming {
@@ -285,10 +284,13 @@
     }
 
     /// Returns what follows when an answer is not one to this request.
-    fn misplaced(&self, answer: &AnswerHead) -> Option<ExchangeEvent> {
+    fn misplaced(&self, answer: &AnswerHead, resumed: bool) -> Option<ExchangeEvent> {
         if answer.stranger {
             return Some(ExchangeEvent::NotRun(Fault::Unreachable));
         }
+        if answer.refused && resumed {
+            return Some(ExchangeEvent::NoCopy);
+        }
         if answer.refused {
             return Some(ExchangeEvent::NotRun(Fault::Full));
         }
@@ -302,7 +304,7 @@
         head: WholeAnswer,
         body: Incoming,
         reuse: Reuse,
-        run: Run,
+        mut run: Run,
         until: Option<Time>,
     ) -> Outcome {
         let body = match self.in_time(until, body.collect()).await {
@@ -310,6 +312,7 @@
             Ok(Err(_)) => return Outcome::Event(ExchangeEvent::Lost(Fault::Broken)),
             Err(event) => return Outcome::Event(event),
         };
+        run.place.begin();
         self.give_back(run, reuse);
         let answer = WholeAnswer { body, ..head };
         match answer.status.is_server_error() {
@@ -334,7 +337,7 @@
         head: WholeAnswer,
         mut body: Incoming,
         reuse: Reuse,
-        run: Run,
+        mut run: Run,
         until: Option<Time>,
     ) -> Outcome {
         self.parcel.events.restart();
@@ -353,6 +356,7 @@
                 Ok(first) if first.is_empty() => {}
                 Ok(first) => {
                     self.exchange.begin();
+                    run.place.begin();
                     return Outcome::Stream(Box::new(Flow {
                         head,
                         first,
--- a/crates/cyclamenwharf/src/forward/outcome.rs
+++ b/crates/cyclamenwharf/src/forward/outcome.rs
@@ -46,6 +46,6 @@
 /// What a request has at its target while it runs. Dropping it cancels the request.
 pub(super) struct Run {
     pub(super) link: Link,
-    pub(super) _place: Place,
+    pub(super) place: Place,
     pub(super) _copy: Option<CopyPlace>,
 }
