Count repeats in sliding windows

A target without an answer yet has no copy of the run either, so the resumption is not tried; another target at the address is its own fault.

--- a/crates/cw_policy/src/budget/service_budgets.rs
+++ b/crates/cw_policy/src/budget/service_budgets.rs
@@ -1,29 +1,49 @@
 //! Budgets that all entries share, one for each service.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
 
 use cw_types::ServiceName;
+use cw_types::Time;
 
-use super::bucket::Bucket;
+/// How many spans a window is counted in.
+const SPANS: u32 = 20;
 
 /// How much may be sent to a service beyond the first send of each request, over all entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SharedBudget {
-    /// Further sends as a part of the requests.
+    /// Further sends as a part of the requests of a window.
     pub ratio: f64,
-    /// Further sends beside those, in any window.
+    /// Further sends beside those, in each window.
     pub slack: f64,
+    /// The length of the window, which may begin at any moment.
+    pub window: Duration,
 }
 
 /// This entry's part of the budgets of all services.
 ///
-/// Each bucket holds this entry's part of the slack and fills with its own requests, so the sum
-/// over all entries keeps to the shared budget in any window, whatever the others know.
+/// Each entry counts its own requests and has a part of the slack, so the sum over all entries keeps
+/// to the shared budget in any window, whatever the others know.
 #[derive(Clone, Debug)]
 pub struct ServiceBudgets {
     budget: SharedBudget,
     entries: u32,
-    services: BTreeMap<ServiceName, Bucket>,
+    services: BTreeMap<ServiceName, Counts>,
+}
+
+/// What one span of a window has seen.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    begin: Time,
+    firsts: u32,
+    further: u32,
+}
+
+/// What the last window has seen.
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    spans: VecDeque<Span>,
 }
 
 impl ServiceBudgets {
@@ -36,30 +56,31 @@
         }
     }
 
-    /// Sets how many entries share the budgets. Slack that was saved up is cut, never raised.
+    /// Sets how many entries share the budgets.
     pub fn share(&mut self, entries: u32) {
         self.entries = entries.max(1);
-        let most = self.most();
-        for bucket in self.services.values_mut() {
-            bucket.fill(0.0, most);
-        }
     }
 
     /// Records the first send of a request.
-    pub fn first(&mut self, service: &ServiceName) {
-        let ratio = self.budget.ratio;
-        let most = self.most();
-        self.bucket(service).fill(ratio, most);
+    pub fn first(&mut self, now: Time, service: &ServiceName) {
+        self.span(now, service).firsts += 1;
     }
 
-    /// Returns whether a further send is allowed, and spends it if so.
-    pub fn spend(&mut self, service: &ServiceName) -> bool {
-        let bucket = self.bucket(service);
-        let allowed = bucket.has();
-        if allowed {
-            bucket.spend();
+    /// Returns whether a further send is allowed, and counts it if so.
+    pub fn spend(&mut self, now: Time, service: &ServiceName) -> bool {
+        let budget = self.budget;
+        let slack = budget.slack / f64::from(self.entries);
+        self.span(now, service);
+        let Some(counts) = self.services.get_mut(service) else {
+            return false;
+        };
+        let allowed = slack + budget.ratio * f64::from(counts.firsts());
+        let spent = f64::from(counts.further());
+        let is_allowed = spent + 1.0 <= allowed;
+        if is_allowed && let Some(span) = counts.spans.back_mut() {
+            span.further += 1;
         }
-        allowed
+        is_allowed
     }
 
     /// Forgets the services that are no more.
@@ -67,14 +88,42 @@
         self.services.retain(|name, _| keep(name));
     }
 
-    fn most(&self) -> f64 {
-        (self.budget.slack / f64::from(self.entries)).max(1.0)
+    /// Returns the span of the present moment.
+    fn span(&mut self, now: Time, service: &ServiceName) -> &mut Span {
+        let length = self.budget.window / SPANS;
+        // One span more than the window has: the oldest one may reach into it.
+        let memory = self.budget.window + length;
+        let counts = self.services.entry(service.clone()).or_default();
+        while let Some(oldest) = counts.spans.front()
+            && now.since(oldest.begin) > memory
+        {
+            counts.spans.pop_front();
+        }
+        let is_new = counts
+            .spans
+            .back()
+            .is_none_or(|span| now.since(span.begin) >= length);
+        if is_new {
+            counts.spans.push_back(Span {
+                begin: now,
+                firsts: 0,
+                further: 0,
+            });
+        }
+        let last = counts.spans.len() - 1;
+        &mut counts.spans[last]
+    }
+}
+
+impl Counts {
+    /// Returns the first sends that surely lie within the window.
+    fn firsts(&self) -> u32 {
+        let whole = usize::from(self.spans.len() as u32 > SPANS);
+        self.spans.iter().skip(whole).map(|span| span.firsts).sum()
     }
 
-    fn bucket(&mut self, service: &ServiceName) -> &mut Bucket {
-        let most = self.most();
-        self.services
-            .entry(service.clone())
-            .or_insert_with(|| Bucket::full(most))
+    /// Returns the further sends that may lie within the window.
+    fn further(&self) -> u32 {
+        self.spans.iter().map(|span| span.further).sum()
     }
 }
--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -118,6 +118,8 @@
     refused: u32,
     /// Whether a part of an answer has been passed on.
     begun: bool,
+    /// Whether the target where it is now has answered.
+    answering: bool,
     /// How much longer than at first a silence may be.
     growth: f64,
 }
@@ -132,6 +134,7 @@
             runs: 0,
             refused: 0,
             begun: false,
+            answering: false,
             growth: 1.0,
         }
     }
@@ -169,12 +172,14 @@
     /// It is sent to a target.
     pub fn send(&mut self, placement: Placement) {
         self.placed = Some(placement);
+        self.answering = false;
         self.runs += 1;
     }
 
     /// A part of the answer is passed on.
     pub fn begin(&mut self) {
         self.begun = true;
+        self.answering = true;
     }
 
     /// Returns when a target that was sent the request now is given up if it does not answer,
@@ -253,7 +258,9 @@
         if now >= self.plan.deadline {
             return self.end(ErrorKind::Expired);
         }
-        if !self.begun && (self.refused >= REFUSED_MAX || !spend()) {
+        // A send that reached no target is not counted, so the next one takes its place.
+        let allowed = fault == Fault::Unreachable || spend();
+        if !self.begun && (self.refused >= REFUSED_MAX || !allowed) {
             let kind = match fault {
                 Fault::Full => ErrorKind::Overloaded,
                 _ => ErrorKind::NoTarget,
@@ -320,10 +327,12 @@
     }
 
     /// Leaves the present target for good, and returns who keeps a copy of the run.
+    ///
+    /// There is none before the first event: engines send memory on only as they generate.
     fn leave_target(&mut self) -> Option<TargetId> {
         let placed = self.placed.take()?;
         self.excluded.insert(placed.target);
-        placed.copy
+        placed.copy.filter(|_| self.answering)
     }
 
     fn end(&self, kind: ErrorKind) -> ExchangeStep {
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -47,13 +47,15 @@
     Failed,
     /// It was too full to take the request.
     Full,
+    /// Another target has its address.
+    Replaced,
 }
 
 impl Fault {
     /// Returns how much it says against the target.
     fn weight(self) -> f64 {
         match self {
-            Fault::Unreachable | Fault::Silent => 2.0,
+            Fault::Unreachable | Fault::Silent | Fault::Replaced => 2.0,
             Fault::Broken => 1.0,
             Fault::Failed | Fault::Full => 0.5,
         }
@@ -61,7 +63,10 @@
 
     /// Returns whether the target is likely to be down.
     fn is_loss(self) -> bool {
-        matches!(self, Fault::Unreachable | Fault::Broken | Fault::Silent)
+        matches!(
+            self,
+            Fault::Unreachable | Fault::Broken | Fault::Silent | Fault::Replaced
+        )
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -68,7 +68,8 @@
 
 impl Courier {
     pub(super) fn new(shared: Arc<Shared>, parcel: Parcel, exchange: Exchange) -> Self {
-        shared.beliefs().budgets.first(&parcel.service);
+        let now = exchange.plan().arrived;
+        shared.beliefs().budgets.first(now, &parcel.service);
         Self {
             shared,
             parcel,
@@ -130,7 +131,7 @@
         let service = &self.parcel.service;
         let step = self
             .exchange
-            .on_event(now, event, || beliefs.budgets.spend(service));
+            .on_event(now, event, || beliefs.budgets.spend(now, service));
         info!(
             request = self.parcel.head.id.as_str(),
             target_id = placed.as_ref().map_or("none", |at| at.target.as_str()),
@@ -286,7 +287,7 @@
     /// Returns what follows when an answer is not one to this request.
     fn misplaced(&self, answer: &AnswerHead, resumed: bool) -> Option<ExchangeEvent> {
         if answer.stranger {
-            return Some(ExchangeEvent::NotRun(Fault::Unreachable));
+            return Some(ExchangeEvent::NotRun(Fault::Replaced));
         }
         if answer.refused && resumed {
             return Some(ExchangeEvent::NoCopy);
@@ -443,5 +444,6 @@
         Fault::Silent => "silent",
         Fault::Failed => "failed",
         Fault::Full => "full",
+        Fault::Replaced => "replaced",
     }
 }
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -51,6 +51,7 @@
 }
 
 /// What may be sent to a service beyond the first send of each request, over all entries.
+#[serde_as]
 #[data(Copy)]
 #[serde(deny_unknown_fields)]
 pub struct BudgetSettings {
@@ -58,6 +59,9 @@
     pub ratio: f64,
     /// Further sends beside those, in any window.
     pub slack: f64,
+    /// The length of the window.
+    #[serde_as(as = "Span")]
+    pub window: Duration,
 }
 
 impl ForwardSettings {
@@ -79,6 +83,9 @@
         if !(settings.budget.slack >= 0.0) {
             return Err(value("budget.slack", "a number that is not negative"));
         }
+        if settings.budget.window.is_zero() {
+            return Err(value("budget.window", "a duration above zero"));
+        }
         if settings.grace.is_zero() {
             return Err(value("grace", "a duration above zero"));
         }
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -55,6 +55,7 @@
         let budget = SharedBudget {
             ratio: settings.budget.ratio,
             slack: settings.budget.slack,
+            window: settings.budget.window,
         };
         let beliefs = Beliefs {
             config: None,
