Tell the other entries what is where, and wait for long prompts

Cause: four entries chose among the same few idle engines without knowing of each other, and gave up any prompt after 2.5 s, though one of 14,000 tokens takes longer on every engine (one request was started five times and failed). Entries now register in the store and tell each other runs, unread prompt tokens, copies and doubts over UDP; patience follows the pace at which prompts are read.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -183,8 +183,14 @@
     }
 
     /// Returns when a target that was sent the request now is given up if it does not answer,
-    /// `None` for never. `resumed` says that it goes on from a copy of the run.
-    pub fn start_patience(&self, now: Time, resumed: bool) -> Option<Time> {
+    /// `None` for never. `resumed` says that it goes on from a copy of the run; `reading` is the
+    /// longest time that reading its prompt should take.
+    pub fn start_patience(
+        &self,
+        now: Time,
+        resumed: bool,
+        reading: Option<Duration>,
+    ) -> Option<Time> {
         if self.runs >= self.plan.attempts {
             // It cannot be sent again, so a late answer is the best that can come.
             return None;
@@ -193,7 +199,10 @@
             Repeat::Never => None,
             Repeat::Whole => Some(now + now.until(self.plan.deadline).mul_f64(REPEAT_SHARE)),
             Repeat::Resume if resumed => Some(now + self.pause().mul_f64(self.growth)),
-            Repeat::Resume => Some(now + self.plan.objective.mul_f64(START_SHARE)),
+            Repeat::Resume => {
+                let start = self.plan.objective.mul_f64(START_SHARE);
+                Some(now + start.max(reading.unwrap_or_default()))
+            }
         }
     }
 
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -6,12 +6,14 @@
 
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::TargetShare;
 
 use super::Demand;
 use super::Fault;
 use super::Listing;
 use super::ReportedLoad;
 use super::member::Member;
+use super::peers::Peers;
 
 /// Bounds of the fleet's beliefs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +45,7 @@
     limits: FleetLimits,
     directory: Directory,
     pub(super) members: BTreeMap<TargetId, Member>,
+    pub(super) peers: Peers,
 }
 
 impl Fleet {
@@ -52,6 +55,7 @@
             limits,
             directory: Directory::Up(Time::default()),
             members: BTreeMap::new(),
+            peers: Peers::default(),
         }
     }
 
@@ -73,8 +77,10 @@
                 true
             }
             None => {
-                self.members
-                    .insert(listing.id.clone(), Member::new(listing));
+                let id = listing.id.clone();
+                let mut member = Member::new(listing);
+                member.peers = self.peers.at(&id);
+                self.members.insert(id, member);
                 true
             }
         }
@@ -156,15 +162,15 @@
     pub fn sent(&mut self, id: &TargetId, demand: Demand) {
         if let Some(member) = self.members.get_mut(id) {
             member.runs += 1;
-            member.unanswered += 1;
+            member.unread += demand.prompt;
             member.tokens += demand.tokens();
         }
     }
 
     /// The answer of a request has begun.
-    pub fn began(&mut self, id: &TargetId) {
+    pub fn began(&mut self, id: &TargetId, demand: Demand) {
         if let Some(member) = self.members.get_mut(id) {
-            member.unanswered = member.unanswered.saturating_sub(1);
+            member.unread = member.unread.saturating_sub(demand.prompt);
             member.heard();
         }
     }
@@ -175,7 +181,7 @@
             member.runs = member.runs.saturating_sub(1);
             member.tokens = member.tokens.saturating_sub(demand.tokens());
             if !began {
-                member.unanswered = member.unanswered.saturating_sub(1);
+                member.unread = member.unread.saturating_sub(demand.prompt);
             }
         }
     }
@@ -229,6 +235,13 @@
             .is_some_and(|member| !member.listing.leaving && member.rest <= now)
     }
 
+    /// Returns what a target is thought to have: this entry's part, the other entries' by their
+    /// messages, and all others' by the target's last report.
+    pub fn load(&self, now: Time, id: &TargetId) -> Option<(TargetShare, TargetShare, f64)> {
+        let member = self.members.get(id)?;
+        Some((member.share(), member.peers, member.foreign(now)))
+    }
+
     /// Returns how many targets there are.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cw_types::Time;
+use cw_wire::TargetShare;
 
 use super::Listing;
 
@@ -61,6 +62,11 @@
         }
     }
 
+    /// Returns whether the target may have stopped without a sign.
+    fn is_doubt(self) -> bool {
+        matches!(self, Fault::Unreachable | Fault::Silent)
+    }
+
     /// Returns whether the target is likely to be down.
     fn is_loss(self) -> bool {
         matches!(
@@ -85,8 +91,8 @@
     pub(super) listing: Listing,
     /// Requests that this entry has there.
     pub(super) runs: u32,
-    /// Those of them whose answer has not begun.
-    pub(super) unanswered: u32,
+    /// Tokens in the prompts of those whose answer has not begun.
+    pub(super) unread: u64,
     /// Copies of this entry's runs that it keeps.
     pub(super) copies: u32,
     /// Cache memory that runs and copies take, in tokens.
@@ -102,8 +108,12 @@
     /// Requests of other entries, by the last report.
     foreign: f64,
     reported: Time,
-    /// Requests that other entries say they have there.
-    pub(super) peers: u32,
+    /// What other entries say they have there.
+    pub(super) peers: TargetShare,
+    /// When somebody last found it silent or out of reach, and nobody has heard of it since.
+    pub(super) doubted: Option<Time>,
+    /// When this entry itself last found that.
+    pub(super) found: Option<Time>,
 }
 
 impl Member {
@@ -111,7 +121,7 @@
         Self {
             listing,
             runs: 0,
-            unanswered: 0,
+            unread: 0,
             copies: 0,
             tokens: 0,
             missing: None,
@@ -121,7 +131,9 @@
             struck: Time::default(),
             foreign: 0.0,
             reported: Time::default(),
-            peers: 0,
+            peers: TargetShare::default(),
+            doubted: None,
+            found: None,
         }
     }
 
@@ -129,9 +141,10 @@
     pub(super) fn reborn(&mut self, listing: Listing) {
         *self = Self {
             runs: self.runs,
-            unanswered: self.unanswered,
+            unread: self.unread,
             copies: self.copies,
             tokens: self.tokens,
+            peers: self.peers,
             ..Self::new(listing)
         };
     }
@@ -144,6 +157,10 @@
     pub(super) fn failed(&mut self, now: Time, fault: Fault) {
         self.strikes = self.strikes(now) + fault.weight();
         self.struck = now;
+        if fault.is_doubt() {
+            self.doubted = Some(now);
+            self.found = Some(now);
+        }
         if fault.is_loss() {
             let rest = REST_BASE * 2_u32.pow(self.losses.min(REST_DOUBLINGS));
             self.rest = self.rest.max(now + rest);
@@ -154,9 +171,26 @@
     /// Something came from it: it lives.
     pub(super) fn heard(&mut self) {
         self.losses = 0;
+        self.doubted = None;
         self.rest = Time::default();
     }
 
+    /// Another entry found it silent or out of reach.
+    pub(super) fn doubt(&mut self, now: Time) {
+        self.doubted = Some(now);
+        self.rest = self.rest.max(now + REST_BASE);
+    }
+
+    /// Returns what this entry has there.
+    pub(super) fn share(&self) -> TargetShare {
+        TargetShare {
+            runs: self.runs,
+            unread: self.unread,
+            copies: self.copies,
+            tokens: self.tokens,
+        }
+    }
+
     pub(super) fn reported(&mut self, now: Time, load: ReportedLoad) {
         let all = f64::from(load.running) + f64::from(load.waiting);
         self.foreign = (all - f64::from(self.runs)).max(0.0);
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -5,6 +5,8 @@
 //!
 //! - [`ForwardConfig`]: routes by host and path, services and callers' keys, at one version.
 //! - [`Fleet`]: which targets there are, how loaded, and which one is next ([`Placement`]).
+//! - [`Fleet::heard_peer`]: what the other entries say they have at the targets.
+//! - [`PromptPace`]: how long targets take to read prompts.
 //! - [`Exchange`]: one request, from its arrival to its end.
 //! - [`EventStream`]: cuts a target's bytes into events and keeps them in order.
 
@@ -14,6 +16,8 @@
 mod forward_config;
 mod listing;
 mod member;
+mod pace;
+mod peers;
 mod placement;
 
 pub use event_stream::EventStream;
@@ -36,5 +40,7 @@
 pub use member::Demand;
 pub use member::Fault;
 pub use member::ReportedLoad;
+pub use pace::PromptPace;
+pub use peers::PeerLimits;
 pub use placement::Need;
 pub use placement::Placement;
--- /dev/null
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -0,0 +1,175 @@
+//! What the other entries say they have at the targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cw_types::HostId;
+use cw_types::Incarnation;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_types::ZoneId;
+use cw_wire::Outstanding;
+use cw_wire::TargetHash;
+use cw_wire::TargetShare;
+
+use super::Fleet;
+
+/// How long a doubt about a target holds without a new one.
+const DOUBT_LIFE: Duration = Duration::from_secs(2);
+
+/// How many doubted targets of one availability zone make all of it doubtful.
+const DOUBTED_ZONE: usize = 3;
+
+/// Bounds on what is believed of other entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// How long the last message of an entry is believed.
+    pub life: Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            // Some messages may be lost; after as many the entry has gone, and its requests too.
+            life: Duration::from_millis(1500),
+        }
+    }
+}
+
+/// One other entry.
+#[derive(Clone, Debug)]
+struct Peer {
+    heard: Time,
+    incarnation: Incarnation,
+    sequence: u64,
+    shares: BTreeMap<TargetHash, TargetShare>,
+}
+
+/// The other entries.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Peers {
+    limits: PeerLimits,
+    peers: BTreeMap<HostId, Peer>,
+}
+
+impl Peers {
+    /// Returns what all of them have at a target.
+    pub(super) fn at(&self, id: &TargetId) -> TargetShare {
+        let hash = TargetHash::from(id);
+        let mut sum = TargetShare::default();
+        for share in self
+            .peers
+            .values()
+            .filter_map(|peer| peer.shares.get(&hash))
+        {
+            sum.runs += share.runs;
+            sum.unread += share.unread;
+            sum.copies += share.copies;
+            sum.tokens += share.tokens;
+        }
+        sum
+    }
+}
+
+impl Fleet {
+    /// Another entry says what it has at the targets. Returns whether the message is news.
+    pub fn heard_peer(&mut self, now: Time, message: &Outstanding) -> bool {
+        let known = self.peers.peers.get(&message.host);
+        let is_old = known.is_some_and(|peer| {
+            peer.incarnation == message.incarnation && peer.sequence >= message.sequence
+        });
+        if is_old {
+            return false;
+        }
+        let peer = Peer {
+            heard: now,
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            shares: message.shares.iter().copied().collect(),
+        };
+        self.peers.peers.insert(message.host.clone(), peer);
+        self.sum_up();
+        for member in self.members.values_mut() {
+            if message
+                .doubted
+                .contains(&TargetHash::from(&member.listing.id))
+            {
+                member.doubt(now);
+            }
+        }
+        true
+    }
+
+    /// Forgets what entries said that have not been heard for long. Returns which.
+    pub fn forget_peers(&mut self, now: Time) -> Vec<HostId> {
+        let life = self.peers.limits.life;
+        let gone: Vec<HostId> = self
+            .peers
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard) > life)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in &gone {
+            self.peers.peers.remove(host);
+        }
+        if !gone.is_empty() {
+            self.sum_up();
+        }
+        gone
+    }
+
+    /// Returns how many other entries are heard.
+    pub fn peers(&self) -> usize {
+        self.peers.peers.len()
+    }
+
+    /// Returns what this entry has at the targets.
+    pub fn shares(&self) -> Vec<(TargetHash, TargetShare)> {
+        self.members
+            .iter()
+            .map(|(id, member)| (TargetHash::from(id), member.share()))
+            .filter(|(_, share)| *share != TargetShare::default())
+            .collect()
+    }
+
+    /// Returns the targets that this entry found silent or out of reach after `since`.
+    pub fn doubted_since(&self, since: Time) -> Vec<TargetHash> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.found.is_some_and(|at| at > since))
+            .map(|(id, _)| TargetHash::from(id))
+            .collect()
+    }
+
+    /// Returns whether a target may have stopped without a sign: it was found silent itself, or
+    /// several others of its availability zone were.
+    pub fn is_doubted(&self, now: Time, id: &TargetId) -> bool {
+        let Some(member) = self.members.get(id) else {
+            return true;
+        };
+        let fresh = |at: Option<Time>| at.is_some_and(|at| now.since(at) < DOUBT_LIFE);
+        fresh(member.doubted) || self.is_zone_doubted(&member.listing.zone, fresh)
+    }
+
+    fn is_zone_doubted(&self, zone: &ZoneId, fresh: impl Fn(Option<Time>) -> bool) -> bool {
+        self.members
+            .values()
+            .filter(|member| member.listing.zone == *zone && fresh(member.doubted))
+            .count()
+            >= DOUBTED_ZONE
+    }
+
+    /// A target that was doubted has answered.
+    pub fn cleared(&mut self, id: &TargetId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard();
+        }
+    }
+
+    fn sum_up(&mut self) {
+        for (id, member) in &mut self.members {
+            member.peers = self.peers.at(id);
+        }
+    }
+}
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -16,9 +16,9 @@
 /// What one point of evidence against a target costs, in requests.
 const STRIKE_COST: f64 = 2.0;
 
-/// What a request whose answer has not begun costs beyond one that streams: its prompt is being
-/// read, which holds up all others there.
-const UNANSWERED_COST: f64 = 2.0;
+/// What a thousand tokens that have yet to be read cost, in requests: reading holds up all others
+/// there, and each prompt waits for those before it.
+const UNREAD_COST: f64 = 0.3;
 
 /// What a copy of another engine's run costs, in requests: it takes memory but no steps.
 const COPY_COST: f64 = 0.25;
@@ -50,6 +50,8 @@
     pub excluded: &'a BTreeSet<TargetId>,
     /// Whether another engine is to keep a copy of the run.
     pub copy: bool,
+    /// Whether the other entries say what they have at the targets.
+    pub peers: bool,
 }
 
 /// Where a request goes.
@@ -122,11 +124,15 @@
 }
 
 fn cost(now: Time, member: &Member, need: &Need<'_>) -> f64 {
-    let others = member.foreign(now).max(f64::from(member.peers));
+    let peers = member.peers;
+    let others = match need.peers {
+        true => f64::from(peers.runs),
+        false => member.foreign(now),
+    };
     let busy = f64::from(member.runs) + others;
     let mut cost = busy
-        + UNANSWERED_COST * f64::from(member.unanswered)
-        + COPY_COST * f64::from(member.copies)
+        + UNREAD_COST * (member.unread + peers.unread) as f64 / 1000.0
+        + COPY_COST * f64::from(member.copies + peers.copies)
         + STRIKE_COST * member.strikes(now);
     if member.listing.zone != *need.zone {
         cost += ZONE_COST;
@@ -142,6 +148,7 @@
     let Some(memory) = need.memory else {
         return true;
     };
-    let taken = member.tokens.saturating_add(need.demand.tokens());
+    let there = member.tokens.saturating_add(member.peers.tokens);
+    let taken = there.saturating_add(need.demand.tokens());
     taken as f64 <= memory as f64 * MEMORY_SHARE
 }
--- a/crates/cw_store/src/key_value.rs
+++ b/crates/cw_store/src/key_value.rs
@@ -102,6 +102,15 @@
     /// Reads all keys that begin with `prefix`, in order.
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>>;
 
+    /// Reads all keys that begin with `prefix`, perhaps as they were seconds ago, where the service
+    /// can do that with less work.
+    fn list_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
+        self.list(prefix)
+    }
+
     /// Reads all keys that begin with `prefix`, and the revision from which to watch them.
     fn snapshot<'a>(
         &'a self,
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 mod load_update;
 mod order;
+mod outstanding;
 pub mod path;
 mod report;
 
@@ -48,6 +49,8 @@
 pub use order::Order;
 pub use order::OrderAnswer;
 pub use order::OrderKind;
+pub use outstanding::Outstanding;
+pub use outstanding::TargetShare;
 pub use report::Batch;
 pub use report::ConfigAnswer;
 pub use report::ConfigAsk;
--- a/crates/cyclamenwharf/src/agent/agent_handle.rs
+++ b/crates/cyclamenwharf/src/agent/agent_handle.rs
@@ -4,15 +4,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use cw_policy::AdmissionLimits;
 use cw_policy::AttemptLimits;
 use cw_policy::AttemptTable;
 use cw_store::HostList;
 use cw_store::HttpHostList;
-use cw_types::Incarnation;
 use dropshot::HttpServer;
 use prometheus::Registry;
 use tokio::sync::watch;
@@ -31,6 +28,7 @@
 use crate::EngineSettings;
 use crate::StartError;
 use crate::Supervisor;
+use crate::clock::incarnation;
 use crate::stream_server::ServerLimits;
 use crate::stream_server::StreamServer;
 
@@ -137,13 +135,6 @@
     Ok(AgentState::new(settings, clock, supervisor, table, metrics))
 }
 
-/// Returns the number of this life: the wall clock, since a host keeps nothing.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let micros = since.unwrap_or_default().as_micros();
-    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
-}
-
 fn limits(settings: &EngineSettings) -> AttemptLimits {
     AttemptLimits {
         admission: AdmissionLimits {
--- a/crates/cyclamenwharf/src/clock.rs
+++ b/crates/cyclamenwharf/src/clock.rs
@@ -1,7 +1,10 @@
 //! The present time.
 
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
+use cw_types::Incarnation;
 use cw_types::Time;
 
 /// The process's monotonic clock.
@@ -29,3 +32,10 @@
         tokio::time::Instant::from_std(self.origin + time.since(Time::default()))
     }
 }
+
+/// Returns the number of this life: the wall clock, since a host keeps nothing.
+pub(crate) fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -12,6 +12,7 @@
 use cw_policy::forward::Fault;
 use cw_policy::forward::Need;
 use cw_policy::forward::Placement;
+use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
 use cw_store::AnswerHead;
 use cw_store::RequestHead;
@@ -33,6 +34,7 @@
 use super::front::refusal_response;
 use super::guards::CopyPlace;
 use super::guards::Place;
+use super::link::Link;
 use super::outcome::Flow;
 use super::outcome::Outcome;
 use super::outcome::Reuse;
@@ -40,6 +42,12 @@
 use super::shared::Shared;
 use super::target_pool::Taken;
 
+/// How often a request that waits for its first event looks whether its target is doubted.
+const DOUBT_PERIOD: Duration = Duration::from_millis(100);
+
+/// How long a target that could be reached is trusted before it is tried again.
+const DOUBT_REST: Duration = Duration::from_millis(1000);
+
 /// A request, and what the configuration says of it.
 pub(super) struct Parcel {
     /// The caller's request, without its body.
@@ -56,6 +64,14 @@
     pub(super) events: EventStream,
 }
 
+/// A stream whose events are still to come.
+struct Start {
+    head: WholeAnswer,
+    body: Incoming,
+    reuse: Reuse,
+    run: Run,
+}
+
 /// Carries one request to its end.
 pub(super) struct Courier {
     pub(super) shared: Arc<Shared>,
@@ -64,6 +80,8 @@
     /// The version of the weights that began the answer.
     weights: Option<u64>,
     failure: Option<WholeAnswer>,
+    /// When it was last sent.
+    sent: Time,
 }
 
 impl Courier {
@@ -76,6 +94,7 @@
             exchange,
             weights: None,
             failure: None,
+            sent: now,
         }
     }
 
@@ -159,7 +178,9 @@
         let Some(address) = self.address(&placement.target) else {
             return Outcome::Event(ExchangeEvent::NoTarget);
         };
+        self.log_send(now, &placement, resumed);
         self.exchange.send(placement.clone());
+        self.sent = now;
         let id = &placement.target;
         let Taken { mut link, mut used } = match self.shared.pool.take(now, id, address).await {
             Ok(taken) => taken,
@@ -168,8 +189,12 @@
                 return Outcome::Event(ExchangeEvent::NotRun(Fault::Unreachable));
             }
         };
-        let until = self.exchange.start_patience(now, resumed);
         let demand = self.parcel.head.demand;
+        let reading = {
+            let beliefs = self.shared.beliefs();
+            beliefs.pace.most(&self.parcel.service, demand.prompt)
+        };
+        let until = self.exchange.start_patience(now, resumed, reading);
         let place = Place::take(&self.shared, id, demand);
         let copy = placement
             .copy
@@ -186,7 +211,7 @@
                 Ok(response) => break response,
                 // A kept connection that was closed meanwhile says nothing about its target.
                 Err(error) if error.is_canceled() && used => {
-                    let Ok(fresh) = super::link::Link::connect(address).await else {
+                    let Ok(fresh) = Link::connect(address).await else {
                         return Outcome::Event(ExchangeEvent::NotRun(Fault::Unreachable));
                     };
                     (link, used) = (fresh, false);
@@ -224,7 +249,13 @@
             if self.weights.is_none() {
                 self.weights = answer.weights;
             }
-            return self.first_events(head, body, reuse, run, until).await;
+            let start = Start {
+                head,
+                body,
+                reuse,
+                run,
+            };
+            return self.first_events(start, until, resumed).await;
         }
         self.whole(head, body, reuse, run, until).await
     }
@@ -240,6 +271,7 @@
             zone: &self.shared.settings.zone,
             excluded: self.exchange.excluded(),
             copy: self.parcel.copies && self.exchange.wants_copy(),
+            peers: beliefs.fleet.peers() > 0,
         };
         let keeper = resume
             .keeper
@@ -254,6 +286,23 @@
         Some((placement, false))
     }
 
+    fn log_send(&self, now: Time, placement: &Placement, resumed: bool) {
+        let beliefs = self.shared.beliefs();
+        let load = beliefs.fleet.load(now, &placement.target);
+        info!(
+            request = self.parcel.head.id.as_str(),
+            route = self.parcel.admitted.route.name.as_str(),
+            version = self.shared.metrics.version.get(),
+            target_id = placement.target.as_str(),
+            copy_at = placement.copy.as_ref().map_or("none", TargetId::as_str),
+            resumed = u64::from(resumed),
+            after = self.parcel.events.last().unwrap_or_default(),
+            load:? = load,
+            peers = beliefs.fleet.peers();
+            "a request is sent"
+        );
+    }
+
     fn address(&self, id: &TargetId) -> Option<std::net::SocketAddr> {
         let beliefs = self.shared.beliefs();
         beliefs.fleet.listing(id).map(|listing| listing.address)
@@ -333,14 +382,13 @@
         }
     }
 
-    async fn first_events(
-        &mut self,
-        head: WholeAnswer,
-        mut body: Incoming,
-        reuse: Reuse,
-        mut run: Run,
-        until: Option<Time>,
-    ) -> Outcome {
+    async fn first_events(&mut self, start: Start, until: Option<Time>, resumed: bool) -> Outcome {
+        let Start {
+            head,
+            mut body,
+            reuse,
+            mut run,
+        } = start;
         self.parcel.events.restart();
         loop {
             let frame = match self.in_time(until, body.frame()).await {
@@ -358,6 +406,7 @@
                 Ok(first) => {
                     self.exchange.begin();
                     run.place.begin();
+                    self.note_pace(resumed);
                     return Outcome::Stream(Box::new(Flow {
                         head,
                         first,
@@ -374,6 +423,16 @@
         }
     }
 
+    /// Notes how long the target took to read the whole prompt.
+    fn note_pace(&self, resumed: bool) {
+        let prompt = self.parcel.head.demand.prompt;
+        if !resumed {
+            let time = self.shared.now().since(self.sent);
+            let mut beliefs = self.shared.beliefs();
+            beliefs.pace.read(&self.parcel.service, prompt, time);
+        }
+    }
+
     /// Waits for something, until the target is given up or the deadline has passed.
     async fn in_time<T>(
         &self,
@@ -383,13 +442,55 @@
         let deadline = self.exchange.plan().deadline;
         let until = until.map_or(deadline, |until| until.min(deadline));
         let instant = self.shared.clock.instant(until);
-        tokio::time::timeout_at(instant, work).await.map_err(|_| {
-            if self.shared.now() >= deadline {
-                ExchangeEvent::Expired
-            } else {
-                ExchangeEvent::Lost(Fault::Silent)
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            () = tokio::time::sleep_until(instant) => {
+                Err(match self.shared.now() >= deadline {
+                    true => ExchangeEvent::Expired,
+                    false => ExchangeEvent::Lost(Fault::Silent),
+                })
+            }
+            () = self.stopped() => Err(ExchangeEvent::Lost(Fault::Silent)),
+        }
+    }
+
+    /// Returns when a target that was doubted cannot be reached any more.
+    ///
+    /// A target may be silent for long while it reads a prompt, so silence alone says nothing then.
+    async fn stopped(&self) {
+        let Some(placed) = self.exchange.placed() else {
+            return std::future::pending().await;
+        };
+        if self.exchange.plan().repeat != Repeat::Resume {
+            return std::future::pending().await;
+        }
+        let id = &placed.target;
+        loop {
+            tokio::time::sleep(DOUBT_PERIOD).await;
+            let now = self.shared.now();
+            if !self.shared.beliefs().fleet.is_doubted(now, id) {
+                continue;
             }
-        })
+            let Some(address) = self.address(id) else {
+                continue;
+            };
+            match Link::connect(address).await {
+                Ok(link) => {
+                    self.shared.beliefs().fleet.cleared(id);
+                    self.shared.pool.put(self.shared.now(), id, link, None);
+                    tokio::time::sleep(DOUBT_REST).await;
+                }
+                Err(error) => {
+                    info!(
+                        request = self.parcel.head.id.as_str(),
+                        target_id = id.as_str();
+                        "a doubted target cannot be reached: {error}"
+                    );
+                    return;
+                }
+            }
+        }
     }
 
     // ---- The end ----
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -146,6 +146,7 @@
         self.shared.metrics.version.set(version);
         let services: BTreeSet<_> = config.services().cloned().collect();
         beliefs.budgets.retain(|service| services.contains(service));
+        beliefs.pace.retain(|service| services.contains(service));
         beliefs.config = Some(Arc::new(config));
         self.shared.health.set_configured();
     }
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -45,6 +45,8 @@
     pub callers: SocketAddr,
     /// For the balancer's question whether it is ready, and for metrics.
     pub health: SocketAddr,
+    /// For the other entries, over UDP.
+    pub peers: SocketAddr,
     /// For metrics, where they are asked for elsewhere too.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -8,9 +8,11 @@
 use cw_store::KeyValue;
 use log::info;
 use prometheus::Registry;
+use tokio::net::UdpSocket;
 
 use crate::StartError;
 use crate::Supervisor;
+use crate::clock::incarnation;
 use crate::stream_server::ServerLimits;
 use crate::stream_server::StreamServer;
 
@@ -20,6 +22,7 @@
 use super::front::Front;
 use super::metrics::ForwardMetrics;
 use super::operator_api::OperatorApi;
+use super::peer_exchange::PeerExchange;
 use super::shared::Shared;
 
 /// The most connections of callers at once; a process has some four thousand descriptors.
@@ -92,6 +95,15 @@
         }
         let kept = Arc::clone(&shared);
         supervisor.keep("upkeep", move || upkeep(Arc::clone(&kept)));
+        let known = Arc::clone(&shared);
+        supervisor.keep("registry", move || {
+            let registry = super::registry::Registry {
+                shared: Arc::clone(&known),
+                store: Arc::clone(&parts.store),
+            };
+            registry.run()
+        });
+        exchange(&supervisor, &shared, listen.peers)?;
         let callers = ServerLimits {
             connections: CALLERS_MAX,
             head: None,
@@ -147,6 +159,36 @@
     }
 }
 
+/// Starts to tell and hear the other entries.
+fn exchange(
+    supervisor: &Supervisor,
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+) -> Result<(), StartError> {
+    let socket = std::net::UdpSocket::bind(address).map_err(StartError::new)?;
+    socket.set_nonblocking(true).map_err(StartError::new)?;
+    let socket = Arc::new(UdpSocket::from_std(socket).map_err(StartError::new)?);
+    let incarnation = incarnation();
+    for name in ["peers/tell", "peers/hear"] {
+        let shared = Arc::clone(shared);
+        let socket = Arc::clone(&socket);
+        supervisor.keep(name, move || {
+            let exchange = PeerExchange {
+                shared: Arc::clone(&shared),
+                socket: Arc::clone(&socket),
+                incarnation,
+            };
+            async move {
+                match name {
+                    "peers/tell" => exchange.tell().await,
+                    _ => exchange.hear().await,
+                }
+            }
+        });
+    }
+    Ok(())
+}
+
 async fn upkeep(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(UPKEEP_PERIOD).await;
@@ -155,6 +197,9 @@
         for id in beliefs.fleet.expire(now) {
             info!(target_id = id.as_str(); "a target's entry did not come back");
         }
+        for host in beliefs.fleet.forget_peers(now) {
+            info!(entry = host.as_str(); "another entry is no longer heard");
+        }
         let fleet = &beliefs.fleet;
         shared.pool.sweep(now, |id| fleet.listing(id).is_some());
     }
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -18,6 +18,9 @@
 impl Place {
     pub(super) fn take(shared: &Arc<Shared>, target: &TargetId, demand: Demand) -> Self {
         shared.beliefs().fleet.sent(target, demand);
+        if demand.prompt > 0 {
+            shared.news.notify_one();
+        }
         Self {
             shared: Arc::clone(shared),
             target: target.clone(),
@@ -30,7 +33,7 @@
     pub(super) fn begin(&mut self) {
         if !self.began {
             self.began = true;
-            self.shared.beliefs().fleet.began(&self.target);
+            self.shared.beliefs().fleet.began(&self.target, self.demand);
         }
     }
 }
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! - `Front` takes each request in; a `Courier` carries it to its end, by the decisions of
 //!   [`cw_policy::forward::Exchange`].
 //! - `TargetPool` keeps connections to targets.
+//! - `Registry` and `PeerExchange` find the other entries and tell them what is where.
 //! - `Directory` follows the configuration and the targets in the key-value service.
 
 mod answer;
@@ -18,6 +19,8 @@
 mod metrics;
 mod operator_api;
 mod outcome;
+mod peer_exchange;
+mod registry;
 mod shared;
 mod streaming;
 mod target_pool;
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -0,0 +1,117 @@
+//! Tells the other entries what this one has at the targets, and hears what they have.
+//!
+//! Datagrams suit it: each message replaces the last one, and a lost one is made up for by the next.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cw_types::Incarnation;
+use cw_types::Time;
+use cw_wire::Outstanding;
+use cw_wire::decode;
+use cw_wire::encode;
+use log::debug;
+use log::info;
+use tokio::net::UdpSocket;
+
+use super::shared::Shared;
+
+/// The longest time between two messages; a new prompt is told at once.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// How much longer the time is for each other entry, so that the work grows with their number only.
+const PERIOD_STEP: Duration = Duration::from_millis(10);
+
+/// The shortest time between two messages.
+const NEWS_PERIOD: Duration = Duration::from_millis(5);
+
+/// The most targets that one message names: it must fit into one datagram.
+const SHARES_MAX: usize = 1000;
+
+/// The longest datagram.
+const DATAGRAM_MAX: usize = 64 << 10;
+
+/// Tells and hears.
+pub(super) struct PeerExchange {
+    pub(super) shared: Arc<Shared>,
+    pub(super) socket: Arc<UdpSocket>,
+    pub(super) incarnation: Incarnation,
+}
+
+impl PeerExchange {
+    /// Tells the other entries, until it is dropped.
+    pub(super) async fn tell(self) {
+        let mut sequence = 0;
+        let mut told = Time::default();
+        loop {
+            let entries = self.shared.entries();
+            let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+            tokio::time::sleep(NEWS_PERIOD).await;
+            let period = PERIOD + PERIOD_STEP.saturating_mul(count);
+            // Both ways on: there is news, or the others must hear that this entry lives.
+            let _ = tokio::time::timeout(period, self.shared.news.notified()).await;
+            if entries.is_empty() {
+                continue;
+            }
+            sequence += 1;
+            let now = self.shared.now();
+            let message = self.message(sequence, told);
+            told = now;
+            match encode(&message) {
+                Ok(bytes) => self.send(&bytes, entries.into_values()).await,
+                Err(error) => info!("a message to the other entries cannot be written: {error}"),
+            }
+        }
+    }
+
+    fn message(&self, sequence: u64, told: Time) -> Outstanding {
+        let beliefs = self.shared.beliefs();
+        let mut shares = beliefs.fleet.shares();
+        shares.truncate(SHARES_MAX);
+        Outstanding {
+            host: self.shared.settings.host.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            shares,
+            doubted: beliefs.fleet.doubted_since(told),
+        }
+    }
+
+    async fn send(&self, bytes: &[u8], peers: impl Iterator<Item = SocketAddr>) {
+        for peer in peers {
+            if let Err(error) = self.socket.send_to(bytes, peer).await {
+                debug!(peer = peer.to_string(); "an entry cannot be told: {error}");
+            }
+        }
+    }
+
+    /// Hears the other entries, until it is dropped.
+    pub(super) async fn hear(self) {
+        let mut buffer = vec![0; DATAGRAM_MAX];
+        loop {
+            let length = match self.socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    // A peer without a listener makes the next read fail; that is no fault here.
+                    debug!("no message: {error}");
+                    continue;
+                }
+            };
+            match decode::<Outstanding>(&buffer[..length]) {
+                Ok(message) => self.take(&message),
+                Err(error) => info!("a message of another entry cannot be read: {error}"),
+            }
+        }
+    }
+
+    fn take(&self, message: &Outstanding) {
+        let now = self.shared.now();
+        let mut beliefs = self.shared.beliefs();
+        let before = beliefs.fleet.peers();
+        beliefs.fleet.heard_peer(now, message);
+        if beliefs.fleet.peers() > before {
+            info!(entry = message.host.as_str(); "another entry is heard");
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -1,5 +1,7 @@
 //! What the parts of a forwarding entry share.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,10 +12,14 @@
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
 use cw_policy::forward::ForwardConfig;
+use cw_policy::forward::PromptPace;
 use cw_store::Dialect;
+use cw_types::HostId;
 use cw_types::Time;
+use log::info;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 
 use crate::Clock;
 use crate::Health;
@@ -29,8 +35,12 @@
     pub(super) config: Option<Arc<ForwardConfig>>,
     /// The targets.
     pub(super) fleet: Fleet,
+    /// How long prompts take.
+    pub(super) pace: PromptPace,
     /// What may be sent more than once.
     pub(super) budgets: ServiceBudgets,
+    /// Where the other registered entries hear this one.
+    pub(super) entries: BTreeMap<HostId, SocketAddr>,
     /// The source of chance in decisions.
     pub(super) rng: SmallRng,
 }
@@ -43,6 +53,8 @@
     pub(super) health: Health,
     pub(super) metrics: ForwardMetrics,
     pub(super) pool: TargetPool,
+    /// Tells that the other entries should hear at once what this one has where.
+    pub(super) news: Notify,
     beliefs: Mutex<Beliefs>,
 }
 
@@ -60,7 +72,9 @@
         let beliefs = Beliefs {
             config: None,
             fleet: Fleet::new(FleetLimits::default()),
+            pace: PromptPace::default(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
+            entries: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(rand::random()),
         };
         Self {
@@ -70,6 +84,7 @@
             health: Health::default(),
             metrics,
             pool: TargetPool::default(),
+            news: Notify::new(),
             beliefs: Mutex::new(beliefs),
         }
     }
@@ -82,6 +97,23 @@
         self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in which other entries are registered.
+    pub(super) fn set_entries(&self, entries: BTreeMap<HostId, SocketAddr>) {
+        let mut beliefs = self.beliefs();
+        if beliefs.entries != entries {
+            info!(others = entries.len(); "the registered entries have changed");
+        }
+        beliefs
+            .budgets
+            .share(u32::try_from(entries.len() + 1).unwrap_or(u32::MAX));
+        beliefs.entries = entries;
+    }
+
+    /// Returns the other registered entries.
+    pub(super) fn entries(&self) -> BTreeMap<HostId, SocketAddr> {
+        self.beliefs().entries.clone()
+    }
+
     pub(super) fn config(&self) -> Option<Arc<ForwardConfig>> {
         self.beliefs().config.clone()
     }
