Trust no target of a lost zone until it is heard

Cause: a crashed engine stays in the directory for some four seconds, so copies were placed at engines that were long dead, and entries that chose in the same milliseconds all took the same idle engine. Three losses in one availability zone within a second now make its silent targets a last resort and no keeper; a target that another one has replaced is not used again; rendezvous hashing gives each entry targets of its own to prefer.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -201,7 +201,7 @@
             Repeat::Resume if resumed => Some(now + self.pause().mul_f64(self.growth)),
             Repeat::Resume => {
                 let start = self.plan.objective.mul_f64(START_SHARE);
-                Some(now + start.max(reading.unwrap_or_default()))
+                Some(now + start.max(reading.unwrap_or(self.plan.objective)))
             }
         }
     }
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use cw_types::HostId;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_types::ZoneId;
 use cw_wire::TargetShare;
 
 use super::Demand;
@@ -15,17 +17,27 @@
 use super::member::Member;
 use super::peers::Peers;
 
+/// How many targets of one availability zone must be lost at about the same time for the loss to be
+/// taken for one of the zone.
+const ZONE_LOSSES: usize = 3;
+
+/// The time within which such losses fall: silence is noticed within a second.
+const ZONE_WINDOW: Duration = Duration::from_secs(1);
+
 /// Bounds of the fleet's beliefs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetLimits {
     /// How long after the directory's return a target that lapsed meanwhile may still come back.
     pub relist: Duration,
+    /// How long the directory names a target that has stopped.
+    pub lapse: Duration,
 }
 
 impl Default for FleetLimits {
     fn default() -> Self {
         Self {
             relist: Duration::from_secs(2),
+            lapse: Duration::from_secs(4),
         }
     }
 }
@@ -39,6 +51,19 @@
     Down,
 }
 
+/// Whether a request may go to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Usability {
+    /// It may.
+    Usable,
+    /// The directory does not name the target.
+    Unlisted,
+    /// The target takes no new work.
+    Leaving,
+    /// The target could not be reached a moment ago.
+    Resting,
+}
+
 /// The targets that the directory names, with what this entry has seen of them.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -46,6 +71,12 @@
     directory: Directory,
     pub(super) members: BTreeMap<TargetId, Member>,
     pub(super) peers: Peers,
+    /// This entry, once it knows others.
+    pub(super) own: Option<HostId>,
+    /// All entries.
+    pub(super) entries: BTreeSet<HostId>,
+    /// When several targets of an availability zone were last lost at about the same time.
+    zones: BTreeMap<ZoneId, Time>,
 }
 
 impl Fleet {
@@ -56,13 +87,16 @@
             directory: Directory::Up(Time::default()),
             members: BTreeMap::new(),
             peers: Peers::default(),
+            own: None,
+            entries: BTreeSet::new(),
+            zones: BTreeMap::new(),
         }
     }
 
     // ---- The directory ----
 
     /// The directory has an entry, or a new value of one. Returns whether a belief changed.
-    pub fn listed(&mut self, listing: Listing) -> bool {
+    pub fn listed(&mut self, now: Time, listing: Listing) -> bool {
         match self.members.get_mut(&listing.id) {
             Some(member) if member.listing == listing && member.missing.is_none() => false,
             Some(member) if member.listing.same_life(&listing) => {
@@ -73,13 +107,14 @@
                 true
             }
             Some(member) => {
-                member.reborn(listing);
+                member.reborn(now, listing);
                 true
             }
             None => {
                 let id = listing.id.clone();
-                let mut member = Member::new(listing);
+                let mut member = Member::new(now, listing);
                 member.peers = self.peers.at(&id);
+                member.own = self.is_own(&id);
                 self.members.insert(id, member);
                 true
             }
@@ -168,10 +203,10 @@
     }
 
     /// The answer of a request has begun.
-    pub fn began(&mut self, id: &TargetId, demand: Demand) {
+    pub fn began(&mut self, now: Time, id: &TargetId, demand: Demand) {
         if let Some(member) = self.members.get_mut(id) {
             member.unread = member.unread.saturating_sub(demand.prompt);
-            member.heard();
+            member.heard(now);
         }
     }
 
@@ -212,6 +247,37 @@
         if let Some(member) = self.members.get_mut(id) {
             member.failed(now, fault);
         }
+        self.note_loss(now, id);
+    }
+
+    /// Something came from a target, so it lives.
+    pub fn heard(&mut self, now: Time, id: &TargetId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.heard(now);
+        }
+    }
+
+    /// Notes when a loss is one of several in an availability zone.
+    pub(super) fn note_loss(&mut self, now: Time, id: &TargetId) {
+        let Some(zone) = self.members.get(id).map(|member| &member.listing.zone) else {
+            return;
+        };
+        let lost = self.members.values().filter(|member| {
+            let at = member.doubted.filter(|at| now.since(*at) < ZONE_WINDOW);
+            member.listing.zone == *zone && at.is_some()
+        });
+        if lost.count() >= ZONE_LOSSES {
+            self.zones.insert(zone.clone(), now);
+        }
+    }
+
+    /// Returns whether a target may be among those that its availability zone has lost: nothing has
+    /// come from it since, and the directory has not had the time to drop it.
+    pub(super) fn is_unproven(&self, now: Time, member: &Member) -> bool {
+        let lost = self.zones.get(&member.listing.zone);
+        lost.is_some_and(|&at| {
+            now.since(at) < self.limits.lapse && member.heard < at && member.listed < at
+        })
     }
 
     // ---- Questions ----
@@ -230,9 +296,18 @@
 
     /// Returns whether a request may go to this target now.
     pub fn is_usable(&self, now: Time, id: &TargetId) -> bool {
-        self.members
-            .get(id)
-            .is_some_and(|member| !member.listing.leaving && member.rest <= now)
+        self.usability(now, id) == Usability::Usable
+    }
+
+    /// Returns whether a request may go to this target now, and why not.
+    pub fn usability(&self, now: Time, id: &TargetId) -> Usability {
+        match self.members.get(id) {
+            None => Usability::Unlisted,
+            Some(member) if member.listing.leaving => Usability::Leaving,
+            Some(member) if member.replaced => Usability::Unlisted,
+            Some(member) if member.rest > now => Usability::Resting,
+            Some(_) => Usability::Usable,
+        }
     }
 
     /// Returns what a target is thought to have: this entry's part, the other entries' by their
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -62,11 +62,6 @@
         }
     }
 
-    /// Returns whether the target may have stopped without a sign.
-    fn is_doubt(self) -> bool {
-        matches!(self, Fault::Unreachable | Fault::Silent)
-    }
-
     /// Returns whether the target is likely to be down.
     fn is_loss(self) -> bool {
         matches!(
@@ -110,14 +105,22 @@
     reported: Time,
     /// What other entries say they have there.
     pub(super) peers: TargetShare,
-    /// When somebody last found it silent or out of reach, and nobody has heard of it since.
+    /// When somebody last found it lost, and nobody has heard of it since.
     pub(super) doubted: Option<Time>,
     /// When this entry itself last found that.
     pub(super) found: Option<Time>,
+    /// When something last came from it.
+    pub(super) heard: Time,
+    /// When the directory first named this life of it.
+    pub(super) listed: Time,
+    /// Whether another target was found at its address.
+    pub(super) replaced: bool,
+    /// Whether this entry is the one that should prefer it.
+    pub(super) own: bool,
 }
 
 impl Member {
-    pub(super) fn new(listing: Listing) -> Self {
+    pub(super) fn new(now: Time, listing: Listing) -> Self {
         Self {
             listing,
             runs: 0,
@@ -134,18 +137,23 @@
             peers: TargetShare::default(),
             doubted: None,
             found: None,
+            heard: Time::default(),
+            listed: now,
+            replaced: false,
+            own: false,
         }
     }
 
     /// A new life begins under the same id: nothing of the old one holds.
-    pub(super) fn reborn(&mut self, listing: Listing) {
+    pub(super) fn reborn(&mut self, now: Time, listing: Listing) {
         *self = Self {
             runs: self.runs,
             unread: self.unread,
             copies: self.copies,
             tokens: self.tokens,
             peers: self.peers,
-            ..Self::new(listing)
+            own: self.own,
+            ..Self::new(now, listing)
         };
     }
 
@@ -157,11 +165,12 @@
     pub(super) fn failed(&mut self, now: Time, fault: Fault) {
         self.strikes = self.strikes(now) + fault.weight();
         self.struck = now;
-        if fault.is_doubt() {
-            self.doubted = Some(now);
-            self.found = Some(now);
+        if fault == Fault::Replaced {
+            self.replaced = true;
         }
         if fault.is_loss() {
+            self.doubted = Some(now);
+            self.found = Some(now);
             let rest = REST_BASE * 2_u32.pow(self.losses.min(REST_DOUBLINGS));
             self.rest = self.rest.max(now + rest);
             self.losses += 1;
@@ -169,7 +178,8 @@
     }
 
     /// Something came from it: it lives.
-    pub(super) fn heard(&mut self) {
+    pub(super) fn heard(&mut self, now: Time) {
+        self.heard = now;
         self.losses = 0;
         self.doubted = None;
         self.rest = Time::default();
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -29,6 +29,7 @@
 pub use exchange::Resume;
 pub use fleet::Fleet;
 pub use fleet::FleetLimits;
+pub use fleet::Usability;
 pub use forward_config::Admitted;
 pub use forward_config::CallerLimits;
 pub use forward_config::ForwardConfig;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -7,19 +7,16 @@
 use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::Time;
-use cw_types::ZoneId;
 use cw_wire::Outstanding;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Fleet;
 
 /// How long a doubt about a target holds without a new one.
 const DOUBT_LIFE: Duration = Duration::from_secs(2);
 
-/// How many doubted targets of one availability zone make all of it doubtful.
-const DOUBTED_ZONE: usize = 3;
-
 /// Bounds on what is believed of other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
@@ -89,13 +86,17 @@
         };
         self.peers.peers.insert(message.host.clone(), peer);
         self.sum_up();
-        for member in self.members.values_mut() {
-            if message
-                .doubted
-                .contains(&TargetHash::from(&member.listing.id))
-            {
+        let lost: Vec<TargetId> = self
+            .members
+            .keys()
+            .filter(|id| message.lost.contains(&TargetHash::from(*id)))
+            .cloned()
+            .collect();
+        for id in lost {
+            if let Some(member) = self.members.get_mut(&id) {
                 member.doubt(now);
             }
+            self.note_loss(now, &id);
         }
         true
     }
@@ -133,8 +134,8 @@
             .collect()
     }
 
-    /// Returns the targets that this entry found silent or out of reach after `since`.
-    pub fn doubted_since(&self, since: Time) -> Vec<TargetHash> {
+    /// Returns the targets that this entry found lost after `since`.
+    pub fn lost_since(&self, since: Time) -> Vec<TargetHash> {
         self.members
             .iter()
             .filter(|(_, member)| member.found.is_some_and(|at| at > since))
@@ -142,29 +143,37 @@
             .collect()
     }
 
-    /// Returns whether a target may have stopped without a sign: it was found silent itself, or
-    /// several others of its availability zone were.
+    /// Returns whether a target may have stopped without a sign: it was found lost itself, or
+    /// several others of its availability zone were and nothing has come from it since.
     pub fn is_doubted(&self, now: Time, id: &TargetId) -> bool {
         let Some(member) = self.members.get(id) else {
             return true;
         };
-        let fresh = |at: Option<Time>| at.is_some_and(|at| now.since(at) < DOUBT_LIFE);
-        fresh(member.doubted) || self.is_zone_doubted(&member.listing.zone, fresh)
+        let doubted = member.doubted;
+        doubted.is_some_and(|at| now.since(at) < DOUBT_LIFE) || self.is_unproven(now, member)
     }
 
-    fn is_zone_doubted(&self, zone: &ZoneId, fresh: impl Fn(Option<Time>) -> bool) -> bool {
-        self.members
-            .values()
-            .filter(|member| member.listing.zone == *zone && fresh(member.doubted))
-            .count()
-            >= DOUBTED_ZONE
+    /// Says which entries there are. Each target is preferred by one of them, which rendezvous
+    /// hashing picks, so that entries that choose at the same moment choose differently.
+    pub fn set_entries(&mut self, own: &HostId, others: impl Iterator<Item = HostId>) {
+        self.entries = others.chain([own.clone()]).collect();
+        self.own = Some(own.clone());
+        let ids: Vec<TargetId> = self.members.keys().cloned().collect();
+        for id in ids {
+            let is_own = self.is_own(&id);
+            if let Some(member) = self.members.get_mut(&id) {
+                member.own = is_own;
+            }
+        }
     }
 
-    /// A target that was doubted has answered.
-    pub fn cleared(&mut self, id: &TargetId) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.heard();
-        }
+    pub(super) fn is_own(&self, id: &TargetId) -> bool {
+        let weight = |host: &HostId| {
+            let text = format!("{}/{}", host.as_str(), id.as_str());
+            xxh3_64(text.as_bytes())
+        };
+        let preferring = self.entries.iter().max_by_key(|host| weight(host));
+        preferring.is_some() && preferring == self.own.as_ref()
     }
 
     fn sum_up(&mut self) {
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -32,6 +32,14 @@
 /// The part of an engine's memory that is given away; the rest is for shared prompt parts.
 const MEMORY_SHARE: f64 = 0.9;
 
+/// What a target that another entry prefers costs, in requests: two entries that choose within the
+/// same few milliseconds know nothing of each other's choice.
+const FOREIGN_COST: f64 = 0.5;
+
+/// What a target costs that its availability zone may have lost, in requests: more than it is worth
+/// to be sure, less than being full.
+const UNPROVEN_COST: f64 = 10.0;
+
 /// The largest random part of a cost, in requests: entries with like views choose differently.
 const JITTER: f64 = 0.4;
 
@@ -69,7 +77,9 @@
     /// Targets that could not be reached a moment ago are taken only when no other is left.
     pub fn place(&self, now: Time, need: &Need<'_>, rng: &mut impl Rng) -> Option<Placement> {
         let target = self
-            .cheapest(now, need, rng, |member| member.rest <= now)
+            .cheapest(now, need, rng, |member| {
+                member.rest <= now && !member.replaced
+            })
             .or_else(|| self.cheapest(now, need, rng, |_| true))?;
         let copy = need
             .copy
@@ -88,7 +98,11 @@
     ) -> Option<TargetId> {
         let zone = &self.members.get(target)?.listing.zone;
         let fits = |member: &Member| {
-            member.listing.id != *target && member.rest <= now && has_memory(member, need)
+            member.listing.id != *target
+                && member.rest <= now
+                && !member.replaced
+                && !self.is_unproven(now, member)
+                && has_memory(member, need)
         };
         self.cheapest(now, need, rng, |member| {
             fits(member) && member.listing.zone != *zone
@@ -96,13 +110,6 @@
         .or_else(|| self.cheapest(now, need, rng, fits))
     }
 
-    /// Returns whether some target of the service may take requests.
-    pub fn serves(&self, service: &ServiceName) -> bool {
-        self.members
-            .values()
-            .any(|member| member.listing.service == *service && !member.listing.leaving)
-    }
-
     fn cheapest(
         &self,
         now: Time,
@@ -116,7 +123,12 @@
             .filter(|member| !need.excluded.contains(&member.listing.id) && open(member))
             .map(|member| {
                 let jitter = rng.random_range(0.0..JITTER);
-                (cost(now, member, need) + jitter, &member.listing.id)
+                let unproven = match self.is_unproven(now, member) {
+                    true => UNPROVEN_COST,
+                    false => 0.0,
+                };
+                let cost = cost(now, member, need) + unproven + jitter;
+                (cost, &member.listing.id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
@@ -137,6 +149,9 @@
     if member.listing.zone != *need.zone {
         cost += ZONE_COST;
     }
+    if !member.own {
+        cost += FOREIGN_COST;
+    }
     let slots = f64::from(member.listing.slots.max(1));
     if busy >= slots || !has_memory(member, need) {
         cost += FULL_COST;
--- a/crates/cw_wire/src/outstanding.rs
+++ b/crates/cw_wire/src/outstanding.rs
@@ -30,6 +30,6 @@
     pub sequence: u64,
     /// Where it has anything.
     pub shares: Vec<(TargetHash, TargetShare)>,
-    /// Targets that went silent, or could not be reached, since the last message.
-    pub doubted: Vec<TargetHash>,
+    /// Targets that broke off, went silent or could not be reached since the last message.
+    pub lost: Vec<TargetHash>,
 }
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -14,6 +14,7 @@
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
+use cw_policy::forward::Usability;
 use cw_store::AnswerHead;
 use cw_store::RequestHead;
 use cw_store::SendHead;
@@ -82,6 +83,12 @@
     failure: Option<WholeAnswer>,
     /// When it was last sent.
     sent: Time,
+    /// How old it was when its first event was passed on.
+    pub(super) begun: Option<Duration>,
+    /// When its last events came.
+    pub(super) last_event: Option<Time>,
+    /// The longest pause between its events.
+    pub(super) pause: Duration,
 }
 
 impl Courier {
@@ -95,6 +102,9 @@
             weights: None,
             failure: None,
             sent: now,
+            begun: None,
+            last_event: None,
+            pause: Duration::ZERO,
         }
     }
 
@@ -273,6 +283,17 @@
             copy: self.parcel.copies && self.exchange.wants_copy(),
             peers: beliefs.fleet.peers() > 0,
         };
+        if let Some(target) = &resume.keeper {
+            let usability = beliefs.fleet.usability(now, target);
+            if usability != Usability::Usable {
+                info!(
+                    request = self.parcel.head.id.as_str(),
+                    target_id = target.as_str(),
+                    usability:? = usability;
+                    "the copy of a run is out of reach"
+                );
+            }
+        }
         let keeper = resume
             .keeper
             .as_ref()
@@ -477,7 +498,8 @@
             };
             match Link::connect(address).await {
                 Ok(link) => {
-                    self.shared.beliefs().fleet.cleared(id);
+                    let now = self.shared.now();
+                    self.shared.beliefs().fleet.heard(now, id);
                     self.shared.pool.put(self.shared.now(), id, link, None);
                     tokio::time::sleep(DOUBT_REST).await;
                 }
@@ -526,6 +548,8 @@
             target_id = target.unwrap_or("none"),
             sends = self.exchange.sends(),
             last_event = self.parcel.events.last().unwrap_or_default(),
+            begun_ms = millis(self.begun.unwrap_or(age)),
+            pause_ms = millis(self.pause),
             age_ms = millis(age),
             outcome = outcome;
             "a request ended"
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -160,12 +160,13 @@
         let mut beliefs = self.shared.beliefs();
         match listing {
             Ok(listing) => {
-                let (leaving, service) = (listing.leaving, listing.service.clone());
-                if beliefs.fleet.listed(listing) {
+                if beliefs.fleet.listed(now, listing.clone()) {
                     info!(
                         target_id = id.as_str(),
-                        service = service.as_str(),
-                        leaving = u64::from(leaving),
+                        service = listing.service.as_str(),
+                        zone = listing.zone.as_str(),
+                        address = listing.address.to_string(),
+                        leaving = u64::from(listing.leaving),
                         revision = item.modified.0;
                         "a target is listed"
                     );
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -27,6 +27,9 @@
     pub listen: ForwardListen,
     /// The key-value service.
     pub store: SocketAddr,
+    /// How long the directory names a target that has stopped.
+    #[serde_as(as = "Span")]
+    pub lapse: Duration,
     /// How long a graceful shutdown may take.
     #[serde_as(as = "Span")]
     pub grace: Duration,
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -33,7 +33,9 @@
     pub(super) fn begin(&mut self) {
         if !self.began {
             self.began = true;
-            self.shared.beliefs().fleet.began(&self.target, self.demand);
+            let now = self.shared.now();
+            let mut beliefs = self.shared.beliefs();
+            beliefs.fleet.began(now, &self.target, self.demand);
         }
     }
 }
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -74,7 +74,7 @@
             incarnation: self.incarnation,
             sequence,
             shares,
-            doubted: beliefs.fleet.doubted_since(told),
+            lost: beliefs.fleet.lost_since(told),
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -71,7 +71,10 @@
         };
         let beliefs = Beliefs {
             config: None,
-            fleet: Fleet::new(FleetLimits::default()),
+            fleet: Fleet::new(FleetLimits {
+                lapse: settings.lapse,
+                ..FleetLimits::default()
+            }),
             pace: PromptPace::default(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
             entries: BTreeMap::new(),
@@ -106,6 +109,8 @@
         beliefs
             .budgets
             .share(u32::try_from(entries.len() + 1).unwrap_or(u32::MAX));
+        let hosts = entries.keys().cloned();
+        beliefs.fleet.set_entries(&self.settings.host, hosts);
         beliefs.entries = entries;
     }
 
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -39,7 +39,7 @@
 
 impl Courier {
     /// Answers with a stream, which then goes on by itself.
-    pub(super) fn open(self, flow: Flow) -> Response<Body> {
+    pub(super) fn open(mut self, flow: Flow) -> Response<Body> {
         let (events, body) = mpsc::channel(EVENTS_WAITING);
         let WholeAnswer {
             status, headers, ..
@@ -50,6 +50,7 @@
         // The target's length says nothing about a stream that goes on elsewhere.
         response.headers_mut().remove(CONTENT_LENGTH);
         let age = self.shared.now().since(self.exchange.plan().arrived);
+        self.begun = Some(age);
         self.shared.metrics.answered(&self.parcel.service, age);
         tokio::spawn(self.stream(flow, events));
         response
@@ -121,6 +122,7 @@
     async fn relay(&mut self, flow: &mut Flow, events: &Events) -> End {
         let deadline = self.exchange.plan().deadline;
         let mut heard = self.shared.now();
+        self.note_pause(heard);
         let first = std::mem::take(&mut flow.first);
         if !self.give(first, events).await {
             return End::Gone;
@@ -128,7 +130,7 @@
         let timer = tokio::time::sleep(std::time::Duration::ZERO);
         tokio::pin!(timer);
         loop {
-            if self.should_move() {
+            if self.should_move(heard) {
                 return End::Event(ExchangeEvent::Leaving);
             }
             let until = self.exchange.patience(heard).unwrap_or(deadline);
@@ -153,7 +155,7 @@
             match self.parcel.events.push(&data) {
                 Ok(whole) if whole.is_empty() => {}
                 Ok(whole) => {
-                    self.shared.metrics.paused(now.since(heard));
+                    self.note_pause(now);
                     if !self.give(whole, events).await {
                         return End::Gone;
                     }
@@ -167,6 +169,15 @@
         }
     }
 
+    /// Notes that events come at this moment.
+    fn note_pause(&mut self, now: Time) {
+        if let Some(last) = self.last_event.replace(now) {
+            let pause = now.since(last);
+            self.pause = self.pause.max(pause);
+            self.shared.metrics.paused(pause);
+        }
+    }
+
     /// Passes events on to the caller. Returns whether it is still there.
     async fn give(&self, whole: Bytes, events: &Events) -> bool {
         self.shared.metrics.events.inc();
@@ -181,12 +192,15 @@
     }
 
     /// Returns whether the stream should go on at the target that has a copy of the run.
-    fn should_move(&self) -> bool {
+    ///
+    /// `heard` is when something last came from its target.
+    fn should_move(&self, heard: Time) -> bool {
         let Some(placed) = self.exchange.placed() else {
             return false;
         };
         let now = self.shared.now();
-        let beliefs = self.shared.beliefs();
+        let mut beliefs = self.shared.beliefs();
+        beliefs.fleet.heard(heard, &placed.target);
         beliefs.fleet.is_leaving(&placed.target)
             && placed
                 .copy
