--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -113,7 +113,7 @@
             None => {
                 let id = listing.id.clone();
                 let mut member = Member::new(now, listing);
-                member.peers = self.peers.at(&id);
+                member.peers = self.peers.at(member.hash);
                 member.own = self.is_own(&id);
                 self.members.insert(id, member);
                 true
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cw_types::Time;
+use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
 use super::Listing;
@@ -84,6 +85,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) listing: Listing,
+    /// The name that entries have for it among themselves.
+    pub(super) hash: TargetHash,
     /// Requests that this entry has there.
     pub(super) runs: u32,
     /// Tokens in the prompts of those whose answer has not begun.
@@ -122,6 +125,7 @@
 impl Member {
     pub(super) fn new(now: Time, listing: Listing) -> Self {
         Self {
+            hash: TargetHash::from(&listing.id),
             listing,
             runs: 0,
             unread: 0,
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! - [`ForwardConfig`]: routes by host and path, services and callers' keys, at one version.
 //! - [`Fleet`]: which targets there are, how loaded, and which one is next ([`Placement`]).
 //! - [`Fleet::heard_peer`]: what the other entries say they have at the targets.
+//! - [`Whereabouts`]: which target has read which prompt.
 //! - [`PromptPace`]: how long targets take to read prompts.
 //! - [`Exchange`]: one request, from its arrival to its end.
 //! - [`EventStream`]: cuts a target's bytes into events and keeps them in order.
@@ -19,6 +20,7 @@
 mod pace;
 mod peers;
 mod placement;
+mod whereabouts;
 
 pub use event_stream::EventStream;
 pub use event_stream::StreamFault;
@@ -45,3 +47,5 @@
 pub use peers::PeerLimits;
 pub use placement::Need;
 pub use placement::Placement;
+pub use whereabouts::Whereabouts;
+pub use whereabouts::WhereaboutsLimits;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -51,8 +51,7 @@
 
 impl Peers {
     /// Returns what all of them have at a target.
-    pub(super) fn at(&self, id: &TargetId) -> TargetShare {
-        let hash = TargetHash::from(id);
+    pub(super) fn at(&self, hash: TargetHash) -> TargetShare {
         let mut sum = TargetShare::default();
         for share in self
             .peers
@@ -88,9 +87,9 @@
         self.sum_up();
         let lost: Vec<TargetId> = self
             .members
-            .keys()
-            .filter(|id| message.lost.contains(&TargetHash::from(*id)))
-            .cloned()
+            .iter()
+            .filter(|(_, member)| message.lost.contains(&member.hash))
+            .map(|(id, _)| id.clone())
             .collect();
         for id in lost {
             if let Some(member) = self.members.get_mut(&id) {
@@ -129,7 +128,7 @@
     pub fn shares(&self) -> Vec<(TargetHash, TargetShare)> {
         self.members
             .iter()
-            .map(|(id, member)| (TargetHash::from(id), member.share()))
+            .map(|(_, member)| (member.hash, member.share()))
             .filter(|(_, share)| *share != TargetShare::default())
             .collect()
     }
@@ -139,7 +138,7 @@
         self.members
             .iter()
             .filter(|(_, member)| member.found.is_some_and(|at| at > since))
-            .map(|(id, _)| TargetHash::from(id))
+            .map(|(_, member)| member.hash)
             .collect()
     }
 
@@ -177,8 +176,8 @@
     }
 
     fn sum_up(&mut self) {
-        for (id, member) in &mut self.members {
-            member.peers = self.peers.at(id);
+        for member in self.members.values_mut() {
+            member.peers = self.peers.at(member.hash);
         }
     }
 }
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -6,6 +6,7 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
+use cw_wire::TargetHash;
 use rand::Rng;
 use rand::RngExt;
 
@@ -58,6 +59,8 @@
     pub excluded: &'a BTreeSet<TargetId>,
     /// Whether another engine is to keep a copy of the run.
     pub copy: bool,
+    /// The target that has read the prompt before.
+    pub read_at: Option<TargetHash>,
     /// Whether the other entries say what they have at the targets.
     pub peers: bool,
 }
@@ -152,6 +155,9 @@
     if !member.own {
         cost += FOREIGN_COST;
     }
+    if need.read_at == Some(member.hash) {
+        cost -= UNREAD_COST * need.demand.prompt as f64 / 1000.0;
+    }
     let slots = f64::from(member.listing.slots.max(1));
     if busy >= slots || !has_memory(member, need) {
         cost += FULL_COST;
--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -28,6 +28,8 @@
     pub patience: Option<Duration>,
     /// What the request takes up at its target.
     pub demand: Demand,
+    /// What tells the request's prompt from others.
+    pub prompt: Option<String>,
     /// The last event that the caller has.
     pub after: Option<u64>,
 }
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod outstanding;
 pub mod path;
 mod report;
+mod whereabouts;
 
 pub use codec::FrameCodec;
 pub use codec::WireError;
@@ -63,3 +64,5 @@
 pub use report::ReportAnswer;
 pub use report::Silence;
 pub use report::TargetState;
+pub use whereabouts::PromptHash;
+pub use whereabouts::ReadPrompt;
--- a/crates/cw_wire/src/outstanding.rs
+++ b/crates/cw_wire/src/outstanding.rs
@@ -4,6 +4,7 @@
 use cw_types::HostId;
 use cw_types::Incarnation;
 
+use crate::ReadPrompt;
 use crate::TargetHash;
 
 /// What one entry has at one target.
@@ -32,4 +33,6 @@
     pub shares: Vec<(TargetHash, TargetShare)>,
     /// Targets that broke off, went silent or could not be reached since the last message.
     pub lost: Vec<TargetHash>,
+    /// Prompts that it has sent since the last message.
+    pub prompts: Vec<ReadPrompt>,
 }
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -22,6 +22,9 @@
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::PromptHash;
+use cw_wire::ReadPrompt;
+use cw_wire::TargetHash;
 use dropshot::Body;
 use http::Request;
 use http::Response;
@@ -40,6 +43,7 @@
 use super::outcome::Outcome;
 use super::outcome::Reuse;
 use super::outcome::Run;
+use super::shared::Beliefs;
 use super::shared::Shared;
 use super::target_pool::Taken;
 
@@ -81,6 +85,8 @@
     /// The version of the weights that began the answer.
     weights: Option<u64>,
     failure: Option<WholeAnswer>,
+    /// What tells its prompt from others.
+    prompt: Option<PromptHash>,
     /// When it was last sent.
     sent: Time,
     /// How old it was when its first event was passed on.
@@ -95,12 +101,14 @@
     pub(super) fn new(shared: Arc<Shared>, parcel: Parcel, exchange: Exchange) -> Self {
         let now = exchange.plan().arrived;
         shared.beliefs().budgets.first(now, &parcel.service);
+        let prompt = parcel.head.prompt.as_deref().map(PromptHash::of);
         Self {
             shared,
             parcel,
             exchange,
             weights: None,
             failure: None,
+            prompt,
             sent: now,
             begun: None,
             last_event: None,
@@ -189,6 +197,11 @@
             return Outcome::Event(ExchangeEvent::NoTarget);
         };
         self.log_send(now, &placement, resumed);
+        if let Some(prompt) = self.prompt {
+            let target = TargetHash::from(&placement.target);
+            let mut beliefs = self.shared.beliefs();
+            beliefs.own_prompts.note(now, ReadPrompt { prompt, target });
+        }
         self.exchange.send(placement.clone());
         self.sent = now;
         let id = &placement.target;
@@ -229,6 +242,14 @@
                 Err(error) if error.is_canceled() => {
                     return Outcome::Event(ExchangeEvent::NotRun(Fault::Broken));
                 }
+                // Targets drop idle connections without a sign, so the target may well be alive.
+                Err(_) if used && self.exchange.plan().repeat != Repeat::Never => {
+                    self.shared.pool.close(id);
+                    let Ok(fresh) = Link::connect(address).await else {
+                        return Outcome::Event(ExchangeEvent::NotRun(Fault::Unreachable));
+                    };
+                    (link, used) = (fresh, false);
+                }
                 Err(_) => return Outcome::Event(ExchangeEvent::Lost(Fault::Broken)),
             }
         };
@@ -281,6 +302,7 @@
             zone: &self.shared.settings.zone,
             excluded: self.exchange.excluded(),
             copy: self.parcel.copies && self.exchange.wants_copy(),
+            read_at: self.read_at(now, beliefs),
             peers: beliefs.fleet.peers() > 0,
         };
         if let Some(target) = &resume.keeper {
@@ -307,6 +329,13 @@
         Some((placement, false))
     }
 
+    /// Returns the target that has read the prompt before.
+    fn read_at(&self, now: Time, beliefs: &Beliefs) -> Option<TargetHash> {
+        let prompt = self.prompt?;
+        let own = beliefs.own_prompts.find(now, prompt);
+        own.or_else(|| beliefs.heard_prompts.find(now, prompt))
+    }
+
     fn log_send(&self, now: Time, placement: &Placement, resumed: bool) {
         let beliefs = self.shared.beliefs();
         let load = beliefs.fleet.load(now, &placement.target);
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -96,6 +96,7 @@
         let kept = Arc::clone(&shared);
         supervisor.keep("upkeep", move || upkeep(Arc::clone(&kept)));
         let known = Arc::clone(&shared);
+        let store = Arc::clone(&parts.store);
         supervisor.keep("registry", move || {
             let registry = super::registry::Registry {
                 shared: Arc::clone(&known),
@@ -103,6 +104,14 @@
             };
             registry.run()
         });
+        let kept = Arc::clone(&shared);
+        supervisor.keep("ledger", move || {
+            let ledger = super::ledger::Ledger {
+                shared: Arc::clone(&kept),
+                store: Arc::clone(&store),
+            };
+            ledger.run()
+        });
         exchange(&supervisor, &shared, listen.peers)?;
         let callers = ServerLimits {
             connections: CALLERS_MAX,
@@ -200,6 +209,8 @@
         for host in beliefs.fleet.forget_peers(now) {
             info!(entry = host.as_str(); "another entry is no longer heard");
         }
+        beliefs.own_prompts.forget(now);
+        beliefs.heard_prompts.forget(now);
         let fleet = &beliefs.fleet;
         shared.pool.sweep(now, |id| fleet.listing(id).is_some());
     }
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //!   [`cw_policy::forward::Exchange`].
 //! - `TargetPool` keeps connections to targets.
 //! - `Registry` and `PeerExchange` find the other entries and tell them what is where.
+//! - `Ledger` keeps where prompts were read, for when all entries die together.
 //! - `Directory` follows the configuration and the targets in the key-value service.
 
 mod answer;
@@ -15,6 +16,7 @@
 mod forwarder;
 mod front;
 mod guards;
+mod ledger;
 mod link;
 mod metrics;
 mod operator_api;
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -74,6 +74,7 @@
             incarnation: self.incarnation,
             sequence,
             shares,
+            prompts: beliefs.own_prompts.noted_since(told),
             lost: beliefs.fleet.lost_since(told),
         }
     }
@@ -109,7 +110,11 @@
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
         let before = beliefs.fleet.peers();
-        beliefs.fleet.heard_peer(now, message);
+        if beliefs.fleet.heard_peer(now, message) {
+            for prompt in &message.prompts {
+                beliefs.heard_prompts.note(now, *prompt);
+            }
+        }
         if beliefs.fleet.peers() > before {
             info!(entry = message.host.as_str(); "another entry is heard");
         }
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -13,6 +13,8 @@
 use cw_policy::forward::FleetLimits;
 use cw_policy::forward::ForwardConfig;
 use cw_policy::forward::PromptPace;
+use cw_policy::forward::Whereabouts;
+use cw_policy::forward::WhereaboutsLimits;
 use cw_store::Dialect;
 use cw_types::HostId;
 use cw_types::Time;
@@ -35,6 +37,10 @@
     pub(super) config: Option<Arc<ForwardConfig>>,
     /// The targets.
     pub(super) fleet: Fleet,
+    /// Where this entry's prompts were read.
+    pub(super) own_prompts: Whereabouts,
+    /// Where other entries' prompts were read, and those of earlier lives.
+    pub(super) heard_prompts: Whereabouts,
     /// How long prompts take.
     pub(super) pace: PromptPace,
     /// What may be sent more than once.
@@ -75,6 +81,8 @@
                 lapse: settings.lapse,
                 ..FleetLimits::default()
             }),
+            own_prompts: Whereabouts::new(WhereaboutsLimits::default()),
+            heard_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             pace: PromptPace::default(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
             entries: BTreeMap::new(),
