--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -91,6 +91,8 @@
     sent: Time,
     /// How old it was when its first event was passed on.
     pub(super) begun: Option<Duration>,
+    /// When the target where it is now sent its first events.
+    pub(super) here: Option<Time>,
     /// When its last events came.
     pub(super) last_event: Option<Time>,
     /// The longest pause between its events.
@@ -111,6 +113,7 @@
             prompt,
             sent: now,
             begun: None,
+            here: None,
             last_event: None,
             pause: Duration::ZERO,
         }
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -1,6 +1,7 @@
 //! Passes the events of a stream on, from one target after the other.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cw_policy::forward::ExchangeEvent;
@@ -25,6 +26,10 @@
 /// How many writes may wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 16;
 
+/// How long after its first event a run surely has a copy: engines send memory on several times a
+/// second, and a target that is leaving runs on for longer than this.
+const COPY_TIME: Duration = Duration::from_millis(1000);
+
 type Events = mpsc::Sender<Result<Bytes, io::Error>>;
 
 /// How the part of a stream that one target sends ends.
@@ -123,11 +128,12 @@
         let deadline = self.exchange.plan().deadline;
         let mut heard = self.shared.now();
         self.note_pause(heard);
+        self.here = Some(heard);
         let first = std::mem::take(&mut flow.first);
         if !self.give(first, events).await {
             return End::Gone;
         }
-        let timer = tokio::time::sleep(std::time::Duration::ZERO);
+        let timer = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(timer);
         loop {
             if self.should_move(heard) {
@@ -201,7 +207,9 @@
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
         beliefs.fleet.heard(heard, &placed.target);
-        beliefs.fleet.is_leaving(&placed.target)
+        let is_copied = self.here.is_some_and(|since| now.since(since) >= COPY_TIME);
+        is_copied
+            && beliefs.fleet.is_leaving(&placed.target)
             && placed
                 .copy
                 .as_ref()
