Let two entries watch the store and tell the others

Two entries now watch and one writes; changes are told several times, each with the revision before it, and who misses one reads the directory itself.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -171,6 +171,11 @@
         was_down
     }
 
+    /// Returns whether the directory answered the last call.
+    pub fn is_directory_up(&self) -> bool {
+        self.directory != Directory::Down
+    }
+
     /// Drops targets whose entries did not come back in time. Returns which.
     pub fn expire(&mut self, now: Time) -> Vec<TargetId> {
         let Directory::Up(since) = self.directory else {
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -8,9 +8,11 @@
 //! - [`Fleet::heard_peer`]: what the other entries say they have at the targets.
 //! - [`Whereabouts`]: which target has read which prompt.
 //! - [`PromptPace`]: how long targets take to read prompts.
+//! - [`DirectoryLog`]: how a few entries follow the directory for all.
 //! - [`Exchange`]: one request, from its arrival to its end.
 //! - [`EventStream`]: cuts a target's bytes into events and keeps them in order.
 
+mod directory_log;
 mod event_stream;
 mod exchange;
 mod fleet;
@@ -22,6 +24,8 @@
 mod placement;
 mod whereabouts;
 
+pub use directory_log::DirectoryLog;
+pub use directory_log::NewsStep;
 pub use event_stream::EventStream;
 pub use event_stream::StreamFault;
 pub use exchange::Exchange;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -17,6 +17,9 @@
 /// How long a doubt about a target holds without a new one.
 const DOUBT_LIFE: Duration = Duration::from_secs(2);
 
+/// How many entries watch the directory: when one dies, another still tells the rest.
+const WATCHERS: usize = 2;
+
 /// Bounds on what is believed of other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
@@ -119,6 +122,22 @@
         gone
     }
 
+    /// Returns whether this entry is one of those that watch the directory for all: the first of
+    /// those that hear each other.
+    pub fn is_watcher(&self) -> bool {
+        let Some(own) = &self.own else {
+            return true;
+        };
+        let before = self.peers.peers.keys().filter(|host| *host < own).count();
+        before < WATCHERS
+    }
+
+    /// Returns whether this entry writes down what all of them know.
+    pub fn is_scribe(&self) -> bool {
+        let own = self.own.as_ref();
+        own.is_none_or(|own| self.peers.peers.keys().all(|host| host > own))
+    }
+
     /// Returns how many other entries are heard.
     pub fn peers(&self) -> usize {
         self.peers.peers.len()
--- a/crates/cw_types/src/time.rs
+++ b/crates/cw_types/src/time.rs
@@ -23,6 +23,13 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the moment so long ago, or the origin when it lies before that.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+
     /// Returns how long until `later`, or zero when it has passed.
     pub const fn until(self, later: Time) -> Duration {
         later.since(self)
--- /dev/null
+++ b/crates/cw_wire/src/directory_news.rs
@@ -0,0 +1,30 @@
+//! What an entry that watches the directory tells those that do not.
+
+use bytes::Bytes;
+use cw_macro::data;
+
+/// One change of the directory.
+#[data(Eq)]
+pub struct DirectoryChange {
+    /// The service's revision of the change before this one.
+    pub previous: i64,
+    /// The service's revision of this change.
+    pub revision: i64,
+    /// The key.
+    pub key: String,
+    /// Its new value; `None` when it is gone.
+    pub value: Option<Bytes>,
+}
+
+/// What an entry that watches the directory knows.
+#[data(Eq)]
+pub struct DirectoryNews {
+    /// Whether the key-value service answers it.
+    pub up: bool,
+    /// The version of the configuration in force there.
+    pub config: u64,
+    /// The revision of the last change that it knows.
+    pub newest: i64,
+    /// The changes of the last moments, in order.
+    pub changes: Vec<DirectoryChange>,
+}
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod codec;
 mod demand;
+mod directory_news;
 mod dispatch;
 mod frame;
 mod load;
@@ -26,6 +27,8 @@
 pub use codec::decode;
 pub use codec::encode;
 pub use demand::Demand;
+pub use directory_news::DirectoryChange;
+pub use directory_news::DirectoryNews;
 pub use dispatch::Ack;
 pub use dispatch::Attach;
 pub use dispatch::Call;
--- a/crates/cw_wire/src/outstanding.rs
+++ b/crates/cw_wire/src/outstanding.rs
@@ -4,6 +4,7 @@
 use cw_types::HostId;
 use cw_types::Incarnation;
 
+use crate::DirectoryNews;
 use crate::ReadPrompt;
 use crate::TargetHash;
 
@@ -35,4 +36,6 @@
     pub lost: Vec<TargetHash>,
     /// Prompts that it has sent since the last message.
     pub prompts: Vec<ReadPrompt>,
+    /// What it knows of the directory, if it watches it.
+    pub directory: Option<DirectoryNews>,
 }
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -4,16 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cw_policy::budget::Backoff;
 use cw_store::KeyValue;
+use cw_store::ModRevision;
 use cw_store::StoreError;
 use cw_store::Versioned;
 use cw_store::WatchEvent;
 use cw_types::TargetId;
+use cw_types::Time;
+use cw_wire::DirectoryChange;
 use futures::StreamExt;
 use log::info;
 use log::warn;
 
+use super::shared::Beliefs;
 use super::shared::Shared;
 
 /// How long to wait after calls that failed: the service prices refused calls too, and what it
@@ -23,6 +28,9 @@
     most: Duration::from_millis(800),
 };
 
+/// How often an entry that does not watch the service looks whether it should.
+const ROLE_PERIOD: Duration = Duration::from_millis(250);
+
 /// What part of the key-value service is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Topic {
@@ -45,6 +53,7 @@
         let mut failures = 0;
         loop {
             let Err(error) = self.follow(&mut failures).await else {
+                self.rest().await;
                 continue;
             };
             self.lost(&error);
@@ -64,11 +73,35 @@
         }
     }
 
-    /// Reads and watches until a call fails.
+    /// Waits until this entry has to call the service: it has become one of those that watch it, or
+    /// another one knows what it does not.
+    async fn rest(&self) {
+        loop {
+            let heard = self.shared.heard.notified();
+            // Both ways on: the role may have changed too.
+            let _ = tokio::time::timeout(ROLE_PERIOD, heard).await;
+            let beliefs = self.shared.beliefs();
+            let is_behind = match self.topic {
+                Topic::Targets => beliefs.log.is_behind(),
+                Topic::Config => {
+                    let present = beliefs.config.as_ref().map(|config| config.version());
+                    present.is_none_or(|present| present < beliefs.told)
+                }
+            };
+            if is_behind || beliefs.fleet.is_watcher() {
+                return;
+            }
+        }
+    }
+
+    /// Reads, and watches while it is this entry's part, until a call fails.
     async fn follow(&self, failures: &mut u32) -> Result<(), StoreError> {
         let (found, revision) = self.store.snapshot(self.prefix()).await?;
         self.answered();
-        self.relist(&found);
+        self.relist(&found, revision);
+        if !self.shared.beliefs().fleet.is_watcher() {
+            return Ok(());
+        }
         let mut watch = self.store.watch(self.prefix(), revision).await?;
         while let Some(event) = watch.next().await {
             let event = event?;
@@ -76,8 +109,12 @@
             self.answered();
             match event {
                 WatchEvent::Put(item) => self.put(&item),
-                WatchEvent::Deleted { key, .. } => self.deleted(&key),
-                WatchEvent::Progress(_) => {}
+                WatchEvent::Deleted { key, revision } => self.deleted(&key, revision),
+                WatchEvent::Progress(_) => {
+                    if !self.shared.beliefs().fleet.is_watcher() {
+                        return Ok(());
+                    }
+                }
             }
         }
         Ok(())
@@ -106,22 +143,36 @@
 
     // ---- What it says ----
 
-    fn relist(&self, found: &[Versioned]) {
-        found.iter().for_each(|item| self.put(item));
-        if self.topic == Topic::Targets {
-            let names: BTreeSet<TargetId> =
-                found.iter().filter_map(|item| self.id(&item.key)).collect();
-            let now = self.shared.now();
-            let mut beliefs = self.shared.beliefs();
-            beliefs.fleet.relisted(now, &names);
-            self.count(beliefs.fleet.len());
+    fn relist(&self, found: &[Versioned], revision: ModRevision) {
+        if self.topic == Topic::Config {
+            found.iter().for_each(|item| self.configure(item));
+            return;
+        }
+        let names: BTreeSet<TargetId> =
+            found.iter().filter_map(|item| self.id(&item.key)).collect();
+        let now = self.shared.now();
+        let mut beliefs = self.shared.beliefs();
+        for item in found {
+            if let Some(id) = self.id(&item.key) {
+                list(
+                    &self.shared,
+                    now,
+                    &mut beliefs,
+                    &id,
+                    &item.value,
+                    item.modified.0,
+                );
+            }
         }
+        beliefs.fleet.relisted(now, &names);
+        beliefs.log.read(revision.0);
+        count(&self.shared, beliefs.fleet.len());
     }
 
     fn put(&self, item: &Versioned) {
         match self.topic {
             Topic::Config => self.configure(item),
-            Topic::Targets => self.list(item),
+            Topic::Targets => self.change(&item.key, Some(item.value.clone()), item.modified),
         }
     }
 
@@ -151,55 +202,89 @@
         self.shared.health.set_configured();
     }
 
-    fn list(&self, item: &Versioned) {
-        let Some(id) = self.id(&item.key) else {
-            return;
-        };
-        let listing = self.shared.dialect.read_listing(id.as_str(), &item.value);
-        let now = self.shared.now();
-        let mut beliefs = self.shared.beliefs();
-        match listing {
-            Ok(listing) => {
-                if beliefs.fleet.listed(now, listing.clone()) {
-                    info!(
-                        target_id = id.as_str(),
-                        service = listing.service.as_str(),
-                        zone = listing.zone.as_str(),
-                        address = listing.address.to_string(),
-                        leaving = u64::from(listing.leaving),
-                        revision = item.modified.0;
-                        "a target is listed"
-                    );
-                }
-            }
-            Err(error) => {
-                warn!(target_id = id.as_str(); "a target's entry cannot be read: {error}");
-                beliefs.fleet.removed(now, &id);
-            }
+    fn deleted(&self, key: &str, revision: ModRevision) {
+        if self.topic == Topic::Targets {
+            self.change(key, None, revision);
         }
-        self.count(beliefs.fleet.len());
     }
 
-    fn deleted(&self, key: &str) {
-        let Some(id) = self.id(key).filter(|_| self.topic == Topic::Targets) else {
-            return;
-        };
+    /// Takes in a change of the targets, and tells the other entries.
+    fn change(&self, key: &str, value: Option<Bytes>, revision: ModRevision) {
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
-        if beliefs.fleet.removed(now, &id) {
-            info!(target_id = id.as_str(); "a target's entry is gone");
-        }
-        self.count(beliefs.fleet.len());
+        beliefs.log.saw(now, key, value.clone(), revision.0);
+        let change = DirectoryChange {
+            previous: 0,
+            revision: revision.0,
+            key: key.to_owned(),
+            value,
+        };
+        apply(&self.shared, now, &mut beliefs, &change);
+        self.shared.news.notify_one();
     }
 
     fn id(&self, key: &str) -> Option<TargetId> {
-        key.strip_prefix(self.shared.dialect.targets_prefix())?
-            .parse()
-            .ok()
+        target_id(&self.shared, key)
     }
+}
 
-    fn count(&self, targets: usize) {
-        let targets = i64::try_from(targets).unwrap_or(i64::MAX);
-        self.shared.metrics.targets.set(targets);
+/// Takes in a change of the targets, whoever saw it.
+pub(super) fn apply(shared: &Shared, now: Time, beliefs: &mut Beliefs, change: &DirectoryChange) {
+    let Some(id) = target_id(shared, &change.key) else {
+        return;
+    };
+    match &change.value {
+        Some(value) => list(shared, now, beliefs, &id, value, change.revision),
+        None => {
+            if beliefs.fleet.removed(now, &id) {
+                info!(
+                    target_id = id.as_str(),
+                    revision = change.revision,
+                    trusted = u64::from(beliefs.fleet.is_directory_up());
+                    "a target's entry is gone"
+                );
+            }
+        }
     }
+    count(shared, beliefs.fleet.len());
+}
+
+fn list(
+    shared: &Shared,
+    now: Time,
+    beliefs: &mut Beliefs,
+    id: &TargetId,
+    value: &[u8],
+    revision: i64,
+) {
+    match shared.dialect.read_listing(id.as_str(), value) {
+        Ok(listing) => {
+            if beliefs.fleet.listed(now, listing.clone()) {
+                info!(
+                    target_id = id.as_str(),
+                    service = listing.service.as_str(),
+                    zone = listing.zone.as_str(),
+                    address = listing.address.to_string(),
+                    leaving = u64::from(listing.leaving),
+                    revision = revision;
+                    "a target is listed"
+                );
+            }
+        }
+        Err(error) => {
+            warn!(target_id = id.as_str(); "a target's entry cannot be read: {error}");
+            beliefs.fleet.removed(now, id);
+        }
+    }
+}
+
+fn target_id(shared: &Shared, key: &str) -> Option<TargetId> {
+    key.strip_prefix(shared.dialect.targets_prefix())?
+        .parse()
+        .ok()
+}
+
+fn count(shared: &Shared, targets: usize) {
+    let targets = i64::try_from(targets).unwrap_or(i64::MAX);
+    shared.metrics.targets.set(targets);
 }
--- a/crates/cyclamenwharf/src/forward/ledger.rs
+++ b/crates/cyclamenwharf/src/forward/ledger.rs
@@ -1,4 +1,4 @@
-//! Keeps in the key-value service where this entry's prompts were read.
+//! Keeps in the key-value service where prompts were read.
 //!
 //! The other entries hear it at once, but when all of them die together only the service remembers.
 
@@ -9,7 +9,6 @@
 use cw_store::ModRevision;
 use cw_store::StoreError;
 use cw_store::Swap;
-use cw_types::Time;
 use cw_wire::ReadPrompt;
 use cw_wire::decode;
 use cw_wire::encode;
@@ -18,17 +17,20 @@
 
 use super::shared::Shared;
 
-/// What the keys begin with; the rest is the host's name.
-const PROMPTS: &str = "cyclamenwharf/prompts/";
+/// The key.
+const PROMPTS: &str = "cyclamenwharf/prompts";
 
 /// How often the key is written when there is news: each write is charged, and prompts that were
 /// sent in between are read anew after a loss of all entries.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// The most prompts that the key names, to stay far below the largest value.
+const PROMPTS_MAX: usize = 4096;
+
 /// How far back the key goes: the length of a long stream.
 const SPAN: Duration = Duration::from_secs(12);
 
-/// Keeps the key of this entry.
+/// Keeps the key, if this is the entry that does so for all.
 pub(super) struct Ledger {
     pub(super) shared: Arc<Shared>,
     pub(super) store: Arc<dyn KeyValue>,
@@ -45,7 +47,8 @@
                 is_read = self.logged(self.recall().await);
             }
             let prompts = self.prompts();
-            if is_read && prompts != written {
+            let is_scribe = self.shared.beliefs().fleet.is_scribe();
+            if is_read && is_scribe && prompts != written {
                 let swap = self.write(&prompts, &mut revision).await;
                 if self.logged(swap) {
                     written = prompts;
@@ -66,36 +69,32 @@
         }
     }
 
-    /// Reads what all entries of the last life knew.
+    /// Reads what the entries of an earlier life knew.
     async fn recall(&self) -> Result<(), StoreError> {
-        let found = self.store.list(PROMPTS).await?;
+        let Some(item) = self.store.get(PROMPTS).await? else {
+            return Ok(());
+        };
         let now = self.shared.now();
-        let mut count = 0_usize;
-        for item in found {
-            match decode::<Vec<ReadPrompt>>(&item.value) {
-                Ok(prompts) => {
-                    count += prompts.len();
-                    let mut beliefs = self.shared.beliefs();
-                    for prompt in prompts {
-                        beliefs.heard_prompts.note(now, prompt);
-                    }
-                }
-                Err(error) => {
-                    warn!(key = item.key.as_str(); "a list of prompts cannot be read: {error}");
+        match decode::<Vec<ReadPrompt>>(&item.value) {
+            Ok(prompts) => {
+                info!(prompts = prompts.len(); "where prompts were read is known again");
+                let mut beliefs = self.shared.beliefs();
+                for prompt in prompts {
+                    beliefs.heard_prompts.note(now, prompt);
                 }
             }
+            Err(error) => warn!("the list of prompts cannot be read: {error}"),
         }
-        info!(prompts = count; "where prompts were read is known again");
         Ok(())
     }
 
     fn prompts(&self) -> Vec<ReadPrompt> {
-        let now = self.shared.now();
-        let since = Time(
-            now.0
-                .saturating_sub(Time::default().until(Time::default() + SPAN).as_micros() as u64),
-        );
-        self.shared.beliefs().own_prompts.noted_since(since)
+        let since = self.shared.now().before(SPAN);
+        let beliefs = self.shared.beliefs();
+        let mut prompts = beliefs.own_prompts.noted_since(since);
+        prompts.extend(beliefs.heard_prompts.noted_since(since));
+        prompts.truncate(PROMPTS_MAX);
+        prompts
     }
 
     async fn write(
@@ -103,7 +102,6 @@
         prompts: &[ReadPrompt],
         revision: &mut Option<ModRevision>,
     ) -> Result<(), StoreError> {
-        let key = format!("{PROMPTS}{}", self.shared.settings.host);
         let value = encode(&prompts).map_err(|error| StoreError::Protocol {
             message: error.to_string(),
         })?;
@@ -111,7 +109,7 @@
         for _ in 0..2 {
             match self
                 .store
-                .swap(&key, *revision, value.clone(), None)
+                .swap(PROMPTS, *revision, value.clone(), None)
                 .await?
             {
                 Swap::Done(newest) => {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::forward::NewsStep;
 use cw_types::Incarnation;
 use cw_types::Time;
+use cw_wire::DirectoryNews;
 use cw_wire::Outstanding;
 use cw_wire::decode;
 use cw_wire::encode;
@@ -15,6 +17,8 @@
 use log::info;
 use tokio::net::UdpSocket;
 
+use super::directory::apply;
+use super::shared::Beliefs;
 use super::shared::Shared;
 
 /// The longest time between two messages; a new prompt is told at once.
@@ -56,7 +60,7 @@
             }
             sequence += 1;
             let now = self.shared.now();
-            let message = self.message(sequence, told);
+            let message = self.message(now, sequence, told);
             told = now;
             match encode(&message) {
                 Ok(bytes) => self.send(&bytes, entries.into_values()).await,
@@ -65,8 +69,15 @@
         }
     }
 
-    fn message(&self, sequence: u64, told: Time) -> Outstanding {
-        let beliefs = self.shared.beliefs();
+    fn message(&self, now: Time, sequence: u64, told: Time) -> Outstanding {
+        let mut beliefs = self.shared.beliefs();
+        let beliefs = &mut *beliefs;
+        let config = beliefs.config.as_ref().map_or(0, |config| config.version());
+        let up = beliefs.fleet.is_directory_up();
+        let directory = match beliefs.fleet.is_watcher() {
+            true => Some(beliefs.log.news(now, up, config)),
+            false => None,
+        };
         let mut shares = beliefs.fleet.shares();
         shares.truncate(SHARES_MAX);
         Outstanding {
@@ -74,6 +85,7 @@
             incarnation: self.incarnation,
             sequence,
             shares,
+            directory,
             prompts: beliefs.own_prompts.noted_since(told),
             lost: beliefs.fleet.lost_since(told),
         }
@@ -106,11 +118,39 @@
         }
     }
 
+    /// Takes in what an entry that watches the directory tells.
+    fn hear_news(&self, now: Time, beliefs: &mut Beliefs, news: &DirectoryNews) {
+        beliefs.told = beliefs.told.max(news.config);
+        if beliefs.fleet.is_watcher() {
+            return;
+        }
+        match news.up {
+            true => beliefs.fleet.directory_back(now),
+            false => beliefs.fleet.directory_lost(),
+        };
+        match beliefs.log.hear(news) {
+            NewsStep::Nothing => {}
+            NewsStep::Reread => self.shared.heard.notify_waiters(),
+            NewsStep::Apply(changes) => {
+                for change in &changes {
+                    apply(&self.shared, now, beliefs, change);
+                }
+            }
+        }
+        let version = beliefs.config.as_ref().map_or(0, |config| config.version());
+        if news.config > version {
+            self.shared.heard.notify_waiters();
+        }
+    }
+
     fn take(&self, message: &Outstanding) {
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
         let before = beliefs.fleet.peers();
         if beliefs.fleet.heard_peer(now, message) {
+            if let Some(news) = &message.directory {
+                self.hear_news(now, &mut beliefs, news);
+            }
             for prompt in &message.prompts {
                 beliefs.heard_prompts.note(now, *prompt);
             }
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -9,6 +9,7 @@
 
 use cw_policy::budget::ServiceBudgets;
 use cw_policy::budget::SharedBudget;
+use cw_policy::forward::DirectoryLog;
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
 use cw_policy::forward::ForwardConfig;
@@ -37,6 +38,10 @@
     pub(super) config: Option<Arc<ForwardConfig>>,
     /// The targets.
     pub(super) fleet: Fleet,
+    /// What is known of the directory's changes.
+    pub(super) log: DirectoryLog,
+    /// The newest version of the configuration that another entry has told.
+    pub(super) told: u64,
     /// Where this entry's prompts were read.
     pub(super) own_prompts: Whereabouts,
     /// Where other entries' prompts were read, and those of earlier lives.
@@ -61,6 +66,8 @@
     pub(super) pool: TargetPool,
     /// Tells that the other entries should hear at once what this one has where.
     pub(super) news: Notify,
+    /// Tells that another entry knows more of the directory.
+    pub(super) heard: Notify,
     beliefs: Mutex<Beliefs>,
 }
 
@@ -81,6 +88,8 @@
                 lapse: settings.lapse,
                 ..FleetLimits::default()
             }),
+            log: DirectoryLog::default(),
+            told: 0,
             own_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             heard_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             pace: PromptPace::default(),
@@ -96,6 +105,7 @@
             metrics,
             pool: TargetPool::default(),
             news: Notify::new(),
+            heard: Notify::new(),
             beliefs: Mutex::new(beliefs),
         }
     }
