--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -10,6 +10,7 @@
 use super::Fault;
 use super::Placement;
 use super::Repeat;
+use super::RunCopy;
 
 /// How often a request may be turned away by targets that did not run it.
 const REFUSED_MAX: u32 = 6;
@@ -85,8 +86,8 @@
 /// Where and from what a request goes on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resume {
-    /// The target that has a copy of the run.
-    pub keeper: Option<TargetId>,
+    /// The copy of the run.
+    pub copy: Option<RunCopy>,
 }
 
 /// What to do next.
@@ -112,6 +113,8 @@
     excluded: BTreeSet<TargetId>,
     /// Where it is now.
     placed: Option<Placement>,
+    /// The copy of the run that is there.
+    copy: Option<RunCopy>,
     /// Sends that may have run.
     runs: u32,
     /// Sends that did not run.
@@ -131,6 +134,7 @@
             plan,
             excluded: BTreeSet::new(),
             placed: None,
+            copy: None,
             runs: 0,
             refused: 0,
             begun: false,
@@ -170,12 +174,27 @@
     }
 
     /// It is sent to a target.
-    pub fn send(&mut self, placement: Placement) {
+    pub fn send(&mut self, now: Time, placement: Placement) {
+        self.copy = placement.copy.clone().map(|keeper| RunCopy {
+            keeper,
+            since: now,
+            name: None,
+        });
         self.placed = Some(placement);
         self.answering = false;
         self.runs += 1;
     }
 
+    /// Returns the copy of the run.
+    pub fn copy(&self) -> Option<&RunCopy> {
+        self.copy.as_ref()
+    }
+
+    /// The copy of the run is another one now, or lost.
+    pub fn set_copy(&mut self, copy: Option<RunCopy>) {
+        self.copy = copy;
+    }
+
     /// A part of the answer is passed on.
     pub fn begin(&mut self) {
         self.begun = true;
@@ -217,8 +236,7 @@
     }
 
     fn silence(&self) -> Duration {
-        let copy = self.placed.as_ref().and_then(|at| at.copy.as_ref());
-        let share = match copy {
+        let share = match &self.copy {
             Some(_) => SILENCE_SHARE * self.growth,
             None => BARE_PAUSES * self.growth,
         };
@@ -284,6 +302,7 @@
         self.refused += 1;
         // The target is as good as any other for a start from the beginning.
         self.placed = None;
+        self.copy = None;
         if now >= self.plan.deadline {
             return self.end(ErrorKind::Expired);
         }
@@ -297,7 +316,7 @@
         if fault == Fault::Silent {
             self.growth *= SILENCE_GROWTH;
         }
-        let keeper = self.leave_target();
+        let copy = self.leave_target();
         match self.plan.repeat {
             Repeat::Never => return self.end(ErrorKind::OutcomeUnknown),
             Repeat::Whole | Repeat::Resume => {}
@@ -308,15 +327,15 @@
         if self.runs >= self.plan.attempts || !spend() {
             return self.end(ErrorKind::TargetFailed);
         }
-        ExchangeStep::Send(Resume { keeper })
+        ExchangeStep::Send(Resume { copy })
     }
 
     fn leave(&mut self, spend: impl FnOnce() -> bool) -> ExchangeStep {
-        let keeper = self.leave_target();
+        let copy = self.leave_target();
         // The move is not owed to a loss, so it is not counted among the attempts.
         self.runs = self.runs.saturating_sub(1);
         match spend() {
-            true => ExchangeStep::Send(Resume { keeper }),
+            true => ExchangeStep::Send(Resume { copy }),
             false => self.end(ErrorKind::TargetFailed),
         }
     }
@@ -331,17 +350,17 @@
                 false => ExchangeStep::PassOn,
             };
         }
-        let keeper = self.leave_target();
-        ExchangeStep::Send(Resume { keeper })
+        let copy = self.leave_target();
+        ExchangeStep::Send(Resume { copy })
     }
 
-    /// Leaves the present target for good, and returns who keeps a copy of the run.
+    /// Leaves the present target for good, and returns the copy of the run.
     ///
     /// There is none before the first event: engines send memory on only as they generate.
-    fn leave_target(&mut self) -> Option<TargetId> {
+    fn leave_target(&mut self) -> Option<RunCopy> {
         let placed = self.placed.take()?;
         self.excluded.insert(placed.target);
-        placed.copy.filter(|_| self.answering)
+        self.copy.take().filter(|_| self.answering)
     }
 
     fn end(&self, kind: ErrorKind) -> ExchangeStep {
--- a/crates/cw_policy/src/forward/forward_config.rs
+++ b/crates/cw_policy/src/forward/forward_config.rs
@@ -74,6 +74,8 @@
     pub memory: Option<u64>,
     /// Whether engines keep copies of each other's runs.
     pub copies: bool,
+    /// How long an engine keeps a copy that was made on request.
+    pub copy_life: Duration,
 }
 
 /// Bounds on what a caller may send, and how slowly.
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! - [`ForwardConfig`]: routes by host and path, services and callers' keys, at one version.
 //! - [`Fleet`]: which targets there are, how loaded, and which one is next ([`Placement`]).
 //! - [`Fleet::heard_peer`]: what the other entries say they have at the targets.
+//! - [`RunCopy`]: a copy of a run's memory at another engine.
 //! - [`Whereabouts`]: which target has read which prompt.
 //! - [`PromptPace`]: how long targets take to read prompts.
 //! - [`DirectoryLog`]: how a few entries follow the directory for all.
@@ -22,6 +23,7 @@
 mod pace;
 mod peers;
 mod placement;
+mod run_copy;
 mod whereabouts;
 
 pub use directory_log::DirectoryLog;
@@ -51,5 +53,7 @@
 pub use peers::PeerLimits;
 pub use placement::Need;
 pub use placement::Placement;
+pub use run_copy::CopyName;
+pub use run_copy::RunCopy;
 pub use whereabouts::Whereabouts;
 pub use whereabouts::WhereaboutsLimits;
--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use cw_policy::forward::CopyName;
 use cw_policy::forward::Demand;
 use cw_policy::forward::ForwardConfig;
 use cw_policy::forward::Listing;
@@ -11,7 +13,9 @@
 use cw_types::TargetId;
 use cw_types::WorkspaceId;
 use http::HeaderMap;
+use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::request;
 use http::response;
 
@@ -53,8 +57,8 @@
     pub weights: Option<u64>,
     /// Where the target sends a copy of the run.
     pub copy: Option<SocketAddr>,
-    /// Whether the target goes on from the copy that it keeps; its own address.
-    pub resume: Option<SocketAddr>,
+    /// The copy that the target goes on from.
+    pub resume: Option<&'a CopyName>,
 }
 
 /// What a target says of its answer, beside status and body.
@@ -92,6 +96,12 @@
     /// Returns the headers of a request as a target gets it.
     fn to_target(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
 
+    /// Returns the call that asks a target to copy the memory of its run `id` to another one.
+    fn copy_call(&self, id: &str, to: SocketAddr) -> Request<Bytes>;
+
+    /// Reads the name of a copy from the answer to such a call; `None` if none was made.
+    fn read_copy(&self, status: StatusCode, body: &[u8]) -> Option<String>;
+
     /// Reads what a target says of its answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::Admitted;
+use cw_policy::forward::CopyName;
 use cw_policy::forward::EventStream;
 use cw_policy::forward::Exchange;
 use cw_policy::forward::ExchangeEvent;
@@ -14,7 +15,7 @@
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
-use cw_policy::forward::Usability;
+use cw_policy::forward::RunCopy;
 use cw_store::AnswerHead;
 use cw_store::RequestHead;
 use cw_store::SendHead;
@@ -65,6 +66,8 @@
     pub(super) memory: Option<u64>,
     /// Whether engines keep copies of each other's runs.
     pub(super) copies: bool,
+    /// How long an engine keeps a copy that was made on request.
+    pub(super) copy_life: Duration,
     /// The events that have been passed on.
     pub(super) events: EventStream,
 }
@@ -205,7 +208,7 @@
             let mut beliefs = self.shared.beliefs();
             beliefs.own_prompts.note(now, ReadPrompt { prompt, target });
         }
-        self.exchange.send(placement.clone());
+        self.exchange.send(now, placement.clone());
         self.sent = now;
         let id = &placement.target;
         let Taken { mut link, mut used } = match self.shared.pool.take(now, id, address).await {
@@ -220,6 +223,13 @@
             let beliefs = self.shared.beliefs();
             beliefs.pace.most(&self.parcel.service, demand.prompt)
         };
+        let from = resume.copy.as_ref().filter(|_| resumed);
+        let from = from.map(|copy| {
+            copy.name.clone().unwrap_or_else(|| CopyName {
+                address,
+                name: self.parcel.head.id.clone(),
+            })
+        });
         let until = self.exchange.start_patience(now, resumed, reading);
         let place = Place::take(&self.shared, id, demand);
         let copy = placement
@@ -227,7 +237,7 @@
             .as_ref()
             .map(|keeper| CopyPlace::take(&self.shared, keeper, demand));
         let response = loop {
-            let request = self.request(now, &placement, resumed);
+            let request = self.request(now, &placement, from.as_ref());
             let sending = link.send(request);
             let response = match self.in_time(until, sending).await {
                 Ok(response) => response,
@@ -298,32 +308,26 @@
         let shared = Arc::clone(&self.shared);
         let mut beliefs = shared.beliefs();
         let beliefs = &mut *beliefs;
+        let need = self.need(beliefs.fleet.peers() > 0);
         let need = Need {
-            service: &self.parcel.service,
-            memory: self.parcel.memory,
-            demand: self.parcel.head.demand,
-            zone: &self.shared.settings.zone,
-            excluded: self.exchange.excluded(),
-            copy: self.parcel.copies && self.exchange.wants_copy(),
             read_at: self.read_at(now, beliefs),
-            peers: beliefs.fleet.peers() > 0,
+            ..need
         };
-        if let Some(target) = &resume.keeper {
-            let usability = beliefs.fleet.usability(now, target);
-            if usability != Usability::Usable {
-                info!(
-                    request = self.parcel.head.id.as_str(),
-                    target_id = target.as_str(),
-                    usability:? = usability;
-                    "the copy of a run is out of reach"
-                );
-            }
+        if let Some(copy) = &resume.copy
+            && !beliefs.fleet.may_keep(now, copy)
+        {
+            info!(
+                request = self.parcel.head.id.as_str(),
+                target_id = copy.keeper.as_str(),
+                usability:? = beliefs.fleet.usability(now, &copy.keeper);
+                "the copy of a run is out of reach"
+            );
         }
-        let keeper = resume
-            .keeper
+        let kept = resume
+            .copy
             .as_ref()
-            .filter(|keeper| beliefs.fleet.is_usable(now, keeper));
-        if let Some(target) = keeper {
+            .filter(|copy| beliefs.fleet.may_keep(now, copy));
+        if let Some(RunCopy { keeper: target, .. }) = kept {
             let copy = beliefs.fleet.keeper(now, &need, target, &mut beliefs.rng);
             let target = target.clone();
             return Some((Placement { target, copy }, true));
@@ -332,6 +336,20 @@
         Some((placement, false))
     }
 
+    /// Returns what the request needs of a target.
+    pub(super) fn need(&self, peers: bool) -> Need<'_> {
+        Need {
+            service: &self.parcel.service,
+            memory: self.parcel.memory,
+            demand: self.parcel.head.demand,
+            zone: &self.shared.settings.zone,
+            excluded: self.exchange.excluded(),
+            copy: self.parcel.copies && self.exchange.wants_copy(),
+            read_at: None,
+            peers,
+        }
+    }
+
     /// Returns the target that has read the prompt before.
     fn read_at(&self, now: Time, beliefs: &Beliefs) -> Option<TargetHash> {
         let prompt = self.prompt?;
@@ -356,18 +374,19 @@
         );
     }
 
-    fn address(&self, id: &TargetId) -> Option<std::net::SocketAddr> {
+    pub(super) fn address(&self, id: &TargetId) -> Option<std::net::SocketAddr> {
         let beliefs = self.shared.beliefs();
         beliefs.fleet.listing(id).map(|listing| listing.address)
     }
 
-    fn request(&self, now: Time, placement: &Placement, resumed: bool) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        now: Time,
+        placement: &Placement,
+        from: Option<&CopyName>,
+    ) -> Request<Full<Bytes>> {
         let parcel = &self.parcel;
         let copy = placement.copy.as_ref().and_then(|id| self.address(id));
-        let resume = match resumed {
-            true => self.address(&placement.target),
-            false => None,
-        };
         let send = SendHead {
             id: &parcel.head.id,
             target: &placement.target,
@@ -377,7 +396,7 @@
             after: parcel.events.last(),
             weights: self.weights,
             copy,
-            resume,
+            resume: from,
         };
         let mut request = Request::new(Full::new(parcel.body.clone()));
         *request.method_mut() = parcel.parts.method.clone();
--- a/crates/cyclamenwharf/src/forward/front.rs
+++ b/crates/cyclamenwharf/src/forward/front.rs
@@ -112,6 +112,7 @@
         let parcel = Parcel {
             memory: known.and_then(|service| service.memory),
             copies: known.is_some_and(|service| service.copies),
+            copy_life: known.map_or(Duration::ZERO, |service| service.copy_life),
             events: EventStream::after(head.after),
             parts,
             body,
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -65,6 +65,13 @@
     }
 }
 
+impl CopyPlace {
+    /// Returns whether it is at this target.
+    pub(super) fn is_at(&self, keeper: &TargetId) -> bool {
+        self.keeper == *keeper
+    }
+}
+
 impl Drop for CopyPlace {
     fn drop(&mut self) {
         let mut beliefs = self.shared.beliefs();
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -10,6 +10,7 @@
 //! - `Directory` follows the configuration and the targets in the key-value service.
 
 mod answer;
+mod copying;
 mod courier;
 mod directory;
 mod forward_settings;
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -19,6 +19,7 @@
 
 use super::answer::EventBody;
 use super::answer::WholeAnswer;
+use super::copying::Copying;
 use super::courier::Courier;
 use super::outcome::Flow;
 use super::outcome::Outcome;
@@ -135,10 +136,17 @@
         }
         let timer = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(timer);
+        let mut copying = Copying::default();
         loop {
             if self.should_move(heard) {
                 return End::Event(ExchangeEvent::Leaving);
             }
+            if self
+                .here
+                .is_some_and(|since| heard.since(since) >= COPY_TIME)
+            {
+                self.tend_copy(heard, &mut copying);
+            }
             let until = self.exchange.patience(heard).unwrap_or(deadline);
             timer
                 .as_mut()
@@ -208,11 +216,9 @@
         let mut beliefs = self.shared.beliefs();
         beliefs.fleet.heard(heard, &placed.target);
         let is_copied = self.here.is_some_and(|since| now.since(since) >= COPY_TIME);
+        let copy = self.exchange.copy();
         is_copied
             && beliefs.fleet.is_leaving(&placed.target)
-            && placed
-                .copy
-                .as_ref()
-                .is_some_and(|keeper| beliefs.fleet.is_usable(now, keeper))
+            && copy.is_some_and(|copy| beliefs.fleet.keeps(now, copy))
     }
 }
