--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -99,6 +99,9 @@
     /// Returns the call that asks a target to copy the memory of its run `id` to another one.
     fn copy_call(&self, id: &str, to: SocketAddr) -> Request<Bytes>;
 
+    /// Returns the call that tells a target that a copy it had made is of no more use.
+    fn drop_call(&self, name: &str) -> Request<Bytes>;
+
     /// Reads the name of a copy from the answer to such a call; `None` if none was made.
     fn read_copy(&self, status: StatusCode, body: &[u8]) -> Option<String>;
 
--- a/crates/cyclamenwharf/src/forward/copying.rs
+++ b/crates/cyclamenwharf/src/forward/copying.rs
@@ -3,6 +3,7 @@
 //! The target sends memory on to the keeper that it was told at the start. When that keeper dies
 //! first, another engine gets a copy, which is renewed until the stream ends.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use cw_types::Time;
 use futures::FutureExt;
 use http::Request;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use log::info;
@@ -98,6 +100,29 @@
         beliefs.fleet.keeper(now, &need, &target, &mut beliefs.rng)
     }
 
+    /// Tells the target that the copy which it had made is of no more use.
+    pub(super) fn drop_copy(&mut self) {
+        let Some(name) = self.exchange.copy().and_then(|copy| copy.name.clone()) else {
+            return;
+        };
+        let Some(source) = self.exchange.placed().map(|placed| placed.target.clone()) else {
+            return;
+        };
+        self.exchange.set_copy(None);
+        let call = self.shared.dialect.drop_call(&name.name);
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            let dropped = call_target(&shared, &source, name.address, call);
+            match tokio::time::timeout(COPY_TIMEOUT, dropped).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => {
+                    info!(target_id = source.as_str(); "a copy cannot be dropped: {error}");
+                }
+                Err(_) => info!(target_id = source.as_str(); "a copy cannot be dropped in time"),
+            }
+        });
+    }
+
     fn start_copy(
         &self,
         now: Time,
@@ -142,10 +167,24 @@
 async fn make(
     shared: &Shared,
     source: &TargetId,
-    from: std::net::SocketAddr,
+    from: SocketAddr,
     call: Request<Bytes>,
 ) -> Result<String, String> {
-    let taken = shared.pool.take(shared.now(), source, from).await;
+    let (status, body) = call_target(shared, source, from, call).await?;
+    shared
+        .dialect
+        .read_copy(status, &body)
+        .ok_or_else(|| format!("the target answered {status}"))
+}
+
+/// Makes a call to a target that is no request of a caller.
+async fn call_target(
+    shared: &Shared,
+    target: &TargetId,
+    address: SocketAddr,
+    call: Request<Bytes>,
+) -> Result<(StatusCode, Bytes), String> {
+    let taken = shared.pool.take(shared.now(), target, address).await;
     let mut link: Link = taken.map_err(|error| error.to_string())?.link;
     let answer = link
         .send(call.map(Full::new))
@@ -153,12 +192,9 @@
         .map_err(|error| error.to_string())?;
     let (head, body) = answer.into_parts();
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    let close = shared.dialect.read_answer(&head);
-    if !close.close {
-        shared.pool.put(shared.now(), source, link, close.idle);
+    let connection = shared.dialect.read_answer(&head);
+    if !connection.close {
+        shared.pool.put(shared.now(), target, link, connection.idle);
     }
-    shared
-        .dialect
-        .read_copy(head.status, &body.to_bytes())
-        .ok_or_else(|| format!("the target answered {}", head.status))
+    Ok((head.status, body.to_bytes()))
 }
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -86,10 +86,14 @@
             let end = self.relay(&mut flow, events).await;
             let event = match end {
                 End::Whole => {
+                    self.drop_copy();
                     self.give_back(flow.run, flow.reuse);
                     return Ok("answered");
                 }
-                End::Gone => return Ok("caller_gone"),
+                End::Gone => {
+                    self.drop_copy();
+                    return Ok("caller_gone");
+                }
                 End::Event(event) => event,
             };
             // The old target must not work on it while another one does.
