Watch the store wherever those before are turned away

Also the first tests of cw_policy::forward; one of them found that the budget counted requests from before its window, which is mended.

--- a/crates/cw_policy/src/budget/service_budgets.rs
+++ b/crates/cw_policy/src/budget/service_budgets.rs
@@ -74,7 +74,7 @@
         let Some(counts) = self.services.get_mut(service) else {
             return false;
         };
-        let allowed = slack + budget.ratio * f64::from(counts.firsts());
+        let allowed = slack + budget.ratio * f64::from(counts.firsts(now.before(budget.window)));
         let spent = f64::from(counts.further());
         let is_allowed = spent + 1.0 <= allowed;
         if is_allowed && let Some(span) = counts.spans.back_mut() {
@@ -116,10 +116,10 @@
 }
 
 impl Counts {
-    /// Returns the first sends that surely lie within the window.
-    fn firsts(&self) -> u32 {
-        let whole = usize::from(self.spans.len() as u32 > SPANS);
-        self.spans.iter().skip(whole).map(|span| span.firsts).sum()
+    /// Returns the first sends that surely lie within the window that begins at `begin`.
+    fn firsts(&self, begin: Time) -> u32 {
+        let spans = self.spans.iter().filter(|span| span.begin >= begin);
+        spans.map(|span| span.firsts).sum()
     }
 
     /// Returns the further sends that may lie within the window.
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -20,6 +20,10 @@
 /// How many entries watch the directory: when one dies, another still tells the rest.
 const WATCHERS: usize = 2;
 
+/// How long an entry that watches the directory may be silent before others do so too. Changes must
+/// be in force within two seconds, even if those that watched have stopped without a sign.
+const WATCHER_SILENCE: Duration = Duration::from_millis(1000);
+
 /// Bounds on what is believed of other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
@@ -43,6 +47,8 @@
     incarnation: Incarnation,
     sequence: u64,
     shares: BTreeMap<TargetHash, TargetShare>,
+    /// Whether it watches the directory, and the directory answers it.
+    watches: bool,
 }
 
 /// The other entries.
@@ -85,6 +91,7 @@
             incarnation: message.incarnation,
             sequence: message.sequence,
             shares: message.shares.iter().copied().collect(),
+            watches: message.directory.as_ref().is_some_and(|news| news.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
         self.sum_up();
@@ -122,20 +129,27 @@
         gone
     }
 
-    /// Returns whether this entry is one of those that watch the directory for all: the first of
-    /// those that hear each other.
-    pub fn is_watcher(&self) -> bool {
-        let Some(own) = &self.own else {
-            return true;
-        };
-        let before = self.peers.peers.keys().filter(|host| *host < own).count();
-        before < WATCHERS
+    /// Returns whether this entry is one of those that watch the directory for all: it is, unless
+    /// enough others do whose names come first and whom the directory answers.
+    pub fn is_watcher(&self, now: Time) -> bool {
+        self.watchers_before(now) < WATCHERS
     }
 
     /// Returns whether this entry writes down what all of them know.
-    pub fn is_scribe(&self) -> bool {
-        let own = self.own.as_ref();
-        own.is_none_or(|own| self.peers.peers.keys().all(|host| host > own))
+    pub fn is_scribe(&self, now: Time) -> bool {
+        self.watchers_before(now) == 0
+    }
+
+    fn watchers_before(&self, now: Time) -> usize {
+        let Some(own) = &self.own else {
+            return 0;
+        };
+        self.peers
+            .peers
+            .iter()
+            .filter(|(host, peer)| *host < own && peer.watches)
+            .filter(|(_, peer)| now.since(peer.heard) < WATCHER_SILENCE)
+            .count()
     }
 
     /// Returns how many other entries are heard.
--- /dev/null
+++ b/crates/cw_policy/tests/forward/budget.rs
@@ -0,0 +1,89 @@
+//! Further sends keep to the shared budget in any window.
+
+use std::time::Duration;
+
+use cw_policy::budget::ServiceBudgets;
+use cw_policy::budget::SharedBudget;
+use cw_types::ServiceName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fixtures::at;
+use crate::fixtures::name;
+
+const BUDGET: SharedBudget = SharedBudget {
+    ratio: 0.8,
+    slack: 150.0,
+    window: Duration::from_secs(10),
+};
+
+/// The bound counts the requests of a window, of the one before it, or of the one half a window
+/// before it, whichever has most: repeats follow their requests.
+///
+/// Every request fails and asks for more sends than it gets, at four entries whose traffic differs.
+#[test]
+fn all_entries_together_keep_to_the_budget_in_any_window() {
+    let service: ServiceName = name("s");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut entries: Vec<ServiceBudgets> = (0..4).map(|_| ServiceBudgets::new(BUDGET, 4)).collect();
+    let mut firsts = Vec::new();
+    let mut further = Vec::new();
+
+    for millis in (0..40_000).step_by(5) {
+        let at_entry = rng.random_range(0..10_usize).min(3);
+        let entry = &mut entries[at_entry];
+        if rng.random_bool(0.4) {
+            entry.first(at(millis), &service);
+            firsts.push(millis);
+        }
+        for _ in 0..3 {
+            if entry.spend(at(millis), &service) {
+                further.push(millis);
+            }
+        }
+    }
+
+    for begin in (0..30_000).step_by(50) {
+        let count = |all: &[u64], begin: u64| {
+            let window = begin..begin + 10_000;
+            all.iter().filter(|at| window.contains(*at)).count() as f64
+        };
+        let earlier = [0, 5000, 10_000].map(|back: u64| begin.saturating_sub(back));
+        let requests = earlier.map(|begin| count(&firsts, begin));
+        let most = requests.into_iter().fold(0.0, f64::max);
+        let bound = BUDGET.ratio * most + BUDGET.slack;
+        let spent = count(&further, begin);
+        assert!(spent <= bound, "{spent} over {bound} from {begin} ms");
+    }
+    assert!(further.len() > 400, "the slack is there in each window");
+}
+
+/// Pattern: an availability zone is lost every few seconds, each loss with many streams.
+#[test]
+fn the_slack_is_there_again_in_the_next_window() {
+    let service: ServiceName = name("s");
+    let mut budgets = ServiceBudgets::new(BUDGET, 4);
+    let spend = |budgets: &mut ServiceBudgets, millis| {
+        (0..100)
+            .filter(|_| budgets.spend(at(millis), &service))
+            .count()
+    };
+
+    let first = spend(&mut budgets, 0);
+    let soon = spend(&mut budgets, 5000);
+    let later = spend(&mut budgets, 21_000);
+
+    assert_eq!((first, soon, later), (37, 0, 37));
+}
+
+#[test]
+fn more_entries_have_smaller_parts() {
+    let service: ServiceName = name("s");
+    let mut budgets = ServiceBudgets::new(BUDGET, 4);
+    budgets.share(23);
+
+    let allowed = (0..100).filter(|_| budgets.spend(at(0), &service)).count();
+
+    assert_eq!(allowed, 6);
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/config.rs
@@ -0,0 +1,102 @@
+//! Which route takes a request, and whose key it is.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cw_policy::forward::CallerLimits;
+use cw_policy::forward::ForwardConfig;
+use cw_policy::forward::ForwardRoute;
+use cw_policy::forward::KeyHolder;
+use cw_policy::forward::Repeat;
+use cw_types::ErrorKind;
+use cw_types::KeyHash;
+use rstest::rstest;
+
+use crate::fixtures::name;
+
+fn route(route: &str, prefix: &str) -> ForwardRoute {
+    ForwardRoute {
+        name: name(route),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        services: vec![(name("heavy"), 90), (name("light"), 10)],
+        repeat: Repeat::Never,
+        streaming: false,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        pause: None,
+        attempts: 1,
+        priority: 2,
+        open: route == "open",
+    }
+}
+
+fn config() -> ForwardConfig {
+    let routes = vec![
+        route("outer", "/a/"),
+        route("inner", "/a/b/"),
+        route("open", "/open/"),
+    ];
+    let limits = CallerLimits {
+        body: 1 << 20,
+        idle: Duration::from_secs(15),
+    };
+    let holder = KeyHolder {
+        workspace: name("w1"),
+        priority: Some(0),
+    };
+    let keys = BTreeMap::from([(KeyHash::of("secret"), holder)]);
+    ForwardConfig::new(7, routes, BTreeMap::new(), limits).with_keys(keys)
+}
+
+#[rstest]
+#[case("/a/x", "outer")]
+#[case("/a/b/x", "inner")]
+#[case("/a/bx", "outer")]
+fn the_longest_prefix_takes_a_request(#[case] path: &str, #[case] expected: &str) {
+    let admitted = config().admit("a.example", path, Some("secret")).unwrap();
+
+    assert_eq!(admitted.route.name.as_str(), expected);
+}
+
+#[rstest]
+#[case("a.example", "/b/", Some("secret"), ErrorKind::UnknownModel)]
+#[case("a.example", "/a", Some("secret"), ErrorKind::UnknownModel)]
+#[case("b.example", "/a/x", Some("secret"), ErrorKind::UnknownModel)]
+#[case("a.example", "/a/x", Some("guess"), ErrorKind::Unauthorized)]
+#[case("a.example", "/a/x", None, ErrorKind::Unauthorized)]
+fn what_is_not_configured_is_refused(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] kind: ErrorKind,
+) {
+    assert_eq!(config().admit(host, path, key), Err(kind));
+}
+
+#[test]
+fn a_key_names_the_workspace_and_its_rank() {
+    let admitted = config().admit("a.example", "/a/x", Some("secret")).unwrap();
+
+    assert_eq!(admitted.workspace, Some(name("w1")));
+    assert_eq!(admitted.priority, 0);
+}
+
+#[test]
+fn an_open_route_needs_no_key() {
+    let admitted = config().admit("a.example", "/open/x", None).unwrap();
+
+    assert_eq!(admitted.workspace, None);
+    assert_eq!(admitted.priority, 2);
+}
+
+#[rstest]
+#[case(0.0, "heavy")]
+#[case(0.899, "heavy")]
+#[case(0.901, "light")]
+#[case(0.999, "light")]
+fn services_share_by_weight(#[case] draw: f64, #[case] expected: &str) {
+    let service = route("outer", "/a/").service(draw).cloned().unwrap();
+
+    assert_eq!(service.as_str(), expected);
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -0,0 +1,124 @@
+//! Entries that do not watch the directory miss nothing, whatever datagrams are lost.
+
+use bytes::Bytes;
+use cw_policy::forward::DirectoryLog;
+use cw_policy::forward::NewsStep;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
+
+use crate::fixtures::at;
+
+fn value(text: &str) -> Option<Bytes> {
+    Some(Bytes::copy_from_slice(text.as_bytes()))
+}
+
+#[test]
+fn changes_are_applied_in_order_and_once() {
+    let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+    watcher.read(10);
+    other.read(10);
+    watcher.saw(at(0), "a", value("1"), 11);
+    watcher.saw(at(1), "a", None, 14);
+
+    let step = other.hear(&watcher.news(at(2), true, 1));
+    let again = other.hear(&watcher.news(at(3), true, 1));
+
+    let NewsStep::Apply(changes) = step else {
+        panic!("{step:?}");
+    };
+    let revisions: Vec<i64> = changes.iter().map(|change| change.revision).collect();
+    assert_eq!(revisions, vec![11, 14]);
+    assert_eq!(again, NewsStep::Nothing);
+}
+
+#[test]
+fn a_missing_change_makes_an_entry_read() {
+    let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+    watcher.read(10);
+    other.read(10);
+    watcher.saw(at(0), "a", value("1"), 11);
+    // The change is too old to be told when the next message gets through.
+    watcher.saw(at(5000), "b", value("1"), 15);
+
+    let step = other.hear(&watcher.news(at(5000), true, 1));
+
+    assert_eq!(step, NewsStep::Reread);
+    assert!(other.is_behind());
+    other.read(15);
+    assert!(!other.is_behind());
+}
+
+#[test]
+fn a_list_that_the_watcher_read_makes_the_others_read() {
+    let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+    watcher.read(10);
+    other.read(10);
+
+    watcher.read(20);
+
+    assert_eq!(other.hear(&watcher.news(at(0), true, 1)), NewsStep::Reread);
+}
+
+#[test]
+fn one_revision_may_change_several_keys() {
+    let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+    watcher.read(10);
+    other.read(10);
+    for key in ["a", "b", "c"] {
+        watcher.saw(at(0), key, None, 11);
+    }
+
+    let step = other.hear(&watcher.news(at(1), true, 1));
+
+    let NewsStep::Apply(changes) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(changes.len(), 3);
+}
+
+/// A directory under random changes, a watcher, and an entry that loses most messages: after each
+/// message that it gets, and the read that it may ask for, it holds what the watcher holds.
+#[test]
+fn any_loss_leaves_the_same_directory() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut truth: BTreeMap<String, Bytes> = BTreeMap::new();
+        let mut held: BTreeMap<String, Bytes> = BTreeMap::new();
+        let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+        let mut revision = 1;
+        for step in 0..300 {
+            let now = at(step * 100);
+            revision += rng.random_range(1..4);
+            let key = format!("k{}", rng.random_range(0..6));
+            let new = rng
+                .random_bool(0.7)
+                .then(|| Bytes::from(format!("{revision}")));
+            match &new {
+                Some(new) => truth.insert(key.clone(), new.clone()),
+                None => truth.remove(&key),
+            };
+            watcher.saw(now, &key, new, revision);
+            if rng.random_bool(0.6) {
+                continue;
+            }
+            match other.hear(&watcher.news(now, true, 1)) {
+                NewsStep::Nothing => {}
+                NewsStep::Reread => {
+                    held = truth.clone();
+                    other.read(revision);
+                }
+                NewsStep::Apply(changes) => {
+                    for change in changes {
+                        match change.value {
+                            Some(new) => held.insert(change.key, new),
+                            None => held.remove(&change.key),
+                        };
+                    }
+                }
+            }
+            assert_eq!(held, truth, "seed {seed}, step {step}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/event_stream.rs
@@ -0,0 +1,106 @@
+//! Events reach the caller whole, in order and once, however the bytes are cut.
+
+use bytes::Bytes;
+use cw_policy::forward::EventStream;
+use cw_policy::forward::StreamFault;
+use rstest::rstest;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: part {id}\n\n")
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event).collect()
+}
+
+fn push(stream: &mut EventStream, text: &str) -> Result<String, StreamFault> {
+    let whole = stream.push(&Bytes::copy_from_slice(text.as_bytes()))?;
+    Ok(String::from_utf8(whole.to_vec()).unwrap())
+}
+
+#[test]
+fn any_cut_gives_the_same_events() {
+    let text = events(1..=3);
+    for cut in 0..=text.len() {
+        let mut stream = EventStream::default();
+
+        let first = push(&mut stream, &text[..cut]).unwrap();
+        let second = push(&mut stream, &text[cut..]).unwrap();
+
+        assert_eq!(first + &second, text, "cut at {cut}");
+        assert_eq!(stream.last(), Some(3));
+        assert!(!stream.is_torn());
+    }
+}
+
+#[test]
+fn single_bytes_give_the_same_events() {
+    let text = events(1..=4);
+    let mut stream = EventStream::default();
+
+    let parts = text
+        .chars()
+        .map(|c| push(&mut stream, &c.to_string()).unwrap());
+
+    assert_eq!(parts.collect::<String>(), text);
+}
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut stream = EventStream::default();
+
+    let passed = push(&mut stream, "id: 1\ndata: half").unwrap();
+
+    assert_eq!(passed, "");
+    assert!(stream.is_torn());
+    assert_eq!(stream.last(), None);
+}
+
+#[test]
+fn the_next_target_repeats_nothing() {
+    let mut stream = EventStream::default();
+    push(&mut stream, &(events(1..=5) + "id: 6\nda")).unwrap();
+
+    stream.restart();
+    let passed = push(&mut stream, &events(4..=7)).unwrap();
+
+    assert_eq!(passed, events(6..=7));
+    assert_eq!(stream.repeated(), 2);
+}
+
+#[test]
+fn a_caller_that_has_events_gets_the_rest() {
+    let mut stream = EventStream::after(Some(12));
+
+    let passed = push(&mut stream, &events(13..=14)).unwrap();
+
+    assert_eq!(passed, events(13..=14));
+}
+
+#[rstest]
+#[case(events(1..=2) + &event(4), StreamFault::Gap { expected: 3, found: 4 })]
+#[case("data: without a number\n\n".to_owned(), StreamFault::NoNumber)]
+#[case("id: seven\ndata: x\n\n".to_owned(), StreamFault::NoNumber)]
+fn a_broken_stream_is_not_passed_on(#[case] text: String, #[case] fault: StreamFault) {
+    let mut stream = EventStream::default();
+
+    assert_eq!(push(&mut stream, &text), Err(fault));
+}
+
+#[test]
+fn an_endless_event_is_not_kept() {
+    let mut stream = EventStream::default();
+    let chunk = "x".repeat(600 << 10);
+
+    push(&mut stream, &chunk).unwrap();
+
+    assert_eq!(push(&mut stream, &chunk), Err(StreamFault::TooLong));
+}
+
+#[test]
+fn lines_before_the_number_are_passed_on() {
+    let text = "x-weights: 2\nid: 1\ndata: x\n\n";
+    let mut stream = EventStream::default();
+
+    assert_eq!(push(&mut stream, text).unwrap(), text);
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/exchange.rs
@@ -0,0 +1,306 @@
+//! What follows from each event of a request.
+
+use std::time::Duration;
+
+use cw_policy::forward::CopyName;
+use cw_policy::forward::Exchange;
+use cw_policy::forward::ExchangeEvent;
+use cw_policy::forward::ExchangePlan;
+use cw_policy::forward::ExchangeStep;
+use cw_policy::forward::Fault;
+use cw_policy::forward::Repeat;
+use cw_policy::forward::Resume;
+use cw_policy::forward::RunCopy;
+use cw_types::ErrorKind;
+use rstest::rstest;
+
+use crate::fixtures::at;
+use crate::fixtures::engine;
+use crate::fixtures::placement;
+use crate::fixtures::plan;
+
+/// A request that was sent to the first engine at the origin, with a copy at another.
+fn sent(repeat: Repeat) -> Exchange {
+    let mut exchange = Exchange::new(plan(repeat));
+    exchange.send(at(0), placement(engine(0, 0), Some(engine(1, 0))));
+    exchange
+}
+
+fn allowed() -> bool {
+    true
+}
+
+fn denied() -> bool {
+    false
+}
+
+#[rstest]
+#[case(Fault::Broken)]
+#[case(Fault::Silent)]
+fn a_request_that_may_run_once_is_not_sent_again(#[case] fault: Fault) {
+    let mut exchange = sent(Repeat::Never);
+
+    let step = exchange.on_event(at(10), ExchangeEvent::Lost(fault), allowed);
+
+    assert_eq!(step, ExchangeStep::Refuse(ErrorKind::OutcomeUnknown));
+}
+
+#[test]
+fn a_request_that_may_run_once_is_sent_on_when_it_surely_has_not_run() {
+    let mut exchange = sent(Repeat::Never);
+
+    let step = exchange.on_event(at(10), ExchangeEvent::NotRun(Fault::Full), allowed);
+
+    assert_eq!(step, ExchangeStep::Send(Resume::default()));
+    assert!(exchange.excluded().contains(&engine(0, 0)));
+}
+
+#[test]
+fn a_request_that_may_run_once_waits_to_its_deadline() {
+    let exchange = sent(Repeat::Never);
+
+    assert_eq!(exchange.start_patience(at(0), false, None), None);
+    assert_eq!(exchange.patience(at(0)), None);
+}
+
+#[rstest]
+#[case(Repeat::Never)]
+#[case(Repeat::Whole)]
+#[case(Repeat::Resume)]
+fn without_budget_a_refusal_says_that_nothing_ran(#[case] repeat: Repeat) {
+    let mut exchange = sent(repeat);
+
+    let step = exchange.on_event(at(10), ExchangeEvent::NotRun(Fault::Full), denied);
+
+    assert_eq!(step, ExchangeStep::Refuse(ErrorKind::Overloaded));
+}
+
+#[test]
+fn a_target_out_of_reach_costs_no_budget() {
+    let mut exchange = sent(Repeat::Never);
+
+    let step = exchange.on_event(at(10), ExchangeEvent::NotRun(Fault::Unreachable), denied);
+
+    assert_eq!(step, ExchangeStep::Send(Resume::default()));
+}
+
+#[test]
+fn a_refusal_after_a_run_does_not_say_that_nothing_ran() {
+    let mut exchange = sent(Repeat::Whole);
+    exchange.on_event(at(10), ExchangeEvent::Lost(Fault::Broken), allowed);
+    exchange.send(at(11), placement(engine(0, 1), None));
+
+    let step = exchange.on_event(at(12), ExchangeEvent::NotRun(Fault::Full), denied);
+
+    assert_eq!(step, ExchangeStep::Refuse(ErrorKind::TargetFailed));
+}
+
+#[test]
+fn every_target_full_is_refused_within_the_objective() {
+    let mut exchange = Exchange::new(ExchangePlan {
+        objective: Duration::from_millis(150),
+        ..plan(Repeat::Whole)
+    });
+    let mut now = 0;
+
+    let end = loop {
+        match exchange.on_event(at(now), ExchangeEvent::NoTarget, allowed) {
+            ExchangeStep::Wait(pause) => now += pause.as_millis() as u64,
+            step => break step,
+        }
+    };
+
+    assert_eq!(end, ExchangeStep::Refuse(ErrorKind::NoTarget));
+    assert!(now < 150, "refused after {now} ms");
+}
+
+#[test]
+fn a_lost_stream_goes_on_at_the_keeper_of_its_copy() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+
+    let step = exchange.on_event(at(900), ExchangeEvent::Lost(Fault::Broken), allowed);
+
+    let copy = Some(RunCopy {
+        keeper: engine(1, 0),
+        since: at(0),
+        name: None,
+    });
+    assert_eq!(step, ExchangeStep::Send(Resume { copy }));
+}
+
+/// Engines of a zone crash while many prompts are still being read.
+#[test]
+fn before_the_first_event_there_is_no_copy() {
+    let mut exchange = sent(Repeat::Resume);
+
+    let step = exchange.on_event(at(900), ExchangeEvent::Lost(Fault::Broken), allowed);
+
+    assert_eq!(step, ExchangeStep::Send(Resume::default()));
+}
+
+/// The keeper dies in one outage, the run in the next.
+#[test]
+fn a_stream_goes_on_at_the_newest_copy() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+    let copy = RunCopy {
+        keeper: engine(2, 0),
+        since: at(2000),
+        name: Some(CopyName {
+            address: "127.0.0.1:80".parse().unwrap(),
+            name: "h1".to_owned(),
+        }),
+    };
+
+    exchange.set_copy(Some(copy.clone()));
+    let step = exchange.on_event(at(4000), ExchangeEvent::Lost(Fault::Broken), allowed);
+
+    assert_eq!(step, ExchangeStep::Send(Resume { copy: Some(copy) }));
+}
+
+#[test]
+fn a_keeper_without_the_copy_may_start_the_run() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+    exchange.on_event(at(900), ExchangeEvent::Lost(Fault::Broken), allowed);
+    exchange.send(at(901), placement(engine(1, 0), None));
+
+    let step = exchange.on_event(at(905), ExchangeEvent::NoCopy, allowed);
+
+    assert_eq!(step, ExchangeStep::Send(Resume::default()));
+    assert!(!exchange.excluded().contains(&engine(1, 0)));
+}
+
+#[test]
+fn a_stream_is_broken_off_only_when_it_cannot_go_on() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+
+    let step = exchange.on_event(at(900), ExchangeEvent::Lost(Fault::Broken), denied);
+
+    assert_eq!(step, ExchangeStep::Break(ErrorKind::TargetFailed));
+}
+
+#[test]
+fn no_more_targets_run_a_request_than_its_route_allows() {
+    let mut exchange = Exchange::new(plan(Repeat::Resume));
+    let mut sends = 0;
+    loop {
+        exchange.send(at(sends), placement(engine(0, sends as usize), None));
+        sends += 1;
+        let event = ExchangeEvent::Lost(Fault::Broken);
+        let ExchangeStep::Send(_) = exchange.on_event(at(sends), event, allowed) else {
+            break;
+        };
+    }
+
+    assert_eq!(sends, 5);
+}
+
+/// Leaving a target that is drained is no failure of the request.
+#[test]
+fn moving_off_a_leaving_target_is_no_attempt() {
+    let mut exchange = Exchange::new(plan(Repeat::Resume));
+    for number in 0..8 {
+        exchange.send(
+            at(number),
+            placement(engine(0, number as usize), Some(engine(1, 0))),
+        );
+        exchange.begin();
+
+        let step = exchange.on_event(at(number), ExchangeEvent::Leaving, allowed);
+
+        assert!(matches!(step, ExchangeStep::Send(_)), "{step:?}");
+    }
+}
+
+#[test]
+fn a_failure_is_tried_elsewhere_and_then_passed_on() {
+    let mut exchange = Exchange::new(ExchangePlan {
+        attempts: 2,
+        ..plan(Repeat::Whole)
+    });
+    exchange.send(at(0), placement(engine(0, 0), None));
+
+    let first = exchange.on_event(at(10), ExchangeEvent::Failed, allowed);
+    exchange.send(at(10), placement(engine(0, 1), None));
+    let second = exchange.on_event(at(20), ExchangeEvent::Failed, allowed);
+
+    assert_eq!(first, ExchangeStep::Send(Resume::default()));
+    assert_eq!(second, ExchangeStep::PassOn);
+}
+
+#[test]
+fn a_failure_of_a_request_that_may_run_once_is_passed_on() {
+    let mut exchange = sent(Repeat::Never);
+
+    let step = exchange.on_event(at(10), ExchangeEvent::Failed, allowed);
+
+    assert_eq!(step, ExchangeStep::PassOn);
+}
+
+#[rstest]
+#[case(Repeat::Never)]
+#[case(Repeat::Whole)]
+fn past_the_deadline_a_sent_request_is_not_said_to_have_not_run(#[case] repeat: Repeat) {
+    let mut exchange = sent(repeat);
+
+    let step = exchange.on_event(at(25_000), ExchangeEvent::Expired, allowed);
+
+    assert_eq!(step, ExchangeStep::Refuse(ErrorKind::TargetFailed));
+}
+
+/// A prompt of 14,000 tokens takes longer than the share of the objective that others get.
+#[test]
+fn a_long_prompt_is_waited_for() {
+    let exchange = sent(Repeat::Resume);
+    let usual = exchange
+        .start_patience(at(0), false, Some(Duration::from_secs(1)))
+        .unwrap();
+    let long = exchange
+        .start_patience(at(0), false, Some(Duration::from_secs(7)))
+        .unwrap();
+
+    assert!(usual < at(4500), "{usual}");
+    assert_eq!(long, at(7000));
+}
+
+#[test]
+fn a_silent_stream_is_left_sooner_where_a_copy_is() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+    let with_copy = exchange.patience(at(1000)).unwrap();
+
+    exchange.set_copy(None);
+    let without = exchange.patience(at(1000)).unwrap();
+
+    assert!(with_copy < at(1700), "a pause of 700 ms is too long");
+    assert!(without > at(1700), "reading the prompt anew takes longer");
+}
+
+/// Where every target is slow, moving on and on serves nobody.
+#[test]
+fn silence_is_borne_longer_after_a_move() {
+    let mut exchange = sent(Repeat::Resume);
+    exchange.begin();
+    let first = exchange.patience(at(0)).unwrap();
+    exchange.on_event(at(400), ExchangeEvent::Lost(Fault::Silent), allowed);
+    exchange.send(at(400), placement(engine(1, 0), Some(engine(2, 0))));
+    exchange.begin();
+
+    let second = exchange.patience(at(0)).unwrap();
+
+    assert!(second > first);
+}
+
+#[test]
+fn the_last_send_is_not_given_up() {
+    let mut exchange = Exchange::new(ExchangePlan {
+        attempts: 1,
+        ..plan(Repeat::Whole)
+    });
+    exchange.send(at(0), placement(engine(0, 0), None));
+
+    assert_eq!(exchange.start_patience(at(0), false, None), None);
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/fixtures.rs
@@ -0,0 +1,114 @@
+//! What the tests are built from.
+
+use std::collections::BTreeSet;
+use std::str::FromStr;
+use std::time::Duration;
+
+use cw_policy::forward::Demand;
+use cw_policy::forward::ExchangePlan;
+use cw_policy::forward::Fleet;
+use cw_policy::forward::FleetLimits;
+use cw_policy::forward::Listing;
+use cw_policy::forward::Need;
+use cw_policy::forward::Placement;
+use cw_policy::forward::Repeat;
+use cw_types::ServiceName;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_types::ZoneId;
+
+/// A prompt and an output of usual size.
+pub(crate) const DEMAND: Demand = Demand {
+    prompt: 8000,
+    output: 1000,
+};
+
+/// The cache memory of one engine, in tokens.
+pub(crate) const MEMORY: u64 = 88_000;
+
+pub(crate) fn name<T: FromStr>(text: &str) -> T {
+    text.parse().ok().expect("a name")
+}
+
+/// A moment so many milliseconds after the origin.
+pub(crate) fn at(millis: u64) -> Time {
+    Time::default() + Duration::from_millis(millis)
+}
+
+/// The engine `number` of a zone.
+pub(crate) fn engine(zone: usize, number: usize) -> TargetId {
+    name(&format!("e{zone}-{number}"))
+}
+
+pub(crate) fn listing(zone: usize, number: usize) -> Listing {
+    Listing {
+        id: engine(zone, number),
+        service: name("engines"),
+        address: format!("127.0.{zone}.{number}:80").parse().unwrap(),
+        zone: name(&format!("z{zone}")),
+        slots: 12,
+        leaving: false,
+        born: Some(1),
+    }
+}
+
+/// A fleet of `zones` zones with `engines` engines each, listed at the origin.
+pub(crate) fn fleet(zones: usize, engines: usize) -> Fleet {
+    let mut fleet = Fleet::new(FleetLimits::default());
+    for zone in 0..zones {
+        for number in 0..engines {
+            fleet.listed(at(0), listing(zone, number));
+        }
+    }
+    fleet
+}
+
+/// What a request needs.
+pub(crate) struct Wish {
+    pub(crate) service: ServiceName,
+    pub(crate) zone: ZoneId,
+    pub(crate) excluded: BTreeSet<TargetId>,
+    pub(crate) demand: Demand,
+}
+
+impl Default for Wish {
+    fn default() -> Self {
+        Self {
+            service: name("engines"),
+            zone: name("z0"),
+            excluded: BTreeSet::new(),
+            demand: DEMAND,
+        }
+    }
+}
+
+impl Wish {
+    pub(crate) fn need(&self) -> Need<'_> {
+        Need {
+            service: &self.service,
+            memory: Some(MEMORY),
+            demand: self.demand,
+            zone: &self.zone,
+            excluded: &self.excluded,
+            copy: true,
+            read_at: None,
+            peers: true,
+        }
+    }
+}
+
+pub(crate) fn plan(repeat: Repeat) -> ExchangePlan {
+    ExchangePlan {
+        repeat,
+        streaming: repeat == Repeat::Resume,
+        attempts: 5,
+        arrived: at(0),
+        deadline: at(25_000),
+        objective: Duration::from_millis(4500),
+        pause: Some(Duration::from_millis(700)),
+    }
+}
+
+pub(crate) fn placement(target: TargetId, copy: Option<TargetId>) -> Placement {
+    Placement { target, copy }
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -0,0 +1,12 @@
+//! Tests of forwarded requests: where they go, and how they go on after a loss.
+
+mod budget;
+mod config;
+mod directory_log;
+mod event_stream;
+mod exchange;
+mod fixtures;
+mod fleet;
+mod memory;
+mod peers;
+mod placement;
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -29,7 +29,7 @@
 };
 
 /// How often an entry that does not watch the service looks whether it should.
-const ROLE_PERIOD: Duration = Duration::from_millis(250);
+const ROLE_PERIOD: Duration = Duration::from_millis(150);
 
 /// What part of the key-value service is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +80,7 @@
             let heard = self.shared.heard.notified();
             // Both ways on: the role may have changed too.
             let _ = tokio::time::timeout(ROLE_PERIOD, heard).await;
+            let now = self.shared.now();
             let beliefs = self.shared.beliefs();
             let is_behind = match self.topic {
                 Topic::Targets => beliefs.log.is_behind(),
@@ -88,7 +89,7 @@
                     present.is_none_or(|present| present < beliefs.told)
                 }
             };
-            if is_behind || beliefs.fleet.is_watcher() {
+            if is_behind || beliefs.fleet.is_watcher(now) {
                 return;
             }
         }
@@ -99,7 +100,7 @@
         let (found, revision) = self.store.snapshot(self.prefix()).await?;
         self.answered();
         self.relist(&found, revision);
-        if !self.shared.beliefs().fleet.is_watcher() {
+        if !self.is_watcher() {
             return Ok(());
         }
         let mut watch = self.store.watch(self.prefix(), revision).await?;
@@ -111,7 +112,7 @@
                 WatchEvent::Put(item) => self.put(&item),
                 WatchEvent::Deleted { key, revision } => self.deleted(&key, revision),
                 WatchEvent::Progress(_) => {
-                    if !self.shared.beliefs().fleet.is_watcher() {
+                    if !self.is_watcher() {
                         return Ok(());
                     }
                 }
@@ -120,6 +121,11 @@
         Ok(())
     }
 
+    fn is_watcher(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.beliefs().fleet.is_watcher(now)
+    }
+
     // ---- Whether the service answers ----
 
     fn answered(&self) {
--- a/crates/cyclamenwharf/src/forward/ledger.rs
+++ b/crates/cyclamenwharf/src/forward/ledger.rs
@@ -47,7 +47,7 @@
                 is_read = self.logged(self.recall().await);
             }
             let prompts = self.prompts();
-            let is_scribe = self.shared.beliefs().fleet.is_scribe();
+            let is_scribe = self.shared.beliefs().fleet.is_scribe(self.shared.now());
             if is_read && is_scribe && prompts != written {
                 let swap = self.write(&prompts, &mut revision).await;
                 if self.logged(swap) {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -74,7 +74,7 @@
         let beliefs = &mut *beliefs;
         let config = beliefs.config.as_ref().map_or(0, |config| config.version());
         let up = beliefs.fleet.is_directory_up();
-        let directory = match beliefs.fleet.is_watcher() {
+        let directory = match beliefs.fleet.is_watcher(now) {
             true => Some(beliefs.log.news(now, up, config)),
             false => None,
         };
@@ -121,7 +121,7 @@
     /// Takes in what an entry that watches the directory tells.
     fn hear_news(&self, now: Time, beliefs: &mut Beliefs, news: &DirectoryNews) {
         beliefs.told = beliefs.told.max(news.config);
-        if beliefs.fleet.is_watcher() {
+        if beliefs.fleet.is_watcher(now) {
             return;
         }
         match news.up {
