--- a/crates/cw_policy/tests/forward/budget.rs
+++ b/crates/cw_policy/tests/forward/budget.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    for begin in (0..30_000).step_by(50) {
+    for begin in (0..30_000_u64).step_by(50) {
         let count = |all: &[u64], begin: u64| {
             let window = begin..begin + 10_000;
             all.iter().filter(|at| window.contains(*at)).count() as f64
