Let only entries that read the store say what is gone

News of such an entry is ignored, and news says whether what vanished is gone. Ruled out: a lost datagram (the entry had heard of the removal 6 ms after it).

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -11,6 +11,8 @@
 use cw_wire::DirectoryChange;
 use cw_wire::DirectoryNews;
 
+use super::Fleet;
+
 /// How long a change is told: some messages in a row.
 const TOLD: Duration = Duration::from_millis(900);
 
@@ -70,14 +72,15 @@
     }
 
     /// Returns what to tell the others.
-    pub fn news(&mut self, now: Time, up: bool, config: u64) -> DirectoryNews {
+    pub fn news(&mut self, now: Time, fleet: &Fleet, config: u64) -> DirectoryNews {
         while let Some((at, _)) = self.recent.front()
             && now.since(*at) > TOLD
         {
             self.recent.pop_front();
         }
         DirectoryNews {
-            up,
+            up: fleet.is_directory_up(),
+            trusted: fleet.is_trusted(now),
             config,
             newest: self.newest,
             changes: self
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -126,10 +126,12 @@
     /// An entry that lapsed while the directory was away may come back; until then its target is
     /// used on.
     pub fn removed(&mut self, now: Time, id: &TargetId) -> bool {
-        let trusted = match self.directory {
-            Directory::Up(since) => now.since(since) >= self.limits.relist,
-            Directory::Down => false,
-        };
+        let trusted = self.is_trusted(now);
+        self.vanished(now, id, trusted)
+    }
+
+    /// An entry has vanished from the directory; `trusted` says whether that is the truth.
+    pub fn vanished(&mut self, now: Time, id: &TargetId, trusted: bool) -> bool {
         let Some(member) = self.members.get_mut(id) else {
             return false;
         };
@@ -171,6 +173,15 @@
         was_down
     }
 
+    /// Returns whether a target without an entry is gone: the directory has answered for longer than
+    /// targets need to come back to it.
+    pub fn is_trusted(&self, now: Time) -> bool {
+        match self.directory {
+            Directory::Up(since) => now.since(since) >= self.limits.relist,
+            Directory::Down => false,
+        }
+    }
+
     /// Returns whether the directory answered the last call.
     pub fn is_directory_up(&self) -> bool {
         self.directory != Directory::Down
--- a/crates/cw_policy/tests/forward/directory_log.rs
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::DirectoryLog;
+use cw_policy::forward::Fleet;
 use cw_policy::forward::NewsStep;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -9,6 +10,12 @@
 use std::collections::BTreeMap;
 
 use crate::fixtures::at;
+use crate::fixtures::fleet;
+
+/// A fleet whose directory answers.
+fn up() -> Fleet {
+    fleet(1, 1)
+}
 
 fn value(text: &str) -> Option<Bytes> {
     Some(Bytes::copy_from_slice(text.as_bytes()))
@@ -22,8 +29,8 @@
     watcher.saw(at(0), "a", value("1"), 11);
     watcher.saw(at(1), "a", None, 14);
 
-    let step = other.hear(&watcher.news(at(2), true, 1));
-    let again = other.hear(&watcher.news(at(3), true, 1));
+    let step = other.hear(&watcher.news(at(2), &up(), 1));
+    let again = other.hear(&watcher.news(at(3), &up(), 1));
 
     let NewsStep::Apply(changes) = step else {
         panic!("{step:?}");
@@ -42,7 +49,7 @@
     // The change is too old to be told when the next message gets through.
     watcher.saw(at(5000), "b", value("1"), 15);
 
-    let step = other.hear(&watcher.news(at(5000), true, 1));
+    let step = other.hear(&watcher.news(at(5000), &up(), 1));
 
     assert_eq!(step, NewsStep::Reread);
     assert!(other.is_behind());
@@ -58,7 +65,7 @@
 
     watcher.read(20);
 
-    assert_eq!(other.hear(&watcher.news(at(0), true, 1)), NewsStep::Reread);
+    assert_eq!(other.hear(&watcher.news(at(0), &up(), 1)), NewsStep::Reread);
 }
 
 #[test]
@@ -70,7 +77,7 @@
         watcher.saw(at(0), key, None, 11);
     }
 
-    let step = other.hear(&watcher.news(at(1), true, 1));
+    let step = other.hear(&watcher.news(at(1), &up(), 1));
 
     let NewsStep::Apply(changes) = step else {
         panic!("{step:?}");
@@ -103,7 +110,7 @@
             if rng.random_bool(0.6) {
                 continue;
             }
-            match other.hear(&watcher.news(now, true, 1)) {
+            match other.hear(&watcher.news(now, &up(), 1)) {
                 NewsStep::Nothing => {}
                 NewsStep::Reread => {
                     held = truth.clone();
@@ -122,3 +129,23 @@
         }
     }
 }
+
+/// Pattern: the store turns one machine away while engines leave; the others must not take over its
+/// doubt, nor it keep targets that the others know to be gone.
+#[test]
+fn only_an_entry_that_has_read_long_enough_says_what_is_gone() {
+    let mut log = DirectoryLog::default();
+    let mut fleet = fleet(1, 1);
+
+    let trusted = log.news(at(10_000), &fleet, 1);
+    fleet.directory_lost();
+    let away = log.news(at(10_000), &fleet, 1);
+    fleet.directory_back(at(11_000));
+    let back = log.news(at(11_100), &fleet, 1);
+    let later = log.news(at(13_100), &fleet, 1);
+
+    assert!(trusted.up && trusted.trusted);
+    assert!(!away.up && !away.trusted);
+    assert!(back.up && !back.trusted);
+    assert!(later.up && later.trusted);
+}
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -25,6 +25,7 @@
         prompts: Vec::new(),
         directory: Some(DirectoryNews {
             up: true,
+            trusted: true,
             config: 1,
             newest: 1,
             changes: Vec::new(),
--- a/crates/cw_wire/src/directory_news.rs
+++ b/crates/cw_wire/src/directory_news.rs
@@ -21,6 +21,8 @@
 pub struct DirectoryNews {
     /// Whether the key-value service answers it.
     pub up: bool,
+    /// Whether it has done so for long enough that an entry which is not there is gone.
+    pub trusted: bool,
     /// The version of the configuration in force there.
     pub config: u64,
     /// The revision of the last change that it knows.
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -225,7 +225,8 @@
             key: key.to_owned(),
             value,
         };
-        apply(&self.shared, now, &mut beliefs, &change);
+        let trusted = beliefs.fleet.is_trusted(now);
+        apply(&self.shared, now, &mut beliefs, &change, trusted);
         self.shared.news.notify_one();
     }
 
@@ -234,19 +235,25 @@
     }
 }
 
-/// Takes in a change of the targets, whoever saw it.
-pub(super) fn apply(shared: &Shared, now: Time, beliefs: &mut Beliefs, change: &DirectoryChange) {
+/// Takes in a change of the targets, whoever saw it; `trusted` says whether what vanished is gone.
+pub(super) fn apply(
+    shared: &Shared,
+    now: Time,
+    beliefs: &mut Beliefs,
+    change: &DirectoryChange,
+    trusted: bool,
+) {
     let Some(id) = target_id(shared, &change.key) else {
         return;
     };
     match &change.value {
         Some(value) => list(shared, now, beliefs, &id, value, change.revision),
         None => {
-            if beliefs.fleet.removed(now, &id) {
+            if beliefs.fleet.vanished(now, &id, trusted) {
                 info!(
                     target_id = id.as_str(),
                     revision = change.revision,
-                    trusted = u64::from(beliefs.fleet.is_directory_up());
+                    trusted = u64::from(trusted);
                     "a target's entry is gone"
                 );
             }
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -73,9 +73,8 @@
         let mut beliefs = self.shared.beliefs();
         let beliefs = &mut *beliefs;
         let config = beliefs.config.as_ref().map_or(0, |config| config.version());
-        let up = beliefs.fleet.is_directory_up();
         let directory = match beliefs.fleet.is_watcher(now) {
-            true => Some(beliefs.log.news(now, up, config)),
+            true => Some(beliefs.log.news(now, &beliefs.fleet, config)),
             false => None,
         };
         let mut shares = beliefs.fleet.shares();
@@ -121,19 +120,21 @@
     /// Takes in what an entry that watches the directory tells.
     fn hear_news(&self, now: Time, beliefs: &mut Beliefs, news: &DirectoryNews) {
         beliefs.told = beliefs.told.max(news.config);
-        if beliefs.fleet.is_watcher(now) {
+        let is_watcher = beliefs.fleet.is_watcher(now);
+        let is_up = beliefs.fleet.is_directory_up();
+        // An entry that the directory turns away knows nothing; one that watches it knows better.
+        if !news.up || (is_watcher && is_up) {
             return;
         }
-        match news.up {
-            true => beliefs.fleet.directory_back(now),
-            false => beliefs.fleet.directory_lost(),
-        };
+        if !is_watcher {
+            beliefs.fleet.directory_back(now);
+        }
         match beliefs.log.hear(news) {
             NewsStep::Nothing => {}
             NewsStep::Reread => self.shared.heard.notify_waiters(),
             NewsStep::Apply(changes) => {
                 for change in &changes {
-                    apply(&self.shared, now, beliefs, change);
+                    apply(&self.shared, now, beliefs, change, news.trusted);
                 }
             }
         }
