--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -297,7 +297,8 @@
         .ok()
 }
 
-fn count(shared: &Shared, targets: usize) {
+/// Shows how many targets there are.
+pub(super) fn count(shared: &Shared, targets: usize) {
     let targets = i64::try_from(targets).unwrap_or(i64::MAX);
     shared.metrics.targets.set(targets);
 }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -19,6 +19,7 @@
 use super::ForwardSettings;
 use super::directory::Directory;
 use super::directory::Topic;
+use super::directory::count;
 use super::front::Front;
 use super::metrics::ForwardMetrics;
 use super::operator_api::OperatorApi;
@@ -209,6 +210,7 @@
         for host in beliefs.fleet.forget_peers(now) {
             info!(entry = host.as_str(); "another entry is no longer heard");
         }
+        count(&shared, beliefs.fleet.len());
         beliefs.own_prompts.forget(now);
         beliefs.heard_prompts.forget(now);
         let fleet = &beliefs.fleet;
