--- a/crates/cyclamenwharf/src/json_log.rs
+++ b/crates/cyclamenwharf/src/json_log.rs
@@ -21,6 +21,9 @@
 use simplelog::Config;
 use simplelog::SharedLogger;
 
+use crate::LineQueue;
+use crate::StartError;
+
 /// A logger that writes one JSON object a line.
 pub struct JsonLog {
     level: LevelFilter,
@@ -49,13 +52,14 @@
         })
     }
 
-    /// Makes a logger to standard error the logger of this process.
+    /// Makes a logger to standard output the logger of this process. It never waits for the reader.
     ///
     /// # Errors
     ///
-    /// Fails when the process has a logger already.
-    pub fn install(level: LevelFilter) -> Result<(), log::SetLoggerError> {
-        CombinedLogger::init(vec![Self::new(level, Box::new(std::io::stderr()))])
+    /// Fails when the process has a logger already, or can start no thread for it.
+    pub fn install(level: LevelFilter) -> Result<(), StartError> {
+        let queue = LineQueue::start(std::io::stdout()).map_err(StartError::new)?;
+        CombinedLogger::init(vec![Self::new(level, Box::new(queue))]).map_err(StartError::new)
     }
 
     fn line(record: &Record<'_>) -> String {
@@ -80,10 +84,10 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let line = Self::line(record);
+        let line = Self::line(record) + "\n";
         if let Ok(mut out) = self.out.lock() {
             // A log that cannot be written must not stop the process.
-            let _ = writeln!(out, "{line}");
+            let _ = out.write_all(line.as_bytes());
         }
     }
 
--- a/crates/cyclamenwharf/src/main.rs
+++ b/crates/cyclamenwharf/src/main.rs
@@ -155,13 +155,18 @@
         Ok(runtime) => runtime,
         Err(error) => return refuse(&error),
     };
-    match runtime.block_on(work) {
-        Ok(()) => ExitCode::SUCCESS,
+    let code = match runtime.block_on(work) {
+        Ok(()) => {
+            info!("the process ends");
+            ExitCode::SUCCESS
+        }
         Err(message) => {
             error!("{message}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
 
 async fn wait_for_signal() {
