--- a/crates/cw_policy/src/forward/event_stream.rs
+++ b/crates/cw_policy/src/forward/event_stream.rs
@@ -60,6 +60,11 @@
         !self.rest.is_empty()
     }
 
+    /// Returns whether the stream may end here: events have been passed on, all of them whole.
+    pub fn is_at_end(&self) -> bool {
+        self.last.is_some() && !self.is_torn()
+    }
+
     /// The stream goes on from another target: half an event of the last one is dropped.
     pub fn restart(&mut self) {
         self.rest.clear();
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -128,7 +128,9 @@
         loop {
             step = match step {
                 ExchangeStep::Send(resume) => match self.send(&resume).await {
-                    Outcome::Answer(answer) => return self.answered(answer),
+                    Outcome::Answer(answer) | Outcome::Finished(answer) => {
+                        return self.answered(answer);
+                    }
                     Outcome::Stream(flow) => return self.open(*flow),
                     Outcome::Failure(answer) => {
                         self.failure = Some(answer);
@@ -465,6 +467,12 @@
         loop {
             let frame = match self.in_time(until, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
+                // There is nothing after the last event that the caller has.
+                Ok(None) if self.parcel.events.is_at_end() => {
+                    run.place.begin();
+                    self.give_back(run, reuse);
+                    return Outcome::Finished(head);
+                }
                 Ok(Some(Err(_)) | None) => {
                     return Outcome::Event(ExchangeEvent::Lost(Fault::Broken));
                 }
--- a/crates/cyclamenwharf/src/forward/outcome.rs
+++ b/crates/cyclamenwharf/src/forward/outcome.rs
@@ -17,6 +17,8 @@
     Failure(WholeAnswer),
     /// The whole answer.
     Answer(WholeAnswer),
+    /// The end of a stream whose events the caller has all.
+    Finished(WholeAnswer),
     /// A stream that has begun.
     Stream(Box<Flow>),
 }
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -100,21 +100,26 @@
             drop(flow);
             let lost = self.shared.now();
             let step = self.next(event);
-            flow = tokio::select! {
+            let found = tokio::select! {
                 found = self.resume(step) => found?,
                 () = events.closed() => return Ok("caller_gone"),
             };
+            flow = match found {
+                Some(found) => found,
+                None => return Ok("answered"),
+            };
             let now = self.shared.now();
             self.shared.metrics.resumed(now.since(lost));
         }
     }
 
-    /// Sends the request again until its stream goes on.
-    async fn resume(&mut self, mut step: ExchangeStep) -> Result<Flow, ErrorKind> {
+    /// Sends the request again until its stream goes on; `None` when it has ended.
+    async fn resume(&mut self, mut step: ExchangeStep) -> Result<Option<Flow>, ErrorKind> {
         loop {
             step = match step {
                 ExchangeStep::Send(resume) => match self.send(&resume).await {
-                    Outcome::Stream(flow) => return Ok(*flow),
+                    Outcome::Stream(flow) => return Ok(Some(*flow)),
+                    Outcome::Finished(_) => return Ok(None),
                     Outcome::Event(event) => self.next(event),
                     Outcome::Answer(_) | Outcome::Failure(_) => self.next(ExchangeEvent::Failed),
                 },
