--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cw_policy::budget::Backoff;
+use cw_store::HttpClient;
 use cw_store::KeyValue;
 use cw_store::ModRevision;
 use cw_store::StoreError;
@@ -15,9 +16,12 @@
 use cw_types::Time;
 use cw_wire::DirectoryChange;
 use futures::StreamExt;
+use http::Method;
+use http::StatusCode;
 use log::info;
 use log::warn;
 
+use super::peer_api::CONFIG_PATH;
 use super::shared::Beliefs;
 use super::shared::Shared;
 
@@ -45,6 +49,8 @@
     pub(super) shared: Arc<Shared>,
     pub(super) store: Arc<dyn KeyValue>,
     pub(super) topic: Topic,
+    /// A client of the other entries.
+    pub(super) entries: HttpClient,
 }
 
 impl Directory {
@@ -57,6 +63,9 @@
                 continue;
             };
             self.lost(&error);
+            if self.topic == Topic::Config {
+                self.ask_entries().await;
+            }
             let pause = {
                 let mut beliefs = self.shared.beliefs();
                 BACKOFF.wait(failures, &mut beliefs.rng)
@@ -183,13 +192,17 @@
     }
 
     fn configure(&self, item: &Versioned) {
-        if item.key != self.shared.dialect.config_key() {
-            return;
+        if item.key == self.shared.dialect.config_key() {
+            self.put_in_force(&item.value, "the key-value service");
         }
-        let config = match self.shared.dialect.read_config(&item.value) {
+    }
+
+    /// Puts a configuration in force, if it can be read and is newer than the present one.
+    fn put_in_force(&self, document: &Bytes, source: &str) {
+        let config = match self.shared.dialect.read_config(document) {
             Ok(config) => config,
             Err(error) => {
-                warn!(revision = item.modified.0; "the configuration cannot be read: {error}");
+                warn!(source = source; "the configuration cannot be read: {error}");
                 return;
             }
         };
@@ -198,14 +211,41 @@
         if present.is_some_and(|present| present >= config.version()) {
             return;
         }
-        info!(version = config.version(), revision = item.modified.0; "a configuration is in force");
+        info!(version = config.version(), source = source; "a configuration is in force");
         let version = i64::try_from(config.version()).unwrap_or(i64::MAX);
         self.shared.metrics.version.set(version);
         let services: BTreeSet<_> = config.services().cloned().collect();
         beliefs.budgets.retain(|service| services.contains(service));
         beliefs.pace.retain(|service| services.contains(service));
         beliefs.config = Some(Arc::new(config));
+        beliefs.document = Some(document.clone());
         self.shared.health.set_configured();
+        self.shared.news.notify_one();
+    }
+
+    /// Asks the other entries for a configuration that they have told of, when the service does not
+    /// answer.
+    async fn ask_entries(&self) {
+        for (entry, address) in self.shared.entries() {
+            let (told, present) = {
+                let beliefs = self.shared.beliefs();
+                let present = beliefs.config.as_ref().map_or(0, |config| config.version());
+                (beliefs.told, present)
+            };
+            if present >= told {
+                return;
+            }
+            let answer = self
+                .entries
+                .call(Method::GET, address, CONFIG_PATH, Bytes::new());
+            match answer.await {
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    self.put_in_force(&answer.body, entry.as_str());
+                }
+                Ok(answer) => info!(entry = entry.as_str(); "an entry answered {}", answer.status),
+                Err(error) => info!(entry = entry.as_str(); "an entry does not answer: {error}"),
+            }
+        }
     }
 
     fn deleted(&self, key: &str, revision: ModRevision) {
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cw_store::Dialect;
+use cw_store::HttpClient;
 use cw_store::KeyValue;
 use log::info;
 use prometheus::Registry;
@@ -23,6 +24,7 @@
 use super::front::Front;
 use super::metrics::ForwardMetrics;
 use super::operator_api::OperatorApi;
+use super::peer_api::PeerApi;
 use super::peer_exchange::PeerExchange;
 use super::shared::Shared;
 
@@ -32,6 +34,9 @@
 /// The most connections of operators at once.
 const OPERATORS_MAX: usize = 32;
 
+/// How long another entry may take to answer.
+const ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How often old connections are closed and old beliefs dropped.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
 
@@ -90,6 +95,7 @@
                     shared,
                     store,
                     topic,
+                    entries: HttpClient::default().with_patience(ENTRY_TIMEOUT),
                 };
                 directory.run()
             });
@@ -137,6 +143,11 @@
         if let Some(address) = listen.metrics {
             servers.push(StreamServer::start(address, operators, api).map_err(StartError::new)?);
         }
+        let peers = Arc::new(PeerApi {
+            shared: Arc::clone(&shared),
+        });
+        let peers = StreamServer::start(listen.peers, operators, peers).map_err(StartError::new)?;
+        servers.push(peers);
         Ok(ForwarderHandle {
             callers: server.local_addr(),
             health: servers[0].local_addr(),
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod operator_api;
 mod outcome;
+mod peer_api;
 mod peer_exchange;
 mod registry;
 mod shared;
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use bytes::Bytes;
 use cw_policy::budget::ServiceBudgets;
 use cw_policy::budget::SharedBudget;
 use cw_policy::forward::DirectoryLog;
@@ -36,6 +37,8 @@
 pub(super) struct Beliefs {
     /// The configuration in force.
     pub(super) config: Option<Arc<ForwardConfig>>,
+    /// The configuration as it was read.
+    pub(super) document: Option<Bytes>,
     /// The targets.
     pub(super) fleet: Fleet,
     /// What is known of the directory's changes.
@@ -84,6 +87,7 @@
         };
         let beliefs = Beliefs {
             config: None,
+            document: None,
             fleet: Fleet::new(FleetLimits {
                 lapse: settings.lapse,
                 ..FleetLimits::default()
