--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! - [`ForwardConfig`]: routes by host and path, services and callers' keys, at one version.
 //! - [`Fleet`]: which targets there are, how loaded, and which one is next ([`Placement`]).
 //! - [`Fleet::heard_peer`]: what the other entries say they have at the targets.
+//! - [`Roster`]: which other entries there are.
 //! - [`RunCopy`]: a copy of a run's memory at another engine.
 //! - [`Whereabouts`]: which target has read which prompt.
 //! - [`PromptPace`]: how long targets take to read prompts.
@@ -23,6 +24,7 @@
 mod pace;
 mod peers;
 mod placement;
+mod roster;
 mod run_copy;
 mod whereabouts;
 
@@ -53,6 +55,7 @@
 pub use peers::PeerLimits;
 pub use placement::Need;
 pub use placement::Placement;
+pub use roster::Roster;
 pub use run_copy::CopyName;
 pub use run_copy::RunCopy;
 pub use whereabouts::Whereabouts;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -160,8 +160,8 @@
     /// Returns what this entry has at the targets.
     pub fn shares(&self) -> Vec<(TargetHash, TargetShare)> {
         self.members
-            .iter()
-            .map(|(_, member)| (member.hash, member.share()))
+            .values()
+            .map(|member| (member.hash, member.share()))
             .filter(|(_, share)| *share != TargetShare::default())
             .collect()
     }
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -1,6 +1,11 @@
 //! What entries tell each other.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
 use cw_policy::forward::Fleet;
+use cw_policy::forward::Roster;
+use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_wire::DirectoryNews;
 use cw_wire::Outstanding;
@@ -189,3 +194,32 @@
     assert!(!fleet.is_watcher(at(900)));
     assert!(fleet.is_watcher(at(1100)));
 }
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, number], 80))
+}
+
+#[test]
+fn registered_entries_are_there() {
+    let mut roster = Roster::default();
+
+    roster.register(BTreeMap::from([(name("a"), address(1))]));
+
+    assert_eq!(
+        roster.others(at(0)),
+        BTreeMap::from([(name("a"), address(1))])
+    );
+}
+
+/// Pattern: the store turns one machine away for longer than its record lasts.
+#[test]
+fn an_entry_whose_record_has_lapsed_is_there_while_it_is_heard() {
+    let mut roster = Roster::default();
+    roster.register(BTreeMap::from([(name("a"), address(1))]));
+    roster.hear(at(10_000), &name("a"), address(1));
+
+    roster.register(BTreeMap::new());
+
+    assert!(roster.others(at(12_000)).contains_key(&name::<HostId>("a")));
+    assert!(roster.others(at(20_000)).is_empty());
+}
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -82,10 +82,11 @@
             key,
             expected,
         };
-        if !(settings.budget.ratio >= 0.0) {
+        let is_amount = |number: f64| number.is_finite() && number >= 0.0;
+        if !is_amount(settings.budget.ratio) {
             return Err(value("budget.ratio", "a number that is not negative"));
         }
-        if !(settings.budget.slack >= 0.0) {
+        if !is_amount(settings.budget.slack) {
             return Err(value("budget.slack", "a number that is not negative"));
         }
         if settings.budget.window.is_zero() {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -102,8 +102,8 @@
     pub(super) async fn hear(self) {
         let mut buffer = vec![0; DATAGRAM_MAX];
         loop {
-            let length = match self.socket.recv_from(&mut buffer).await {
-                Ok((length, _)) => length,
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
                 Err(error) => {
                     // A peer without a listener makes the next read fail; that is no fault here.
                     debug!("no message: {error}");
@@ -111,7 +111,7 @@
                 }
             };
             match decode::<Outstanding>(&buffer[..length]) {
-                Ok(message) => self.take(&message),
+                Ok(message) => self.take(&message, from),
                 Err(error) => info!("a message of another entry cannot be read: {error}"),
             }
         }
@@ -144,9 +144,10 @@
         }
     }
 
-    fn take(&self, message: &Outstanding) {
+    fn take(&self, message: &Outstanding, from: SocketAddr) {
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
+        beliefs.roster.hear(now, &message.host, from);
         let before = beliefs.fleet.peers();
         if beliefs.fleet.heard_peer(now, message) {
             if let Some(news) = &message.directory {
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -15,6 +15,7 @@
 use cw_policy::forward::FleetLimits;
 use cw_policy::forward::ForwardConfig;
 use cw_policy::forward::PromptPace;
+use cw_policy::forward::Roster;
 use cw_policy::forward::Whereabouts;
 use cw_policy::forward::WhereaboutsLimits;
 use cw_store::Dialect;
@@ -53,8 +54,8 @@
     pub(super) pace: PromptPace,
     /// What may be sent more than once.
     pub(super) budgets: ServiceBudgets,
-    /// Where the other registered entries hear this one.
-    pub(super) entries: BTreeMap<HostId, SocketAddr>,
+    /// The other entries.
+    pub(super) roster: Roster,
     /// The source of chance in decisions.
     pub(super) rng: SmallRng,
 }
@@ -98,7 +99,7 @@
             heard_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             pace: PromptPace::default(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
-            entries: BTreeMap::new(),
+            roster: Roster::default(),
             rng: SmallRng::seed_from_u64(rand::random()),
         };
         Self {
@@ -123,22 +124,26 @@
     }
 
     /// Takes in which other entries are registered.
-    pub(super) fn set_entries(&self, entries: BTreeMap<HostId, SocketAddr>) {
+    pub(super) fn set_entries(&self, registered: BTreeMap<HostId, SocketAddr>) {
+        let now = self.now();
         let mut beliefs = self.beliefs();
-        if beliefs.entries != entries {
-            info!(others = entries.len(); "the registered entries have changed");
+        let before = beliefs.roster.others(now);
+        beliefs.roster.register(registered);
+        let entries = beliefs.roster.others(now);
+        if before != entries {
+            info!(others = entries.len(); "the other entries have changed");
         }
         beliefs
             .budgets
             .share(u32::try_from(entries.len() + 1).unwrap_or(u32::MAX));
         let hosts = entries.keys().cloned();
         beliefs.fleet.set_entries(&self.settings.host, hosts);
-        beliefs.entries = entries;
     }
 
-    /// Returns the other registered entries.
+    /// Returns the other entries, and where they hear this one.
     pub(super) fn entries(&self) -> BTreeMap<HostId, SocketAddr> {
-        self.beliefs().entries.clone()
+        let now = self.now();
+        self.beliefs().roster.others(now)
     }
 
     pub(super) fn config(&self) -> Option<Arc<ForwardConfig>> {
