Go on where a prompt was read though its connection broke

A broken connection no longer gives its target a rest, since the next attempt tells at once, and the reader of a prompt is tried though its zone is in doubt.

The send line says now whether the prompt was read before, and there.

--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -175,6 +175,9 @@
         if fault.is_loss() {
             self.doubted = Some(now);
             self.found = Some(now);
+        }
+        // A connection that broke says little of the target: the next attempt tells at once.
+        if fault.is_loss() && fault != Fault::Broken {
             let rest = REST_BASE * 2_u32.pow(self.losses.min(REST_DOUBLINGS));
             self.rest = self.rest.max(now + rest);
             self.losses += 1;
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -126,7 +126,10 @@
             .filter(|member| !need.excluded.contains(&member.listing.id) && open(member))
             .map(|member| {
                 let jitter = rng.random_range(0.0..JITTER);
-                let unproven = match self.is_unproven(now, member) {
+                // Trying the one that has read the prompt costs a few milliseconds at most times,
+                // reading it anew a second.
+                let is_reader = need.read_at == Some(member.hash);
+                let unproven = match self.is_unproven(now, member) && !is_reader {
                     true => UNPROVEN_COST,
                     false => 0.0,
                 };
--- a/crates/cw_policy/tests/forward/placement.rs
+++ b/crates/cw_policy/tests/forward/placement.rs
@@ -183,3 +183,23 @@
 
     assert_eq!(fleet.place(at(10), &wish.need(), &mut rng), None);
 }
+
+/// Pattern: the connections of entries are reset, those to engines and those of callers, who come
+/// back at once; the engines live.
+#[test]
+fn a_prompt_goes_where_it_was_read_though_its_connection_broke() {
+    let mut fleet = fleet(3, 12);
+    let mut rng = SmallRng::seed_from_u64(10);
+    let wish = Wish::default();
+    for number in 0..6 {
+        fleet.failed(at(1000), &engine(2, number), Fault::Broken);
+    }
+    let need = Need {
+        read_at: Some(TargetHash::from(&engine(2, 3))),
+        ..wish.need()
+    };
+
+    let placed = fleet.place(at(1010), &need, &mut rng).unwrap();
+
+    assert_eq!(placed.target, engine(2, 3));
+}
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -362,6 +362,8 @@
     fn log_send(&self, now: Time, placement: &Placement, resumed: bool) {
         let beliefs = self.shared.beliefs();
         let load = beliefs.fleet.load(now, &placement.target);
+        let reader = self.read_at(now, &beliefs);
+        let is_reader = reader == Some(TargetHash::from(&placement.target));
         info!(
             request = self.parcel.head.id.as_str(),
             route = self.parcel.admitted.route.name.as_str(),
@@ -369,6 +371,8 @@
             target_id = placement.target.as_str(),
             copy_at = placement.copy.as_ref().map_or("none", TargetId::as_str),
             resumed = u64::from(resumed),
+            read_before = u64::from(reader.is_some()),
+            read_there = u64::from(is_reader),
             after = self.parcel.events.last().unwrap_or_default(),
             load:? = load,
             peers = beliefs.fleet.peers();
