--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a forwarding entry.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,11 +18,13 @@
 use crate::stream_server::ServerLimits;
 use crate::stream_server::StreamServer;
 
+use super::ForwardListen;
 use super::ForwardSettings;
 use super::directory::Directory;
 use super::directory::Topic;
 use super::directory::count;
 use super::front::Front;
+use super::ledger::Ledger;
 use super::metrics::ForwardMetrics;
 use super::operator_api::OperatorApi;
 use super::peer_api::PeerApi;
@@ -37,6 +40,13 @@
 /// How long another entry may take to answer.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a caller's connection may be idle, and a request's head take. Callers reuse connections for
+/// the time that the configuration states, which is far shorter, so this only ends what is forgotten.
+const CALLER_IDLE_MAX: Duration = Duration::from_secs(300);
+
+/// The same for operators: a balancer asks every second.
+const OPERATOR_IDLE_MAX: Duration = Duration::from_secs(10);
+
 /// How often old connections are closed and old beliefs dropped.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
 
@@ -85,80 +95,92 @@
         let listen = settings.listen.clone();
         let shared = Arc::new(Shared::new(settings, parts.dialect, metrics));
         let supervisor = Supervisor::new("forward");
-        for (name, topic) in [("config", Topic::Config), ("targets", Topic::Targets)] {
-            let shared = Arc::clone(&shared);
-            let store = Arc::clone(&parts.store);
-            supervisor.keep(name, move || {
-                let shared = Arc::clone(&shared);
-                let store = Arc::clone(&store);
-                let directory = Directory {
-                    shared,
-                    store,
-                    topic,
-                    entries: HttpClient::default().with_patience(ENTRY_TIMEOUT),
-                };
-                directory.run()
-            });
-        }
-        let kept = Arc::clone(&shared);
-        supervisor.keep("upkeep", move || upkeep(Arc::clone(&kept)));
-        let known = Arc::clone(&shared);
-        let store = Arc::clone(&parts.store);
-        supervisor.keep("registry", move || {
-            let registry = super::registry::Registry {
-                shared: Arc::clone(&known),
-                store: Arc::clone(&parts.store),
-            };
-            registry.run()
-        });
-        let kept = Arc::clone(&shared);
-        supervisor.keep("ledger", move || {
-            let ledger = super::ledger::Ledger {
-                shared: Arc::clone(&kept),
-                store: Arc::clone(&store),
-            };
-            ledger.run()
-        });
+        follow(&supervisor, &shared, &parts.store);
         exchange(&supervisor, &shared, listen.peers)?;
         let callers = ServerLimits {
             connections: CALLERS_MAX,
-            head: None,
+            head: Some(CALLER_IDLE_MAX),
         };
         let front = Arc::new(Front {
             shared: Arc::clone(&shared),
         });
         let server =
             StreamServer::start(listen.callers, callers, front).map_err(StartError::new)?;
-        let operators = ServerLimits {
-            connections: OPERATORS_MAX,
-            head: Some(Duration::from_secs(10)),
-        };
-        let api = Arc::new(OperatorApi {
-            shared: Arc::clone(&shared),
-            registry,
-        });
-        let health = StreamServer::start(listen.health, operators, Arc::clone(&api))
-            .map_err(StartError::new)?;
-        let mut servers = vec![health];
-        if let Some(address) = listen.metrics {
-            servers.push(StreamServer::start(address, operators, api).map_err(StartError::new)?);
-        }
-        let peers = Arc::new(PeerApi {
-            shared: Arc::clone(&shared),
-        });
-        let peers = StreamServer::start(listen.peers, operators, peers).map_err(StartError::new)?;
-        servers.push(peers);
+        let operators = operators(&shared, &listen, registry).map_err(StartError::new)?;
         Ok(ForwarderHandle {
             callers: server.local_addr(),
-            health: servers[0].local_addr(),
+            health: operators[0].local_addr(),
             shared,
             supervisor,
             server,
-            _operators: servers,
+            _operators: operators,
         })
     }
 }
 
+/// Starts the servers for the balancer, the operators and the other entries, in this order.
+fn operators(
+    shared: &Arc<Shared>,
+    listen: &ForwardListen,
+    registry: Registry,
+) -> io::Result<Vec<StreamServer>> {
+    let limits = ServerLimits {
+        connections: OPERATORS_MAX,
+        head: Some(OPERATOR_IDLE_MAX),
+    };
+    let api = Arc::new(OperatorApi {
+        shared: Arc::clone(shared),
+        registry,
+    });
+    let peers = Arc::new(PeerApi {
+        shared: Arc::clone(shared),
+    });
+    let mut servers = vec![StreamServer::start(
+        listen.health,
+        limits,
+        Arc::clone(&api),
+    )?];
+    if let Some(address) = listen.metrics {
+        servers.push(StreamServer::start(address, limits, api)?);
+    }
+    servers.push(StreamServer::start(listen.peers, limits, peers)?);
+    Ok(servers)
+}
+
+/// Starts what follows the key-value service, and the upkeep of beliefs.
+fn follow(supervisor: &Supervisor, shared: &Arc<Shared>, store: &Arc<dyn KeyValue>) {
+    for (name, topic) in [("config", Topic::Config), ("targets", Topic::Targets)] {
+        let (shared, store) = (Arc::clone(shared), Arc::clone(store));
+        supervisor.keep(name, move || {
+            let directory = Directory {
+                shared: Arc::clone(&shared),
+                store: Arc::clone(&store),
+                topic,
+                entries: HttpClient::default().with_patience(ENTRY_TIMEOUT),
+            };
+            directory.run()
+        });
+    }
+    let (known, held) = (Arc::clone(shared), Arc::clone(store));
+    supervisor.keep("registry", move || {
+        let registry = super::registry::Registry {
+            shared: Arc::clone(&known),
+            store: Arc::clone(&held),
+        };
+        registry.run()
+    });
+    let (known, held) = (Arc::clone(shared), Arc::clone(store));
+    supervisor.keep("ledger", move || {
+        let ledger = Ledger {
+            shared: Arc::clone(&known),
+            store: Arc::clone(&held),
+        };
+        ledger.run()
+    });
+    let kept = Arc::clone(shared);
+    supervisor.keep("upkeep", move || upkeep(Arc::clone(&kept)));
+}
+
 impl ForwarderHandle {
     /// Takes nothing new, and returns when all in progress has ended or the grace is over.
     pub async fn drain(self) {
