Tell less often with many entries, and believe for longer

Cause, by reading: at 60 entries and more the pause between two messages neared the time after which an entry, or one that watches the store, is taken for dead. Watchers keep the short pause; what others said is believed 30 ms longer for each entry.

--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -27,8 +27,10 @@
 /// Bounds on what is believed of other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
-    /// How long the last message of an entry is believed.
+    /// How long the last message of an entry is believed, where there are few.
     pub life: Duration,
+    /// How much longer for each entry: the more there are, the less often each tells.
+    pub step: Duration,
 }
 
 impl Default for PeerLimits {
@@ -36,6 +38,7 @@
         Self {
             // Some messages may be lost; after as many the entry has gone, and its requests too.
             life: Duration::from_millis(1500),
+            step: Duration::from_millis(30),
         }
     }
 }
@@ -112,7 +115,9 @@
 
     /// Forgets what entries said that have not been heard for long. Returns which.
     pub fn forget_peers(&mut self, now: Time) -> Vec<HostId> {
-        let life = self.peers.limits.life;
+        let count = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
+        let limits = self.peers.limits;
+        let life = limits.life + limits.step.saturating_mul(count);
         let gone: Vec<HostId> = self
             .peers
             .peers
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -112,6 +112,18 @@
     assert!(choices(&fleet, 2000) > 0);
 }
 
+/// With hundreds of entries each tells less often, and is not to be forgotten in between.
+#[test]
+fn more_entries_are_believed_for_longer() {
+    let mut fleet = fleet(1, 4);
+    let hosts: Vec<HostId> = (0..300).map(|n| name(&format!("h{n}"))).collect();
+    fleet.set_entries(&name("own"), hosts.into_iter());
+    fleet.heard_peer(at(0), &reading("h1", 1));
+
+    assert!(fleet.forget_peers(at(4000)).is_empty());
+    assert_eq!(fleet.forget_peers(at(15_000)), vec![name("h1")]);
+}
+
 #[test]
 fn a_loss_that_another_entry_saw_is_believed_but_not_passed_on() {
     let mut fleet = fleet(1, 4);
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -52,7 +52,12 @@
             let entries = self.shared.entries();
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
             tokio::time::sleep(NEWS_PERIOD).await;
-            let period = PERIOD + PERIOD_STEP.saturating_mul(count);
+            // Those that watch the directory must not be taken for dead, however many there are.
+            let now = self.shared.now();
+            let period = match self.shared.beliefs().fleet.is_watcher(now) {
+                true => PERIOD,
+                false => PERIOD + PERIOD_STEP.saturating_mul(count),
+            };
             // Both ways on: there is news, or the others must hear that this entry lives.
             let _ = tokio::time::timeout(period, self.shared.news.notified()).await;
             if entries.is_empty() {
