Wait for every target before a test deployment is used

Cause: `Rig::start` returned when each entry had answered one generation. The plain services' agents may be heard of later than the engines', and a call made before that is refused at once with no_target. The test that hung waits for the first run of a call that had been refused, and did not look at the answer.

Ruled out: a call lost on its way.

Change: an entry's handle tells which targets it takes to be alive, and a deployment is ready when each entry knows all of them. The tests that kill a part while a call runs now look at the call too: one that ends before any service has run it fails at once, with its answer shown. They were weaker before.

Before: the new test fails (503).

--- a/crates/cw_testkit/src/deployment/node.rs
+++ b/crates/cw_testkit/src/deployment/node.rs
@@ -1,7 +1,9 @@
 //! The processes of a deployment.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use cw_types::TargetId;
 use cyclamenwharf::Agent;
 use cyclamenwharf::AgentHandle;
 use cyclamenwharf::AgentSettings;
@@ -46,6 +48,12 @@
         handle.as_ref().map_or(Vec::new(), EntryHandle::traces)
     }
 
+    /// Returns the targets that it takes to be alive.
+    pub async fn alive(&self) -> BTreeSet<TargetId> {
+        let handle = self.handle.lock().await;
+        handle.as_ref().map_or(BTreeSet::new(), EntryHandle::alive)
+    }
+
     /// Kills it.
     pub async fn kill(&self) {
         if let Some(handle) = self.handle.lock().await.take() {
--- a/crates/cw_testkit/src/deployment/rig.rs
+++ b/crates/cw_testkit/src/deployment/rig.rs
@@ -1,6 +1,7 @@
 //! The deployment.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use cyclamenwharf::PlatformSettings;
 use cyclamenwharf::SecretSettings;
 use cyclamenwharf::TargetSettings;
+use futures::future::join;
 use futures::future::try_join_all;
 use snafu::Snafu;
 
@@ -55,6 +57,8 @@
 const SECRET: &str = "a-secret-for-a-look";
 /// How long a deployment may take until every target serves.
 const READY_LIMIT: Duration = Duration::from_secs(30);
+/// How long after everything else late services start: well after the first request is answered.
+const LATE_PAUSE: Duration = Duration::from_millis(500);
 /// The pause between two looks whether it does.
 const READY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -109,8 +113,12 @@
         rig.start_entries().await?;
         rig.start_targets().await?;
         rig.start_forwarders().await?;
+        if rig.spec.late_services {
+            rig.stop_services().await;
+        }
         rig.write_records()?;
-        rig.wait_ready().await?;
+        let (ready, started) = join(rig.wait_ready(), rig.start_late()).await;
+        started.and(ready)?;
         Ok(rig)
     }
 
@@ -224,6 +232,20 @@
         Ok(())
     }
 
+    async fn stop_services(&self) {
+        for agent in &self.service_agents {
+            agent.kill().await;
+        }
+    }
+
+    async fn start_late(&self) -> Result<(), RigError> {
+        if self.spec.late_services {
+            tokio::time::sleep(LATE_PAUSE).await;
+            try_join_all(self.service_agents.iter().map(TargetNode::restart)).await?;
+        }
+        Ok(())
+    }
+
     fn targets(&self) -> impl Iterator<Item = &TargetNode> {
         self.agents.iter().chain(&self.service_agents)
     }
@@ -251,10 +273,17 @@
 
     // ---- Readiness
 
-    /// Waits until every entry answers a short request.
+    /// Waits until every entry takes every target to be alive, and answers a short request.
     async fn wait_ready(&self) -> Result<(), RigError> {
+        let all: BTreeSet<TargetId> = self
+            .targets()
+            .map(|node| node.settings.target.id.clone())
+            .collect();
         let ready = async {
             for entry in 0..self.entries.len() {
+                while self.entries[entry].alive().await != all {
+                    tokio::time::sleep(READY_PAUSE).await;
+                }
                 let caller = self.caller(entry);
                 let ask = Ask::new(ROUTE_LATENCY, "ready?", 1).whole();
                 while self.spec.engines > 0 && caller.ask(&ask).await.is_err() {
--- a/crates/cw_testkit/src/deployment/rig_spec.rs
+++ b/crates/cw_testkit/src/deployment/rig_spec.rs
@@ -57,6 +57,8 @@
     pub routing: RoutingSettings,
     /// Whether entries reach each agent through a [`crate::Forwarder`].
     pub forwarded: bool,
+    /// Whether the agents of plain services start only after everything else.
+    pub late_services: bool,
 }
 
 impl Default for RigSpec {
@@ -80,6 +82,7 @@
             trace: TraceSettings::default(),
             routing: RoutingSettings::default(),
             forwarded: false,
+            late_services: false,
         }
     }
 }
@@ -106,6 +109,13 @@
         self
     }
 
+    /// Lets the agents of plain services start only after everything else.
+    #[must_use]
+    pub fn with_late_services(mut self) -> Self {
+        self.late_services = true;
+        self
+    }
+
     /// Sets the number of availability zones.
     #[must_use]
     pub fn with_zones(mut self, count: usize) -> Self {
--- a/crates/cw_testkit/tests/services.rs
+++ b/crates/cw_testkit/tests/services.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::time::Duration;
 
 use common::rig;
@@ -14,6 +15,9 @@
 use cw_testkit::Rig;
 use cw_testkit::SERVICE;
 use cw_testkit::SERVICE_ONCE;
+use futures::future::Either;
+use futures::future::join;
+use futures::future::select;
 use http::Method;
 use rstest::rstest;
 
@@ -51,7 +55,6 @@
 
 /// Kills the part of the deployment that runs `body`.
 async fn kill(rig: &Rig, victim: Victim, body: &str) {
-    until(|| runs(rig, body) > 0).await;
     let ran = |n: &usize| rig.services[*n].runs().contains_key(body);
     let number = (0..rig.services.len()).find(ran).expect("it has run");
     match victim {
@@ -61,6 +64,26 @@
     }
 }
 
+/// Returns what a call answers whose victim dies while it runs.
+///
+/// A call that ends before any service has run it fails the test at once, and its answer is shown.
+async fn killing(
+    call: impl Future<Output = Option<Reply>>,
+    rig: &Rig,
+    victim: Victim,
+    body: &str,
+) -> Option<Reply> {
+    let mut call = pin!(call);
+    let running = pin!(until(|| runs(rig, body) > 0));
+    match select(call.as_mut(), running).await {
+        Either::Left((reply, _)) => {
+            assert!(runs(rig, body) > 0, "no service ran the call: {reply:?}");
+            reply
+        }
+        Either::Right(((), call)) => join(call, kill(rig, victim, body)).await.0,
+    }
+}
+
 fn set_delay(rig: &Rig) {
     rig.services.iter().for_each(|s| s.set_delay(DELAY));
 }
@@ -80,6 +103,17 @@
     rig.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_deployment_is_ready_only_when_its_services_are() {
+    let rig = rig(small().with_late_services()).await;
+
+    let reply = call(&rig, 0, SERVICE, &BTreeMap::new(), "who owes whom").await;
+
+    let reply = reply.expect("the call is answered");
+    assert_eq!(reply.status.as_u16(), 200, "{reply:?}");
+    rig.stop().await;
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_idempotent_call_is_answered_whole_although_its_target_dies(
@@ -90,7 +124,7 @@
 
     let headers = BTreeMap::new();
     let answer = call(&rig, 0, SERVICE, &headers, "who owes whom");
-    let (reply, ()) = futures::future::join(answer, kill(&rig, victim, "who owes whom")).await;
+    let reply = killing(answer, &rig, victim, "who owes whom").await;
 
     let reply = reply.expect("the call is answered");
     assert_eq!(reply.status.as_u16(), 200);
@@ -113,7 +147,7 @@
     };
 
     let answer = call(&rig, 0, SERVICE_ONCE, &headers, body);
-    let (first, ()) = futures::future::join(answer, kill(&rig, victim, body)).await;
+    let first = killing(answer, &rig, victim, body).await;
     if key {
         for _ in 0..3 {
             call(&rig, 1, SERVICE_ONCE, &headers, body).await;
--- a/crates/cyclamenwharf/src/entry/handle.rs
+++ b/crates/cyclamenwharf/src/entry/handle.rs
@@ -1,13 +1,17 @@
 //! Starting and stopping an entry.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use cw_policy::Liveness;
+use cw_policy::TargetView;
 use cw_store::EtcdGateway;
 use cw_store::KeyValue;
+use cw_types::TargetId;
 use prometheus::Registry;
 use tokio::runtime::Runtime;
 use tokio_util::task::TaskTracker;
@@ -209,6 +213,14 @@
         list.into_iter().filter_map(|id| traces.get(id)).collect()
     }
 
+    /// Returns the targets that it takes to be alive now.
+    pub fn alive(&self) -> BTreeSet<TargetId> {
+        let view = self.front.view.load();
+        let alive = |(_, target): &(&TargetId, &TargetView)| target.liveness == Liveness::Alive;
+        let alive = view.targets.iter().filter(alive);
+        alive.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Is not ready any more, and returns when all work in progress has ended.
     pub async fn drain(&self) {
         self.front.health.set_draining();
