--- a/crates/cyclamenwharf/src/entry/router.rs
+++ b/crates/cyclamenwharf/src/entry/router.rs
@@ -97,7 +97,6 @@
             .choose(now, self.policy, &request, &ledger, &mut rand::rng())
     }
 
-    /// Returns whether some target that can run `to` does not ask for patience, or none is left to
     /// Returns about how many more attempts the targets can take now, if there are any targets.
     pub(crate) fn room(&self, now: Time, view: &Arc<View>, to: &RouteTarget) -> Option<usize> {
         let indexed = self.indexed(now, view);
