Refuse at once a stream that no engine can begin in time

Cause: nothing was refused for want of time. Where prompts come faster than engines read them, all of them waited at the engines, began late, and were moved on for their silence, so that they were read anew.

Change: an entry learns how long an engine reads for each token that is ahead of a prompt, and how long runs hold their memory. From these and what all entries have at the engines it knows when a new stream could begin. One that could not begin within 0.8 of its objective at any engine is refused with 503 and the time after which it could; where most streams had to wait of late, the queue may only be a fifth of the objective long. What was sent before is not refused: a late answer is better than none.

Tests: cw_policy, tests/forward/outlook.rs (lasting overload, a burst, a queue worked off, full memory), and one of the exchange.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -69,6 +69,8 @@
 pub enum ExchangeEvent {
     /// No target can be chosen.
     NoTarget,
+    /// No target can begin it in time, and it was sent to none.
+    Crowded,
     /// The target proves that it did not run the request, and will not.
     NotRun(Fault),
     /// The target that was to go on from a copy of the run has none.
@@ -163,11 +165,6 @@
         self.runs + self.refused
     }
 
-    /// Returns whether a part of an answer has been passed on.
-    pub fn has_begun(&self) -> bool {
-        self.begun
-    }
-
     /// Returns whether another engine is to keep a copy of the run.
     pub fn wants_copy(&self) -> bool {
         self.plan.repeat == Repeat::Resume
@@ -252,6 +249,7 @@
     ) -> ExchangeStep {
         match event {
             ExchangeEvent::NoTarget => self.unplaced(now),
+            ExchangeEvent::Crowded => self.end(ErrorKind::Overloaded),
             ExchangeEvent::NotRun(fault) => self.not_run(now, fault, spend),
             ExchangeEvent::NoCopy => self.no_copy(now, spend),
             ExchangeEvent::Lost(fault) => self.lost(now, fault, spend),
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -210,10 +210,10 @@
     // ---- Traffic ----
 
     /// A request was sent to a target.
-    pub fn sent(&mut self, id: &TargetId, demand: Demand) {
+    pub fn sent(&mut self, now: Time, id: &TargetId, demand: Demand) {
         if let Some(member) = self.members.get_mut(id) {
             member.runs += 1;
-            member.unread += demand.prompt;
+            member.change(now, |member| member.unread += demand.prompt);
             member.tokens += demand.tokens();
         }
     }
@@ -221,18 +221,18 @@
     /// The answer of a request has begun.
     pub fn began(&mut self, now: Time, id: &TargetId, demand: Demand) {
         if let Some(member) = self.members.get_mut(id) {
-            member.unread = member.unread.saturating_sub(demand.prompt);
+            member.change(now, |member| member.read(demand));
             member.heard(now);
         }
     }
 
     /// A request has left its target; `began` says whether its answer had begun.
-    pub fn ended(&mut self, id: &TargetId, demand: Demand, began: bool) {
+    pub fn ended(&mut self, now: Time, id: &TargetId, demand: Demand, began: bool) {
         if let Some(member) = self.members.get_mut(id) {
             member.runs = member.runs.saturating_sub(1);
             member.tokens = member.tokens.saturating_sub(demand.tokens());
             if !began {
-                member.unread = member.unread.saturating_sub(demand.prompt);
+                member.change(now, |member| member.read(demand));
             }
         }
     }
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -120,6 +120,8 @@
     pub(super) replaced: bool,
     /// Whether this entry is the one that should prefer it.
     pub(super) own: bool,
+    /// When it began to read the prompt that it reads now, as far as is known.
+    pub(super) reading: Time,
 }
 
 impl Member {
@@ -145,6 +147,7 @@
             listed: now,
             replaced: false,
             own: false,
+            reading: now,
         }
     }
 
@@ -184,6 +187,26 @@
         }
     }
 
+    /// Returns the tokens that it has yet to read.
+    pub(super) fn unread(&self) -> u64 {
+        self.unread.saturating_add(self.peers.unread)
+    }
+
+    /// It has read a prompt of this entry, or never will.
+    pub(super) fn read(&mut self, demand: Demand) {
+        self.unread = self.unread.saturating_sub(demand.prompt);
+    }
+
+    /// What it has yet to read changes: it begins with the first prompt that comes, or with the
+    /// next one when it has read one.
+    pub(super) fn change(&mut self, now: Time, change: impl FnOnce(&mut Self)) {
+        let before = self.unread();
+        change(self);
+        if before == 0 || self.unread() < before {
+            self.reading = now;
+        }
+    }
+
     /// Something came from it: it lives.
     pub(super) fn heard(&mut self, now: Time) {
         self.heard = now;
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -9,11 +9,13 @@
 //! - [`Roster`]: which other entries there are.
 //! - [`RunCopy`]: a copy of a run's memory at another engine.
 //! - [`Whereabouts`]: which target has read which prompt.
-//! - [`PromptPace`]: how long targets take to read prompts.
+//! - [`PromptPace`]: how long targets take to read prompts, and to answer them.
+//! - [`Outlook`]: whether a request can begin in time, or a queue stands ([`Crowd`]).
 //! - [`DirectoryLog`]: how a few entries follow the directory for all.
 //! - [`Exchange`]: one request, from its arrival to its end.
 //! - [`EventStream`]: cuts a target's bytes into events and keeps them in order.
 
+mod crowd;
 mod directory_log;
 mod event_stream;
 mod exchange;
@@ -21,6 +23,7 @@
 mod forward_config;
 mod listing;
 mod member;
+mod outlook;
 mod pace;
 mod peers;
 mod placement;
@@ -28,6 +31,7 @@
 mod run_copy;
 mod whereabouts;
 
+pub use crowd::Crowd;
 pub use directory_log::DirectoryLog;
 pub use directory_log::NewsStep;
 pub use event_stream::EventStream;
@@ -51,6 +55,8 @@
 pub use member::Demand;
 pub use member::Fault;
 pub use member::ReportedLoad;
+pub use outlook::Backlog;
+pub use outlook::Outlook;
 pub use pace::PromptPace;
 pub use peers::PeerLimits;
 pub use placement::Need;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -97,7 +97,7 @@
             watches: message.directory.as_ref().is_some_and(|news| news.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
-        self.sum_up();
+        self.sum_up(now);
         let lost: Vec<TargetId> = self
             .members
             .iter()
@@ -129,7 +129,7 @@
             self.peers.peers.remove(host);
         }
         if !gone.is_empty() {
-            self.sum_up();
+            self.sum_up(now);
         }
         gone
     }
@@ -213,9 +213,10 @@
         preferring.is_some() && preferring == self.own.as_ref()
     }
 
-    fn sum_up(&mut self) {
+    fn sum_up(&mut self, now: Time) {
         for member in self.members.values_mut() {
-            member.peers = self.peers.at(member.hash);
+            let peers = self.peers.at(member.hash);
+            member.change(now, |member| member.peers = peers);
         }
     }
 }
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -113,6 +113,24 @@
         .or_else(|| self.cheapest(now, need, rng, fits))
     }
 
+    /// Returns the targets that a request may go to without doubt.
+    pub(super) fn open<'a>(
+        &'a self,
+        now: Time,
+        need: &'a Need<'_>,
+    ) -> impl Iterator<Item = &'a Member> {
+        self.allowed(need).filter(move |member| {
+            member.rest <= now && !member.replaced && !self.is_unproven(now, member)
+        })
+    }
+
+    fn allowed<'a>(&'a self, need: &'a Need<'_>) -> impl Iterator<Item = &'a Member> {
+        self.members
+            .values()
+            .filter(|member| member.listing.service == *need.service && !member.listing.leaving)
+            .filter(|member| !need.excluded.contains(&member.listing.id))
+    }
+
     fn cheapest(
         &self,
         now: Time,
@@ -120,10 +138,8 @@
         rng: &mut impl Rng,
         open: impl Fn(&Member) -> bool,
     ) -> Option<TargetId> {
-        self.members
-            .values()
-            .filter(|member| member.listing.service == *need.service && !member.listing.leaving)
-            .filter(|member| !need.excluded.contains(&member.listing.id) && open(member))
+        self.allowed(need)
+            .filter(|member| open(member))
             .map(|member| {
                 let jitter = rng.random_range(0.0..JITTER);
                 // Trying the one that has read the prompt costs a few milliseconds at most times,
--- a/crates/cw_policy/tests/forward/exchange.rs
+++ b/crates/cw_policy/tests/forward/exchange.rs
@@ -95,6 +95,17 @@
     assert_eq!(step, ExchangeStep::Refuse(ErrorKind::TargetFailed));
 }
 
+#[test]
+fn a_request_that_cannot_begin_in_time_is_refused_as_not_run() {
+    for repeat in [Repeat::Never, Repeat::Whole, Repeat::Resume] {
+        let mut exchange = Exchange::new(plan(repeat));
+
+        let step = exchange.on_event(at(1), ExchangeEvent::Crowded, denied);
+
+        assert_eq!(step, ExchangeStep::Refuse(ErrorKind::Overloaded));
+    }
+}
+
 #[test]
 fn every_target_full_is_refused_within_the_objective() {
     let mut exchange = Exchange::new(ExchangePlan {
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -8,5 +8,6 @@
 mod fixtures;
 mod fleet;
 mod memory;
+mod outlook;
 mod peers;
 mod placement;
--- a/crates/cw_policy/tests/forward/memory.rs
+++ b/crates/cw_policy/tests/forward/memory.rs
@@ -75,7 +75,7 @@
     assert_eq!(pace.most(&service, 8000), None);
 
     for _ in 0..50 {
-        pace.read(&service, 8000, Duration::from_millis(1200));
+        pace.read(&service, 8000, None, Duration::from_millis(1200));
     }
 
     let usual = pace.most(&service, 8000).unwrap();
--- a/crates/cw_policy/tests/forward/placement.rs
+++ b/crates/cw_policy/tests/forward/placement.rs
@@ -33,7 +33,7 @@
 
     for _ in 0..36 {
         let placed = fleet.place(at(1000), &wish.need(), &mut rng).unwrap();
-        fleet.sent(&placed.target, DEMAND);
+        fleet.sent(at(1000), &placed.target, DEMAND);
         *counts.entry(placed.target).or_default() += 1;
     }
 
@@ -109,7 +109,7 @@
         prompt: 80_000,
         output: 0,
     };
-    fleet.sent(&engine(1, 0), large);
+    fleet.sent(at(1000), &engine(1, 0), large);
 
     let placed = fleet.place(at(0), &wish.need(), &mut rng).unwrap();
 
@@ -124,7 +124,7 @@
     let mut rng = SmallRng::seed_from_u64(6);
     let wish = Wish::default();
     let reader = engine(2, 7);
-    fleet.sent(&reader, DEMAND);
+    fleet.sent(at(1000), &reader, DEMAND);
     fleet.began(at(900), &reader, DEMAND);
     let need = Need {
         read_at: Some(TargetHash::from(&reader)),
--- a/crates/cyclamenwharf/src/forward/courier.rs
+++ b/crates/cyclamenwharf/src/forward/courier.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::Admitted;
+use cw_policy::forward::Backlog;
 use cw_policy::forward::EventStream;
 use cw_policy::forward::Exchange;
 use cw_policy::forward::ExchangeEvent;
@@ -56,6 +57,10 @@
     pub(super) prompt: Option<PromptHash>,
     /// When it was last sent.
     pub(super) sent: Time,
+    /// What it found at its target then.
+    pub(super) found: Backlog,
+    /// When a caller that is refused does well to come again, if that is known.
+    pub(super) again: Option<Duration>,
     /// How old it was when its first event was passed on.
     pub(super) begun: Option<Duration>,
     /// When the target where it is now sent its first events.
@@ -79,6 +84,8 @@
             failure: None,
             prompt,
             sent: now,
+            found: Backlog::default(),
+            again: None,
             begun: None,
             here: None,
             last_event: None,
@@ -166,7 +173,7 @@
         self.ended(kind.code());
         let left = self.shared.now().until(self.exchange.plan().deadline);
         let id = Some(self.parcel.head.id.as_str());
-        refusal_response(&self.shared, kind, Some(left), id)
+        refusal_response(&self.shared, kind, Some(left), self.again, id)
     }
 
     /// Writes down how the request ended.
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -217,6 +217,7 @@
         let services: BTreeSet<_> = config.services().cloned().collect();
         beliefs.budgets.retain(|service| services.contains(service));
         beliefs.pace.retain(|service| services.contains(service));
+        beliefs.crowd.retain(|service| services.contains(service));
         beliefs.config = Some(Arc::new(config));
         beliefs.document = Some(document.clone());
         self.shared.health.set_configured();
--- a/crates/cyclamenwharf/src/forward/front.rs
+++ b/crates/cyclamenwharf/src/forward/front.rs
@@ -146,22 +146,27 @@
             &self.shared,
             refusal.kind,
             refusal.patience,
+            None,
             refusal.id.as_deref(),
         )
     }
 }
 
-/// Returns an answer of the entry's own. `left` is the time that the caller has.
+/// Returns an answer of the entry's own. `left` is the time that the caller has; `soonest` is when
+/// it could be served, if that is known.
 pub(super) fn refusal_response(
     shared: &Shared,
     kind: ErrorKind,
     left: Option<Duration>,
+    soonest: Option<Duration>,
     id: Option<&str>,
 ) -> Response<Body> {
     let share = shared.beliefs().rng.random_range(AGAIN_SHARE);
-    let again = left
-        .filter(|_| kind.is_retryable())
-        .map(|left| left.mul_f64(share));
+    let latest = AGAIN_SHARE.end;
+    let again = left.filter(|_| kind.is_retryable()).map(|left| {
+        let soonest = soonest.unwrap_or_default().max(left.mul_f64(share));
+        soonest.min(left.mul_f64(latest))
+    });
     shared
         .dialect
         .refusal(kind, again, id)
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -17,7 +17,8 @@
 
 impl Place {
     pub(super) fn take(shared: &Arc<Shared>, target: &TargetId, demand: Demand) -> Self {
-        shared.beliefs().fleet.sent(target, demand);
+        let now = shared.now();
+        shared.beliefs().fleet.sent(now, target, demand);
         if demand.prompt > 0 {
             shared.news.notify_one();
         }
@@ -42,8 +43,10 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
-        beliefs.fleet.ended(&self.target, self.demand, self.began);
+        let fleet = &mut beliefs.fleet;
+        fleet.ended(now, &self.target, self.demand, self.began);
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/placing.rs
+++ b/crates/cyclamenwharf/src/forward/placing.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use cw_policy::forward::Backlog;
 use cw_policy::forward::Need;
+use cw_policy::forward::Outlook;
 use cw_policy::forward::Placement;
 use cw_policy::forward::Resume;
 use cw_policy::forward::RunCopy;
@@ -13,11 +16,22 @@
 use log::info;
 
 use super::courier::Courier;
+use super::courier::millis;
 use super::shared::Beliefs;
 
+/// Where the next send goes.
+pub(super) enum Choice {
+    /// To this target; the flag says that it goes on from a copy there.
+    Go(Placement, bool),
+    /// There is no target.
+    NoTarget,
+    /// No target can begin it in time; one can after this time.
+    Crowded(Duration),
+}
+
 impl Courier {
-    /// Chooses the target of the next send; the flag says that it goes on from a copy there.
-    pub(super) fn place(&mut self, now: Time, resume: &Resume) -> Option<(Placement, bool)> {
+    /// Chooses the target of the next send.
+    pub(super) fn place(&mut self, now: Time, resume: &Resume) -> Choice {
         let shared = Arc::clone(&self.shared);
         let mut beliefs = shared.beliefs();
         let beliefs = &mut *beliefs;
@@ -43,10 +57,55 @@
         if let Some(RunCopy { keeper: target, .. }) = kept {
             let copy = beliefs.fleet.keeper(now, &need, target, &mut beliefs.rng);
             let target = target.clone();
-            return Some((Placement { target, copy }, true));
+            return Choice::Go(Placement { target, copy }, true);
+        }
+        let Some(placement) = beliefs.fleet.place(now, &need, &mut beliefs.rng) else {
+            return Choice::NoTarget;
+        };
+        let choice = self.admit(now, &need, placement, beliefs);
+        let found = match &choice {
+            Choice::Go(placement, _) => {
+                (beliefs.fleet).backlog(now, &placement.target, &need, &beliefs.pace)
+            }
+            Choice::NoTarget | Choice::Crowded(_) => Backlog::default(),
+        };
+        self.found = found;
+        choice
+    }
+
+    /// Returns where a request goes that would go to `placement`, which may be too busy to begin it
+    /// in time. One that was sent before goes anyway: a late answer is better than none.
+    fn admit(
+        &self,
+        now: Time,
+        need: &Need<'_>,
+        placement: Placement,
+        beliefs: &mut Beliefs,
+    ) -> Choice {
+        let plan = self.exchange.plan();
+        if need.demand.prompt == 0 || self.exchange.sends() > 0 {
+            return Choice::Go(placement, false);
+        }
+        let left = plan.objective.saturating_sub(now.since(plan.arrived));
+        let Beliefs {
+            fleet, pace, crowd, ..
+        } = beliefs;
+        match fleet.outlook(now, need, pace, crowd, left) {
+            Outlook::InTime => Choice::Go(placement, false),
+            Outlook::Late(after) => {
+                info!(
+                    request = self.parcel.head.id.as_str(),
+                    route = self.parcel.admitted.route.name.as_str(),
+                    prompt = need.demand.prompt,
+                    after_ms = millis(after),
+                    left_ms = millis(left),
+                    there:? = fleet.backlog(now, &placement.target, need, pace),
+                    peers = fleet.peers();
+                    "no target can begin a request in time"
+                );
+                Choice::Crowded(after.saturating_sub(left))
+            }
         }
-        let placement = beliefs.fleet.place(now, &need, &mut beliefs.rng)?;
-        Some((placement, false))
     }
 
     /// Returns what the request needs of a target.
@@ -87,6 +146,7 @@
             read_there = u64::from(is_reader),
             after = self.parcel.events.last().unwrap_or_default(),
             load:? = load,
+            found:? = self.found,
             peers = beliefs.fleet.peers();
             "a request is sent"
         );
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -31,6 +31,7 @@
 use super::outcome::Outcome;
 use super::outcome::Reuse;
 use super::outcome::Run;
+use super::placing::Choice;
 use super::target_pool::Taken;
 
 /// How often a request that waits for its first event looks whether its target is doubted.
@@ -73,8 +74,13 @@
         if now >= deadline {
             return Outcome::Event(ExchangeEvent::Expired);
         }
-        let Some((placement, resumed)) = self.place(now, resume) else {
-            return Outcome::Event(ExchangeEvent::NoTarget);
+        let (placement, resumed) = match self.place(now, resume) {
+            Choice::Go(placement, resumed) => (placement, resumed),
+            Choice::NoTarget => return Outcome::Event(ExchangeEvent::NoTarget),
+            Choice::Crowded(after) => {
+                self.again = Some(after);
+                return Outcome::Event(ExchangeEvent::Crowded);
+            }
         };
         let Some(address) = self.address(&placement.target) else {
             return Outcome::Event(ExchangeEvent::NoTarget);
@@ -329,7 +335,9 @@
         if !resumed {
             let time = self.shared.now().since(self.sent);
             let mut beliefs = self.shared.beliefs();
-            beliefs.pace.read(&self.parcel.service, prompt, time);
+            let ahead = (self.found.excess == 0).then_some(self.found.unread);
+            let service = &self.parcel.service;
+            beliefs.pace.read(service, prompt, ahead, time);
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cw_policy::budget::ServiceBudgets;
 use cw_policy::budget::SharedBudget;
+use cw_policy::forward::Crowd;
 use cw_policy::forward::DirectoryLog;
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
@@ -52,6 +53,8 @@
     pub(super) heard_prompts: Whereabouts,
     /// How long prompts take.
     pub(super) pace: PromptPace,
+    /// Whether requests have to wait for each other.
+    pub(super) crowd: Crowd,
     /// What may be sent more than once.
     pub(super) budgets: ServiceBudgets,
     /// The other entries.
@@ -98,6 +101,7 @@
             own_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             heard_prompts: Whereabouts::new(WhereaboutsLimits::default()),
             pace: PromptPace::default(),
+            crowd: Crowd::default(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
             roster: Roster::default(),
             rng: SmallRng::seed_from_u64(rand::random()),
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -86,6 +86,7 @@
             let end = self.relay(&mut flow, events).await;
             let event = match end {
                 End::Whole => {
+                    self.note_run();
                     self.drop_copy();
                     self.give_back(flow.run, flow.reuse);
                     return Ok("answered");
@@ -192,6 +193,15 @@
         }
     }
 
+    /// Notes how long a run took that one target ran from its first event to its last.
+    fn note_run(&self) {
+        if let (1, Some(first)) = (self.exchange.sends(), self.here) {
+            let time = self.shared.now().since(first);
+            let mut beliefs = self.shared.beliefs();
+            beliefs.pace.ran(&self.parcel.service, time);
+        }
+    }
+
     /// Notes that events come at this moment.
     fn note_pause(&mut self, now: Time) {
         if let Some(last) = self.last_event.replace(now) {
