Count a request at its target before the connection is made

Cause: a request was counted at its target only when a connection to it stood. Two requests that came within that time chose the same engine, and the second of two long prompts waited for the first. Seen in the new path test, where three long prompts at once went to two of three engines.

Change: the place, and that of the copy, are taken before anything is waited for; they are given back when no connection can be made.

Before: a_stream_that_cannot_begin_in_time_is_refused_at_once failed (502 after 7.8 s instead of 503). After: passed three times of three.

--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -128,15 +128,16 @@
     ) -> Result<(Run, Response<Incoming>), ExchangeEvent> {
         let unreachable = ExchangeEvent::NotRun(Fault::Unreachable);
         let id = &way.placement.target;
+        let demand = self.parcel.head.demand;
+        // Taken before anything is waited for: the next choice must know of this one.
+        let place = Place::take(&self.shared, id, demand);
+        let keeper = way.placement.copy.as_ref();
+        let copy = keeper.map(|keeper| CopyPlace::take(&self.shared, keeper, demand));
         let taken = self.shared.pool.take(now, id, way.address).await;
         let Taken { mut link, mut used } = taken.map_err(|error| {
             info!(target_id = id.as_str(); "a target cannot be reached: {error}");
             unreachable
         })?;
-        let demand = self.parcel.head.demand;
-        let place = Place::take(&self.shared, id, demand);
-        let keeper = way.placement.copy.as_ref();
-        let copy = keeper.map(|keeper| CopyPlace::take(&self.shared, keeper, demand));
         loop {
             let request = self.request(now, way);
             let error = match self.in_time(way.until, link.send(request)).await? {
