Log the system's own words for each broken connection and copy

Cause: a connection that broke, a fresh one that could not be made after a kept one had broken, and a copy whose task had failed left a line without the error itself, so a cut network, a crashed engine and a reset looked alike.

Change: one line each, with the request's id, the target and the error.

Before: no such line for connections that broke. No decision changes.

--- a/crates/cyclamenwharf/src/forward/copying.rs
+++ b/crates/cyclamenwharf/src/forward/copying.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use log::error;
 use log::info;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -54,7 +55,11 @@
                 return;
             };
             copying.task = None;
-            match end.ok().flatten() {
+            let made = end.unwrap_or_else(|error| {
+                error!(request = self.parcel.head.id.as_str(); "making a copy failed: {error}");
+                None
+            });
+            match made {
                 Some(copy) => {
                     copying.next = now + self.parcel.copy_life.mul_f64(RENEW_SHARE);
                     self.exchange.set_copy(Some(copy));
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -12,6 +12,7 @@
 use cw_policy::forward::Resume;
 use cw_store::AnswerHead;
 use cw_store::SendHead;
+use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::ReadPrompt;
 use cw_wire::TargetHash;
@@ -27,6 +28,7 @@
 use super::guards::CopyPlace;
 use super::guards::Place;
 use super::link::Link;
+use super::link::LinkError;
 use super::outcome::Flow;
 use super::outcome::Outcome;
 use super::outcome::Reuse;
@@ -126,7 +128,6 @@
         now: Time,
         way: &Way,
     ) -> Result<(Run, Response<Incoming>), ExchangeEvent> {
-        let unreachable = ExchangeEvent::NotRun(Fault::Unreachable);
         let id = &way.placement.target;
         let demand = self.parcel.head.demand;
         // Taken before anything is waited for: the next choice must know of this one.
@@ -134,10 +135,7 @@
         let keeper = way.placement.copy.as_ref();
         let copy = keeper.map(|keeper| CopyPlace::take(&self.shared, keeper, demand));
         let taken = self.shared.pool.take(now, id, way.address).await;
-        let Taken { mut link, mut used } = taken.map_err(|error| {
-            info!(target_id = id.as_str(); "a target cannot be reached: {error}");
-            unreachable
-        })?;
+        let Taken { mut link, mut used } = taken.map_err(|error| self.unreachable(id, &error))?;
         loop {
             let request = self.request(now, way);
             let error = match self.in_time(way.until, link.send(request)).await? {
@@ -151,11 +149,12 @@
                 }
                 Err(error) => error,
             };
+            self.log_break(&error);
             match self.after_break(&error, used) {
                 AfterBreak::Fresh => {
                     self.shared.pool.close(id);
                     let fresh = Link::connect(way.address).await;
-                    link = fresh.map_err(|_| unreachable)?;
+                    link = fresh.map_err(|error| self.unreachable(id, &error))?;
                     used = false;
                 }
                 AfterBreak::End(event) => return Err(event),
@@ -163,6 +162,25 @@
         }
     }
 
+    fn unreachable(&self, id: &TargetId, error: &LinkError) -> ExchangeEvent {
+        info!(
+            request = self.parcel.head.id.as_str(),
+            target_id = id.as_str();
+            "a target cannot be reached: {error}"
+        );
+        ExchangeEvent::NotRun(Fault::Unreachable)
+    }
+
+    /// Writes down why the connection to the present target broke.
+    pub(super) fn log_break(&self, error: &hyper::Error) {
+        let target = self.exchange.placed().map(|placed| placed.target.as_str());
+        info!(
+            request = self.parcel.head.id.as_str(),
+            target_id = target.unwrap_or("none");
+            "a connection broke: {error:?}"
+        );
+    }
+
     /// Returns what follows when a connection breaks before the head of the answer; `used` says
     /// that it had carried a request before.
     fn after_break(&self, error: &hyper::Error, used: bool) -> AfterBreak {
@@ -260,7 +278,10 @@
         } = start;
         let body = match self.in_time(until, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Outcome::Event(ExchangeEvent::Lost(Fault::Broken)),
+            Ok(Err(error)) => {
+                self.log_break(&error);
+                return Outcome::Event(ExchangeEvent::Lost(Fault::Broken));
+            }
             Err(event) => return Outcome::Event(event),
         };
         run.place.begin();
@@ -300,7 +321,12 @@
                     self.give_back(run, reuse);
                     return Outcome::Finished(head);
                 }
-                Ok(Some(Err(_)) | None) => {
+                Ok(Some(Err(error))) => {
+                    self.log_break(&error);
+                    return Outcome::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
+                Ok(None) => {
+                    info!(request = self.parcel.head.id.as_str(); "an answer ended before an event");
                     return Outcome::Event(ExchangeEvent::Lost(Fault::Broken));
                 }
                 Err(event) => return Outcome::Event(event),
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -169,7 +169,10 @@
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => return End::Event(ExchangeEvent::Lost(Fault::Broken)),
+                Some(Err(error)) => {
+                    self.log_break(&error);
+                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
                 None if self.parcel.events.is_torn() => {
                     return End::Event(ExchangeEvent::Lost(Fault::Broken));
                 }
