Let an entry that starts without the store take the targets from another

Cause: an entry took the configuration from another entry when the store was away, but not the targets. One that started anew then said that it was ready and refused everything with no_target until the store was back, although the others served.

Change: an entry answers /targets at its peers' address with all that it knows of the directory, as the store holds it, and the revision. One that knows no target asks for it when the store does not answer; the others' news follow on that revision.

Ruled out: taking them whenever the store fails. What an entry knows already is as good as another's, and the news go on.

Test: an_entry_that_starts_without_the_store_takes_all_from_another, with stand-ins over loopback; with the change taken out it failed (the target is never known), with it it passed four times of four.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -116,6 +116,11 @@
         NewsStep::Apply(fresh)
     }
 
+    /// Returns the revision of the last change that is known.
+    pub fn newest(&self) -> i64 {
+        self.newest
+    }
+
     /// Returns whether changes are missing.
     pub fn is_behind(&self) -> bool {
         self.behind
--- a/crates/cw_wire/src/directory_news.rs
+++ b/crates/cw_wire/src/directory_news.rs
@@ -1,7 +1,10 @@
 //! What an entry that watches the directory tells those that do not.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use cw_macro::data;
+use cw_types::TargetId;
 
 /// One change of the directory.
 #[data(Eq)]
@@ -30,3 +33,12 @@
     /// The changes of the last moments, in order.
     pub changes: Vec<DirectoryChange>,
 }
+
+/// All that an entry knows of the directory.
+#[data(Default, Eq)]
+pub struct DirectoryCopy {
+    /// The revision of the last change that it knows.
+    pub newest: i64,
+    /// The targets' entries as the service holds them.
+    pub targets: BTreeMap<TargetId, Bytes>,
+}
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -28,6 +28,7 @@
 pub use codec::encode;
 pub use demand::Demand;
 pub use directory_news::DirectoryChange;
+pub use directory_news::DirectoryCopy;
 pub use directory_news::DirectoryNews;
 pub use dispatch::Ack;
 pub use dispatch::Attach;
--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -15,6 +15,7 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::DirectoryChange;
+use cw_wire::DirectoryCopy;
 use futures::StreamExt;
 use http::Method;
 use http::StatusCode;
@@ -22,6 +23,7 @@
 use log::warn;
 
 use super::peer_api::CONFIG_PATH;
+use super::peer_api::TARGETS_PATH;
 use super::shared::Beliefs;
 use super::shared::Shared;
 
@@ -63,8 +65,9 @@
                 continue;
             };
             self.lost(&error);
-            if self.topic == Topic::Config {
-                self.ask_entries().await;
+            match self.topic {
+                Topic::Config => self.ask_entries().await,
+                Topic::Targets => self.ask_targets().await,
             }
             let pause = {
                 let mut beliefs = self.shared.beliefs();
@@ -249,6 +252,50 @@
         }
     }
 
+    /// Asks the other entries for the targets, when the service has not answered since the start:
+    /// an entry without targets could only refuse what the others serve.
+    async fn ask_targets(&self) {
+        for (entry, address) in self.shared.entries() {
+            if !self.shared.beliefs().fleet.is_empty() {
+                return;
+            }
+            let answer = self
+                .entries
+                .call(Method::GET, address, TARGETS_PATH, Bytes::new());
+            match answer.await {
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    self.take_copy(entry.as_str(), &answer.body);
+                }
+                Ok(answer) => info!(entry = entry.as_str(); "an entry answered {}", answer.status),
+                Err(error) => info!(entry = entry.as_str(); "an entry does not answer: {error}"),
+            }
+        }
+    }
+
+    /// Takes in what another entry knows of the targets; its news follow on that.
+    fn take_copy(&self, entry: &str, body: &[u8]) {
+        let copy: DirectoryCopy = match cw_wire::decode(body) {
+            Ok(copy) => copy,
+            Err(error) => {
+                warn!(entry = entry; "an entry's targets cannot be read: {error}");
+                return;
+            }
+        };
+        info!(
+            entry = entry,
+            targets = copy.targets.len(),
+            revision = copy.newest;
+            "the targets are taken from another entry"
+        );
+        let now = self.shared.now();
+        let mut beliefs = self.shared.beliefs();
+        for (id, value) in &copy.targets {
+            list(&self.shared, now, &mut beliefs, id, value, copy.newest);
+        }
+        beliefs.log.read(copy.newest);
+        count(&self.shared, beliefs.fleet.len());
+    }
+
     fn deleted(&self, key: &str, revision: ModRevision) {
         if self.topic == Topic::Targets {
             self.change(key, None, revision);
@@ -314,6 +361,8 @@
     match shared.dialect.read_listing(id.as_str(), value) {
         Ok(listing) => {
             if beliefs.fleet.listed(now, listing.clone()) {
+                let value = Bytes::copy_from_slice(value);
+                beliefs.listings.insert(id.clone(), value);
                 info!(
                     target_id = id.as_str(),
                     service = listing.service.as_str(),
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -29,6 +29,7 @@
 use super::operator_api::OperatorApi;
 use super::peer_api::PeerApi;
 use super::peer_exchange::PeerExchange;
+use super::shared::Beliefs;
 use super::shared::Shared;
 
 /// The most connections of callers at once; a process has some four thousand descriptors.
@@ -246,7 +247,10 @@
         count(&shared, beliefs.fleet.len());
         beliefs.own_prompts.forget(now);
         beliefs.heard_prompts.forget(now);
-        let fleet = &beliefs.fleet;
+        let Beliefs {
+            fleet, listings, ..
+        } = &mut *beliefs;
+        listings.retain(|id, _| fleet.listing(id).is_some());
         shared.pool.sweep(now, |id| fleet.listing(id).is_some());
     }
 }
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+use cw_wire::DirectoryCopy;
 use dropshot::Body;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use log::warn;
 
 use crate::stream_server::Handler;
 
@@ -16,6 +19,9 @@
 /// Where the configuration is read.
 pub(super) const CONFIG_PATH: &str = "/config";
 
+/// Where all that is known of the targets is read.
+pub(super) const TARGETS_PATH: &str = "/targets";
+
 /// Answers the other entries.
 pub(super) struct PeerApi {
     pub(super) shared: Arc<Shared>,
@@ -23,14 +29,43 @@
 
 impl Handler for PeerApi {
     fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
-        let held = self.shared.beliefs().document.clone();
-        let mut response = match (request.uri().path(), held) {
-            (CONFIG_PATH, Some(document)) => Response::new(Body::from(document.to_vec())),
-            _ => Response::new(Body::empty()),
+        let held = match request.uri().path() {
+            CONFIG_PATH => self.shared.beliefs().document.clone(),
+            TARGETS_PATH => self.targets(),
+            _ => None,
         };
-        if request.uri().path() != CONFIG_PATH {
-            *response.status_mut() = StatusCode::NOT_FOUND;
+        let mut response = Response::new(Body::empty());
+        match held {
+            Some(held) => *response.body_mut() = Body::from(held.to_vec()),
+            None => *response.status_mut() = StatusCode::NOT_FOUND,
         }
         async move { response }.boxed()
     }
 }
+
+impl PeerApi {
+    /// Returns what this entry knows of the targets, if it knows any.
+    fn targets(&self) -> Option<Bytes> {
+        let copy = {
+            let beliefs = self.shared.beliefs();
+            let listings = beliefs.listings.iter();
+            let known = listings.filter(|(id, _)| beliefs.fleet.listing(id).is_some());
+            DirectoryCopy {
+                newest: beliefs.log.newest(),
+                targets: known
+                    .map(|(id, value)| (id.clone(), value.clone()))
+                    .collect(),
+            }
+        };
+        if copy.targets.is_empty() {
+            return None;
+        }
+        match cw_wire::encode(&copy) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                warn!("what is known of the targets cannot be written: {error}");
+                None
+            }
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/forward/shared.rs
+++ b/crates/cyclamenwharf/src/forward/shared.rs
@@ -21,6 +21,7 @@
 use cw_policy::forward::WhereaboutsLimits;
 use cw_store::Dialect;
 use cw_types::HostId;
+use cw_types::TargetId;
 use cw_types::Time;
 use log::info;
 use rand::SeedableRng;
@@ -41,6 +42,8 @@
     pub(super) config: Option<Arc<ForwardConfig>>,
     /// The configuration as it was read.
     pub(super) document: Option<Bytes>,
+    /// The targets' entries as the key-value service holds them.
+    pub(super) listings: BTreeMap<TargetId, Bytes>,
     /// The targets.
     pub(super) fleet: Fleet,
     /// What is known of the directory's changes.
@@ -92,6 +95,7 @@
         let beliefs = Beliefs {
             config: None,
             document: None,
+            listings: BTreeMap::new(),
             fleet: Fleet::new(FleetLimits {
                 lapse: settings.lapse,
                 ..FleetLimits::default()
