Ask the other entries while the store's first answer is waited for

Cause: an entry that started without the store waited for its first call to time out (1.5 s) before it asked the others, and refused all requests until then. Besides, two entries both count as watchers, and one that still waits for its first call took itself for one whom the store answers: it passed over the others' news, and when some had been missed it could only read the store.

Change: as long as nothing is known the others are asked every 250 ms, beside the call. Having taken their targets, the entry knows that the store has not answered, so their news count. When news are missing and the store fails, the targets are taken from another entry too.

--- a/crates/cyclamenwharf/src/forward/directory.rs
+++ b/crates/cyclamenwharf/src/forward/directory.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration and the targets in the key-value service.
 
 use std::collections::BTreeSet;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// How often an entry that does not watch the service looks whether it should.
 const ROLE_PERIOD: Duration = Duration::from_millis(150);
 
+/// How often an entry that knows nothing yet asks the others: the service answers sooner, as a rule.
+const ASK_PERIOD: Duration = Duration::from_millis(250);
+
 /// What part of the key-value service is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Topic {
@@ -60,15 +64,16 @@
     pub(super) async fn run(self) {
         let mut failures = 0;
         loop {
-            let Err(error) = self.follow(&mut failures).await else {
+            let end = tokio::select! {
+                end = self.follow(&mut failures) => end,
+                never = self.ask_until_known() => match never {},
+            };
+            let Err(error) = end else {
                 self.rest().await;
                 continue;
             };
             self.lost(&error);
-            match self.topic {
-                Topic::Config => self.ask_entries().await,
-                Topic::Targets => self.ask_targets().await,
-            }
+            self.ask().await;
             let pause = {
                 let mut beliefs = self.shared.beliefs();
                 BACKOFF.wait(failures, &mut beliefs.rng)
@@ -227,9 +232,34 @@
         self.shared.news.notify_one();
     }
 
+    /// Asks the other entries as long as nothing is known, so that a start does not wait for the end
+    /// of a call that the service never answers.
+    async fn ask_until_known(&self) -> Infallible {
+        loop {
+            tokio::time::sleep(ASK_PERIOD).await;
+            let is_known = {
+                let beliefs = self.shared.beliefs();
+                match self.topic {
+                    Topic::Config => beliefs.config.is_some(),
+                    Topic::Targets => !beliefs.fleet.is_empty(),
+                }
+            };
+            if !is_known {
+                self.ask().await;
+            }
+        }
+    }
+
+    async fn ask(&self) {
+        match self.topic {
+            Topic::Config => self.ask_config().await,
+            Topic::Targets => self.ask_targets().await,
+        }
+    }
+
     /// Asks the other entries for a configuration that they have told of, when the service does not
     /// answer.
-    async fn ask_entries(&self) {
+    async fn ask_config(&self) {
         for (entry, address) in self.shared.entries() {
             let (told, present) = {
                 let beliefs = self.shared.beliefs();
@@ -252,11 +282,15 @@
         }
     }
 
-    /// Asks the other entries for the targets, when the service has not answered since the start:
-    /// an entry without targets could only refuse what the others serve.
+    /// Asks the other entries for the targets, when the service does not answer and none is known
+    /// or changes are missing: an entry without targets could only refuse what the others serve.
     async fn ask_targets(&self) {
         for (entry, address) in self.shared.entries() {
-            if !self.shared.beliefs().fleet.is_empty() {
+            let is_known = {
+                let beliefs = self.shared.beliefs();
+                !beliefs.fleet.is_empty() && !beliefs.log.is_behind()
+            };
+            if is_known {
                 return;
             }
             let answer = self
@@ -289,6 +323,10 @@
         );
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
+        if beliefs.fleet.is_empty() {
+            // The service has not answered yet, so from now on the others' news count.
+            beliefs.fleet.directory_lost();
+        }
         for (id, value) in &copy.targets {
             list(&self.shared, now, &mut beliefs, id, value, copy.newest);
         }
