Never refuse a stream of which the caller has the beginning

Cause: a caller that comes back after the death of an entry brings the last event that it has. Found by reading.

Change: whoever brings a last event goes to an engine, late or not.

Before: the path test's second case got 503. After: 200, with the rest of the stream; the first case, a new stream, is refused as before.

The test that had been there is the first case, with the same checks.

--- a/crates/cyclamenwharf/src/forward/placing.rs
+++ b/crates/cyclamenwharf/src/forward/placing.rs
@@ -74,7 +74,8 @@
     }
 
     /// Returns where a request goes that would go to `placement`, which may be too busy to begin it
-    /// in time. One that was sent before goes anyway: a late answer is better than none.
+    /// in time. One that was sent before, or whose caller has the beginning of its answer, goes anyway:
+    /// it was accepted, and a late answer is better than none.
     fn admit(
         &self,
         now: Time,
@@ -83,7 +84,8 @@
         beliefs: &mut Beliefs,
     ) -> Choice {
         let plan = self.exchange.plan();
-        if need.demand.prompt == 0 || self.exchange.sends() > 0 {
+        let is_accepted = self.exchange.sends() > 0 || self.parcel.events.last().is_some();
+        if need.demand.prompt == 0 || is_accepted {
             return Choice::Go(placement, false);
         }
         let left = plan.objective.saturating_sub(now.since(plan.arrived));
