Bound the wait by the whole objective, and note what a request finds once

Cause, found by reading: the bound was taken from what was left of the objective when the body had come. A caller that sends slowly left little or nothing, so its request was refused although the engines were as free as for any other, and the share of those who wait jumped to all or none, since its memory is a part of the same time. A route that aims for no time had every request refused that found a queue. In the log, the backlog of a stream that goes on from a copy was that of its last send, and a request refused while a queue stands was said not to begin in time, though the bound was the shorter one.

Change: the objective itself bounds the wait; a route without one refuses nothing for want of time. The backlog is noted where the send is, for every send. The line has the bound that was applied (limit_ms) and reads "soon enough".

--- a/crates/cw_policy/src/forward/outlook.rs
+++ b/crates/cw_policy/src/forward/outlook.rs
@@ -24,8 +24,13 @@
 pub enum Outlook {
     /// It can, or nothing is known that says otherwise.
     InTime,
-    /// No target can; the first can after this time.
-    Late(Duration),
+    /// No target can.
+    Late {
+        /// The time after which the first can.
+        after: Duration,
+        /// The time within which it should have begun.
+        limit: Duration,
+    },
 }
 
 /// What a request would find at a target.
@@ -45,15 +50,15 @@
             .map_or_else(Backlog::default, |member| backlog(now, member, need, pace))
     }
 
-    /// Returns whether a request can begin in time at some target: within what is `left` of its
-    /// objective.
+    /// Returns whether a request can begin in time at some target, by its `objective`. What its
+    /// caller took to send it is not the targets' affair, and does not count.
     pub fn outlook(
         &self,
         now: Time,
         need: &Need<'_>,
         pace: &PromptPace,
         crowd: &mut Crowd,
-        left: Duration,
+        objective: Duration,
     ) -> Outlook {
         let own = pace.reading(need.service, need.demand.prompt);
         let own = own.unwrap_or_default();
@@ -61,17 +66,18 @@
             .open(now, need)
             .map(|member| begins_after(backlog(now, member, need, pace), need, pace))
             .min();
-        let Some(soonest) = first else {
-            return Outlook::InTime;
+        let after = match first {
+            Some(after) if !objective.is_zero() => after,
+            _ => return Outlook::InTime,
         };
-        let standing = own + left.mul_f64(STANDING_WAIT);
-        let mut limit = left.mul_f64(BEGIN_SHARE).max(standing);
-        if crowd.stands(now, need.service, soonest > standing, left) {
-            limit = standing;
-        }
-        match soonest <= limit {
+        let standing = own + objective.mul_f64(STANDING_WAIT);
+        let limit = match crowd.stands(now, need.service, after > standing, objective) {
+            true => standing,
+            false => objective.mul_f64(BEGIN_SHARE).max(standing),
+        };
+        match after <= limit {
             true => Outlook::InTime,
-            false => Outlook::Late(soonest),
+            false => Outlook::Late { after, limit },
         }
     }
 }
--- a/crates/cyclamenwharf/src/forward/copying.rs
+++ b/crates/cyclamenwharf/src/forward/copying.rs
@@ -101,7 +101,7 @@
         }
         self.exchange.set_copy(None);
         let target = self.exchange.placed()?.target.clone();
-        let need = self.need(beliefs.fleet.peers() > 0);
+        let need = self.need(now, beliefs);
         beliefs.fleet.keeper(now, &need, &target, &mut beliefs.rng)
     }
 
--- a/crates/cyclamenwharf/src/forward/placing.rs
+++ b/crates/cyclamenwharf/src/forward/placing.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cw_policy::forward::Backlog;
 use cw_policy::forward::Need;
 use cw_policy::forward::Outlook;
 use cw_policy::forward::Placement;
@@ -25,21 +24,17 @@
     Go(Placement, bool),
     /// There is no target.
     NoTarget,
-    /// No target can begin it in time; one can after this time.
+    /// No target can begin it soon enough; one can after this time.
     Crowded(Duration),
 }
 
 impl Courier {
     /// Chooses the target of the next send.
-    pub(super) fn place(&mut self, now: Time, resume: &Resume) -> Choice {
+    pub(super) fn place(&self, now: Time, resume: &Resume) -> Choice {
         let shared = Arc::clone(&self.shared);
         let mut beliefs = shared.beliefs();
         let beliefs = &mut *beliefs;
-        let need = self.need(beliefs.fleet.peers() > 0);
-        let need = Need {
-            read_at: self.read_at(now, beliefs),
-            ..need
-        };
+        let need = self.need(now, beliefs);
         if let Some(copy) = &resume.copy
             && !beliefs.fleet.may_keep(now, copy)
         {
@@ -62,15 +57,7 @@
         let Some(placement) = beliefs.fleet.place(now, &need, &mut beliefs.rng) else {
             return Choice::NoTarget;
         };
-        let choice = self.admit(now, &need, placement, beliefs);
-        let found = match &choice {
-            Choice::Go(placement, _) => {
-                (beliefs.fleet).backlog(now, &placement.target, &need, &beliefs.pace)
-            }
-            Choice::NoTarget | Choice::Crowded(_) => Backlog::default(),
-        };
-        self.found = found;
-        choice
+        self.admit(now, &need, placement, beliefs)
     }
 
     /// Returns where a request goes that would go to `placement`, which may be too busy to begin it
@@ -88,30 +75,29 @@
         if need.demand.prompt == 0 || is_accepted {
             return Choice::Go(placement, false);
         }
-        let left = plan.objective.saturating_sub(now.since(plan.arrived));
         let Beliefs {
             fleet, pace, crowd, ..
         } = beliefs;
-        match fleet.outlook(now, need, pace, crowd, left) {
+        match fleet.outlook(now, need, pace, crowd, plan.objective) {
             Outlook::InTime => Choice::Go(placement, false),
-            Outlook::Late(after) => {
+            Outlook::Late { after, limit } => {
                 info!(
                     request = self.parcel.head.id.as_str(),
                     route = self.parcel.admitted.route.name.as_str(),
                     prompt = need.demand.prompt,
                     after_ms = millis(after),
-                    left_ms = millis(left),
+                    limit_ms = millis(limit),
                     there:? = fleet.backlog(now, &placement.target, need, pace),
                     peers = fleet.peers();
-                    "no target can begin a request in time"
+                    "no target can begin a request soon enough"
                 );
-                Choice::Crowded(after.saturating_sub(left))
+                Choice::Crowded(after.saturating_sub(limit))
             }
         }
     }
 
     /// Returns what the request needs of a target.
-    pub(super) fn need(&self, peers: bool) -> Need<'_> {
+    pub(super) fn need(&self, now: Time, beliefs: &Beliefs) -> Need<'_> {
         Need {
             service: &self.parcel.service,
             memory: self.parcel.memory,
@@ -119,8 +105,8 @@
             zone: &self.shared.settings.zone,
             excluded: self.exchange.excluded(),
             copy: self.parcel.copies && self.exchange.wants_copy(),
-            read_at: None,
-            peers,
+            read_at: self.read_at(now, beliefs),
+            peers: beliefs.fleet.peers() > 0,
         }
     }
 
@@ -131,12 +117,16 @@
         own.or_else(|| beliefs.heard_prompts.find(now, prompt))
     }
 
-    /// Writes down where the request goes, and what that was decided on.
-    pub(super) fn log_send(&self, now: Time, placement: &Placement, resumed: bool) {
-        let beliefs = self.shared.beliefs();
+    /// Notes what the request finds where it goes, and writes down what that was decided on.
+    pub(super) fn note_send(&mut self, now: Time, placement: &Placement, resumed: bool) {
+        let shared = Arc::clone(&self.shared);
+        let beliefs = shared.beliefs();
         let load = beliefs.fleet.load(now, &placement.target);
-        let reader = self.read_at(now, &beliefs);
+        let need = self.need(now, &beliefs);
+        let reader = need.read_at;
         let is_reader = reader == Some(TargetHash::from(&placement.target));
+        let found = (beliefs.fleet).backlog(now, &placement.target, &need, &beliefs.pace);
+        self.found = found;
         info!(
             request = self.parcel.head.id.as_str(),
             route = self.parcel.admitted.route.name.as_str(),
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -87,7 +87,7 @@
         let Some(address) = self.address(&placement.target) else {
             return Outcome::Event(ExchangeEvent::NoTarget);
         };
-        self.log_send(now, &placement, resumed);
+        self.note_send(now, &placement, resumed);
         if let Some(prompt) = self.prompt {
             let target = TargetHash::from(&placement.target);
             let mut beliefs = self.shared.beliefs();
