Say why a request or a copy cannot be read, and read only names that can be used

Cause, found by reading: a request whose head or body cannot be read was refused as bad_request without a word on what was wrong, and so was the answer to an order for a copy that is no such answer. Whatever name an engine gave a copy was taken; one that is no part of a path was found out only later, where it was left out of the request that should go on from it, or where the path of the call that drops it became the root.

Change: reading a head gives the header and what was expected of it, which stands in the line "a request was refused on arrival" as `reason`, as does the error of a body that broke off. The name of a copy is checked once, where it is read, and the reason is in the line "a copy cannot be made". `Front::accept` is split in two.

Ruled out: checking the name where it is used; there are three such places and none of them can do more than leave it out.

--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -90,8 +90,8 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::BadRequest`] when something is missing or no value of its kind.
-    fn read_request(&self, head: &request::Parts) -> Result<RequestHead, ErrorKind>;
+    /// Says what is missing, or no value of its kind.
+    fn read_request(&self, head: &request::Parts) -> Result<RequestHead, String>;
 
     /// Returns the headers of a request as a target gets it.
     fn to_target(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
@@ -102,8 +102,12 @@
     /// Returns the call that tells a target that a copy it had made is of no more use.
     fn drop_call(&self, name: &str) -> Request<Bytes>;
 
-    /// Reads the name of a copy from the answer to such a call; `None` if none was made.
-    fn read_copy(&self, status: StatusCode, body: &[u8]) -> Option<String>;
+    /// Reads the name of a copy from the answer to such a call.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no copy, or none that can be named to targets.
+    fn read_copy(&self, status: StatusCode, body: &[u8]) -> Result<String, String>;
 
     /// Reads what a target says of its answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
--- a/crates/cyclamenwharf/src/forward/copying.rs
+++ b/crates/cyclamenwharf/src/forward/copying.rs
@@ -176,10 +176,7 @@
     call: Request<Bytes>,
 ) -> Result<String, String> {
     let (status, body) = call_target(shared, source, from, call).await?;
-    shared
-        .dialect
-        .read_copy(status, &body)
-        .ok_or_else(|| format!("the target answered {status}"))
+    shared.dialect.read_copy(status, &body)
 }
 
 /// Makes a call to a target that is no request of a caller.
--- a/crates/cyclamenwharf/src/forward/front.rs
+++ b/crates/cyclamenwharf/src/forward/front.rs
@@ -4,15 +4,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_policy::forward::Admitted;
 use cw_policy::forward::EventStream;
 use cw_policy::forward::Exchange;
 use cw_policy::forward::ExchangePlan;
+use cw_policy::forward::ForwardConfig;
+use cw_store::RequestHead;
 use cw_types::ErrorKind;
+use cw_types::ServiceName;
 use dropshot::Body;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
+use http::request;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -41,10 +46,18 @@
 /// A request that is not carried any further.
 struct Refusal {
     kind: ErrorKind,
+    /// What was wrong with it, where the kind does not say it all.
+    reason: String,
     id: Option<String>,
     patience: Option<Duration>,
 }
 
+/// Why a request is not carried any further.
+struct Fault {
+    kind: ErrorKind,
+    reason: String,
+}
+
 impl Handler for Front {
     fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
         async move {
@@ -66,45 +79,23 @@
     async fn accept(&self, request: Request<Body>) -> Result<Courier, Refusal> {
         let arrived = self.shared.now();
         let (parts, body) = request.into_parts();
-        let head = self
-            .shared
-            .dialect
-            .read_request(&parts)
-            .map_err(|kind| Refusal {
-                kind,
-                id: None,
-                patience: None,
-            })?;
-        let refuse = |kind| Refusal {
-            kind,
-            id: Some(head.id.clone()),
-            patience: head.patience,
-        };
-        let config = self
-            .shared
-            .config()
-            .ok_or_else(|| refuse(ErrorKind::NotReady))?;
-        let admitted = config
-            .admit(&head.host, parts.uri.path(), head.key.as_deref())
-            .map_err(refuse)?;
+        let head = self.shared.dialect.read_request(&parts);
+        let head = head.map_err(Refusal::unread)?;
+        let refuse = |fault| Refusal::new(fault, &head);
+        let (config, admitted, service) = self
+            .admit(&parts, &head)
+            .map_err(|kind| refuse(kind.into()))?;
         let route = &admitted.route;
-        let draw = self.shared.beliefs().rng.random();
-        let service = route
-            .service(draw)
-            .cloned()
-            .ok_or_else(|| refuse(ErrorKind::NoTarget))?;
         let patience = head.patience.unwrap_or(PATIENCE_DEFAULT);
-        let deadline = arrived + patience.min(route.timeout);
-        let body = self
-            .read(body, config.limits().body, patience.min(route.timeout))
-            .await
-            .map_err(refuse)?;
+        let patience = patience.min(route.timeout);
+        let body = self.read(body, config.limits().body, patience).await;
+        let body = body.map_err(refuse)?;
         let plan = ExchangePlan {
             repeat: route.repeat,
             streaming: route.streaming,
             attempts: route.attempts,
             arrived,
-            deadline,
+            deadline: arrived + patience,
             objective: route.objective,
             pause: route.pause,
         };
@@ -124,20 +115,41 @@
         Ok(Courier::new(shared, parcel, Exchange::new(plan)))
     }
 
-    async fn read(&self, body: Body, most: usize, time: Duration) -> Result<Bytes, ErrorKind> {
+    /// Finds out by which route a request may go, and to which service.
+    fn admit(
+        &self,
+        parts: &request::Parts,
+        head: &RequestHead,
+    ) -> Result<(Arc<ForwardConfig>, Admitted, ServiceName), ErrorKind> {
+        let config = self.shared.config().ok_or(ErrorKind::NotReady)?;
+        let admitted = config.admit(&head.host, parts.uri.path(), head.key.as_deref())?;
+        let draw = self.shared.beliefs().rng.random();
+        let service = admitted.route.service(draw).cloned();
+        let service = service.ok_or(ErrorKind::NoTarget)?;
+        Ok((config, admitted, service))
+    }
+
+    async fn read(&self, body: Body, most: usize, time: Duration) -> Result<Bytes, Fault> {
         let body = Limited::new(body, most).collect();
-        match tokio::time::timeout(time, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::TooLarge),
-            Ok(Err(_)) => Err(ErrorKind::BadRequest),
-            Err(_) => Err(ErrorKind::Expired),
-        }
+        let kind = match tokio::time::timeout(time, body).await {
+            Ok(Ok(body)) => return Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => ErrorKind::TooLarge,
+            Ok(Err(error)) => {
+                return Err(Fault {
+                    kind: ErrorKind::BadRequest,
+                    reason: format!("the body broke off: {error}"),
+                });
+            }
+            Err(_) => ErrorKind::Expired,
+        };
+        Err(kind.into())
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response<Body> {
         info!(
             request = refusal.id.as_deref().unwrap_or("none"),
             outcome = refusal.kind.code(),
+            reason = refusal.reason.as_str(),
             version = self.shared.metrics.version.get();
             "a request was refused on arrival"
         );
@@ -152,6 +164,36 @@
     }
 }
 
+impl Refusal {
+    fn new(fault: Fault, head: &RequestHead) -> Self {
+        Self {
+            kind: fault.kind,
+            reason: fault.reason,
+            id: Some(head.id.clone()),
+            patience: head.patience,
+        }
+    }
+
+    /// Refuses a request whose head cannot be read.
+    fn unread(reason: String) -> Self {
+        Self {
+            kind: ErrorKind::BadRequest,
+            reason,
+            id: None,
+            patience: None,
+        }
+    }
+}
+
+impl From<ErrorKind> for Fault {
+    fn from(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            reason: kind.to_string(),
+        }
+    }
+}
+
 /// Returns an answer of the entry's own. `left` is the time that the caller has; `soonest` is when
 /// it could be served, if that is known.
 pub(super) fn refusal_response(
