--- a/crates/cw_policy/src/forward/crowd.rs
+++ b/crates/cw_policy/src/forward/crowd.rs
@@ -10,7 +10,8 @@
 /// after a short burst is worked off within about one.
 const STANDING_TIME: f64 = 0.7;
 
-/// The share of requests that have to wait above which a queue stands.
+/// The share of requests that have to wait above which a queue stands: up to 0.3 of them do after the
+/// loss of a zone, 0.7 and more under lasting overload (`docs/platform-rounds.md`, round 17).
 const STANDING_SHARE: f64 = 0.4;
 
 /// The share below which it has been worked off: half of the above.
--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -12,10 +12,11 @@
 use super::Repeat;
 use super::RunCopy;
 
-/// How often a request may be turned away by targets that did not run it.
+/// How often a request may be turned away by targets that did not run it: once by each of a handful.
 const REFUSED_MAX: u32 = 6;
 
-/// The pause before a request that found every target full asks again.
+/// The pause before a request that found every target full asks again: half the time of a short
+/// request, after which a place is free.
 const FULL_PAUSE: Duration = Duration::from_millis(15);
 
 /// The part of the objective that a request waits for a free target; beyond it an answer would
--- a/crates/cw_policy/src/forward/outlook.rs
+++ b/crates/cw_policy/src/forward/outlook.rs
@@ -12,11 +12,13 @@
 use super::member::Member;
 
 /// The part of the objective within which a request should begin by what is known; the rest is for
-/// what is not known, such as the requests that others send within the same moment.
+/// what is not known, such as the requests that others send within the same moment. 0.4 refused what
+/// begins in time after the loss of a zone (`docs/platform-rounds.md`, round 17).
 const BEGIN_SHARE: f64 = 0.8;
 
 /// The part of the objective that a request may wait for others where most had to wait so long of
-/// late: a queue that stands helps nobody, it only makes each one later.
+/// late: a queue that stands helps nobody, it only makes each one later. With less, engines idle
+/// between requests (`tests/forward/outlook.rs`, lasting overload).
 const STANDING_WAIT: f64 = 0.2;
 
 /// Whether a request can begin in time.
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -14,7 +14,8 @@
 
 use super::Fleet;
 
-/// How long a doubt about a target holds without a new one.
+/// How long a doubt about a target holds without a new one: engines that crashed are back within two
+/// seconds as a rule.
 const DOUBT_LIFE: Duration = Duration::from_secs(2);
 
 /// How many entries watch the directory: when one dies, another still tells the rest.
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -14,7 +14,8 @@
 use super::Fleet;
 use super::member::Member;
 
-/// What one point of evidence against a target costs, in requests.
+/// What one point of evidence against a target costs, in requests: one that went silent counts like
+/// one with four requests more.
 const STRIKE_COST: f64 = 2.0;
 
 /// What a thousand tokens that have yet to be read cost, in requests: reading holds up all others
--- a/crates/cw_policy/src/forward/roster.rs
+++ b/crates/cw_policy/src/forward/roster.rs
@@ -7,7 +7,8 @@
 use cw_types::HostId;
 use cw_types::Time;
 
-/// How long an entry that is not registered is taken to be there after its last message.
+/// How long an entry that is not registered is taken to be there after its last message: far longer
+/// than the pauses between messages, so that it takes many lost ones to forget it.
 const HEARD_LIFE: Duration = Duration::from_secs(5);
 
 /// The other entries: those registered in the key-value service, and those heard of late.
--- a/crates/cyclamenwharf/src/forward/copying.rs
+++ b/crates/cyclamenwharf/src/forward/copying.rs
@@ -29,10 +29,10 @@
 /// How long making a copy may take: it moves some hundred megabytes over a fast link.
 const COPY_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// The part of a copy's life after which it is renewed.
+/// The part of a copy's life after which it is renewed: the other half is for making it.
 const RENEW_SHARE: f64 = 0.5;
 
-/// The pause after a copy that could not be made.
+/// The pause after a copy that could not be made: engines have room again when a run ends.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// The copies that a stream has had made while it comes from one target.
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -35,10 +35,11 @@
 /// The most connections of callers at once; a process has some four thousand descriptors.
 const CALLERS_MAX: usize = 3000;
 
-/// The most connections of operators at once.
+/// The most connections of operators at once: a balancer, a collector of metrics and the other entries
+/// have one or two each.
 const OPERATORS_MAX: usize = 32;
 
-/// How long another entry may take to answer.
+/// How long another entry may take to answer: they are milliseconds away, and there are others.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a caller's connection may be idle, and a request's head take. Callers reuse connections for
@@ -48,13 +49,13 @@
 /// The same for operators: a balancer asks every second.
 const OPERATOR_IDLE_MAX: Duration = Duration::from_secs(10);
 
-/// How often old connections are closed and old beliefs dropped.
+/// How often old connections are closed and old beliefs dropped; both live for seconds.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
 
 /// How long a balancer takes to see that an entry is not ready: two questions, a second apart.
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 
-/// What the end of the process takes of the grace period.
+/// What the end of the process takes of the grace period, with some to spare.
 const EXIT_TIME: Duration = Duration::from_millis(300);
 
 /// What a forwarding entry is built from.
--- a/crates/cyclamenwharf/src/forward/front.rs
+++ b/crates/cyclamenwharf/src/forward/front.rs
@@ -31,7 +31,7 @@
 use super::courier::Parcel;
 use super::shared::Shared;
 
-/// How long a caller waits that does not say so.
+/// How long a caller waits that does not say so; the route's own limit is shorter as a rule.
 const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
 
 /// The parts of the caller's time between which it is told to come again: callers follow it up to
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -36,10 +36,12 @@
 use super::placing::Choice;
 use super::target_pool::Taken;
 
-/// How often a request that waits for its first event looks whether its target is doubted.
+/// How often a request that waits for its first event looks whether its target is doubted: a small
+/// part of a pause that is on time.
 const DOUBT_PERIOD: Duration = Duration::from_millis(100);
 
-/// How long a target that could be reached is trusted before it is tried again.
+/// How long a target that could be reached is trusted before it is tried again: each trial makes a
+/// connection, which is charged.
 const DOUBT_REST: Duration = Duration::from_millis(1000);
 
 /// Where a request goes, and from what it goes on.
@@ -414,7 +416,7 @@
                 Ok(link) => {
                     let now = self.shared.now();
                     self.shared.beliefs().fleet.heard(now, id);
-                    self.shared.pool.put(self.shared.now(), id, link, None);
+                    self.shared.pool.put(now, id, link, None);
                     tokio::time::sleep(DOUBT_REST).await;
                 }
                 Err(error) => {
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use log::info;
 use tokio::sync::mpsc;
 
@@ -24,7 +25,7 @@
 use super::outcome::Flow;
 use super::outcome::Outcome;
 
-/// How many writes may wait for a caller that reads slowly.
+/// How many writes may wait for a caller that reads slowly: some kilobytes; then its target waits.
 const EVENTS_WAITING: usize = 16;
 
 /// How long after its first event a run surely has a copy: engines send memory on several times a
@@ -151,10 +152,7 @@
             if self.should_move(heard) {
                 return End::Event(ExchangeEvent::Leaving);
             }
-            if self
-                .here
-                .is_some_and(|since| heard.since(since) >= COPY_TIME)
-            {
+            if self.is_settled(heard) {
                 self.tend_copy(heard, &mut copying);
             }
             let until = self.exchange.patience(heard).unwrap_or(deadline);
@@ -167,35 +165,51 @@
                 () = events.closed() => return End::Gone,
                 () = timer.as_mut() => return self.overdue(deadline),
             };
-            let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(error)) => {
-                    self.log_break(&error);
-                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
-                }
-                None if self.parcel.events.is_torn() => {
-                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
-                }
-                None => return End::Whole,
+            let whole = match self.events_of(frame) {
+                Ok(whole) => whole,
+                Err(end) => return end,
             };
-            let now = self.shared.now();
-            match self.parcel.events.push(&data) {
-                Ok(whole) if whole.is_empty() => {}
-                Ok(whole) => {
-                    self.note_pause(now);
-                    if !self.give(whole, events).await {
-                        return End::Gone;
-                    }
-                }
-                Err(fault) => {
-                    info!(request = self.parcel.head.id.as_str(); "a stream is broken: {fault}");
-                    return End::Event(ExchangeEvent::Lost(Fault::Broken));
+            if !whole.is_empty() {
+                self.note_pause(self.shared.now());
+                if !self.give(whole, events).await {
+                    return End::Gone;
                 }
             }
             heard = self.shared.now();
         }
     }
 
+    /// Returns the whole events that come with a frame, or how the target's part ends.
+    fn events_of(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Result<Bytes, End> {
+        let broken = || End::Event(ExchangeEvent::Lost(Fault::Broken));
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => {
+                self.log_break(&error);
+                return Err(broken());
+            }
+            None if self.parcel.events.is_torn() => {
+                info!(request = self.parcel.head.id.as_str(); "a stream ended within an event");
+                return Err(broken());
+            }
+            None => return Err(End::Whole),
+        };
+        // Trailers are no events.
+        let data = frame.into_data().unwrap_or_default();
+        self.parcel.events.push(&data).map_err(|fault| {
+            info!(request = self.parcel.head.id.as_str(); "a stream is broken: {fault}");
+            broken()
+        })
+    }
+
+    /// Returns whether a copy of the run is surely where it should be by now.
+    fn is_settled(&self, now: Time) -> bool {
+        self.here.is_some_and(|since| now.since(since) >= COPY_TIME)
+    }
+
     /// Notes how long a run took that one target ran from its first event to its last.
     fn note_run(&self) {
         if let (1, Some(first)) = (self.exchange.sends(), self.here) {
@@ -237,9 +251,8 @@
         let now = self.shared.now();
         let mut beliefs = self.shared.beliefs();
         beliefs.fleet.heard(heard, &placed.target);
-        let is_copied = self.here.is_some_and(|since| now.since(since) >= COPY_TIME);
         let copy = self.exchange.copy();
-        is_copied
+        self.is_settled(now)
             && beliefs.fleet.is_leaving(&placed.target)
             && copy.is_some_and(|copy| beliefs.fleet.keeps(now, copy))
     }
--- a/crates/cyclamenwharf/src/forward/target_pool.rs
+++ b/crates/cyclamenwharf/src/forward/target_pool.rs
@@ -13,7 +13,8 @@
 use super::link::Link;
 use super::link::LinkError;
 
-/// How long a connection is kept whose target does not say how long it keeps it.
+/// How long a connection is kept whose target does not say how long it keeps it: well below what
+/// servers keep idle connections for by default, which is five seconds and more.
 const IDLE_DEFAULT: Duration = Duration::from_secs(2);
 
 /// The part of the target's own limit for which a connection is kept: the target must not close it
