Log the identity of a forwarded request

A caller's next attempt has another id, so the logs could not show that two attempts are the same request, and so could not tell the hypotheses apart. The lines about sends and ends have a field 'fingerprint' now: a hash of the workspace, the path and the body. No decision uses it.

--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
 use std::time::Duration;
 
 use cw_macro::data;
@@ -22,11 +23,18 @@
 use crate::LoadUpdate;
 use crate::QuotaDemand;
 
-/// A hash of the workspace, model and prompt of a request.
+/// A hash that identifies a request whichever attempt of its caller carries it: of the workspace, the
+/// model and the prompt, or of the workspace, the path and the body of a forwarded request.
 #[data(Copy, Default, Eq, Hash, PartialOrd, Ord)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Whether a target accepts work.
 #[data(Copy, Default, Eq)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -16,11 +16,13 @@
 use cw_types::ErrorKind;
 use cw_types::ServiceName;
 use cw_types::Time;
+use cw_wire::Fingerprint;
 use cw_wire::PromptHash;
 use dropshot::Body;
 use http::Response;
 use http::request;
 use log::info;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use super::caller_api::refusal_response;
 use super::forward_context::ForwardContext;
@@ -45,6 +47,26 @@
     pub(super) events: EventStream,
 }
 
+impl AcceptedRequest {
+    /// Returns the identity of the request, which all attempts of its caller have in common.
+    fn fingerprint(&self) -> Fingerprint {
+        let workspace = self.admitted.workspace.as_ref();
+        let path = self.parts.uri.path_and_query();
+        let mut hash = Xxh3Default::new();
+        let texts = [
+            workspace.map_or("", |workspace| workspace.as_str()),
+            path.map_or("", |path| path.as_str()),
+        ];
+        for text in texts {
+            hash.update(text.as_bytes());
+            // A separator, so that no two pairs of texts are hashed as the same bytes.
+            hash.update(&[0]);
+        }
+        hash.update(&self.body);
+        Fingerprint(hash.digest())
+    }
+}
+
 /// Drives one request by the decisions of its [`Exchange`].
 pub(super) struct ExchangeDriver {
     pub(super) context: Arc<ForwardContext>,
@@ -53,6 +75,8 @@
     /// The version of the weights that the answer began with.
     pub(super) weights: Option<u64>,
     error_response: Option<BufferedResponse>,
+    /// The identity of the request.
+    pub(super) fingerprint: Fingerprint,
     /// The hash that identifies the prompt.
     pub(super) prompt_hash: Option<PromptHash>,
     /// The time of the last send.
@@ -81,6 +105,7 @@
         context.state().budgets.record_first(now, &request.service);
         let prompt_hash = request.head.prompt_key.as_deref().map(PromptHash::of);
         Self {
+            fingerprint: request.fingerprint(),
             context,
             request,
             exchange,
@@ -154,6 +179,7 @@
             .on_event(now, event, || state.budgets.try_spend(now, service));
         info!(
             request = self.request.head.id.as_str(),
+            fingerprint = self.fingerprint.to_string(),
             target_id = placed.as_ref().map_or("none", |at| at.target.as_str()),
             sends = self.exchange.sends(),
             age_ms = millis(now.since(self.exchange.plan().arrived)),
@@ -191,6 +217,7 @@
         let target = self.exchange.placed().map(|placed| placed.target.as_str());
         info!(
             request = self.request.head.id.as_str(),
+            fingerprint = self.fingerprint.to_string(),
             route = self.request.admitted.route.name.as_str(),
             target_id = target.unwrap_or("none"),
             sends = self.exchange.sends(),
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -140,6 +140,7 @@
         self.backlog = found;
         info!(
             request = self.request.head.id.as_str(),
+            fingerprint = self.fingerprint.to_string(),
             route = self.request.admitted.route.name.as_str(),
             version = self.context.metrics.version.get(),
             target_id = placement.target.as_str(),
