Stop the background tasks of a forwarding entry that is dropped

Dropping a ForwarderHandle closed its servers but left its supervised tasks running, so it went on to register itself and to send messages, and its port for other entries stayed in use. In production the process ends with it; a test that kills an entry and starts it again could not bind the port ('Address already in use'). The handle stops its supervisor when dropped, which drain() relies on too.

--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -75,7 +75,7 @@
 #[derive(Debug)]
 pub struct Forwarder;
 
-/// A running forwarding entry. Dropping it aborts all requests in progress.
+/// A running forwarding entry. Dropping it aborts all requests in progress and the background tasks.
 pub struct ForwarderHandle {
     /// The address for callers.
     pub callers: SocketAddr,
@@ -214,6 +214,11 @@
                 "the grace period is over; aborting the requests in progress"
             ),
         }
+    }
+}
+
+impl Drop for ForwarderHandle {
+    fn drop(&mut self) {
         self.supervisor.stop();
     }
 }
