Count a send on a kept connection whose engine ends

Cause: a connection that carried a request before and breaks under the next one is replaced by a new one to the same engine, since engines drop idle connections without notice. If the engine has ended, the new connection is refused, and that was reported as the outcome of the whole send: 'not run'. The send did not count as an attempt and cost no budget, and a 503, which promises that the request has not run, could follow.

A failed reconnect, a refusal and a missing copy after such a transmission now end the send as lost, and the repeat itself is charged to the budget. A connection that provably took nothing is replaced as before.

--- a/crates/cyclamenwharf/src/forward/send_outcome.rs
+++ b/crates/cyclamenwharf/src/forward/send_outcome.rs
@@ -50,4 +50,6 @@
     pub(super) connection: TargetConnection,
     pub(super) guard: RequestGuard,
     pub(super) _copy_guard: Option<CopyGuard>,
+    /// Whether an earlier transmission of the same send may have run at the target.
+    pub(super) may_have_run: bool,
 }
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -56,8 +56,10 @@
 
 /// The action after a connection breaks before the answer.
 enum AfterBreak {
-    /// Send the request again to the same target on a new connection.
+    /// Send the request to the same target on a new connection, since no part of it was sent.
     Reconnect,
+    /// Send the request again to the same target on a new connection, although it may have run.
+    Repeat,
     /// End the send with this event.
     End(ExchangeEvent),
 }
@@ -146,6 +148,7 @@
             mut connection,
             mut reused,
         } = pooled.map_err(|error| self.on_unreachable(id, &error))?;
+        let mut may_have_run = false;
         loop {
             let request = self.build_request(now, destination);
             let error = match self
@@ -157,6 +160,7 @@
                         connection,
                         guard,
                         _copy_guard: copy_guard,
+                        may_have_run,
                     };
                     return Ok((active, response));
                 }
@@ -164,17 +168,27 @@
             };
             self.log_break(&error);
             match self.after_break(&error, reused) {
-                AfterBreak::Reconnect => {
-                    self.context.pool.close(id);
-                    let reconnected = TargetConnection::connect(destination.address).await;
-                    connection = reconnected.map_err(|error| self.on_unreachable(id, &error))?;
-                    reused = false;
-                }
+                AfterBreak::Reconnect => {}
+                AfterBreak::Repeat if self.spend_repeat(now) => may_have_run = true,
+                AfterBreak::Repeat => return Err(ExchangeEvent::Lost(Fault::Broken)),
                 AfterBreak::End(event) => return Err(event),
             }
+            self.context.pool.close(id);
+            let reconnected = TargetConnection::connect(destination.address).await;
+            connection = reconnected.map_err(|error| {
+                let event = self.on_unreachable(id, &error);
+                after_earlier_run(event, may_have_run)
+            })?;
+            reused = false;
         }
     }
 
+    /// Charges the budget for a repeat at the same target. Returns whether it allows one.
+    fn spend_repeat(&self, now: Time) -> bool {
+        let mut state = self.context.state();
+        state.budgets.try_spend(now, &self.request.service)
+    }
+
     fn on_unreachable(&self, id: &TargetId, error: &ConnectError) -> ExchangeEvent {
         info!(
             request = self.request.head.id.as_str(),
@@ -203,7 +217,7 @@
             (true, true) => AfterBreak::Reconnect,
             (true, false) => AfterBreak::End(ExchangeEvent::NotRun(Fault::Broken)),
             // Targets drop idle connections without notice, so the target may well be alive.
-            (false, true) if may_repeat => AfterBreak::Reconnect,
+            (false, true) if may_repeat => AfterBreak::Repeat,
             (false, _) => AfterBreak::End(ExchangeEvent::Lost(Fault::Broken)),
         }
     }
@@ -219,7 +233,7 @@
         let (parts, body) = response.into_parts();
         let answer = self.context.dialect.parse_response(&parts);
         if let Some(event) = self.mismatch_event(&answer, resumed) {
-            return SendOutcome::Event(event);
+            return SendOutcome::Event(after_earlier_run(event, active.may_have_run));
         }
         if let Some(load) = answer.load {
             let now = self.context.now();
@@ -472,3 +486,13 @@
         }
     }
 }
+
+/// Returns the event that ends a send, given its last event. What shows that the last transmission
+/// did not run says nothing about an earlier one to the same target.
+fn after_earlier_run(event: ExchangeEvent, may_have_run: bool) -> ExchangeEvent {
+    match event {
+        ExchangeEvent::NotRun(fault) if may_have_run => ExchangeEvent::Lost(fault),
+        ExchangeEvent::NoCopy if may_have_run => ExchangeEvent::Lost(Fault::Broken),
+        event => event,
+    }
+}
