Count the crashes of a request that comes several times at once

Found while the same cause was looked for in the product's own table of suspects, before forwarded requests are fed to it.

A crash counts as part of a mass failure, and so as no evidence, when four targets crash within two seconds, whichever requests they ran. A request that crashes its targets and comes several times at once crashes four by itself, so none of its crashes counted, however many there were. And a zone that fails every few seconds hid the crashes in all other zones.

Crashes at which the request itself was in flight are left out now, and the other targets must be of the same zone or of several others. Suspects of a mass failure are cleared once all crashes near it are known, so that they do not displace crashes that requests cause. Two requests that always run together were never refused; after six crashes they are.

the_loss_of_many_targets_at_once_is_no_evidence is replaced: it had one request as the only one in flight at all six crashes, which is the case of the incident and not a mass failure. The new one is as strict: six targets crash together, each with a request of its own, one request at three of them, and none of the seven may be suspected. With the old rule a_request_that_crashes_many_targets_at_once_is_confirmed and the_loss_of_a_zone_hides_no_crash_in_another_zone cannot pass: they have more than four targets in the window.

--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -80,6 +80,8 @@
 pub use generation::WorkKind;
 pub use order_guard::OrderGuard;
 pub use order_guard::OrderStep;
+pub use suspicion::Crash;
+pub use suspicion::CrashId;
 pub use suspicion::CrashSuspicion;
 pub use suspicion::SuspicionLimits;
 pub use suspicion::SuspicionTable;
--- a/crates/cw_policy/src/suspicion/crash_suspicion.rs
+++ b/crates/cw_policy/src/suspicion/crash_suspicion.rs
@@ -14,8 +14,12 @@
     /// The number is higher than that for a confirmation because another entry may know that the
     /// request has completed since, or that its output advanced between the crashes.
     pub refusing_crashes: usize,
+    /// The number of crashes from which a request is refused although another one was in flight at
+    /// all of them too. It bounds the crashes of two requests that always run together.
+    pub undecided_crashes: usize,
     /// The number of targets whose crashes within [`SuspicionLimits::mass_window`] count as a mass
-    /// failure, which no request causes.
+    /// failure, which no request causes. They are in one availability zone or in several other
+    /// ones.
     pub mass_targets: usize,
     /// The time within which the crashes of a mass failure occur.
     pub mass_window: Duration,
@@ -32,6 +36,7 @@
         Self {
             confirming_crashes: 2,
             refusing_crashes: 3,
+            undecided_crashes: 6,
             mass_targets: 4,
             mass_window: Duration::from_secs(2),
             retention: Duration::from_secs(600),
--- a/crates/cw_policy/src/suspicion/mod.rs
+++ b/crates/cw_policy/src/suspicion/mod.rs
@@ -1,13 +1,16 @@
 //! Detection of requests that crash the engines that run them.
 //!
-//! The only evidence is the agents' reports: the fingerprints of the requests that were in flight
-//! when an engine crashed while its agent kept running. A request is confirmed as the cause when it
-//! is the only one that was in flight at all of several crashes. A single crash does not distinguish
-//! it from the other requests in flight, so resumed suspects are spread over targets.
+//! The evidence is the fingerprints of the requests that were in flight when an engine crashed: from
+//! the report of an agent that kept running, or from the entries that had sent them
+//! ([`crate::forward::CrashTracker`]). A request is confirmed as the cause when it is the only one
+//! that was in flight at all of several crashes. A single crash does not distinguish it from the
+//! other requests in flight, so resumed suspects are spread over targets.
 
 mod crash_suspicion;
 mod suspicion_table;
 
 pub use crash_suspicion::CrashSuspicion;
 pub use crash_suspicion::SuspicionLimits;
+pub use suspicion_table::Crash;
+pub use suspicion_table::CrashId;
 pub use suspicion_table::SuspicionTable;
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -3,24 +3,43 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::collections::btree_map::Entry;
+use std::time::Duration;
 
 use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_types::ZoneId;
 use cw_wire::CrashReport;
 use cw_wire::Fingerprint;
 
 use super::CrashSuspicion;
 use super::SuspicionLimits;
+use crate::TargetView;
 use crate::View;
 
-/// One crash of an engine whose agent kept running.
-#[derive(Clone, Debug)]
-struct Crash {
-    number: u64,
-    at: Time,
-    target: TargetId,
-    suspects: BTreeSet<Fingerprint>,
+/// Identifies one crash. No two crashes of one incarnation have the same sequence number.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashId {
+    /// The target that crashed.
+    pub target: TargetId,
+    /// The incarnation that ended, or that reported the crash.
+    pub incarnation: Incarnation,
+    /// The sequence number of the crash within the incarnation.
+    pub sequence: u64,
+}
+
+/// A crash of an engine, and the requests that were in flight at it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The identity of the crash.
+    pub id: CrashId,
+    /// The availability zone of the target.
+    pub zone: ZoneId,
+    /// When it happened.
+    pub at: Time,
+    /// The requests that were in flight.
+    pub suspects: BTreeSet<Fingerprint>,
 }
 
 /// The incarnation of a target and the sequence number of its newest crash in the table.
@@ -30,10 +49,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspicionTable {
     limits: SuspicionLimits,
-    crashes: VecDeque<Crash>,
-    by_request: BTreeMap<Fingerprint, BTreeSet<u64>>,
+    /// The crashes in the order of their arrival.
+    order: VecDeque<CrashId>,
+    crashes: BTreeMap<CrashId, Crash>,
+    by_request: BTreeMap<Fingerprint, BTreeSet<CrashId>>,
+    /// The crashes for which it is not decided yet whether they belong to a mass failure.
+    unsettled: VecDeque<CrashId>,
+    /// The crashes that belong to a mass failure and have no suspects any more.
+    mass_failures: VecDeque<CrashId>,
     last_crashes: BTreeMap<TargetId, LastCrash>,
-    next_number: u64,
     confirmed: BTreeSet<Fingerprint>,
     /// How many suspected requests this entry has in flight at each target.
     suspect_counts: BTreeMap<TargetId, u32>,
@@ -52,12 +76,43 @@
 
     /// Adds the crashes that the targets of a view report, and removes expired ones.
     pub fn observe(&mut self, now: Time, view: &View) {
-        self.remove_expired(now);
+        self.expire(now);
         self.last_crashes
             .retain(|target, _| view.targets.contains_key(target));
         for (target, known) in &view.targets {
             for report in &known.crashes {
-                self.insert(now, target, known.incarnation, report);
+                self.observe_report(now, target, known, report);
+            }
+        }
+    }
+
+    /// Adds a crash. What is known of it already is merged with it. Returns whether anything in it
+    /// is new.
+    pub fn record(&mut self, crash: Crash) -> bool {
+        if crash.suspects.len() > self.limits.max_suspects {
+            return false;
+        }
+        if !self.crashes.contains_key(&crash.id) {
+            if self.crashes.len() >= self.limits.max_crashes {
+                self.remove_oldest();
+            }
+            self.order.push_back(crash.id.clone());
+            self.unsettled.push_back(crash.id.clone());
+        }
+        for suspect in &crash.suspects {
+            let numbers = self.by_request.entry(*suspect).or_default();
+            numbers.insert(crash.id.clone());
+        }
+        match self.crashes.entry(crash.id.clone()) {
+            Entry::Vacant(vacant) => {
+                vacant.insert(crash);
+                true
+            }
+            Entry::Occupied(mut known) => {
+                let known = &mut known.get_mut().suspects;
+                let before = known.len();
+                known.extend(crash.suspects);
+                known.len() > before
             }
         }
     }
@@ -65,25 +120,25 @@
     /// Records that a request has completed, so that no crash counts against it any more.
     pub fn record_completion(&mut self, request: Fingerprint) {
         self.confirmed.remove(&request);
-        let Some(numbers) = self.by_request.remove(&request) else {
-            return;
-        };
-        for crash in &mut self.crashes {
-            if numbers.contains(&crash.number) {
+        for id in self.by_request.remove(&request).unwrap_or_default() {
+            if let Some(crash) = self.crashes.get_mut(&id) {
                 crash.suspects.remove(&request);
             }
         }
     }
 
+    /// Returns the crashes that count as evidence against a request, those in a mass failure left
+    /// out.
+    fn evidence(&self, request: Fingerprint) -> Vec<&Crash> {
+        let ids = self.by_request.get(&request).into_iter().flatten();
+        ids.filter_map(|id| self.crashes.get(id))
+            .filter(|crash| !self.is_mass_failure(crash, Some(request)))
+            .collect()
+    }
+
     /// Returns the suspicion against a request; crashes in a mass failure do not count.
     pub fn assess(&self, request: Fingerprint) -> CrashSuspicion {
-        let Some(numbers) = self.by_request.get(&request) else {
-            return CrashSuspicion::Unsuspected;
-        };
-        let crashes = self.crashes.iter();
-        let evidence: Vec<&Crash> = crashes
-            .filter(|crash| numbers.contains(&crash.number) && !self.is_mass_failure(crash))
-            .collect();
+        let evidence = self.evidence(request);
         let Some((first, others)) = evidence.split_first() else {
             return CrashSuspicion::Unsuspected;
         };
@@ -102,10 +157,39 @@
             CrashSuspicion::Confirmed { crashes } => {
                 self.confirmed.contains(&request) || crashes >= self.limits.refusing_crashes
             }
-            CrashSuspicion::Unsuspected | CrashSuspicion::Suspected { .. } => false,
+            CrashSuspicion::Suspected { crashes } => crashes >= self.limits.undecided_crashes,
+            CrashSuspicion::Unsuspected => false,
         }
     }
 
+    /// Returns how long the evidence that makes a new call of a request be refused is still kept.
+    pub fn retention_left(&self, now: Time, request: Fingerprint) -> Duration {
+        let mut times: Vec<Time> = self
+            .evidence(request)
+            .iter()
+            .map(|crash| crash.at)
+            .collect();
+        times.sort_unstable();
+        let surplus = times.len().saturating_sub(self.limits.refusing_crashes);
+        let deciding = times.get(surplus).copied();
+        deciding.map_or(Duration::ZERO, |at| now.until(at + self.limits.retention))
+    }
+
+    /// Returns the limits of the table.
+    pub fn limits(&self) -> &SuspicionLimits {
+        &self.limits
+    }
+
+    /// Returns the crashes in the table.
+    pub fn crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.values()
+    }
+
+    /// Returns what the table knows of a crash.
+    pub fn crash(&self, id: &CrashId) -> Option<&Crash> {
+        self.crashes.get(id)
+    }
+
     /// Records that this entry has confirmed a request as the cause of crashes.
     pub fn confirm(&mut self, request: Fingerprint) {
         self.confirmed.insert(request);
@@ -145,14 +229,14 @@
 
     // ---- Retention ----
 
-    fn insert(
+    fn observe_report(
         &mut self,
         now: Time,
         target: &TargetId,
-        incarnation: Incarnation,
+        known: &TargetView,
         report: &CrashReport,
     ) {
-        let latest = (incarnation, report.sequence);
+        let latest = (known.incarnation, report.sequence);
         if self
             .last_crashes
             .get(target)
@@ -161,44 +245,97 @@
             return;
         }
         self.last_crashes.insert(target.clone(), latest);
-        if report.suspects.len() > self.limits.max_suspects {
-            return;
-        }
-        if self.crashes.len() >= self.limits.max_crashes {
-            self.remove_oldest();
-        }
-        let number = self.next_number;
-        self.next_number += 1;
-        let suspects: BTreeSet<Fingerprint> = report.suspects.iter().copied().collect();
-        for suspect in &suspects {
-            self.by_request.entry(*suspect).or_default().insert(number);
-        }
-        self.crashes.push_back(Crash {
-            number,
+        self.record(Crash {
+            id: CrashId {
+                target: target.clone(),
+                incarnation: known.incarnation,
+                sequence: report.sequence,
+            },
+            zone: known.target.zone.clone(),
             at: now,
-            target: target.clone(),
-            suspects,
+            suspects: report.suspects.iter().copied().collect(),
         });
     }
 
-    fn remove_expired(&mut self, now: Time) {
+    /// Removes the crashes whose retention time is over, and those of mass failures.
+    pub fn expire(&mut self, now: Time) {
+        self.settle(now);
         let retention = self.limits.retention;
-        while let Some(crash) = self.crashes.front() {
-            if now.since(crash.at) <= retention {
+        while let Some(oldest) = self.order.front() {
+            let crash = self.crashes.get(oldest);
+            if crash.is_some_and(|crash| now.since(crash.at) <= retention) {
                 return;
             }
             self.remove_oldest();
         }
     }
 
+    /// Clears the suspects of crashes that belong to a mass failure, once all crashes near them are
+    /// known, and later removes them. Otherwise they would displace the crashes that requests
+    /// cause.
+    fn settle(&mut self, now: Time) {
+        let age_of = |crashes: &BTreeMap<CrashId, Crash>, id: &CrashId| {
+            crashes.get(id).map(|crash| now.since(crash.at))
+        };
+        while let Some(id) = self.unsettled.front() {
+            if age_of(&self.crashes, id).is_some_and(|age| age <= self.limits.mass_window * 2) {
+                break;
+            }
+            if let Some(id) = self.unsettled.pop_front() {
+                self.clear_mass_suspects(&id);
+            }
+        }
+        // The crashes near one of these are settled by then.
+        while let Some(id) = self.mass_failures.front() {
+            if age_of(&self.crashes, id).is_some_and(|age| age <= self.limits.mass_window * 4) {
+                break;
+            }
+            if let Some(id) = self.mass_failures.pop_front() {
+                self.remove(&id);
+                self.order.retain(|other| *other != id);
+            }
+        }
+    }
+
+    fn clear_mass_suspects(&mut self, id: &CrashId) {
+        let Some(crash) = self.crashes.get(id) else {
+            return;
+        };
+        let suspects = crash.suspects.iter().copied();
+        let innocent: Vec<Fingerprint> = suspects
+            .filter(|suspect| self.is_mass_failure(crash, Some(*suspect)))
+            .collect();
+        let Some(crash) = self.crashes.get_mut(id) else {
+            return;
+        };
+        crash.suspects.retain(|suspect| !innocent.contains(suspect));
+        if crash.suspects.is_empty() {
+            self.mass_failures.push_back(id.clone());
+        }
+        for request in innocent {
+            if let Some(ids) = self.by_request.get_mut(&request) {
+                ids.remove(id);
+                if ids.is_empty() {
+                    self.by_request.remove(&request);
+                }
+            }
+        }
+    }
+
     fn remove_oldest(&mut self) {
-        let Some(crash) = self.crashes.pop_front() else {
+        if let Some(id) = self.order.pop_front() {
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, id: &CrashId) {
+        let Some(crash) = self.crashes.remove(id) else {
             return;
         };
         for suspect in &crash.suspects {
-            if let Some(numbers) = self.by_request.get_mut(suspect) {
-                numbers.remove(&crash.number);
-                if numbers.is_empty() {
+            if let Some(ids) = self.by_request.get_mut(suspect) {
+                ids.remove(id);
+                if ids.is_empty() {
                     self.by_request.remove(suspect);
                     self.confirmed.remove(suspect);
                 }
@@ -206,14 +343,28 @@
         }
     }
 
-    /// Returns whether a crash is part of a mass failure, which no request causes.
-    fn is_mass_failure(&self, crash: &Crash) -> bool {
+    /// Returns whether a crash is part of a mass failure, which no request causes: several targets
+    /// crashed at about the same time, in the zone of this one or in several other zones.
+    ///
+    /// With `request`, crashes at which it was in flight are left out, since a request that comes
+    /// several times at once crashes several targets by itself.
+    fn is_mass_failure(&self, crash: &Crash, request: Option<Fingerprint>) -> bool {
         let window = self.limits.mass_window;
         let is_near = |other: &&Crash| {
             other.at.since(crash.at) <= window && crash.at.since(other.at) <= window
         };
-        let crashes = self.crashes.iter().filter(is_near);
-        let targets: BTreeSet<&TargetId> = crashes.map(|other| &other.target).collect();
-        targets.len() >= self.limits.mass_targets
+        let is_apart = |other: &&Crash| !request.is_some_and(|own| other.suspects.contains(&own));
+        let mut zones: BTreeMap<&ZoneId, BTreeSet<&TargetId>> = BTreeMap::new();
+        for other in self.crashes.values().filter(is_near).filter(is_apart) {
+            if other.id.target != crash.id.target {
+                let targets = zones.entry(&other.zone).or_default();
+                targets.insert(&other.id.target);
+            }
+        }
+        let others: usize = match zones.len() {
+            0 | 1 => zones.get(&crash.zone).map_or(0, BTreeSet::len),
+            _ => zones.values().map(BTreeSet::len).sum(),
+        };
+        others + 1 >= self.limits.mass_targets
     }
 }
--- a/crates/cw_policy/tests/suspicion.rs
+++ b/crates/cw_policy/tests/suspicion.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::Crash;
+use cw_policy::CrashId;
 use cw_policy::CrashSuspicion;
 use cw_policy::Liveness;
 use cw_policy::SuspicionLimits;
@@ -135,13 +137,107 @@
     );
 }
 
+/// Returns a crash of the first incarnation of a target in a zone.
+fn crash(millis: u64, zone: usize, at: usize, suspects: &[u64]) -> Crash {
+    Crash {
+        id: CrashId {
+            target: target(at),
+            incarnation: Incarnation(1),
+            sequence: 0,
+        },
+        zone: name(&format!("z{zone}")),
+        at: Time(millis * 1_000),
+        suspects: suspects.iter().copied().map(Fingerprint).collect(),
+    }
+}
+
+/// Returns the table after crashes that are recorded one by one.
+fn recorded(crashes: impl IntoIterator<Item = Crash>) -> SuspicionTable {
+    let mut table = SuspicionTable::new(SuspicionLimits::default());
+    for crash in crashes {
+        table.record(crash);
+    }
+    table
+}
+
+/// Guards against refusing a request whose targets were lost together with others: one that was in
+/// flight at three of six such targets, because its caller sent it several times.
 #[rstest]
 fn the_loss_of_many_targets_at_once_is_no_evidence() {
-    let crashes: Vec<(u64, usize, Vec<u64>)> = (0..6).map(|at| (1, at, vec![0])).collect();
+    let crashes: Vec<(u64, usize, Vec<u64>)> = (0..6)
+        .map(|at| match at < 3 {
+            true => (1, at, vec![0, 100 + at as u64]),
+            false => (1, at, vec![100 + at as u64]),
+        })
+        .collect();
 
     let table = table_after(&crashes);
 
-    assert_eq!(table.assess(POISON), CrashSuspicion::Unsuspected);
+    for request in (0..1).chain(100..106) {
+        assert_eq!(
+            table.assess(Fingerprint(request)),
+            CrashSuspicion::Unsuspected
+        );
+    }
+}
+
+/// Guards against a request that comes several times at once and crashes so many targets that they
+/// pass for a mass failure.
+#[rstest]
+fn a_request_that_crashes_many_targets_at_once_is_confirmed() {
+    let crashes = (0..6).map(|at| crash(1000 + at as u64, at % 2, at, &[0, 100 + at as u64]));
+
+    let table = recorded(crashes);
+
+    assert!(table.is_refused(POISON));
+    assert_eq!(
+        table.assess(Fingerprint(100)),
+        CrashSuspicion::Unsuspected,
+        "the other requests were lost together"
+    );
+}
+
+/// Guards against a zone that fails every few seconds and hides the crashes in the other zones.
+#[rstest]
+fn the_loss_of_a_zone_hides_no_crash_in_another_zone() {
+    let lost_zone = (0..9).map(|at| crash(1000, 0, at, &[100 + at as u64]));
+    let crashes = (20..23).map(|at| crash(1000 + at as u64, 1, at, &[0]));
+
+    let table = recorded(lost_zone.chain(crashes));
+
+    assert!(table.is_refused(POISON));
+    assert_eq!(table.assess(Fingerprint(100)), CrashSuspicion::Unsuspected);
+}
+
+/// Guards against two requests that always run together: neither is the only suspect, and both go
+/// on to crash targets.
+#[rstest]
+fn requests_that_always_run_together_are_refused_after_more_crashes() {
+    let limits = SuspicionLimits::default();
+    let crashes = |count| (0..count).map(|at| crash(5000 * at as u64, at % 3, at, &[0, 1]));
+
+    let before = recorded(crashes(limits.undecided_crashes - 1));
+    let after = recorded(crashes(limits.undecided_crashes));
+
+    assert!(!before.is_refused(POISON));
+    assert!(after.is_refused(POISON));
+}
+
+/// Guards against counting one crash several times when entries report it one after the other,
+/// each with the requests that it had sent.
+#[rstest]
+fn reports_of_one_crash_are_merged() {
+    let mut table = recorded([crash(1000, 0, 0, &[0])]);
+
+    let is_new = table.record(crash(1200, 0, 0, &[0, 1]));
+    let is_new_again = table.record(crash(1300, 0, 0, &[1]));
+
+    assert!(is_new);
+    assert!(!is_new_again);
+    assert_eq!(table.len(), 1);
+    let expected = CrashSuspicion::Suspected { crashes: 1 };
+    assert_eq!(table.assess(POISON), expected);
+    assert_eq!(table.assess(Fingerprint(1)), expected);
 }
 
 #[rstest]
