Refuse a forwarded request that has crashed three targets

What callers saw: a request that ends the engines that run it was sent to engines again each time that its caller came back; every engine that it reached ended, with all streams on it.

Cause: a forwarding entry knew a request by the id of one attempt of its caller. The next attempt has another id, so nothing of what the first one had done to engines was known, at any entry. Class: state about the work kept with one attempt, so that it ends with the attempt.

Change: evidence belongs to the request's fingerprint (workspace, path and body). An entry that loses an answer checks whether the target still accepts connections; if it does not, or comes back as another incarnation, all requests in flight at that incarnation are suspects of its crash. Entries announce crashes to each other, three times, and all evidence to an entry that appears; one of them persists it. A completed request is cleared everywhere, and so is one that has run at a target for a second; a late message does not suspect it again. A request that was never sent to a lost target is no suspect of its crash.

A refused request is answered at once with 503 (not run) and the time that the evidence is still kept as Retry-After.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -73,6 +73,8 @@
     NoTarget,
     /// No target can start the request in time, and it was not sent.
     Crowded,
+    /// The request crashes the targets that run it, and was not sent.
+    CrashesTargets,
     /// The target provably has not run the request and will not run it.
     NotRun(Fault),
     /// The target that should have resumed from a copy of the run does not have it.
@@ -256,6 +258,7 @@
         match event {
             ExchangeEvent::NoTarget => self.on_no_target(now),
             ExchangeEvent::Crowded => self.end(ErrorKind::Overloaded),
+            ExchangeEvent::CrashesTargets => self.end(ErrorKind::Quarantined),
             ExchangeEvent::NotRun(fault) => self.on_not_run(now, fault, spend),
             ExchangeEvent::NoCopy => self.on_no_copy(now, spend),
             ExchangeEvent::Lost(fault) => self.on_lost(now, fault, spend),
@@ -381,6 +384,7 @@
         let proven = self.runs == 0 || self.plan.repeat != Repeat::Never;
         let kind = match kind {
             ErrorKind::Expired if self.runs > 0 => ErrorKind::TargetFailed,
+            ErrorKind::Quarantined if self.runs > 0 => ErrorKind::CrashesTargets,
             ErrorKind::NoTarget | ErrorKind::Overloaded if !proven => ErrorKind::OutcomeUnknown,
             ErrorKind::NoTarget | ErrorKind::Overloaded if self.runs > 0 => ErrorKind::TargetFailed,
             kind => kind,
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cw_types::HostId;
+use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
@@ -24,6 +25,10 @@
 /// The time window for the losses of one zone. A silent target is detected within a second.
 const ZONE_LOSS_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long this entry counts as connected after it has received something. Other entries send
+/// several messages a second.
+const CONTACT_TTL: Duration = Duration::from_secs(1);
+
 /// Time limits for the state of the targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetLimits {
@@ -78,6 +83,8 @@
     pub(super) entries: BTreeSet<HostId>,
     /// The last loss of each availability zone, see [`MIN_ZONE_LOSSES`].
     zone_losses: BTreeMap<ZoneId, Time>,
+    /// When this entry last received anything from a target or from another entry.
+    contact_at: Time,
 }
 
 impl Fleet {
@@ -91,6 +98,7 @@
             own_host: None,
             entries: BTreeSet::new(),
             zone_losses: BTreeMap::new(),
+            contact_at: Time::default(),
         }
     }
 
@@ -223,6 +231,7 @@
 
     /// Records that the answer to a request has begun.
     pub fn record_start(&mut self, now: Time, id: &TargetId, demand: Demand) {
+        self.record_contact(now);
         if let Some(member) = self.members.get_mut(id) {
             member.update_unread(now, |member| member.finish_read(demand));
             member.record_response(now);
@@ -271,11 +280,28 @@
 
     /// Records a response of a target, which shows that it is up.
     pub fn record_response(&mut self, now: Time, id: &TargetId) {
+        self.record_contact(now);
         if let Some(member) = self.members.get_mut(id) {
             member.record_response(now);
         }
     }
 
+    pub(super) fn record_contact(&mut self, now: Time) {
+        self.contact_at = self.contact_at.max(now);
+    }
+
+    /// Returns whether this entry is connected to the rest of the system, so that a target that
+    /// cannot be reached is down.
+    pub fn is_in_contact(&self, now: Time) -> bool {
+        now.since(self.contact_at) <= CONTACT_TTL
+    }
+
+    /// Returns whether a target has responded since a point in time.
+    pub fn has_responded_since(&self, id: &TargetId, since: Time) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|member| member.responded_at > since)
+    }
+
     /// Records a loss of the target's availability zone if enough of its targets were lost
     /// recently.
     pub(super) fn record_zone_loss(&mut self, now: Time, id: &TargetId) {
@@ -311,6 +337,12 @@
         self.members.get(id).map(|member| &member.listing)
     }
 
+    /// Returns the incarnation of a target that the directory lists, 0 if it lists none.
+    pub fn incarnation(&self, id: &TargetId) -> Incarnation {
+        let listing = self.listing(id);
+        listing.map(Listing::incarnation).unwrap_or_default()
+    }
+
     /// Returns whether runs at this target should move to another one.
     pub fn is_leaving(&self, id: &TargetId) -> bool {
         self.members
--- a/crates/cw_policy/src/forward/listing.rs
+++ b/crates/cw_policy/src/forward/listing.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use cw_types::Incarnation;
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::ZoneId;
@@ -27,6 +28,12 @@
 }
 
 impl Listing {
+    /// Returns the incarnation of the target, which is the time of its start, or 0 if that is not
+    /// known.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.started.unwrap_or_default())
+    }
+
     /// Returns whether `other` describes the same instance of the same target, without a restart.
     pub fn is_same_instance(&self, other: &Listing) -> bool {
         self.started == other.started
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -15,9 +15,11 @@
 //! - [`StartEstimate`]: whether a request can start in time, also in view of a standing queue
 //!   ([`StandingQueues`]).
 //! - [`DirectoryLog`]: the directory changes that the watching entries send to all others.
+//! - [`CrashTracker`]: the requests that crash the targets that run them.
 //! - [`Exchange`]: the state machine of one request.
 //! - [`EventStream`]: splits a target's bytes into events and keeps them in order.
 
+mod crash_tracker;
 mod directory_log;
 mod entry_list;
 mod event_stream;
@@ -33,7 +35,9 @@
 mod run_times;
 mod standing_queues;
 mod start_estimate;
+mod target_sends;
 
+pub use crash_tracker::CrashTracker;
 pub use directory_log::DirectoryLog;
 pub use directory_log::DirectoryUpdateStep;
 pub use entry_list::EntryList;
@@ -69,3 +73,5 @@
 pub use standing_queues::StandingQueues;
 pub use start_estimate::Backlog;
 pub use start_estimate::StartEstimate;
+pub use target_sends::SendEnd;
+pub use target_sends::SendId;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -101,6 +101,7 @@
             watching: message.directory.as_ref().is_some_and(|update| update.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
+        self.record_contact(now);
         self.update_peer_shares(now);
         let lost: Vec<TargetId> = self
             .members
@@ -117,6 +118,12 @@
         true
     }
 
+    /// Returns whether the last message of an entry is valid and of this incarnation.
+    pub fn knows_peer(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        let known = self.peers.peers.get(host);
+        known.is_some_and(|peer| peer.incarnation == incarnation)
+    }
+
     /// Drops the entries whose last message is no longer valid, and returns their hosts.
     pub fn expire_peers(&mut self, now: Time) -> Vec<HostId> {
         let count = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
--- /dev/null
+++ b/crates/cw_policy/src/forward/target_sends.rs
@@ -0,0 +1,131 @@
+//! The requests that this entry has sent to each target and that may still run there.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cw_types::Incarnation;
+use cw_types::TargetId;
+use cw_types::Time;
+use cw_wire::Fingerprint;
+
+/// How long a send that ended without an answer is kept. By then the directory has removed a target
+/// that stopped.
+const UNANSWERED_TTL: Duration = Duration::from_secs(6);
+
+/// Identifies a send of this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SendId(u64);
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendEnd {
+    /// The target answered, and so did not crash under the request.
+    Answered,
+    /// The target's answer is missing or incomplete.
+    Unanswered,
+    /// The request did not reach the target.
+    NotSent,
+}
+
+/// A send in flight.
+#[derive(Clone, Copy, Debug)]
+struct Send {
+    request: Fingerprint,
+    sent_at: Time,
+}
+
+/// The sends to one incarnation of a target. Nothing of it applies to a later one.
+#[derive(Clone, Debug, Default)]
+struct IncarnationSends {
+    incarnation: Incarnation,
+    in_flight: BTreeMap<SendId, Send>,
+    /// The ends of sends without an answer, after which the target has not answered any other send.
+    unanswered: BTreeMap<Fingerprint, Time>,
+}
+
+/// The sends to each target that may be the cause if the target crashes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TargetSends {
+    next: u64,
+    targets: BTreeMap<TargetId, IncarnationSends>,
+}
+
+impl TargetSends {
+    /// Records that a request is sent to an incarnation of a target.
+    pub(super) fn record_send(
+        &mut self,
+        now: Time,
+        target: &TargetId,
+        incarnation: Incarnation,
+        request: Fingerprint,
+    ) -> SendId {
+        let id = SendId(self.next);
+        self.next += 1;
+        let sends = self.targets.entry(target.clone()).or_default();
+        if sends.incarnation != incarnation {
+            *sends = IncarnationSends {
+                incarnation,
+                ..IncarnationSends::default()
+            };
+        }
+        let send = Send {
+            request,
+            sent_at: now,
+        };
+        sends.in_flight.insert(id, send);
+        id
+    }
+
+    /// Records the end of a send. A send to an earlier incarnation of the target is ignored.
+    pub(super) fn record_end(&mut self, now: Time, target: &TargetId, id: SendId, end: SendEnd) {
+        let Some(sends) = self.targets.get_mut(target) else {
+            return;
+        };
+        let Some(send) = sends.in_flight.remove(&id) else {
+            return;
+        };
+        match end {
+            SendEnd::Answered => sends.unanswered.retain(|_, ended| *ended > send.sent_at),
+            SendEnd::Unanswered => {
+                sends.unanswered.insert(send.request, now);
+            }
+            SendEnd::NotSent => {}
+        }
+        if sends.in_flight.is_empty() && sends.unanswered.is_empty() {
+            self.targets.remove(target);
+        }
+    }
+
+    /// Records that a target is up, so that no send that ended before has crashed it.
+    pub(super) fn record_alive(&mut self, target: &TargetId) {
+        if let Some(sends) = self.targets.get_mut(target) {
+            sends.unanswered.clear();
+        }
+    }
+
+    /// Removes and returns the requests that may have run at an incarnation of a target, when it has
+    /// crashed.
+    pub(super) fn take_suspects(
+        &mut self,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) -> BTreeSet<Fingerprint> {
+        match self.targets.get(target) {
+            Some(sends) if sends.incarnation == incarnation => {}
+            _ => return BTreeSet::new(),
+        }
+        let sends = self.targets.remove(target).unwrap_or_default();
+        let in_flight = sends.in_flight.values().map(|send| send.request);
+        in_flight.chain(sends.unanswered.into_keys()).collect()
+    }
+
+    /// Drops the ends that are too old to be the cause of a crash that is found now.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.targets.retain(|_, sends| {
+            let unanswered = &mut sends.unanswered;
+            unanswered.retain(|_, ended| now.since(*ended) <= UNANSWERED_TTL);
+            !(sends.in_flight.is_empty() && sends.unanswered.is_empty())
+        });
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/tests/forward/crash_tracker.rs
@@ -0,0 +1,324 @@
+//! Tests that requests that crash targets are found, at every entry, and that others are not.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cw_policy::forward::CrashTracker;
+use cw_policy::forward::SendEnd;
+use cw_types::Incarnation;
+use cw_types::Time;
+use cw_wire::CrashNews;
+use cw_wire::Fingerprint;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::proptest;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+use crate::fixtures::at;
+use crate::fixtures::engine;
+use crate::fixtures::name;
+
+/// The request that crashes targets.
+const CRASHING: Fingerprint = Fingerprint(1);
+
+/// The first of the other requests.
+const OTHER: u64 = 100;
+
+/// The number of crashes that make a request be refused.
+const REFUSING_CRASHES: u64 = 3;
+
+/// Sends requests to an engine, which crashes under them.
+fn crash(tracker: &mut CrashTracker, now: Time, zone: usize, number: usize, requests: &[u64]) {
+    crash_incarnation(tracker, now, zone, number, 1, requests);
+}
+
+fn crash_incarnation(
+    tracker: &mut CrashTracker,
+    now: Time,
+    zone: usize,
+    number: usize,
+    incarnation: u64,
+    requests: &[u64],
+) {
+    let (target, incarnation) = (engine(zone, number), Incarnation(incarnation));
+    for request in requests {
+        let request = Fingerprint(*request);
+        let send = tracker.record_send(now, &target, incarnation, request);
+        tracker.record_end(now, &target, send, SendEnd::Unanswered);
+    }
+    tracker.record_crash(now, &target, incarnation, &name(&format!("z{zone}")));
+}
+
+/// Returns a tracker after the crashing request has crashed `count` engines, one a second, each
+/// with one other request.
+fn tracker_after(count: u64) -> CrashTracker {
+    let mut tracker = CrashTracker::default();
+    for number in 0..count {
+        let now = at(1000 * (number + 1));
+        let zone = usize::try_from(number % 3).unwrap();
+        crash(&mut tracker, now, zone, 0, &[CRASHING.0, OTHER + number]);
+    }
+    tracker
+}
+
+#[rstest]
+fn a_request_is_refused_at_its_third_crash_and_the_others_are_not() {
+    let before = tracker_after(REFUSING_CRASHES - 1);
+    let after = tracker_after(REFUSING_CRASHES);
+
+    assert!(!before.is_refused(CRASHING));
+    assert!(after.is_refused(CRASHING));
+    for number in 0..REFUSING_CRASHES {
+        assert!(!after.is_refused(Fingerprint(OTHER + number)));
+    }
+}
+
+/// Guards against evidence that stays at the entry that found it: callers come back through
+/// another one.
+#[rstest]
+fn crashes_at_different_entries_add_up() {
+    let mut entries = vec![CrashTracker::default(); 3];
+    for number in 0..3 {
+        let now = at(1000 * (number as u64 + 1));
+        crash(&mut entries[number], now, number, 0, &[CRASHING.0]);
+        let news = entries[number].news(now);
+        for (other, entry) in entries.iter_mut().enumerate() {
+            if other != number {
+                entry.receive(now, &news);
+            }
+        }
+    }
+
+    assert!(entries.iter().all(|entry| entry.is_refused(CRASHING)));
+}
+
+/// Guards against a crash that is counted once for each entry that had requests at the target.
+#[rstest]
+fn a_crash_that_several_entries_find_counts_once() {
+    let mut first = CrashTracker::default();
+    let mut second = CrashTracker::default();
+    crash(&mut first, at(1000), 0, 0, &[CRASHING.0]);
+    crash(&mut second, at(1100), 0, 0, &[CRASHING.0, OTHER]);
+
+    first.receive(at(1200), &second.news(at(1200)));
+
+    assert_eq!(first.crash_count(CRASHING), 1);
+}
+
+/// Guards against a lost first message, by the repeated ones.
+#[rstest]
+fn a_crash_is_announced_several_times_and_not_forever() {
+    let mut tracker = tracker_after(1);
+
+    let announced = (0..100)
+        .filter(|step| !tracker.news(at(2000 + 20 * step)).is_empty())
+        .count();
+
+    assert_eq!(announced, 3);
+}
+
+/// Guards against refusing requests whose connection broke while their target went on.
+#[rstest]
+fn a_request_lost_at_a_target_that_runs_is_not_suspected() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..5 {
+        let target = engine(0, number);
+        let send = tracker.record_send(at(1000), &target, Incarnation(1), CRASHING);
+        tracker.record_end(at(1000), &target, send, SendEnd::Unanswered);
+        tracker.record_alive(&target);
+
+        tracker.record_crash(at(2000), &target, Incarnation(1), &name("z0"));
+    }
+
+    assert_eq!(tracker.crash_count(CRASHING), 0);
+}
+
+/// Guards against refusing a request that is tried at one lost target after the other without
+/// reaching any.
+#[rstest]
+#[case(SendEnd::NotSent, SendEnd::Unanswered, 1)]
+#[case(SendEnd::Answered, SendEnd::Unanswered, 0)]
+fn a_send_that_did_not_run_or_was_answered_is_no_evidence(
+    #[case] end: SendEnd,
+    #[case] earlier_end: SendEnd,
+    #[case] earlier_crashes: usize,
+) {
+    let (target, incarnation) = (engine(0, 0), Incarnation(1));
+    let mut tracker = CrashTracker::default();
+    let earlier = tracker.record_send(at(0), &target, incarnation, Fingerprint(OTHER));
+    tracker.record_end(at(10), &target, earlier, earlier_end);
+    let send = tracker.record_send(at(20), &target, incarnation, CRASHING);
+    tracker.record_end(at(30), &target, send, end);
+
+    tracker.record_crash(at(40), &target, incarnation, &name("z0"));
+
+    assert_eq!(tracker.crash_count(CRASHING), 0);
+    assert_eq!(tracker.crash_count(Fingerprint(OTHER)), earlier_crashes);
+}
+
+/// Guards against counting the crash of an engine against what was sent to it after it had started
+/// again under the same id.
+#[rstest]
+fn a_crash_of_an_earlier_incarnation_is_no_evidence_against_later_sends() {
+    let target = engine(0, 0);
+    let mut tracker = CrashTracker::default();
+    tracker.record_send(at(1000), &target, Incarnation(2), CRASHING);
+
+    tracker.record_crash(at(1100), &target, Incarnation(1), &name("z0"));
+
+    assert_eq!(tracker.crash_count(CRASHING), 0);
+}
+
+#[rstest]
+fn a_completed_request_is_cleared_at_every_entry() {
+    let mut tracker = tracker_after(REFUSING_CRASHES);
+    let mut other = CrashTracker::default();
+    let late = tracker.news(at(4000));
+    other.receive(at(4000), &late);
+
+    tracker.record_completion(at(4100), CRASHING);
+    other.receive(at(4200), &tracker.news(at(4200)));
+    other.receive(at(4300), &late);
+
+    assert!(!tracker.is_refused(CRASHING));
+    assert_eq!(
+        other.crash_count(CRASHING),
+        0,
+        "a late message changes nothing"
+    );
+}
+
+/// Guards against refusing requests because their engines died together, with a zone or with the
+/// power, time and again.
+#[rstest]
+#[case(1, 9)]
+#[case(3, 4)]
+fn requests_whose_engines_die_together_are_not_refused(
+    #[case] zones: usize,
+    #[case] engines: usize,
+) {
+    let mut tracker = CrashTracker::default();
+
+    for round in 0..10 {
+        for zone in 0..zones {
+            for number in 0..engines {
+                let now = at(5000 * (round + 1) + 100 * number as u64);
+                let request = OTHER + (zone * engines + number) as u64;
+                let mut victims = vec![request];
+                // One request is sent to a second engine of the same loss.
+                victims.extend((number < 2).then_some(CRASHING.0));
+                crash_incarnation(&mut tracker, now, zone, number, round + 1, &victims);
+            }
+        }
+        tracker.expire(at(5000 * (round + 1) + 4000));
+    }
+
+    assert!(!tracker.is_refused(CRASHING));
+    for request in 0..zones * engines {
+        assert!(!tracker.is_refused(Fingerprint(OTHER + request as u64)));
+    }
+}
+
+/// Guards against entries that forget with their process: a new one gets the evidence from another
+/// entry or from the store, although its clock begins at its start.
+#[rstest]
+fn an_entry_that_starts_again_refuses_the_same_requests() {
+    let mut tracker = tracker_after(REFUSING_CRASHES);
+    for number in 0..REFUSING_CRASHES {
+        let zone = usize::try_from(number % 3).unwrap();
+        crash(&mut tracker, at(1000 * number + 1500), zone, 1, &[2]);
+    }
+    let news = tracker.evidence(at(60_000));
+    let mut fresh = CrashTracker::default();
+
+    fresh.receive(at(10), &news);
+
+    assert!(fresh.is_refused(CRASHING));
+    assert!(fresh.is_refused(Fingerprint(2)));
+    assert_eq!(fresh.crash_count(Fingerprint(OTHER)), 0);
+}
+
+#[rstest]
+fn an_entry_that_appears_is_told_everything_again() {
+    let mut tracker = tracker_after(REFUSING_CRASHES);
+    for step in 0..10 {
+        tracker.news(at(10_000 + 500 * step));
+    }
+    let quiet = tracker.news(at(20_000));
+
+    tracker.record_new_entry(at(20_000));
+    let mut fresh = CrashTracker::default();
+    fresh.receive(at(0), &tracker.news(at(20_001)));
+
+    assert_eq!(quiet, CrashNews::default());
+    assert!(fresh.is_refused(CRASHING));
+}
+
+#[rstest]
+fn a_refusal_ends_with_its_evidence() {
+    let mut tracker = tracker_after(REFUSING_CRASHES);
+    let left = tracker.refusal_time_left(at(3000), CRASHING);
+
+    tracker.expire(at(3000) + left + Duration::from_secs(1));
+
+    assert!(left > Duration::from_secs(60));
+    assert!(!tracker.is_refused(CRASHING));
+}
+
+/// Guards against memory that grows with the requests of a long outage.
+#[rstest]
+fn what_is_kept_is_bounded() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..10_000 {
+        let now = at(100 * number);
+        let incarnation = number + 1;
+        crash_incarnation(&mut tracker, now, 0, 0, incarnation, &[number, number + 1]);
+        tracker.expire(now);
+    }
+
+    let evidence = tracker.evidence(at(10_000_000));
+
+    assert!(evidence.crashes.len() <= 256, "{}", evidence.crashes.len());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Engines start again and again under their ids; the news of their crashes arrives late,
+    /// several times and in any order. Each crash counts once, whatever the history.
+    #[test]
+    fn each_crash_of_each_incarnation_counts_once(
+        crashes in vec((0_usize..4, 1_u64..4), 1..12),
+        deliveries in vec((0_u64..60, any::<Index>()), 1..40),
+    ) {
+        let mut sender = CrashTracker::default();
+        let mut news = Vec::new();
+        for (number, (target, incarnation)) in crashes.iter().enumerate() {
+            // Crashes far apart are no mass failure.
+            let now = at(3000 * (number as u64 + 1));
+            crash_incarnation(&mut sender, now, *target, 0, *incarnation, &[CRASHING.0]);
+            news.push((now, sender.news(now)));
+        }
+        let mut receiver = CrashTracker::default();
+        let mut received = BTreeSet::new();
+        for (delay, index) in deliveries {
+            let (sent_at, message) = &news[index.index(news.len())];
+            receiver.receive(*sent_at + Duration::from_secs(delay), message);
+            // A message also repeats earlier crashes.
+            let told = message.crashes.iter();
+            received.extend(told.map(|crash| (crash.target.clone(), crash.incarnation)));
+        }
+
+        let distinct: BTreeSet<_> = crashes.iter().collect();
+        prop_assert_eq!(sender.crash_count(CRASHING), distinct.len());
+        prop_assert_eq!(receiver.crash_count(CRASHING), received.len());
+    }
+}
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config;
+mod crash_tracker;
 mod directory_log;
 mod event_stream;
 mod exchange;
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -7,6 +7,7 @@
 use cw_policy::forward::Fleet;
 use cw_types::HostId;
 use cw_types::Incarnation;
+use cw_wire::CrashNews;
 use cw_wire::DirectoryUpdate;
 use cw_wire::OutstandingWork;
 use cw_wire::TargetHash;
@@ -28,6 +29,7 @@
         shares: Vec::new(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        crashes: CrashNews::default(),
         directory: Some(DirectoryUpdate {
             up: true,
             trusted: true,
--- a/crates/cw_types/src/error_kind.rs
+++ b/crates/cw_types/src/error_kind.rs
@@ -60,6 +60,8 @@
     InProgress,
     /// The request crashed the targets that ran it.
     CrashesTargets,
+    /// The request crashed the targets that ran it before, and was not sent again.
+    Quarantined,
     /// A request that may be executed only once was dispatched, and its outcome is unknown.
     OutcomeUnknown,
     /// The generation cannot be continued; its output so far is final.
@@ -77,7 +79,7 @@
 type Row = (ErrorKind, u16, &'static str, Ran, bool, &'static str);
 
 /// The response to each kind.
-const TABLE: [Row; 20] = [
+const TABLE: [Row; 21] = [
     (
         ErrorKind::BadRequest,
         422,
@@ -198,6 +200,14 @@
         false,
         "the request crashed the targets that ran it",
     ),
+    (
+        ErrorKind::Quarantined,
+        503,
+        "quarantined",
+        Ran::No,
+        true,
+        "the request crashed the targets that ran it before",
+    ),
     (
         ErrorKind::OutcomeUnknown,
         409,
--- a/crates/cw_wire/src/lib.rs
+++ b/crates/cw_wire/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod cached_prompt;
 mod codec;
+mod crash_notice;
 mod directory_update;
 mod dispatch;
 mod frame;
@@ -31,6 +32,8 @@
 pub use codec::WireError;
 pub use codec::decode;
 pub use codec::encode;
+pub use crash_notice::CrashNews;
+pub use crash_notice::CrashNotice;
 pub use directory_update::DirectoryChange;
 pub use directory_update::DirectorySnapshot;
 pub use directory_update::DirectoryUpdate;
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -5,6 +5,7 @@
 use cw_types::Incarnation;
 
 use crate::CachedPrompt;
+use crate::CrashNews;
 use crate::DirectoryUpdate;
 use crate::TargetHash;
 
@@ -38,4 +39,7 @@
     pub prompts: Vec<CachedPrompt>,
     /// The directory changes, if the entry watches the directory.
     pub directory: Option<DirectoryUpdate>,
+    /// Requests that may crash targets. Entries of an earlier version do not send it.
+    #[serde(default)]
+    pub crashes: CrashNews,
 }
--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -216,8 +216,14 @@
     let share = context.state().rng.random_range(RETRY_AFTER_SHARE);
     let max_share = RETRY_AFTER_SHARE.end;
     let retry_after = time_left.filter(|_| kind.is_retryable()).map(|time_left| {
-        let soonest = soonest.unwrap_or_default().max(time_left.mul_f64(share));
-        soonest.min(time_left.mul_f64(max_share))
+        let soonest = soonest.unwrap_or_default();
+        match kind {
+            // Nothing that the caller does serves the request before the delay is over.
+            ErrorKind::Quarantined => soonest,
+            _ => soonest
+                .max(time_left.mul_f64(share))
+                .min(time_left.mul_f64(max_share)),
+        }
     });
     context
         .dialect
--- a/crates/cyclamenwharf/src/forward/connection_pool.rs
+++ b/crates/cyclamenwharf/src/forward/connection_pool.rs
@@ -95,6 +95,13 @@
         idle.retain(|id, connections| keep(id) && !connections.is_empty());
     }
 
+    /// Returns whether an idle connection to a target is still open.
+    pub(super) fn has_ready(&self, id: &TargetId) -> bool {
+        let idle = self.lock();
+        let mut connections = idle.get(id).into_iter().flatten();
+        connections.any(|idle| idle.connection.is_ready())
+    }
+
     /// Closes the idle connections to a target.
     pub(super) fn close(&self, id: &TargetId) {
         self.lock().remove(id);
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
@@ -0,0 +1,63 @@
+//! The evidence against requests that crash targets, as it is persisted.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_wire::CrashNews;
+use cw_wire::WireError;
+use cw_wire::decode;
+use cw_wire::encode;
+use log::info;
+
+use super::forward_context::ForwardContext;
+use super::state_store::SharedState;
+
+/// The key of the evidence.
+const CRASHES_KEY: &str = "cyclamenwharf/crashes";
+
+/// The evidence that was read and written last, without the ages of the crashes.
+#[derive(Debug, Default)]
+pub(super) struct CrashEvidenceState {
+    offered: CrashNews,
+    written: CrashNews,
+}
+
+impl SharedState for CrashEvidenceState {
+    fn key(&self) -> &'static str {
+        CRASHES_KEY
+    }
+
+    fn changed_value(&mut self, context: &ForwardContext) -> Result<Option<Bytes>, WireError> {
+        let evidence = context.state().crashes.evidence(context.now());
+        self.offered = without_ages(&evidence);
+        match self.offered == self.written {
+            true => Ok(None),
+            false => encode(&evidence).map(Some),
+        }
+    }
+
+    fn record_written(&mut self) {
+        self.written.clone_from(&self.offered);
+    }
+
+    fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
+        let evidence: CrashNews = decode(value)?;
+        let now = context.now();
+        let is_new = context.state().crashes.receive(now, &evidence);
+        info!(
+            crashes = evidence.crashes.len(),
+            new = u64::from(is_new);
+            "restored the evidence of requests that crash targets"
+        );
+        Ok(())
+    }
+}
+
+/// Returns the evidence with the ages set to zero, since they change all the time.
+fn without_ages(evidence: &CrashNews) -> CrashNews {
+    let mut evidence = evidence.clone();
+    for crash in &mut evidence.crashes {
+        crash.age = Duration::ZERO;
+    }
+    evidence
+}
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use cw_policy::budget::Backoff;
+use cw_policy::forward::Listing;
 use cw_store::HttpClient;
 use cw_store::KeyValueStore;
 use cw_store::StoreError;
@@ -393,6 +394,7 @@
 ) {
     match context.dialect.parse_listing(id.as_str(), value) {
         Ok(listing) => {
+            record_restart(context, now, state, &listing);
             if state.fleet.record_listing(now, listing.clone()) {
                 // An outdated record, which does not revert that a target is leaving, is not passed
                 // on either.
@@ -418,6 +420,30 @@
     }
 }
 
+/// Records a crash if a record shows that a target has started again under its id, so that the
+/// incarnation before has ended.
+fn record_restart(context: &ForwardContext, now: Time, state: &mut ForwardState, new: &Listing) {
+    let Some(known) = state.fleet.listing(&new.id) else {
+        return;
+    };
+    if known.leaving || known.incarnation() >= new.incarnation() {
+        return;
+    }
+    let (incarnation, zone) = (known.incarnation(), known.zone.clone());
+    let crashes = &mut state.crashes;
+    let suspects = crashes.record_crash(now, &new.id, incarnation, &zone);
+    if !suspects.is_empty() {
+        context.peer_update.notify_one();
+        info!(
+            target_id = new.id.as_str(),
+            incarnation = incarnation.0,
+            suspects = suspects.len(),
+            found_by = "the directory";
+            "a target crashed with requests in flight"
+        );
+    }
+}
+
 fn target_id(context: &ForwardContext, key: &str) -> Option<TargetId> {
     key.strip_prefix(context.dialect.targets_prefix())?
         .parse()
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -22,13 +22,19 @@
 use http::Response;
 use http::request;
 use log::info;
+use tokio::task::JoinHandle;
 use xxhash_rust::xxh3::Xxh3Default;
 
 use super::caller_api::refusal_response;
 use super::forward_context::ForwardContext;
+use super::loss_check::LossCheck;
 use super::response::BufferedResponse;
 use super::send_outcome::SendOutcome;
 
+/// The maximum time that a request waits for the causes of its losses. The host of a target that
+/// crashed refuses a connection within milliseconds, and a stream must not pause for longer.
+const LOSS_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// An accepted request, with the settings that apply to it.
 pub(super) struct AcceptedRequest {
     /// The caller's request without its body.
@@ -83,6 +89,8 @@
     pub(super) sent_at: Time,
     /// The backlog of the target at the last send.
     pub(super) backlog: Backlog,
+    /// The checks of the targets that did not answer a send.
+    pub(super) loss_checks: Vec<JoinHandle<()>>,
     /// The delay after which a refused caller should retry, if known.
     pub(super) retry_after: Option<Duration>,
     /// The age of the request when its first event was passed on.
@@ -114,6 +122,7 @@
             prompt_hash,
             sent_at: now,
             backlog: Backlog::default(),
+            loss_checks: Vec::new(),
             retry_after: None,
             first_event_age: None,
             target_started_at: None,
@@ -157,6 +166,8 @@
     pub(super) fn next_step(&mut self, event: ExchangeEvent) -> ExchangeStep {
         let now = self.context.now();
         let placed = self.exchange.placed().cloned();
+        let loss_check = self.start_loss_check(event);
+        self.loss_checks.extend(loss_check);
         let mut state = self.context.state();
         let state = &mut *state;
         let fault = match event {
@@ -190,6 +201,50 @@
         step
     }
 
+    /// Starts to check whether the target of the last send has crashed, if its answer was lost.
+    fn start_loss_check(&self, event: ExchangeEvent) -> Option<JoinHandle<()>> {
+        let fault = match event {
+            ExchangeEvent::Lost(fault) => fault,
+            ExchangeEvent::Expired => Fault::Silent,
+            _ => return None,
+        };
+        let target = self.exchange.placed()?.target.clone();
+        let check = LossCheck {
+            context: Arc::clone(&self.context),
+            address: self.address(&target)?,
+            target,
+            fault,
+            sent_at: self.sent_at,
+        };
+        Some(tokio::spawn(check.run()))
+    }
+
+    /// Returns whether the request crashes the targets that run it, so that it must not be sent. If
+    /// its last losses may decide that, their causes are awaited first.
+    pub(super) async fn crashes_targets(&mut self, now: Time) -> bool {
+        let request = self.fingerprint;
+        self.loss_checks.retain(|check| !check.is_finished());
+        let undecided = self.loss_checks.len();
+        if undecided > 0 && self.context.state().crashes.may_refuse(request, undecided) {
+            let checks = futures::future::join_all(self.loss_checks.drain(..));
+            if tokio::time::timeout(LOSS_CHECK_TIMEOUT, checks)
+                .await
+                .is_err()
+            {
+                info!(
+                    request = self.request.head.id.as_str(), undecided = undecided;
+                    "sending a request before it is known whether its targets crashed"
+                );
+            }
+        }
+        let state = self.context.state();
+        let is_refused = state.crashes.is_refused(request);
+        if is_refused {
+            self.retry_after = Some(state.crashes.refusal_time_left(now, request));
+        }
+        is_refused
+    }
+
     fn respond(self, response: BufferedResponse) -> Response<Body> {
         let outcome = match response.status.is_success() {
             true => "answered",
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -1,6 +1,7 @@
 //! The context that all parts of a forwarding entry share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +11,7 @@
 use bytes::Bytes;
 use cw_policy::budget::ServiceBudgets;
 use cw_policy::budget::SharedBudget;
+use cw_policy::forward::CrashTracker;
 use cw_policy::forward::DirectoryLog;
 use cw_policy::forward::EntryList;
 use cw_policy::forward::Fleet;
@@ -63,6 +65,10 @@
     pub(super) run_times: RunTimes,
     /// The share of requests that have to wait for others.
     pub(super) standing_queues: StandingQueues,
+    /// The requests that crash the targets that run them.
+    pub(super) crashes: CrashTracker,
+    /// The targets that a `LossCheck` is checking.
+    pub(super) checked_targets: BTreeSet<TargetId>,
     /// The budgets for repeated sends.
     pub(super) budgets: ServiceBudgets,
     /// The other entries.
@@ -118,6 +124,8 @@
             peer_prompts: PromptLocations::new(PromptLocationLimits::default()),
             run_times: RunTimes::default(),
             standing_queues: StandingQueues::default(),
+            crashes: CrashTracker::default(),
+            checked_targets: BTreeSet::new(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
             entry_list: EntryList::default(),
             rng: SmallRng::seed_from_u64(rand::random()),
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -21,6 +21,7 @@
 use super::ForwardListen;
 use super::ForwardSettings;
 use super::caller_api::CallerApi;
+use super::crash_evidence_state::CrashEvidenceState;
 use super::directory_sync::DirectorySync;
 use super::directory_sync::Topic;
 use super::directory_sync::set_target_count;
@@ -30,7 +31,9 @@
 use super::operator_api::OperatorApi;
 use super::peer_api::PeerApi;
 use super::peer_exchange::PeerExchange;
-use super::prompt_location_store::PromptLocationStore;
+use super::prompt_location_state::PromptLocationState;
+use super::state_store::SharedState;
+use super::state_store::StateStore;
 
 /// The maximum number of concurrent caller connections. A process has about four thousand file
 /// descriptors.
@@ -182,14 +185,21 @@
         };
         registry.run()
     });
-    let (task_context, task_store) = (Arc::clone(context), Arc::clone(store));
-    supervisor.supervise("ledger", move || {
-        let locations = PromptLocationStore {
-            context: Arc::clone(&task_context),
-            store: Arc::clone(&task_store),
-        };
-        locations.run()
-    });
+    for name in ["ledger", "crashes"] {
+        let (context, store) = (Arc::clone(context), Arc::clone(store));
+        supervisor.supervise(name, move || {
+            let state: Box<dyn SharedState> = match name {
+                "ledger" => Box::<PromptLocationState>::default(),
+                _ => Box::<CrashEvidenceState>::default(),
+            };
+            let store = StateStore {
+                context: Arc::clone(&context),
+                store: Arc::clone(&store),
+                state,
+            };
+            store.run()
+        });
+    }
     let task_context = Arc::clone(context);
     supervisor.supervise("upkeep", move || {
         expire_periodically(Arc::clone(&task_context))
@@ -265,6 +275,7 @@
             info!(entry = host.as_str(); "no more messages from another entry");
         }
         set_target_count(&context, state.fleet.len());
+        state.crashes.expire(now);
         state.own_prompts.expire(now);
         state.peer_prompts.expire(now);
         let ForwardState {
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -3,16 +3,22 @@
 use std::sync::Arc;
 
 use cw_policy::forward::Demand;
+use cw_policy::forward::SendEnd;
+use cw_policy::forward::SendId;
 use cw_types::TargetId;
+use cw_wire::Fingerprint;
 
 use super::forward_context::ForwardContext;
 
-/// Counts a request in the load of its target.
+/// Counts a request in the load of its target, and among the suspects if the target crashes.
 pub(super) struct RequestGuard {
     context: Arc<ForwardContext>,
     target: TargetId,
     demand: Demand,
     began: bool,
+    /// The send, once the request is on its way to the target.
+    send: Option<SendId>,
+    end: SendEnd,
 }
 
 impl RequestGuard {
@@ -31,6 +37,37 @@
             target: target.clone(),
             demand,
             began: false,
+            send: None,
+            end: SendEnd::Unanswered,
+        }
+    }
+
+    /// Records that the request is on its way to the target, which it may crash from now on.
+    pub(super) fn mark_sent(&mut self, fingerprint: Fingerprint) {
+        if self.send.is_some() {
+            return;
+        }
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let state = &mut *state;
+        let incarnation = state.fleet.incarnation(&self.target);
+        let crashes = &mut state.crashes;
+        let send = crashes.record_send(now, &self.target, incarnation, fingerprint);
+        self.send = Some(send);
+    }
+
+    /// Records that the target has completed its answer, or has refused the request.
+    pub(super) fn mark_answered(&mut self) {
+        self.end = SendEnd::Answered;
+    }
+
+    /// Records that the request did not reach the target.
+    pub(super) fn mark_not_sent(&mut self) {
+        if let Some(send) = self.send.take() {
+            let now = self.context.now();
+            let mut state = self.context.state();
+            let crashes = &mut state.crashes;
+            crashes.record_end(now, &self.target, send, SendEnd::NotSent);
         }
     }
 
@@ -51,6 +88,10 @@
         let mut state = self.context.state();
         let fleet = &mut state.fleet;
         fleet.record_end(now, &self.target, self.demand, self.began);
+        if let Some(send) = self.send {
+            let crashes = &mut state.crashes;
+            crashes.record_end(now, &self.target, send, self.end);
+        }
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -4,16 +4,20 @@
 //!   entries, and the background tasks.
 //! - `CallerApi` accepts requests, and an `ExchangeDriver` drives each one by the decisions of its
 //!   [`cw_policy::forward::Exchange`].
+//! - `LossCheck` finds out whether a target that did not answer has crashed, and records which
+//!   requests may be the cause.
 //! - `ConnectionPool` holds idle connections to targets.
 //! - `EntryRegistry` finds the other entries, and `PeerExchange` exchanges load and directory
 //!   changes with them.
-//! - `PromptLocationStore` persists the targets that have read recent prompts, in case all entries
-//!   fail together.
+//! - `StateStore` persists state that the entries share, in case all of them fail together: the
+//!   targets that have read recent prompts (`PromptLocationState`), and the evidence against requests
+//!   that crash targets (`CrashEvidenceState`).
 //! - `DirectorySync` keeps the configuration and the targets in sync with the key-value service.
 
 mod caller_api;
 mod connection_pool;
 mod copy_renewal;
+mod crash_evidence_state;
 mod directory_sync;
 mod entry_registry;
 mod exchange_driver;
@@ -22,14 +26,16 @@
 mod forward_settings;
 mod forwarder;
 mod guards;
+mod loss_check;
 mod operator_api;
 mod peer_api;
 mod peer_exchange;
 mod placement_choice;
-mod prompt_location_store;
+mod prompt_location_state;
 mod response;
 mod send_outcome;
 mod sending;
+mod state_store;
 mod streaming;
 mod target_connection;
 
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -95,6 +95,7 @@
             directory,
             prompts: state.own_prompts.recorded_since(last_sent),
             lost: state.fleet.lost_since(last_sent),
+            crashes: state.crashes.news(now),
         }
     }
 
@@ -153,11 +154,28 @@
         }
     }
 
+    /// Applies the crashes that another entry tells. Crashes that both have seen are told back, with
+    /// the requests of this entry.
+    fn receive_crashes(&self, now: Time, state: &mut ForwardState, message: &OutstandingWork) {
+        if message.crashes.is_empty() || !state.crashes.receive(now, &message.crashes) {
+            return;
+        }
+        info!(
+            entry = message.host.as_str(),
+            crashes = message.crashes.crashes.len(),
+            cleared = message.crashes.cleared.len();
+            "received evidence of requests that crash targets"
+        );
+    }
+
     fn receive(&self, message: &OutstandingWork, from: SocketAddr) {
         let now = self.context.now();
         let mut state = self.context.state();
         state.entry_list.record_message(now, &message.host, from);
         let before = state.fleet.peer_count();
+        if !state.fleet.knows_peer(&message.host, message.incarnation) {
+            state.crashes.record_new_entry(now);
+        }
         if state.fleet.receive_peer(now, message) {
             if let Some(update) = &message.directory {
                 self.receive_directory(now, &mut state, update);
@@ -165,6 +183,7 @@
             for prompt in &message.prompts {
                 state.peer_prompts.record(now, *prompt);
             }
+            self.receive_crashes(now, &mut state, message);
         }
         if state.fleet.peer_count() > before {
             self.context.update_entries(now, &mut state);
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -27,6 +27,7 @@
 use super::exchange_driver::ExchangeDriver;
 use super::guards::CopyGuard;
 use super::guards::RequestGuard;
+use super::loss_check::record_crash;
 use super::placement_choice::PlacementChoice;
 use super::response::BufferedResponse;
 use super::send_outcome::ActiveSend;
@@ -80,6 +81,10 @@
         if now >= deadline {
             return SendOutcome::Event(ExchangeEvent::Expired);
         }
+        if self.crashes_targets(now).await {
+            return SendOutcome::Event(ExchangeEvent::CrashesTargets);
+        }
+        let now = self.context.now();
         let (placement, resumed) = match self.place(now, resume) {
             PlacementChoice::Send(placement, resumed) => (placement, resumed),
             PlacementChoice::NoTarget => return SendOutcome::Event(ExchangeEvent::NoTarget),
@@ -140,7 +145,7 @@
         let demand = self.request.head.demand;
         // The guard is acquired before the first await, so that the next selection counts this
         // request.
-        let guard = RequestGuard::acquire(&self.context, id, demand);
+        let mut guard = RequestGuard::acquire(&self.context, id, demand);
         let keeper = destination.placement.keeper.as_ref();
         let copy_guard = keeper.map(|keeper| CopyGuard::acquire(&self.context, keeper, demand));
         let pooled = self.context.pool.take(now, id, destination.address).await;
@@ -150,6 +155,7 @@
         } = pooled.map_err(|error| self.on_unreachable(id, &error))?;
         let mut may_have_run = false;
         loop {
+            guard.mark_sent(self.fingerprint);
             let request = self.build_request(now, destination);
             let error = match self
                 .in_time(destination.give_up_at, connection.send(request))
@@ -168,10 +174,15 @@
             };
             self.log_break(&error);
             match self.after_break(&error, reused) {
-                AfterBreak::Reconnect => {}
+                AfterBreak::Reconnect => guard.mark_not_sent(),
                 AfterBreak::Repeat if self.spend_repeat(now) => may_have_run = true,
                 AfterBreak::Repeat => return Err(ExchangeEvent::Lost(Fault::Broken)),
-                AfterBreak::End(event) => return Err(event),
+                AfterBreak::End(event) => {
+                    if matches!(event, ExchangeEvent::NotRun(_)) {
+                        guard.mark_not_sent();
+                    }
+                    return Err(event);
+                }
             }
             self.context.pool.close(id);
             let reconnected = TargetConnection::connect(destination.address).await;
@@ -195,6 +206,9 @@
             target_id = id.as_str();
             "failed to connect to a target: {error}"
         );
+        if error.is_refused() {
+            record_crash(&self.context, id, "a refused connection");
+        }
         ExchangeEvent::NotRun(Fault::Unreachable)
     }
 
@@ -226,13 +240,16 @@
     async fn receive(
         &mut self,
         destination: &Destination,
-        active: ActiveSend,
+        mut active: ActiveSend,
         response: Response<Incoming>,
     ) -> SendOutcome {
         let resumed = destination.resume_from.is_some();
         let (parts, body) = response.into_parts();
         let answer = self.context.dialect.parse_response(&parts);
         if let Some(event) = self.mismatch_event(&answer, resumed) {
+            if !matches!(event, ExchangeEvent::Lost(_)) {
+                active.guard.mark_answered();
+            }
             return SendOutcome::Event(after_earlier_run(event, active.may_have_run));
         }
         if let Some(load) = answer.load {
@@ -329,6 +346,7 @@
             Err(event) => return SendOutcome::Event(event),
         };
         active.guard.mark_begun();
+        self.record_completion(&mut active);
         self.release_connection(active, reuse);
         let answer = BufferedResponse { body, ..head };
         match answer.status.is_server_error() {
@@ -337,6 +355,14 @@
         }
     }
 
+    /// Records that a target has run the request to its end.
+    pub(super) fn record_completion(&self, active: &mut ActiveSend) {
+        active.guard.mark_answered();
+        let now = self.context.now();
+        let mut state = self.context.state();
+        state.crashes.record_completion(now, self.fingerprint);
+    }
+
     /// Returns the connection of a completed request to the pool, if the target keeps it open.
     pub(super) fn release_connection(&self, active: ActiveSend, reuse: Reuse) {
         let Reuse::Idle(idle) = reuse else {
@@ -369,6 +395,7 @@
                 // The caller already has the last event, and nothing follows it.
                 Ok(None) if self.request.events.may_end() => {
                     active.guard.mark_begun();
+                    self.record_completion(&mut active);
                     self.release_connection(active, reuse);
                     return SendOutcome::StreamEnd(head);
                 }
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -93,6 +93,7 @@
             let event = match end {
                 TargetStreamEnd::Complete => {
                     self.record_run();
+                    self.record_completion(&mut stream.active);
                     self.drop_copy();
                     self.release_connection(stream.active, stream.reuse);
                     return Ok("answered");
@@ -159,11 +160,20 @@
         let timer = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(timer);
         let mut renewal = CopyRenewal::default();
+        let mut is_cleared = false;
         loop {
             if self.should_move(last_received) {
                 return TargetStreamEnd::Event(ExchangeEvent::Leaving);
             }
             if self.has_run_long_enough(last_received) {
+                if !is_cleared {
+                    // A request that crashes its targets does so when they begin to run it.
+                    is_cleared = true;
+                    let mut state = self.context.state();
+                    state
+                        .crashes
+                        .record_completion(last_received, self.fingerprint);
+                }
                 self.maintain_copy(last_received, &mut renewal);
             }
             let until = self
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -53,6 +53,17 @@
     },
 }
 
+impl ConnectError {
+    /// Returns whether the host of the target answered that nothing listens at the address.
+    pub(super) fn is_refused(&self) -> bool {
+        let ConnectError::Connect { source } = self else {
+            return false;
+        };
+        let kind = source.kind();
+        kind == io::ErrorKind::ConnectionRefused || kind == io::ErrorKind::ConnectionReset
+    }
+}
+
 /// A connection for one request at a time. Dropping it closes the connection, which cancels the
 /// request.
 #[derive(Debug)]
