--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -267,7 +267,9 @@
         let mut crashes = Vec::new();
         let mut count = 0;
         for crash in self.table.crashes() {
-            let is_repeated = |request: &&Fingerprint| self.crash_count(**request) > 1;
+            let is_repeated = |request: &&Fingerprint| {
+                self.table.is_repeated(**request) && self.crash_count(**request) > 1
+            };
             let suspects: Vec<Fingerprint> =
                 crash.suspects.iter().filter(is_repeated).copied().collect();
             count += suspects.len();
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -49,14 +49,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspicionTable {
     limits: SuspicionLimits,
-    /// The crashes in the order of their arrival.
-    order: VecDeque<CrashId>,
-    crashes: BTreeMap<CrashId, Crash>,
-    by_request: BTreeMap<Fingerprint, BTreeSet<CrashId>>,
+    /// The crashes, numbered in the order of their arrival.
+    crashes: BTreeMap<u64, Crash>,
+    numbers: BTreeMap<CrashId, u64>,
+    next_number: u64,
+    by_request: BTreeMap<Fingerprint, Vec<u64>>,
     /// The crashes for which it is not decided yet whether they belong to a mass failure.
-    unsettled: VecDeque<CrashId>,
+    unsettled: VecDeque<u64>,
     /// The crashes that belong to a mass failure and have no suspects any more.
-    mass_failures: VecDeque<CrashId>,
+    mass_failures: VecDeque<u64>,
     last_crashes: BTreeMap<TargetId, LastCrash>,
     confirmed: BTreeSet<Fingerprint>,
     /// How many suspected requests this entry has in flight at each target.
@@ -92,36 +93,47 @@
         if crash.suspects.len() > self.limits.max_suspects {
             return false;
         }
-        if !self.crashes.contains_key(&crash.id) {
-            if self.crashes.len() >= self.limits.max_crashes {
-                self.remove_oldest();
-            }
-            self.order.push_back(crash.id.clone());
-            self.unsettled.push_back(crash.id.clone());
-        }
+        let number = self.number_of(&crash.id);
+        let mut is_new = false;
         for suspect in &crash.suspects {
             let numbers = self.by_request.entry(*suspect).or_default();
-            numbers.insert(crash.id.clone());
+            if !numbers.contains(&number) {
+                numbers.push(number);
+                is_new = true;
+            }
         }
-        match self.crashes.entry(crash.id.clone()) {
+        match self.crashes.entry(number) {
             Entry::Vacant(vacant) => {
                 vacant.insert(crash);
                 true
             }
             Entry::Occupied(mut known) => {
-                let known = &mut known.get_mut().suspects;
-                let before = known.len();
-                known.extend(crash.suspects);
-                known.len() > before
+                known.get_mut().suspects.extend(crash.suspects);
+                is_new
             }
         }
     }
 
+    /// Returns the number of a crash, a new one if the crash is not known yet.
+    fn number_of(&mut self, id: &CrashId) -> u64 {
+        if let Some(number) = self.numbers.get(id) {
+            return *number;
+        }
+        if self.crashes.len() >= self.limits.max_crashes {
+            self.remove_oldest();
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        self.numbers.insert(id.clone(), number);
+        self.unsettled.push_back(number);
+        number
+    }
+
     /// Records that a request has completed, so that no crash counts against it any more.
     pub fn record_completion(&mut self, request: Fingerprint) {
         self.confirmed.remove(&request);
-        for id in self.by_request.remove(&request).unwrap_or_default() {
-            if let Some(crash) = self.crashes.get_mut(&id) {
+        for number in self.by_request.remove(&request).unwrap_or_default() {
+            if let Some(crash) = self.crashes.get_mut(&number) {
                 crash.suspects.remove(&request);
             }
         }
@@ -130,8 +142,9 @@
     /// Returns the crashes that count as evidence against a request, those in a mass failure left
     /// out.
     fn evidence(&self, request: Fingerprint) -> Vec<&Crash> {
-        let ids = self.by_request.get(&request).into_iter().flatten();
-        ids.filter_map(|id| self.crashes.get(id))
+        let numbers = self.by_request.get(&request).into_iter().flatten();
+        numbers
+            .filter_map(|number| self.crashes.get(number))
             .filter(|crash| !self.is_mass_failure(crash, Some(request)))
             .collect()
     }
@@ -187,7 +200,13 @@
 
     /// Returns what the table knows of a crash.
     pub fn crash(&self, id: &CrashId) -> Option<&Crash> {
-        self.crashes.get(id)
+        self.crashes.get(self.numbers.get(id)?)
+    }
+
+    /// Returns whether a request was in flight at several crashes, in mass failures or not.
+    pub fn is_repeated(&self, request: Fingerprint) -> bool {
+        let numbers = self.by_request.get(&request);
+        numbers.is_some_and(|numbers| numbers.len() > 1)
     }
 
     /// Records that this entry has confirmed a request as the cause of crashes.
@@ -261,9 +280,8 @@
     pub fn expire(&mut self, now: Time) {
         self.settle(now);
         let retention = self.limits.retention;
-        while let Some(oldest) = self.order.front() {
-            let crash = self.crashes.get(oldest);
-            if crash.is_some_and(|crash| now.since(crash.at) <= retention) {
+        while let Some((_, oldest)) = self.crashes.first_key_value() {
+            if now.since(oldest.at) <= retention {
                 return;
             }
             self.remove_oldest();
@@ -274,71 +292,71 @@
     /// known, and later removes them. Otherwise they would displace the crashes that requests
     /// cause.
     fn settle(&mut self, now: Time) {
-        let age_of = |crashes: &BTreeMap<CrashId, Crash>, id: &CrashId| {
-            crashes.get(id).map(|crash| now.since(crash.at))
-        };
-        while let Some(id) = self.unsettled.front() {
-            if age_of(&self.crashes, id).is_some_and(|age| age <= self.limits.mass_window * 2) {
+        let window = self.limits.mass_window;
+        while let Some(number) = self.unsettled.front().copied() {
+            if self.is_younger(now, number, window * 2) {
                 break;
             }
-            if let Some(id) = self.unsettled.pop_front() {
-                self.clear_mass_suspects(&id);
-            }
+            self.unsettled.pop_front();
+            self.clear_mass_suspects(number);
         }
         // The crashes near one of these are settled by then.
-        while let Some(id) = self.mass_failures.front() {
-            if age_of(&self.crashes, id).is_some_and(|age| age <= self.limits.mass_window * 4) {
+        while let Some(number) = self.mass_failures.front().copied() {
+            if self.is_younger(now, number, window * 4) {
                 break;
             }
-            if let Some(id) = self.mass_failures.pop_front() {
-                self.remove(&id);
-                self.order.retain(|other| *other != id);
-            }
+            self.mass_failures.pop_front();
+            self.remove(number);
         }
     }
 
-    fn clear_mass_suspects(&mut self, id: &CrashId) {
-        let Some(crash) = self.crashes.get(id) else {
+    fn is_younger(&self, now: Time, number: u64, age: Duration) -> bool {
+        let crash = self.crashes.get(&number);
+        crash.is_some_and(|crash| now.since(crash.at) <= age)
+    }
+
+    fn clear_mass_suspects(&mut self, number: u64) {
+        let Some(crash) = self.crashes.get(&number) else {
             return;
         };
         let suspects = crash.suspects.iter().copied();
-        let innocent: Vec<Fingerprint> = suspects
+        let innocent: BTreeSet<Fingerprint> = suspects
             .filter(|suspect| self.is_mass_failure(crash, Some(*suspect)))
             .collect();
-        let Some(crash) = self.crashes.get_mut(id) else {
-            return;
-        };
-        crash.suspects.retain(|suspect| !innocent.contains(suspect));
-        if crash.suspects.is_empty() {
-            self.mass_failures.push_back(id.clone());
+        if let Some(crash) = self.crashes.get_mut(&number) {
+            crash.suspects.retain(|suspect| !innocent.contains(suspect));
+            if crash.suspects.is_empty() {
+                self.mass_failures.push_back(number);
+            }
         }
         for request in innocent {
-            if let Some(ids) = self.by_request.get_mut(&request) {
-                ids.remove(id);
-                if ids.is_empty() {
-                    self.by_request.remove(&request);
-                }
-            }
+            self.forget_crash(request, number);
         }
     }
 
     fn remove_oldest(&mut self) {
-        if let Some(id) = self.order.pop_front() {
-            self.remove(&id);
+        if let Some((number, _)) = self.crashes.first_key_value() {
+            self.remove(*number);
         }
     }
 
-    fn remove(&mut self, id: &CrashId) {
-        let Some(crash) = self.crashes.remove(id) else {
+    fn remove(&mut self, number: u64) {
+        let Some(crash) = self.crashes.remove(&number) else {
             return;
         };
-        for suspect in &crash.suspects {
-            if let Some(ids) = self.by_request.get_mut(suspect) {
-                ids.remove(id);
-                if ids.is_empty() {
-                    self.by_request.remove(suspect);
-                    self.confirmed.remove(suspect);
-                }
+        self.numbers.remove(&crash.id);
+        for suspect in crash.suspects {
+            self.forget_crash(suspect, number);
+        }
+    }
+
+    /// Removes a crash from those of a request.
+    fn forget_crash(&mut self, request: Fingerprint, number: u64) {
+        if let Some(numbers) = self.by_request.get_mut(&request) {
+            numbers.retain(|other| *other != number);
+            if numbers.is_empty() {
+                self.by_request.remove(&request);
+                self.confirmed.remove(&request);
             }
         }
     }
