Hold state of entries and sends to one incarnation by one rule

A datagram of an entry's earlier process that arrives after its successor's first one replaced the successor's load, losses and watcher role: only sequence numbers within one incarnation were compared, so any other incarnation counted as new. An operator could see targets avoided or crowded until the successor's next message.

CurrentIncarnation is the rule as one type: a later incarnation ends the state of the one before, an earlier one changes nothing. The messages of other entries and the sends to each target use it. Once an entry's last message has expired any incarnation counts again, so an entry whose clock was set back is not locked out.

a_late_message_of_an_earlier_incarnation_is_ignored failed before ('!is_new') and passes.

--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -13,6 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Fleet;
+use crate::CurrentIncarnation;
+use crate::IncarnationOrder;
 
 /// How long a target stays suspected after its last reported loss. Engines that crashed are usually
 /// back within two seconds.
@@ -51,7 +53,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     received_at: Time,
-    incarnation: Incarnation,
+    incarnation: CurrentIncarnation,
     sequence: u64,
     shares: BTreeMap<TargetHash, TargetShare>,
     /// Whether the entry watches the directory and the directory answers it.
@@ -87,15 +89,19 @@
     /// Processes a message of another entry. Returns false for a duplicate or outdated message.
     pub fn receive_peer(&mut self, now: Time, message: &OutstandingWork) -> bool {
         let known = self.peers.peers.get(&message.host);
-        let is_stale = known.is_some_and(|peer| {
-            peer.incarnation == message.incarnation && peer.sequence >= message.sequence
-        });
-        if is_stale {
+        // Once the last message of an entry has expired, any incarnation counts: the clock of its host
+        // may have been set back before it started again.
+        let is_stale = |peer: &Peer| match peer.incarnation.order(message.incarnation) {
+            IncarnationOrder::Same => peer.sequence >= message.sequence,
+            IncarnationOrder::Earlier => true,
+            IncarnationOrder::Later => false,
+        };
+        if known.is_some_and(is_stale) {
             return false;
         }
         let peer = Peer {
             received_at: now,
-            incarnation: message.incarnation,
+            incarnation: CurrentIncarnation::new(message.incarnation),
             sequence: message.sequence,
             shares: message.shares.iter().copied().collect(),
             watching: message.directory.as_ref().is_some_and(|update| update.up),
@@ -121,7 +127,7 @@
     /// Returns whether the last message of an entry is valid and of this incarnation.
     pub fn knows_peer(&self, host: &HostId, incarnation: Incarnation) -> bool {
         let known = self.peers.peers.get(host);
-        known.is_some_and(|peer| peer.incarnation == incarnation)
+        known.is_some_and(|peer| peer.incarnation.get() == incarnation)
     }
 
     /// Drops the entries whose last message is no longer valid, and returns their hosts.
--- a/crates/cw_policy/src/forward/target_sends.rs
+++ b/crates/cw_policy/src/forward/target_sends.rs
@@ -9,6 +9,9 @@
 use cw_types::Time;
 use cw_wire::Fingerprint;
 
+use crate::CurrentIncarnation;
+use crate::IncarnationOrder;
+
 /// How long a send that ended without an answer is kept. By then the directory has removed a target
 /// that stopped.
 const UNANSWERED_TTL: Duration = Duration::from_secs(6);
@@ -38,7 +41,7 @@
 /// The sends to one incarnation of a target. Nothing of it applies to a later one.
 #[derive(Clone, Debug, Default)]
 struct IncarnationSends {
-    incarnation: Incarnation,
+    incarnation: CurrentIncarnation,
     in_flight: BTreeMap<SendId, Send>,
     /// The ends of sends without an answer, after which the target has not answered any other send.
     unanswered: BTreeMap<Fingerprint, Time>,
@@ -63,16 +66,18 @@
         let id = SendId(self.next);
         self.next += 1;
         let sends = self.targets.entry(target.clone()).or_default();
-        if sends.incarnation != incarnation {
-            *sends = IncarnationSends {
-                incarnation,
-                ..IncarnationSends::default()
-            };
-        }
         let send = Send {
             request,
             sent_at: now,
         };
+        match sends.incarnation.observe(incarnation) {
+            IncarnationOrder::Same => {}
+            IncarnationOrder::Later => {
+                sends.in_flight.clear();
+                sends.unanswered.clear();
+            }
+            IncarnationOrder::Earlier => return id,
+        }
         sends.in_flight.insert(id, send);
         id
     }
@@ -112,7 +117,7 @@
         incarnation: Incarnation,
     ) -> BTreeSet<Fingerprint> {
         match self.targets.get(target) {
-            Some(sends) if sends.incarnation == incarnation => {}
+            Some(sends) if sends.incarnation.get() == incarnation => {}
             _ => return BTreeSet::new(),
         }
         let sends = self.targets.remove(target).unwrap_or_default();
--- a/crates/cw_policy/src/lib.rs
+++ b/crates/cw_policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`budget`]: the limits on sending requests more than once, and backoff.
 //! - [`ClaimWrite`]: the write of an idempotency key's claim.
 //! - [`SuspicionTable`]: the detection of requests that crash their targets.
+//! - [`CurrentIncarnation`]: the rule for state that ends with the incarnation that it belongs to.
 //! - [`AttemptTable`]: the attempts at one target, tracked by its agent, including
 //!   [`AdmissionControl`].
 //! - [`OrderGuard`]: the check of orders at an agent before they reach the engine.
@@ -29,6 +30,7 @@
 pub mod budget;
 mod claim;
 pub mod configuration;
+mod current_incarnation;
 pub mod forward;
 mod generation;
 pub mod membership;
@@ -69,6 +71,8 @@
 pub use claim::ClaimStep;
 pub use claim::ClaimWrite;
 pub use claim::StoredAnswer;
+pub use current_incarnation::CurrentIncarnation;
+pub use current_incarnation::IncarnationOrder;
 pub use generation::DropReason;
 pub use generation::Effect;
 pub use generation::Event;
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -111,6 +111,42 @@
     assert!(fleet.receive_peer(at(5), &restarted));
 }
 
+/// Guards against a datagram of an entry's earlier process that arrives after its successor's first
+/// one: the load that it tells would stay until the successor sends again, and so would a loss.
+#[test]
+fn a_late_message_of_an_earlier_incarnation_is_ignored() {
+    let mut fleet = fleet(1, 4);
+    let restarted = OutstandingWork {
+        incarnation: Incarnation(2),
+        ..message("a", 1)
+    };
+    fleet.receive_peer(at(0), &restarted);
+
+    let late = OutstandingWork {
+        lost: vec![TargetHash::from(&engine(0, 1))],
+        ..message_with_unread_prompt("a", 90)
+    };
+    let is_new = fleet.receive_peer(at(5), &late);
+
+    assert!(!is_new);
+    assert!(count_choices(&fleet, 10) > 0);
+    assert!(!fleet.is_suspect(at(10), &engine(0, 1)));
+}
+
+/// Guards against locking an entry out whose clock was set back before it started again.
+#[test]
+fn an_entry_with_an_earlier_clock_is_heard_once_its_last_message_has_expired() {
+    let mut fleet = fleet(1, 4);
+    fleet.receive_peer(at(0), &message("a", 90));
+    fleet.expire_peers(at(2000));
+    let restarted = OutstandingWork {
+        incarnation: Incarnation(0),
+        ..message("a", 1)
+    };
+
+    assert!(fleet.receive_peer(at(2000), &restarted));
+}
+
 #[test]
 fn the_load_of_a_stopped_entry_is_dropped() {
     let mut fleet = fleet(1, 4);
