Apply what is told of a target to its incarnation only

An engine may start again under the id that it had, and then holds and knows nothing of before. Load, losses and prompt locations that other entries tell were kept under a hash of the id, so they applied to the new incarnation: it was crowded or avoided for what the one before had, and requests were sent to it for prompts that it had not read. A request that was lost with the earlier incarnation and failed only after the restart gave the new one a penalty and a backoff.

The hash covers the start time now, and a failure counts only for the incarnation that the request was sent to. The outstanding load of this entry itself stays as it was: its requests end with their connections, within milliseconds, and their guards take it back. Copies of runs already followed the rule. Idle connections are not covered: a dead one shows when the engine's host answers, and none is kept for more than two seconds.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -9,6 +9,7 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
+use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
 use super::Demand;
@@ -17,6 +18,8 @@
 use super::ReportedLoad;
 use super::member::Member;
 use super::peers::Peers;
+use crate::CurrentIncarnation;
+use crate::IncarnationOrder;
 
 /// The minimum number of targets of one availability zone that must be lost within
 /// [`ZONE_LOSS_WINDOW`] to count as a loss of the zone.
@@ -117,6 +120,7 @@
             }
             Some(member) => {
                 member.restart(now, listing);
+                member.peers = self.peers.total_at(member.hash);
                 true
             }
             None => {
@@ -270,11 +274,23 @@
         }
     }
 
-    /// Records a failure at a target.
-    pub fn record_failure(&mut self, now: Time, id: &TargetId, fault: Fault) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.record_failure(now, fault);
+    /// Records a failure of a request that was sent to an incarnation of a target. It says nothing
+    /// about a later one.
+    pub fn record_failure(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        incarnation: Incarnation,
+        fault: Fault,
+    ) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        let current = CurrentIncarnation::new(member.listing.incarnation());
+        if current.order(incarnation) == IncarnationOrder::Earlier {
+            return;
         }
+        member.record_failure(now, fault);
         self.record_zone_loss(now, id);
     }
 
@@ -343,6 +359,11 @@
         listing.map(Listing::incarnation).unwrap_or_default()
     }
 
+    /// Returns the hash that identifies the incarnation of a target that the directory lists.
+    pub fn hash(&self, id: &TargetId) -> Option<TargetHash> {
+        self.listing(id).map(Listing::hash)
+    }
+
     /// Returns whether runs at this target should move to another one.
     pub fn is_leaving(&self, id: &TargetId) -> bool {
         self.members
--- a/crates/cw_policy/src/forward/listing.rs
+++ b/crates/cw_policy/src/forward/listing.rs
@@ -6,6 +6,7 @@
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::ZoneId;
+use cw_wire::TargetHash;
 
 /// The directory's record of one target.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +35,11 @@
         Incarnation(self.started.unwrap_or_default())
     }
 
+    /// Returns the hash that identifies this incarnation in messages between entries.
+    pub fn hash(&self) -> TargetHash {
+        TargetHash::of_incarnation(&self.id, self.incarnation())
+    }
+
     /// Returns whether `other` describes the same instance of the same target, without a restart.
     pub fn is_same_instance(&self, other: &Listing) -> bool {
         self.started == other.started
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) listing: Listing,
-    /// The hash that identifies the target in messages between entries.
+    /// The hash that identifies this incarnation in messages between entries.
     pub(super) hash: TargetHash,
     /// The number of this entry's requests at the target.
     pub(super) runs: u32,
@@ -130,7 +130,7 @@
 impl Member {
     pub(super) fn new(now: Time, listing: Listing) -> Self {
         Self {
-            hash: TargetHash::from(&listing.id),
+            hash: listing.hash(),
             listing,
             runs: 0,
             unread: 0,
@@ -154,15 +154,15 @@
         }
     }
 
-    /// Resets the state after a restart under the same id. Only the outstanding load and the
-    /// preference remain.
+    /// Resets the state after a restart under the same id. Only the preference remains, and the
+    /// outstanding load of this entry, whose requests end with the connections to the incarnation
+    /// before.
     pub(super) fn restart(&mut self, now: Time, listing: Listing) {
         *self = Self {
             runs: self.runs,
             unread: self.unread,
             copies: self.copies,
             tokens: self.tokens,
-            peers: self.peers,
             preferred: self.preferred,
             ..Self::new(now, listing)
         };
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use cw_types::Incarnation;
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -77,6 +78,8 @@
 pub struct Placement {
     /// The target that runs the request.
     pub target: TargetId,
+    /// The incarnation of the target at the time of the choice.
+    pub incarnation: Incarnation,
     /// The target that keeps a copy of the run, if there is one.
     pub keeper: Option<TargetId>,
 }
@@ -100,7 +103,11 @@
             .wants_copy
             .then(|| self.select_keeper(now, requirements, &target, rng))
             .flatten();
-        Some(Placement { target, keeper })
+        Some(Placement {
+            incarnation: self.incarnation(&target),
+            target,
+            keeper,
+        })
     }
 
     /// Selects the target that keeps a copy of a run at `target`. It has free memory, and is in
--- a/crates/cw_policy/tests/forward/fixtures.rs
+++ b/crates/cw_policy/tests/forward/fixtures.rs
@@ -12,6 +12,7 @@
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Requirements;
+use cw_types::Incarnation;
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -110,5 +111,9 @@
 }
 
 pub(crate) fn placement(target: TargetId, keeper: Option<TargetId>) -> Placement {
-    Placement { target, keeper }
+    Placement {
+        target,
+        incarnation: Incarnation(1),
+        keeper,
+    }
 }
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -11,6 +11,7 @@
 use crate::fixtures::engine;
 use crate::fixtures::fleet;
 use crate::fixtures::listing;
+use cw_types::Incarnation;
 
 #[test]
 fn an_unlisted_target_is_dropped() {
@@ -121,7 +122,7 @@
 fn a_target_that_another_one_replaced_is_not_used_again() {
     let mut fleet = fleet(1, 2);
 
-    fleet.record_failure(at(10), &engine(0, 0), Fault::Replaced);
+    fleet.record_failure(at(10), &engine(0, 0), Incarnation(1), Fault::Replaced);
 
     assert_eq!(
         fleet.usability(at(60_000), &engine(0, 0)),
@@ -138,10 +139,10 @@
             .find(|wait| fleet.is_usable(at(from + wait), &engine(0, 0)))
             .expect("the target becomes usable again")
     };
-    fleet.record_failure(at(0), &engine(0, 0), Fault::Unreachable);
+    fleet.record_failure(at(0), &engine(0, 0), Incarnation(1), Fault::Unreachable);
     let first = backoff(&fleet, 0);
 
-    fleet.record_failure(at(1000), &engine(0, 0), Fault::Unreachable);
+    fleet.record_failure(at(1000), &engine(0, 0), Incarnation(1), Fault::Unreachable);
     let second = backoff(&fleet, 1000);
 
     assert!(first > 0 && second > first, "{first} ms, then {second} ms");
@@ -166,7 +167,12 @@
 fn targets_of_a_lost_zone_are_suspect_until_they_respond() {
     let mut fleet = fleet(2, 6);
     for number in 0..3 {
-        fleet.record_failure(at(10_000), &engine(0, number), Fault::Silent);
+        fleet.record_failure(
+            at(10_000),
+            &engine(0, number),
+            Incarnation(1),
+            Fault::Silent,
+        );
     }
 
     assert!(fleet.is_suspect(at(10_100), &engine(0, 5)));
@@ -179,7 +185,12 @@
 fn targets_of_a_lost_zone_are_trusted_again_after_the_directory_would_have_dropped_them() {
     let mut fleet = fleet(2, 6);
     for number in 0..3 {
-        fleet.record_failure(at(10_000), &engine(0, number), Fault::Silent);
+        fleet.record_failure(
+            at(10_000),
+            &engine(0, number),
+            Incarnation(1),
+            Fault::Silent,
+        );
     }
 
     let later = at(10_000) + Duration::from_secs(5);
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use cw_policy::forward::EntryList;
+use cw_policy::forward::Fault;
 use cw_policy::forward::Fleet;
+use cw_policy::forward::Listing;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_wire::CrashNews;
@@ -19,6 +21,7 @@
 use crate::fixtures::at;
 use crate::fixtures::engine;
 use crate::fixtures::fleet;
+use crate::fixtures::listing;
 use crate::fixtures::name;
 
 fn message(host: &str, sequence: u64) -> OutstandingWork {
@@ -49,7 +52,10 @@
         tokens: 9000,
     };
     OutstandingWork {
-        shares: vec![(TargetHash::from(&engine(0, 0)), share)],
+        shares: vec![(
+            TargetHash::of_incarnation(&engine(0, 0), Incarnation(1)),
+            share,
+        )],
         ..message(host, sequence)
     }
 }
@@ -123,7 +129,7 @@
     fleet.receive_peer(at(0), &restarted);
 
     let late = OutstandingWork {
-        lost: vec![TargetHash::from(&engine(0, 1))],
+        lost: vec![TargetHash::of_incarnation(&engine(0, 1), Incarnation(1))],
         ..message_with_unread_prompt("a", 90)
     };
     let is_new = fleet.receive_peer(at(5), &late);
@@ -176,7 +182,7 @@
 fn a_loss_reported_by_another_entry_is_believed_but_not_reported_again() {
     let mut fleet = fleet(1, 4);
     let lost = OutstandingWork {
-        lost: vec![TargetHash::from(&engine(0, 0))],
+        lost: vec![TargetHash::of_incarnation(&engine(0, 0), Incarnation(1))],
         ..message("a", 1)
     };
 
@@ -189,6 +195,44 @@
     );
 }
 
+/// Guards against what other entries tell of an engine that has started again under its id since:
+/// they would crowd it with requests that it does not have, or keep all requests away from it.
+#[test]
+fn a_message_about_an_earlier_incarnation_of_a_target_does_not_apply_to_it() {
+    let mut fleet = fleet(1, 2);
+    let restarted = Listing {
+        started: Some(2),
+        ..listing(0, 0)
+    };
+    fleet.record_listing(at(1000), restarted);
+    let message = OutstandingWork {
+        lost: vec![TargetHash::of_incarnation(&engine(0, 0), Incarnation(1))],
+        ..message_with_unread_prompt("a", 1)
+    };
+
+    fleet.receive_peer(at(1010), &message);
+
+    assert!(!fleet.is_suspect(at(1020), &engine(0, 0)));
+    assert!(count_choices(&fleet, 1020) > 0);
+}
+
+/// Guards against a request that was lost with an engine and fails only after the engine has
+/// started again under its id.
+#[test]
+fn a_failure_at_an_earlier_incarnation_says_nothing_about_the_target() {
+    let mut fleet = fleet(1, 2);
+    let restarted = Listing {
+        started: Some(2),
+        ..listing(0, 0)
+    };
+    fleet.record_listing(at(1000), restarted);
+
+    fleet.record_failure(at(1010), &engine(0, 0), Incarnation(1), Fault::Silent);
+
+    assert!(fleet.is_usable(at(1020), &engine(0, 0)));
+    assert!(fleet.lost_since(at(0)).is_empty());
+}
+
 #[test]
 fn two_entries_watch_the_directory_and_one_writes_to_the_store() {
     let hosts = ["a", "b", "c", "d"];
--- a/crates/cw_policy/tests/forward/placement.rs
+++ b/crates/cw_policy/tests/forward/placement.rs
@@ -7,6 +7,7 @@
 use cw_policy::forward::Fleet;
 use cw_policy::forward::Requirements;
 use cw_types::HostId;
+use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_wire::TargetHash;
 use rand::SeedableRng;
@@ -76,7 +77,12 @@
     let mut rng = SmallRng::seed_from_u64(3);
     let request = TestRequest::default();
     for number in 0..4 {
-        fleet.record_failure(at(10_000), &engine(1, number), Fault::Broken);
+        fleet.record_failure(
+            at(10_000),
+            &engine(1, number),
+            Incarnation(1),
+            Fault::Broken,
+        );
     }
 
     for _ in 0..100 {
@@ -140,7 +146,7 @@
     fleet.record_send(at(1000), &reader, DEMAND);
     fleet.record_start(at(900), &reader, DEMAND);
     let requirements = Requirements {
-        reader: Some(TargetHash::from(&reader)),
+        reader: Some(TargetHash::of_incarnation(&reader, Incarnation(1))),
         ..request.requirements()
     };
 
@@ -170,7 +176,7 @@
             .count()
     };
     for _ in 0..4 {
-        fleet.record_failure(at(1000), &engine(0, 0), Fault::Failed);
+        fleet.record_failure(at(1000), &engine(0, 0), Incarnation(1), Fault::Failed);
     }
 
     let soon = share(&fleet, 1100, &mut rng);
@@ -186,7 +192,12 @@
     let mut rng = SmallRng::seed_from_u64(8);
     let request = TestRequest::default();
     for number in 0..2 {
-        fleet.record_failure(at(0), &engine(0, number), Fault::Unreachable);
+        fleet.record_failure(
+            at(0),
+            &engine(0, number),
+            Incarnation(1),
+            Fault::Unreachable,
+        );
     }
 
     assert!(
@@ -216,10 +227,10 @@
     let mut rng = SmallRng::seed_from_u64(10);
     let request = TestRequest::default();
     for number in 0..6 {
-        fleet.record_failure(at(1000), &engine(2, number), Fault::Broken);
+        fleet.record_failure(at(1000), &engine(2, number), Incarnation(1), Fault::Broken);
     }
     let requirements = Requirements {
-        reader: Some(TargetHash::from(&engine(2, 3))),
+        reader: Some(TargetHash::of_incarnation(&engine(2, 3), Incarnation(1))),
         ..request.requirements()
     };
 
--- a/crates/cw_wire/src/load_update.rs
+++ b/crates/cw_wire/src/load_update.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use cw_macro::data;
+use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::TokenCount;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Load;
 
@@ -32,6 +34,14 @@
     }
 }
 
+impl TargetHash {
+    /// Returns the hash of one incarnation of a target, so that what is told of it does not apply to
+    /// a later one.
+    pub fn of_incarnation(target: &TargetId, incarnation: Incarnation) -> Self {
+        Self(xxh3_64_with_seed(target.as_str().as_bytes(), incarnation.0) as u32)
+    }
+}
+
 /// A newer load of a target, quantised so that small values take one byte.
 #[data(Copy, Eq)]
 #[serde(from = "PackedUpdate", into = "PackedUpdate")]
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -176,7 +176,9 @@
             _ => None,
         };
         if let (Some(placed), Some(fault)) = (&placed, fault) {
-            state.fleet.record_failure(now, &placed.target, fault);
+            let (target, incarnation) = (&placed.target, placed.incarnation);
+            let fleet = &mut state.fleet;
+            fleet.record_failure(now, target, incarnation, fault);
             self.context
                 .metrics
                 .record_send(&self.request.service, fault_name(fault));
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -5,6 +5,7 @@
 use cw_policy::forward::Demand;
 use cw_policy::forward::SendEnd;
 use cw_policy::forward::SendId;
+use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_wire::Fingerprint;
 
@@ -43,14 +44,12 @@
     }
 
     /// Records that the request is on its way to the target, which it may crash from now on.
-    pub(super) fn mark_sent(&mut self, fingerprint: Fingerprint) {
+    pub(super) fn mark_sent(&mut self, incarnation: Incarnation, fingerprint: Fingerprint) {
         if self.send.is_some() {
             return;
         }
         let now = self.context.now();
         let mut state = self.context.state();
-        let state = &mut *state;
-        let incarnation = state.fleet.incarnation(&self.target);
         let crashes = &mut state.crashes;
         let send = crashes.record_send(now, &self.target, incarnation, fingerprint);
         self.send = Some(send);
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -54,7 +54,12 @@
                 .fleet
                 .select_keeper(now, &requirements, target, &mut state.rng);
             let target = target.clone();
-            return PlacementChoice::Send(Placement { target, keeper }, true);
+            let placement = Placement {
+                incarnation: state.fleet.incarnation(&target),
+                target,
+                keeper,
+            };
+            return PlacementChoice::Send(placement, true);
         }
         let Some(placement) = state.fleet.place(now, &requirements, &mut state.rng) else {
             return PlacementChoice::NoTarget;
@@ -135,7 +140,7 @@
         let load = state.fleet.load(now, &placement.target);
         let requirements = self.requirements(now, &state);
         let reader = requirements.reader;
-        let is_reader = reader == Some(TargetHash::from(&placement.target));
+        let is_reader = reader.is_some() && reader == state.fleet.hash(&placement.target);
         let found = (state.fleet).backlog(now, &placement.target, &requirements, &state.run_times);
         self.backlog = found;
         info!(
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -15,7 +15,6 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::CachedPrompt;
-use cw_wire::TargetHash;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -98,11 +97,11 @@
         };
         self.record_send(now, &placement, resumed);
         if let Some(prompt) = self.prompt_hash {
-            let target = TargetHash::from(&placement.target);
             let mut state = self.context.state();
-            state
-                .own_prompts
-                .record(now, CachedPrompt { prompt, target });
+            if let Some(target) = state.fleet.hash(&placement.target) {
+                let read = CachedPrompt { prompt, target };
+                state.own_prompts.record(now, read);
+            }
         }
         self.exchange.record_send(now, placement.clone());
         self.sent_at = now;
@@ -155,7 +154,7 @@
         } = pooled.map_err(|error| self.on_unreachable(id, &error))?;
         let mut may_have_run = false;
         loop {
-            guard.mark_sent(self.fingerprint);
+            guard.mark_sent(destination.placement.incarnation, self.fingerprint);
             let request = self.build_request(now, destination);
             let error = match self
                 .in_time(destination.give_up_at, connection.send(request))
