Ignore a read of the targets that newer changes have overtaken

An entry reads all targets from the store or from another entry. An answer that was under way while newer changes arrived through another entry was applied all the same: a target that had left was listed again and got requests, one that had started again under its id was put back to the incarnation before, with its draining undone, and the entry then took itself for up to date. The answer's revision is compared with the newest known change now, and an older one is ignored and logged.

Read from the code; no run of the bench has shown it. The test is of the decision, DirectoryLog::accepts_read, which did not exist before.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -125,6 +125,12 @@
         DirectoryUpdateStep::Apply(new)
     }
 
+    /// Returns whether the whole directory as of `revision` may be applied. An answer that was under
+    /// way while newer changes were applied would undo them.
+    pub fn accepts_read(&self, revision: i64) -> bool {
+        revision >= self.newest
+    }
+
     /// Returns the revision of the last known change.
     pub fn newest(&self) -> i64 {
         self.newest
--- a/crates/cw_policy/tests/forward/directory_log.rs
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -40,6 +40,22 @@
     assert_eq!(again, DirectoryUpdateStep::Nothing);
 }
 
+/// Guards against an answer with the whole directory that was under way while a newer change came
+/// through another entry: it would revert that a target is leaving, or list one that is gone.
+#[test]
+fn the_whole_directory_is_applied_only_if_no_newer_change_is_known() {
+    let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+    watcher.record_read(10);
+    other.record_read(10);
+    watcher.record_change(at(0), "a", value("1"), 12);
+
+    other.receive(&watcher.update(at(1), &answering_fleet(), 1));
+
+    assert!(!other.accepts_read(11));
+    assert!(other.accepts_read(12));
+    assert!(DirectoryLog::default().accepts_read(0));
+}
+
 #[test]
 fn a_missing_change_makes_an_entry_read_the_directory() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -181,6 +181,14 @@
             .collect();
         let now = self.context.now();
         let mut state = self.context.state();
+        if !state.directory_log.accepts_read(revision.0) {
+            info!(
+                revision = revision.0,
+                newest = state.directory_log.newest();
+                "ignored outdated targets of the key-value service"
+            );
+            return;
+        }
         for item in items {
             if let Some(id) = self.target_id(&item.key) {
                 apply_listing(
@@ -306,14 +314,23 @@
                 return;
             }
         };
+        let now = self.context.now();
+        let mut state = self.context.state();
+        if !state.directory_log.accepts_read(snapshot.newest) {
+            info!(
+                entry = entry,
+                revision = snapshot.newest,
+                newest = state.directory_log.newest();
+                "ignored outdated targets of another entry"
+            );
+            return;
+        }
         info!(
             entry = entry,
             targets = snapshot.targets.len(),
             revision = snapshot.newest;
             "applied the targets of another entry"
         );
-        let now = self.context.now();
-        let mut state = self.context.state();
         if state.fleet.is_empty() {
             // The service has not answered yet, so the changes that other entries send apply from
             // now on.
