Keep the ports of a test deployment's processes while they are stopped

The agents of late services, like every process that a test kills and starts again, released their ports meanwhile, and another socket of the same test process could get one of them.

Each process of a deployment gets ports that a bound socket reserves for as long as the deployment lives. It never listens, so the process can bind beside it, and no other socket is given the port.

--- a/crates/cw_testkit/src/deployment/mod.rs
+++ b/crates/cw_testkit/src/deployment/mod.rs
@@ -3,6 +3,7 @@
 mod deployment_spec;
 mod node;
 mod records;
+mod reserved_port;
 mod settings_files;
 mod test_deployment;
 
--- a/crates/cw_testkit/src/deployment/node.rs
+++ b/crates/cw_testkit/src/deployment/node.rs
@@ -13,27 +13,35 @@
 use tokio::sync::Mutex;
 
 use super::DeploymentError;
+use super::reserved_port::ReservedPort;
+
+fn reserve() -> Result<ReservedPort, DeploymentError> {
+    ReservedPort::new().map_err(DeploymentError::new)
+}
 
 /// An entry that can be killed and restarted on the same ports.
 #[derive(Debug)]
 pub struct EntryNode {
-    /// The settings, with the addresses that were bound.
+    /// The settings, with the addresses of the reserved ports.
     pub settings: EntrySettings,
     handle: Mutex<Option<EntryHandle>>,
+    _ports: [ReservedPort; 3],
 }
 
 impl EntryNode {
     /// Starts an entry.
     pub(super) async fn start(mut settings: EntrySettings) -> Result<Self, DeploymentError> {
+        let ports = [reserve()?, reserve()?, reserve()?];
+        settings.listen.callers = ports[0].address;
+        settings.listen.peers = ports[1].address;
+        settings.listen.admin = ports[2].address;
         let handle = Entry::start(settings.clone())
             .await
             .map_err(DeploymentError::new)?;
-        settings.listen.callers = handle.callers;
-        settings.listen.peers = handle.peers;
-        settings.listen.admin = handle.admin;
         Ok(Self {
             settings,
             handle: Mutex::new(Some(handle)),
+            _ports: ports,
         })
     }
 
@@ -85,22 +93,25 @@
 /// The agent of a target, which can be killed and restarted on the same ports.
 #[derive(Debug)]
 pub struct TargetNode {
-    /// The settings, with the addresses that were bound.
+    /// The settings, with the addresses of the reserved ports.
     pub settings: AgentSettings,
     handle: Mutex<Option<AgentHandle>>,
+    _ports: [ReservedPort; 2],
 }
 
 impl TargetNode {
     /// Starts an agent.
     pub(super) async fn start(mut settings: AgentSettings) -> Result<Self, DeploymentError> {
+        let ports = [reserve()?, reserve()?];
+        settings.listen.peers = ports[0].address;
+        settings.listen.admin = ports[1].address;
         let handle = Agent::start(settings.clone())
             .await
             .map_err(DeploymentError::new)?;
-        settings.listen.peers = handle.peers;
-        settings.listen.admin = handle.admin;
         Ok(Self {
             settings,
             handle: Mutex::new(Some(handle)),
+            _ports: ports,
         })
     }
 
