Apply a load to the incarnation that reported it

Members::on_load compared the sequence number of a load with that of the newest report, whichever incarnation either was of. A load of an earlier incarnation that arrives late has a high number; it was applied to the agent that has started again, whose own reports with low numbers were then ignored as outdated. The target passed for silent, and its requests went elsewhere until a relay had seen it gone. Operators could see it as a suspect target right after a restart of its agent.

A load names its incarnation now, by the hash that forwarding entries use, at no byte more. Relay::is_retained compared sequence numbers alone too, and dropped a target whose agent had just started again for a round; it compares incarnations first.

--- a/crates/cw_policy/src/membership/members.rs
+++ b/crates/cw_policy/src/membership/members.rs
@@ -124,12 +124,14 @@
         let is_refused = self.is_full() && !self.records.contains_key(&id);
         match self.members.get_mut(&id) {
             Some(member) if member.is_superseded_by(&report, was == Liveness::Gone) => {
+                self.ids_by_hash.remove(&member.report.hash());
+                self.ids_by_hash.insert(report.hash(), id);
                 member.replace_report(report, made, was);
             }
             Some(_) => return MergeOutcome::Stale,
             None if is_refused => return MergeOutcome::Stale,
             None => {
-                self.ids_by_hash.insert(TargetHash::from(&id), id.clone());
+                self.ids_by_hash.insert(report.hash(), id.clone());
                 self.members.insert(id, Member::new(report, made));
             }
         }
@@ -169,6 +171,8 @@
         }
     }
 
+    /// Merges a load of the incarnation whose report is known. The full report is missing for any
+    /// other one, also for an earlier one whose load arrives late.
     fn on_load(&mut self, now: Time, update: &LoadUpdate) -> MergeOutcome {
         let id = self.ids_by_hash.get(&update.target);
         let Some(member) = id.and_then(|id| self.members.get_mut(id)) else {
--- a/crates/cw_policy/src/membership/outbox.rs
+++ b/crates/cw_policy/src/membership/outbox.rs
@@ -32,7 +32,7 @@
             |old: &Report| (old.incarnation, old.sequence) < (report.incarnation, report.sequence);
         let old = self.reports.get(&report.target);
         if old.is_none_or(|(_, old)| newer(old)) {
-            self.loads.remove(&TargetHash::from(&report.target));
+            self.loads.remove(&report.hash());
             self.reports.insert(report.target.clone(), (made, report));
         }
     }
--- a/crates/cw_policy/src/membership/relay.rs
+++ b/crates/cw_policy/src/membership/relay.rs
@@ -18,7 +18,6 @@
 use cw_wire::Report;
 use cw_wire::ReportBatch;
 use cw_wire::SilentTarget;
-use cw_wire::TargetHash;
 
 use super::Members;
 use super::Outbox;
@@ -223,8 +222,8 @@
             return;
         }
         let loads: BTreeSet<_> = batch.loads.iter().map(|update| update.target).collect();
-        for (target, direct) in &mut self.direct {
-            if loads.contains(&TargetHash::from(target)) {
+        for direct in self.direct.values_mut() {
+            if loads.contains(&direct.report.hash()) {
                 direct.peer_relayed_at = now;
             }
         }
@@ -266,7 +265,8 @@
 ///
 /// An agent may move to other relays, and the one that it left must not report it as silent.
 fn is_retained(now: Time, running_since: Time, direct: &DirectTarget, members: &Members) -> bool {
-    let moved = |newest: &Report| newest.sequence > direct.report.sequence;
+    let version = |report: &Report| (report.incarnation, report.sequence);
+    let moved = |newest: &Report| version(newest) > version(&direct.report);
     let silent_for = now.since(direct.last_heard.max(running_since));
     let newest = members.report(&direct.report.target);
     silent_for < MAX_SILENCE && !newest.is_some_and(moved)
@@ -275,7 +275,7 @@
 fn load_update(now: Time, direct: &DirectTarget) -> LoadUpdate {
     let report = &direct.report;
     let age = now.since(direct.last_heard);
-    LoadUpdate::new(&report.target, report.sequence, age, &report.load)
+    LoadUpdate::new(report.hash(), report.sequence, age, &report.load)
 }
 
 /// Returns whether a full report is due, because a field that load updates omit has changed or
--- a/crates/cw_policy/tests/forward/prompts.rs
+++ b/crates/cw_policy/tests/forward/prompts.rs
@@ -5,6 +5,7 @@
 use cw_policy::forward::PromptLocationLimits;
 use cw_policy::forward::PromptLocations;
 use cw_policy::forward::RunTimes;
+use cw_types::Incarnation;
 use cw_types::ServiceName;
 use cw_wire::CachedPrompt;
 use cw_wire::PromptHash;
@@ -17,7 +18,7 @@
 fn read(prompt: &str, number: usize) -> CachedPrompt {
     CachedPrompt {
         prompt: PromptHash::of(prompt),
-        target: TargetHash::from(&engine(0, number)),
+        target: TargetHash::of_incarnation(&engine(0, number), Incarnation(1)),
     }
 }
 
@@ -29,7 +30,10 @@
 
     let found = locations.find(at(20), PromptHash::of("p"));
 
-    assert_eq!(found, Some(TargetHash::from(&engine(0, 2))));
+    assert_eq!(
+        found,
+        Some(TargetHash::of_incarnation(&engine(0, 2), Incarnation(1)))
+    );
     assert_eq!(locations.find(at(20), PromptHash::of("q")), None);
 }
 
--- a/crates/cw_policy/tests/membership.rs
+++ b/crates/cw_policy/tests/membership.rs
@@ -20,11 +20,20 @@
 use cw_types::Revision;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::Load;
+use cw_wire::LoadUpdate;
 use cw_wire::ProcessState;
 use cw_wire::Report;
 use cw_wire::ReportBatch;
 use cw_wire::SilentTarget;
 use cw_wire::TargetState;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::proptest;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -105,6 +114,74 @@
     assert_eq!(members.liveness(at(1), &target()), Liveness::Alive);
 }
 
+/// Returns a batch with one load update of the target, whose number of running attempts tells the
+/// incarnation and the sequence number.
+fn load_batch(incarnation: u64, sequence: u64) -> ReportBatch {
+    let hash = up(incarnation, sequence).hash();
+    let load = Load {
+        running: u32::try_from(incarnation * 1000 + sequence).expect("small numbers"),
+        ..Load::default()
+    };
+    ReportBatch {
+        loads: vec![LoadUpdate::new(hash, sequence, Duration::ZERO, &load)],
+        ..empty_batch()
+    }
+}
+
+/// Guards against a load of an earlier incarnation that arrives late: its sequence number is higher
+/// than those of the agent that has started again, whose reports were then ignored as outdated, so
+/// that the target passed for silent.
+#[test]
+fn late_load_of_an_earlier_incarnation_does_not_hide_the_next_reports() {
+    let mut members = members();
+    members.on_report(at(1), Duration::ZERO, up(2, 1));
+
+    members.on_batch(at(1), &load_batch(1, 500));
+    let next = members.on_report(at(2), Duration::ZERO, up(2, 2));
+
+    assert_eq!(next, MergeOutcome::Applied);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// An agent starts again and again under its target's id. Its reports and loads arrive late,
+    /// several times and in any order. What is known is always of the newest incarnation that has
+    /// reported, and its next report is never ignored.
+    #[test]
+    fn only_the_newest_incarnation_counts(
+        messages in vec((1_u64..5, 1_u64..20, any::<bool>()), 1..60),
+    ) {
+        let mut members = members();
+        let mut newest = (1, 1);
+        for (incarnation, sequence, is_report) in messages {
+            if is_report {
+                let mut report = up(incarnation, sequence);
+                report.load.running = u32::try_from(incarnation * 1000 + sequence).unwrap();
+                members.on_report(at(1), Duration::ZERO, report);
+                newest = newest.max((incarnation, sequence));
+            } else {
+                members.on_batch(at(1), &load_batch(incarnation, sequence));
+                if incarnation == newest.0 {
+                    newest = newest.max((incarnation, sequence));
+                }
+            }
+
+            let known = members.report(&target()).expect("a report");
+            prop_assert_eq!((known.incarnation.0, known.sequence), newest);
+            let running = u64::from(known.load.running);
+            prop_assert!(running == 0 || running == newest.0 * 1000 + newest.1, "{}", running);
+        }
+        let next = up(newest.0, newest.1 + 1);
+        let outcome = members.on_report(at(2), Duration::ZERO, next);
+        prop_assert_eq!(outcome, MergeOutcome::Applied);
+    }
+}
+
 #[test]
 fn target_that_no_relay_reports_as_silent_is_suspect_but_not_gone() {
     let mut members = members();
--- a/crates/cw_wire/src/load_update.rs
+++ b/crates/cw_wire/src/load_update.rs
@@ -6,7 +6,6 @@
 use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::TokenCount;
-use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Load;
@@ -23,17 +22,11 @@
 /// Milliseconds per step of [`LoadUpdate::age`].
 const AGE_STEP_MILLIS: u64 = 10;
 
-/// A hash that identifies a target in a few bytes.
+/// A hash that identifies one incarnation of a target in a few bytes.
 #[data(Copy, Eq, Hash, PartialOrd, Ord)]
 #[serde(transparent)]
 pub struct TargetHash(u32);
 
-impl From<&TargetId> for TargetHash {
-    fn from(target: &TargetId) -> Self {
-        Self(xxh3_64(target.as_str().as_bytes()) as u32)
-    }
-}
-
 impl TargetHash {
     /// Returns the hash of one incarnation of a target, so that what is told of it does not apply to
     /// a later one.
@@ -46,10 +39,9 @@
 #[data(Copy, Eq)]
 #[serde(from = "PackedUpdate", into = "PackedUpdate")]
 pub struct LoadUpdate {
-    /// The hash of the id of the target whose load this is.
+    /// The hash of the target whose load this is, and of its incarnation.
     pub target: TargetHash,
-    /// The sequence number of the report, within the incarnation of the last full report that was
-    /// forwarded.
+    /// The sequence number of the report within the incarnation.
     pub sequence: u64,
     /// The age of the report, in steps of 10 ms.
     pub age: u32,
@@ -105,12 +97,12 @@
 
 impl LoadUpdate {
     /// Returns the compact form of a load.
-    pub fn new(target: &TargetId, sequence: u64, age: Duration, load: &Load) -> Self {
+    pub fn new(target: TargetHash, sequence: u64, age: Duration, load: &Load) -> Self {
         let capacity = load.capacity.0.max(1);
         let cached = load.cached.0.saturating_mul(CACHE_STEPS) / capacity;
         let step = load.step.as_micros() as u64 / LATENCY_UNIT_MICROS;
         Self {
-            target: TargetHash::from(target),
+            target,
             sequence,
             age: to_u32_saturating(age.as_millis() as u64 / AGE_STEP_MILLIS),
             running: load.running,
--- a/crates/cw_wire/src/report.rs
+++ b/crates/cw_wire/src/report.rs
@@ -22,6 +22,7 @@
 use crate::Load;
 use crate::LoadUpdate;
 use crate::QuotaDemand;
+use crate::TargetHash;
 
 /// A hash that identifies a request whichever attempt of its caller carries it: of the workspace, the
 /// model and the prompt, or of the workspace, the path and the body of a forwarded request.
@@ -86,6 +87,13 @@
     pub revision: Revision,
 }
 
+impl Report {
+    /// Returns the hash that identifies the incarnation that made the report.
+    pub fn hash(&self) -> TargetHash {
+        TargetHash::of_incarnation(&self.target, self.incarnation)
+    }
+}
+
 /// The response of a relay to the report of an agent.
 #[data(Copy, Default, Eq)]
 #[serde(default)]
