Write evidence against crashing requests to the store at once

The evidence was written once a second, like prompt locations, so for up to a second only the entries had it. A crash triggers the write now, at most ten a second.

--- a/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
+++ b/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
@@ -7,13 +7,15 @@
 use cw_wire::WireError;
 use cw_wire::decode;
 use cw_wire::encode;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use log::info;
 
 use super::forward_context::ForwardContext;
 use super::state_store::SharedState;
 
 /// The key of the evidence.
-const CRASHES_KEY: &str = "cyclamenwharf/crashes";
+pub(super) const CRASHES_KEY: &str = "cyclamenwharf/crashes";
 
 /// The evidence that was read and written last, without the ages of the crashes.
 #[derive(Debug, Default)]
@@ -40,19 +42,32 @@
         self.written.clone_from(&self.offered);
     }
 
+    fn urgent_change<'a>(&'a self, context: &'a ForwardContext) -> BoxFuture<'a, ()> {
+        context.crashes_changed.notified().boxed()
+    }
+
     fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
-        let evidence: CrashNews = decode(value)?;
-        let now = context.now();
-        let is_new = context.state().crashes.receive(now, &evidence);
-        info!(
-            crashes = evidence.crashes.len(),
-            new = u64::from(is_new);
-            "restored the evidence of requests that crash targets"
-        );
-        Ok(())
+        restore_evidence(context, value)
     }
 }
 
+/// Adds the evidence that entries before a restart have written.
+///
+/// # Errors
+///
+/// Fails if the value cannot be decoded.
+pub(super) fn restore_evidence(context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
+    let evidence: CrashNews = decode(value)?;
+    let now = context.now();
+    let is_new = context.state().crashes.receive(now, &evidence);
+    info!(
+        crashes = evidence.crashes.len(),
+        new = u64::from(is_new);
+        "restored the evidence of requests that crash targets"
+    );
+    Ok(())
+}
+
 /// Returns the evidence with the ages set to zero, since they change all the time.
 fn without_ages(evidence: &CrashNews) -> CrashNews {
     let mut evidence = evidence.clone();
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -94,6 +94,8 @@
     pub(super) pool: ConnectionPool,
     /// Triggers a message to the other entries.
     pub(super) peer_update: Notify,
+    /// Signals that there is new evidence against requests that crash targets.
+    pub(super) crashes_changed: Notify,
     /// Signals that another entry has newer directory data.
     pub(super) directory_behind: Notify,
     state: Mutex<ForwardState>,
@@ -138,6 +140,7 @@
             metrics,
             pool: ConnectionPool::default(),
             peer_update: Notify::new(),
+            crashes_changed: Notify::new(),
             directory_behind: Notify::new(),
             state: Mutex::new(state),
         }
--- a/crates/cyclamenwharf/src/forward/loss_check.rs
+++ b/crates/cyclamenwharf/src/forward/loss_check.rs
@@ -123,6 +123,7 @@
         return;
     }
     context.peer_update.notify_one();
+    context.crashes_changed.notify_one();
     info!(
         target_id = target.as_str(),
         incarnation = incarnation.0,
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -160,6 +160,7 @@
         if message.crashes.is_empty() || !state.crashes.receive(now, &message.crashes) {
             return;
         }
+        self.context.crashes_changed.notify_one();
         info!(
             entry = message.host.as_str(),
             crashes = message.crashes.crashes.len(),
--- a/crates/cyclamenwharf/src/forward/prompt_location_state.rs
+++ b/crates/cyclamenwharf/src/forward/prompt_location_state.rs
@@ -7,6 +7,8 @@
 use cw_wire::WireError;
 use cw_wire::decode;
 use cw_wire::encode;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use log::info;
 
 use super::forward_context::ForwardContext;
@@ -46,6 +48,10 @@
         self.written.clone_from(&self.offered);
     }
 
+    fn urgent_change<'a>(&'a self, _context: &'a ForwardContext) -> BoxFuture<'a, ()> {
+        std::future::pending().boxed()
+    }
+
     fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
         let prompts: Vec<CachedPrompt> = decode(value)?;
         info!(prompts = prompts.len(); "restored the prompt locations");
--- a/crates/cyclamenwharf/src/forward/state_store.rs
+++ b/crates/cyclamenwharf/src/forward/state_store.rs
@@ -12,6 +12,7 @@
 use cw_store::StoreRevision;
 use cw_store::Swap;
 use cw_wire::WireError;
+use futures::future::BoxFuture;
 use log::warn;
 
 use super::forward_context::ForwardContext;
@@ -20,6 +21,9 @@
 /// writes is lost with all entries.
 const WRITE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The shortest time between two writes of one key.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// State that all entries share, under one key of the key-value service.
 pub(super) trait SharedState: Send + Sync {
     /// The key.
@@ -35,6 +39,9 @@
     /// Records that the value that was returned last is written.
     fn record_written(&mut self);
 
+    /// Completes when the state has changed so much that it should be written at once.
+    fn urgent_change<'a>(&'a self, context: &'a ForwardContext) -> BoxFuture<'a, ()>;
+
     /// Adds what entries before a restart have written.
     ///
     /// # Errors
@@ -65,7 +72,10 @@
                 let result = self.write_changes(&mut revision).await;
                 self.log_failure(result);
             }
-            tokio::time::sleep(WRITE_PERIOD).await;
+            tokio::time::sleep(MIN_WRITE_INTERVAL).await;
+            let urgent = self.state.urgent_change(&self.context);
+            // A timeout continues as well: other changes are written now.
+            let _ = tokio::time::timeout(WRITE_PERIOD - MIN_WRITE_INTERVAL, urgent).await;
         }
     }
 
