Let no request in before the evidence against crashing requests is read

What callers saw: after a restart of all entries while the store was away, or of one, a request that had been refused crashed engines again.

Cause: a starting entry read the evidence in a task of its own. It served as soon as it had a configuration, from the store or from another entry, and the evidence came up to a second later; if the store had not answered the first read, later still. Class: knowledge that decides about requests comes after the requests. The evidence is read together with the first configuration now, and asked of another entry before its configuration is taken. If the evidence cannot be read, requests are served all the same.

Found by random histories: the request comes one by one and several times at once, at any entry, while entries restart singly and together, the store refuses calls or is silent, and engines crash by themselves, singly and by zone, coming back under old or new ids.

--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,9 +25,12 @@
 use log::info;
 use log::warn;
 
+use super::crash_evidence_state::CRASHES_KEY;
+use super::crash_evidence_state::restore_evidence;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::peer_api::CONFIG_PATH;
+use super::peer_api::CRASHES_PATH;
 use super::peer_api::TARGETS_PATH;
 
 /// The delay after failed calls. The service charges for failed calls too, and its data must be
@@ -115,7 +119,14 @@
 
     /// Reads the data, and watches it while this entry is a watcher, until a call fails.
     async fn read_and_watch(&self, failures: &mut u32) -> Result<(), StoreError> {
-        let (items, revision) = self.store.snapshot(self.prefix()).await?;
+        let evidence = async {
+            if self.topic == Topic::Config && self.context.config().is_none() {
+                self.restore_crash_evidence().await;
+            }
+        };
+        let (snapshot, ()) =
+            futures::future::join(self.store.snapshot(self.prefix()), evidence).await;
+        let (items, revision) = snapshot?;
         self.record_success();
         self.apply_snapshot(&items, revision);
         if !self.is_watcher() {
@@ -139,6 +150,30 @@
         Ok(())
     }
 
+    /// Reads the evidence against requests that crash targets, before the first configuration lets
+    /// requests in. If that fails, requests are served all the same, and the evidence follows.
+    async fn restore_crash_evidence(&self) {
+        let found = match self.store.get(CRASHES_KEY).await {
+            Ok(found) => found,
+            Err(error) => {
+                info!("failed to read the evidence of requests that crash targets: {error}");
+                return;
+            }
+        };
+        if let Some(item) = found {
+            self.apply_crash_evidence("the key-value service", &item.value);
+        }
+    }
+
+    fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
+        if let Err(error) = restore_evidence(&self.context, value) {
+            warn!(
+                source = source;
+                "failed to decode the evidence of requests that crash targets: {error}"
+            );
+        }
+    }
+
     fn is_watcher(&self) -> bool {
         let now = self.context.now();
         self.context.state().fleet.is_watcher(now)
@@ -279,6 +314,9 @@
             if !self.is_missing_updates() {
                 return;
             }
+            if self.topic == Topic::Config && self.context.config().is_none() {
+                self.query_crash_evidence(entry.as_str(), address).await;
+            }
             let call = self.entries.call(Method::GET, address, path, Bytes::new());
             match call.await {
                 Ok(answer) if answer.status == StatusCode::OK => match self.topic {
@@ -294,6 +332,26 @@
         }
     }
 
+    /// Asks another entry for the evidence against requests that crash targets, before its
+    /// configuration lets requests in.
+    async fn query_crash_evidence(&self, entry: &str, address: SocketAddr) {
+        let call = self
+            .entries
+            .call(Method::GET, address, CRASHES_PATH, Bytes::new());
+        match call.await {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                self.apply_crash_evidence(entry, &answer.body);
+            }
+            // The other entry has none.
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
+            Ok(answer) => info!(
+                entry = entry;
+                "an entry answered a query with status {}", answer.status
+            ),
+            Err(error) => info!(entry = entry; "failed to query an entry: {error}"),
+        }
+    }
+
     /// Returns whether this entry lacks data that other entries have announced, or has no targets.
     /// Without targets it would refuse requests that the other entries serve.
     fn is_missing_updates(&self) -> bool {
@@ -451,6 +509,7 @@
     let suspects = crashes.record_crash(now, &new.id, incarnation, &zone);
     if !suspects.is_empty() {
         context.peer_update.notify_one();
+        context.crashes_changed.notify_one();
         info!(
             target_id = new.id.as_str(),
             incarnation = incarnation.0,
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -19,6 +19,9 @@
 /// The path of the configuration.
 pub(super) const CONFIG_PATH: &str = "/config";
 
+/// The path of the evidence against requests that crash targets.
+pub(super) const CRASHES_PATH: &str = "/crashes";
+
 /// The path of the known targets.
 pub(super) const TARGETS_PATH: &str = "/targets";
 
@@ -31,6 +34,7 @@
     fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
         let body = match request.uri().path() {
             CONFIG_PATH => self.context.state().config_bytes.clone(),
+            CRASHES_PATH => self.crash_evidence(),
             TARGETS_PATH => self.targets(),
             _ => None,
         };
@@ -44,6 +48,23 @@
 }
 
 impl PeerApi {
+    /// Returns the evidence against requests that crash targets in encoded form, `None` if there is
+    /// none.
+    fn crash_evidence(&self) -> Option<Bytes> {
+        let now = self.context.now();
+        let evidence = self.context.state().crashes.evidence(now);
+        if evidence.is_empty() {
+            return None;
+        }
+        match cw_wire::encode(&evidence) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                warn!("failed to encode the evidence of requests that crash targets: {error}");
+                None
+            }
+        }
+    }
+
     /// Returns the known targets in encoded form, `None` if there are none.
     fn targets(&self) -> Option<Bytes> {
         let snapshot = {
