Remove what has no use, and constants that stood twice

None of it is a fault that a caller, a target or an operator can see.

- Generation.started was set and never read.
- CacheFollower, the agent's copy of its engine's cache, has no caller: an entry learns caches from answers (CacheIndex).
Its two tests go with it.
- AcceptMessage was an empty type that only the tool sent; the endpoints take no message.
The tool sends the same bytes as before.
- PLANNER_KEY and SERVICE_PREFIX are defined once.

--- a/crates/cw_policy/src/generation/generation_state.rs
+++ b/crates/cw_policy/src/generation/generation_state.rs
@@ -60,7 +60,6 @@
     pub(super) checking_crashes: bool,
     pub(super) lost_at: Option<Time>,
     pub(super) retry_at: Option<Time>,
-    pub(super) started: Time,
     pub(super) gone_since: Option<Time>,
     pub(super) ended: bool,
 }
@@ -99,7 +98,6 @@
             checking_crashes: false,
             lost_at: None,
             retry_at: None,
-            started: Time::default(),
             gone_since: None,
             ended: false,
         }
@@ -169,7 +167,6 @@
     // ---- Start and dispatch ----
 
     fn on_start(&mut self, now: Time, steps: &mut Vec<Step>) {
-        self.started = now;
         match self.plan.running_target.clone() {
             Some(target) => self.attach_running(now, target, steps),
             None => self.choose_target(self.next_index() > TokenIndex(0), false, steps),
--- a/crates/cw_policy/tests/prefix.rs
+++ b/crates/cw_policy/tests/prefix.rs
@@ -1,20 +1,15 @@
-//! Tests of prompt blocks, the learned cache index and the follower of cache events.
+//! Tests of prompt blocks and the learned cache index.
 
 use std::collections::BTreeSet;
 
 use cw_policy::prefix::Block;
-use cw_policy::prefix::CacheEvent;
-use cw_policy::prefix::CacheFollower;
 use cw_policy::prefix::CacheIndex;
-use cw_policy::prefix::CachePage;
 use cw_policy::prefix::blocks;
 use cw_types::TargetId;
 use cw_types::TokenCount;
 use cw_types::TokenId;
 use cw_wire::Message;
 use cw_wire::Prompt;
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 fn hashed_blocks(workspace: &str, prompt: &Prompt) -> Vec<Block> {
@@ -118,100 +113,3 @@
     }
     assert!(cache_index.len() <= 32_768, "{}", cache_index.len());
 }
-
-/// What the simulated channel does with one page of events.
-#[derive(Clone, Copy, Debug)]
-enum Delivery {
-    Deliver,
-    Repeat,
-    Lose,
-    Restart,
-}
-
-fn delivery() -> impl Strategy<Value = Delivery> {
-    prop_oneof![
-        6 => Just(Delivery::Deliver),
-        1 => Just(Delivery::Repeat),
-        1 => Just(Delivery::Lose),
-        1 => Just(Delivery::Restart),
-    ]
-}
-
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig::default();
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config.failure_persistence = None;
-    config
-}
-
-proptest! {
-    #![proptest_config(config())]
-
-    /// Compares the follower with an engine modelled as a set of blocks: after each page that
-    /// arrives, the follower has no block that the engine lacks at that point, also after losses.
-    #[test]
-    fn a_follower_has_no_block_that_the_engine_lacks(
-        pages in prop::collection::vec(
-            (delivery(), prop::collection::vec((any::<bool>(), 0..20_u64), 0..5)),
-            1..60,
-        ),
-    ) {
-        let mut engine = BTreeSet::new();
-        let mut follower = CacheFollower::default();
-        let (mut boot, mut first) = (1, 0);
-        for (delivery, changes) in pages {
-            if matches!(delivery, Delivery::Restart) {
-                boot += 1;
-                first = 0;
-                engine.clear();
-            }
-            let mut events = Vec::new();
-            for (stored, block) in changes {
-                if stored {
-                    engine.insert(block);
-                    events.push(CacheEvent::Stored(vec![block]));
-                } else {
-                    engine.remove(&block);
-                    events.push(CacheEvent::Removed(vec![block]));
-                }
-            }
-            let next = first + events.len() as u64;
-            let page = CachePage { boot, first, next, gap: false, events };
-            first = next;
-            match delivery {
-                Delivery::Lose => continue,
-                Delivery::Repeat => {
-                    follower.on_page(&page);
-                    follower.on_page(&page);
-                }
-                Delivery::Deliver | Delivery::Restart => follower.on_page(&page),
-            }
-            for block in 0..20 {
-                let known = follower.cached_prefix(&[block]) == 1;
-                prop_assert!(!known || engine.contains(&block), "block {}", block);
-            }
-            prop_assert_eq!(follower.next(), next);
-        }
-    }
-}
-
-#[test]
-fn a_gap_clears_the_follower_and_later_events_apply_again() {
-    let page = |first, gap, blocks: &[u64]| CachePage {
-        boot: 7,
-        first,
-        next: first + 1,
-        gap,
-        events: vec![CacheEvent::Stored(blocks.to_vec())],
-    };
-    let mut follower = CacheFollower::default();
-    follower.on_page(&page(0, false, &[1, 2, 3]));
-    let before = follower.cached_prefix(&[1, 2, 3, 4]);
-    follower.on_page(&page(5, true, &[1, 2]));
-
-    assert_eq!(before, 3);
-    assert_eq!(follower.cached_prefix(&[1, 2, 3, 4]), 2);
-    assert_eq!(follower.gaps(), 1);
-}
--- a/crates/cyclamenwharf/src/agent/planner_lease.rs
+++ b/crates/cyclamenwharf/src/agent/planner_lease.rs
@@ -13,9 +13,7 @@
 
 use super::agent_state::AgentState;
 use super::agent_state::lock;
-
-/// The key of the planner's lease; its creation revision is the fencing number.
-const PLANNER_KEY: &str = "cyclamenwharf/planner";
+use crate::planner_key::PLANNER_KEY;
 
 /// Orders cannot be accepted yet.
 #[derive(Debug, Snafu)]
--- a/crates/cyclamenwharf/src/control/admin/change_service.rs
+++ b/crates/cyclamenwharf/src/control/admin/change_service.rs
@@ -42,8 +42,8 @@
 use crate::control::Event;
 use crate::control::Inspection;
 use crate::control::lease_calls::LeaseHolder;
-use crate::control::lease_calls::PLANNER_KEY;
 use crate::control::store_task::CONFIG_KEY;
+use crate::planner_key::PLANNER_KEY;
 
 /// The prefix of the keys of proposals.
 const PROPOSAL_PREFIX: &str = "cyclamenwharf/proposals/";
--- a/crates/cyclamenwharf/src/control/admin/messages.rs
+++ b/crates/cyclamenwharf/src/control/admin/messages.rs
@@ -110,10 +110,6 @@
     pub refusal: Option<String>,
 }
 
-/// A request to accept a change.
-#[data(Default, JsonSchema)]
-pub struct AcceptMessage {}
-
 /// An accepted change.
 #[data(JsonSchema)]
 pub struct ChangeMessage {
--- a/crates/cyclamenwharf/src/control/admin/mod.rs
+++ b/crates/cyclamenwharf/src/control/admin/mod.rs
@@ -12,7 +12,6 @@
 
 pub use error::AdminErrorKind;
 pub use error::ErrorMessage;
-pub use messages::AcceptMessage;
 pub use messages::ChangeMessage;
 pub use messages::ChangePath;
 pub use messages::DiffMessage;
--- a/crates/cyclamenwharf/src/control/lease_calls.rs
+++ b/crates/cyclamenwharf/src/control/lease_calls.rs
@@ -18,9 +18,7 @@
 use tokio::sync::mpsc;
 
 use super::planner_task::CallResult;
-
-/// The key whose holder is the planner.
-pub(super) const PLANNER_KEY: &str = "cyclamenwharf/planner";
+use crate::planner_key::PLANNER_KEY;
 
 /// The value of the planner's key.
 #[data(Eq)]
--- a/crates/cyclamenwharf/src/entry/caller_api.rs
+++ b/crates/cyclamenwharf/src/entry/caller_api.rs
@@ -17,9 +17,7 @@
 use super::entry_context::EntryContext;
 use super::models;
 use super::service;
-
-/// The path prefix before the name of a plain service.
-const SERVICE_PREFIX: &str = "/v1/services/";
+use super::service::SERVICE_PREFIX;
 
 /// Routes callers' HTTP requests to their endpoints.
 pub(crate) struct CallerApi {
--- a/crates/cyclamenwharf/src/entry/service.rs
+++ b/crates/cyclamenwharf/src/entry/service.rs
@@ -36,7 +36,7 @@
 use super::output::ServiceAnswer;
 
 /// The path prefix before the name of a plain service.
-const SERVICE_PREFIX: &str = "/v1/services/";
+pub(super) const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Request headers that are not forwarded to the service: those that apply to the connection or
 /// to this entry only, and the caller's credentials.
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -21,6 +21,7 @@
 mod listed_host;
 mod peer_auth;
 mod peer_client;
+mod planner_key;
 mod settings;
 mod slo_metrics;
 mod start_error;
--- a/crates/cyclamenwharfctl/src/admin_client.rs
+++ b/crates/cyclamenwharfctl/src/admin_client.rs
@@ -102,6 +102,15 @@
         self.call(Method::POST, path, Bytes::from(body)).await
     }
 
+    /// Sends a `POST` request for an endpoint that takes no message and parses the JSON response.
+    pub(crate) async fn post_empty<R: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<R, CommandError> {
+        self.call(Method::POST, path, Bytes::from_static(b"{}"))
+            .await
+    }
+
     async fn call<R: DeserializeOwned>(
         &self,
         method: Method,
--- a/crates/cyclamenwharfctl/src/records/changes.rs
+++ b/crates/cyclamenwharfctl/src/records/changes.rs
@@ -7,7 +7,6 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
-use cyclamenwharf::admin::AcceptMessage;
 use cyclamenwharf::admin::ChangeMessage;
 use cyclamenwharf::admin::EditMessage;
 use cyclamenwharf::admin::ProposalMessage;
@@ -151,7 +150,7 @@
 pub(crate) async fn reject(args: &ArgMatches) -> Result<(), CommandError> {
     let path = format!("/v1/proposals/{}/reject", arg_or_empty(args, "id"));
     let client = AdminClient::new(args)?;
-    let proposal = client.post(&path, &AcceptMessage::default()).await?;
+    let proposal = client.post_empty(&path).await?;
     print_proposal(args, &proposal);
     Ok(())
 }
@@ -195,9 +194,7 @@
 
 pub(crate) async fn put_back(args: &ArgMatches) -> Result<(), CommandError> {
     let client = AdminClient::new(args)?;
-    let revision: u64 = client
-        .post("/v1/put-back", &AcceptMessage::default())
-        .await?;
+    let revision: u64 = client.post_empty("/v1/put-back").await?;
     println!("revision {revision} is restored in the key-value service");
     Ok(())
 }
--- a/crates/cyclamenwharfctl/src/records/mod.rs
+++ b/crates/cyclamenwharfctl/src/records/mod.rs
@@ -24,7 +24,6 @@
 pub(crate) use drain::undrain;
 pub(crate) use record_file::RecordFile;
 
-use cyclamenwharf::admin::AcceptMessage;
 use cyclamenwharf::admin::ChangeMessage;
 use cyclamenwharf::admin::EditMessage;
 use cyclamenwharf::admin::ProposalMessage;
@@ -56,5 +55,5 @@
 /// Accepts the change `id`.
 async fn accept_change(client: &AdminClient, id: &str) -> Result<ChangeMessage, CommandError> {
     let path = format!("/v1/proposals/{id}/accept");
-    client.post(&path, &AcceptMessage::default()).await
+    client.post_empty(&path).await
 }
