Keep pending proposals and those of the history when proposals are pruned

Each 64th acceptance removed all proposals older than the oldest change in the history. A proposal that nobody had decided on yet went with them, and its operators were told that it does not exist; and so did one that was proposed long before its acceptance, which restoring an earlier state of a record reads from the history ('there is no proposal').

Only proposals that are decided, are not in the history and are older than it are removed. The rule is Proposal::is_obsolete, with a test of its cases; the rule before had no function to test.

--- a/crates/cw_policy/src/configuration/proposal.rs
+++ b/crates/cw_policy/src/configuration/proposal.rs
@@ -94,6 +94,17 @@
         self.id == other.id && self.proposer == other.proposer && self.edits == other.edits
     }
 
+    /// Returns whether the proposal is decided and no change in the history of `snapshot` needs it,
+    /// so that it only takes up space.
+    pub fn is_obsolete(&self, snapshot: &Snapshot) -> bool {
+        let is_decided = self.state != ProposalState::Pending;
+        let is_in_history = snapshot.changes.iter().any(|change| change.id == self.id);
+        let oldest = snapshot.changes.first();
+        is_decided
+            && !is_in_history
+            && oldest.is_some_and(|oldest| self.proposed_at < oldest.accepted_at)
+    }
+
     /// Sets the reason.
     #[must_use]
     pub fn with_reason(mut self, reason: &str) -> Self {
--- a/crates/cw_policy/tests/configuration.rs
+++ b/crates/cw_policy/tests/configuration.rs
@@ -132,6 +132,28 @@
     assert_eq!(change.touched, [priority("p", 1).key()]);
 }
 
+/// Guards against removing proposals that still count: one that nobody has decided on, and one whose
+/// change is in the history, which restoring an earlier state reads.
+#[rstest]
+#[case::pending("old", ProposalState::Pending, false)]
+#[case::in_history("c1", ProposalState::Accepting(name("bob")), false)]
+#[case::rejected("old", ProposalState::Rejected(name("bob")), true)]
+#[case::accepted_before_the_history("old", ProposalState::Accepting(name("bob")), true)]
+fn only_decided_proposals_older_than_the_history_are_obsolete(
+    #[case] id: &str,
+    #[case] state: ProposalState,
+    #[case] expected: bool,
+) {
+    let edits = || vec![put(priority("batch", 1))];
+    let snapshot = accepted(&Snapshot::default(), "c1", edits());
+    let proposal = Proposal {
+        state,
+        ..propose(&Snapshot::default(), id, edits())
+    };
+
+    assert_eq!(proposal.is_obsolete(&snapshot), expected);
+}
+
 #[test]
 fn acceptance_is_idempotent_on_the_change_id() {
     let proposal = propose(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
--- a/crates/cyclamenwharf/src/control/admin/change_service.rs
+++ b/crates/cyclamenwharf/src/control/admin/change_service.rs
@@ -310,12 +310,8 @@
         self.prune_proposals(next).await;
     }
 
-    /// Removes the proposals that were made before the acceptance of the oldest change in the history
-    /// of the snapshot.
+    /// Removes the proposals that are decided and older than the history of the snapshot.
     async fn prune_proposals(&self, next: &Snapshot) {
-        let Some(oldest) = next.changes.first() else {
-            return;
-        };
         if next.changes.len() < PRUNE_MIN_CHANGES || !next.revision.0.is_multiple_of(PRUNE_PERIOD) {
             return;
         }
@@ -324,9 +320,8 @@
             return;
         };
         for found in found {
-            let is_old = decode::<Proposal>(&found.value)
-                .is_ok_and(|proposal| proposal.proposed_at < oldest.accepted_at);
-            if is_old {
+            let proposal = decode::<Proposal>(&found.value);
+            if proposal.is_ok_and(|proposal| proposal.is_obsolete(next)) {
                 let _ = self.key_value.remove(&found.key, found.modified).await;
             }
         }
