Tell compaction and unknown paths apart in the etcd client

A watch that etcd cancels because its start revision is compacted was reported as unavailable, so its caller watched the same revision again instead of listing the keys; an entry then missed changes until its next full read. And each answer with the code NOT_FOUND was taken for an expired lease, also that of a gateway that does not serve the path: a planner gave its lease up for it.

The compact_revision of the cancellation decides now, and etcd's message about a lease. Both tests failed before.

--- a/crates/cw_store/src/etcd/gateway.rs
+++ b/crates/cw_store/src/etcd/gateway.rs
@@ -46,6 +46,10 @@
 /// The gRPC status code `NOT_FOUND`, with which etcd answers a call for an unknown lease.
 const GRPC_NOT_FOUND: i32 = 5;
 
+/// The phrase in etcd's message about an unknown lease. A gateway answers a path that it does not
+/// serve with the same code and another message.
+const LEASE_NOT_FOUND: &str = "lease not found";
+
 /// Phrases in etcd's error messages that leave open whether a write took effect.
 const AMBIGUOUS_ERRORS: [&str; 3] = ["timed out", "leader changed", "server stopped"];
 
@@ -191,7 +195,7 @@
     }
     let error: ErrorBody = serde_json::from_slice(&response.body).unwrap_or_default();
     let message = format!("{}: {}", response.status, error.message);
-    if error.code == GRPC_NOT_FOUND {
+    if error.code == GRPC_NOT_FOUND && error.message.contains(LEASE_NOT_FOUND) {
         return Err(StoreError::LeaseExpired);
     }
     let is_rejected =
--- a/crates/cw_store/src/etcd/json.rs
+++ b/crates/cw_store/src/etcd/json.rs
@@ -219,11 +219,16 @@
     pub(super) kv: KeyValuePair,
 }
 
+#[serde_as]
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(super) struct WatchResponse {
     pub(super) header: Header,
     pub(super) canceled: bool,
+    /// The oldest revision that is still available if the watch was canceled because its start
+    /// has been compacted, and 0 otherwise.
+    #[serde_as(as = "DisplayFromStr")]
+    pub(super) compact_revision: i64,
     pub(super) events: Vec<Event>,
 }
 
--- a/crates/cw_store/src/etcd/watch_reader.rs
+++ b/crates/cw_store/src/etcd/watch_reader.rs
@@ -98,7 +98,10 @@
 
     fn push_events(&mut self, message: WatchResponse) {
         if message.canceled {
-            let error = watch_error("the service canceled the watch".to_owned());
+            let error = match message.compact_revision > 0 {
+                true => StoreError::Compacted,
+                false => watch_error("the service canceled the watch".to_owned()),
+            };
             self.pending.push_back(Err(error));
             return;
         }
--- a/crates/cw_store/tests/etcd_gateway.rs
+++ b/crates/cw_store/tests/etcd_gateway.rs
@@ -167,6 +167,45 @@
     assert_eq!(outcome, Err(StoreError::LeaseExpired));
 }
 
+/// Guards against taking a gateway that does not serve the path for the end of the lease.
+#[tokio::test]
+async fn an_unknown_path_is_not_an_expired_lease() {
+    let body = r#"{"code":5,"message":"Not Found"}"#;
+    let server = FakeGateway::start(http_response("404 Not Found", body)).await;
+    let gateway = EtcdGateway::new(vec![server.address]);
+
+    let outcome = gateway.keep_alive(LeaseId(7)).await;
+
+    assert!(
+        matches!(outcome, Err(StoreError::Unavailable { .. })),
+        "{outcome:?}"
+    );
+}
+
+/// Guards against watching the same compacted revision again and again: the caller must list the
+/// keys instead.
+#[rstest]
+#[case::compacted(r#","compact_revision":"9""#, true)]
+#[case::canceled("", false)]
+#[tokio::test]
+async fn a_watch_that_compaction_ends_is_distinguished(
+    #[case] field: &str,
+    #[case] compacted: bool,
+) {
+    let line = format!(r#"{{"result":{{"header":{{"revision":"9"}},"canceled":true{field}}}}}"#);
+    let server = FakeGateway::start(http_response("200 OK", &(line + "\n"))).await;
+    let gateway = EtcdGateway::new(vec![server.address]);
+
+    let stream = gateway.watch("k", StoreRevision(4)).await.expect("a watch");
+    let items: Vec<_> = stream.collect().await;
+
+    assert_eq!(
+        items[0] == Err(StoreError::Compacted),
+        compacted,
+        "{items:?}"
+    );
+}
+
 #[tokio::test]
 async fn watch_parses_one_message_per_line_and_ends_with_an_error() {
     let lines = concat!(
