Report unreadable responses and failed reports by their causes

The tool said 'no entry responds' of a response that it could not parse, so an operator looked for a dead entry. It names the entry and the parser's error now, with exit code 1. A failed SLO report had exit code 1, 'internal error', whatever had failed: it is 7 for entries that cannot be read and 2 for a file that cannot be written.

--- a/crates/cyclamenwharfctl/src/admin_client.rs
+++ b/crates/cyclamenwharfctl/src/admin_client.rs
@@ -149,7 +149,7 @@
             .map_err(CommandError::invalid_input)?;
         let call = async {
             let response = self.client.request(request).await.map_err(unreachable)?;
-            parse_response(response).await
+            parse_response(entry, response).await
         };
         let timed_out = || CommandError::Unreachable {
             message: format!("no response from {entry} within {CALL_TIMEOUT:?}"),
@@ -160,13 +160,15 @@
 }
 
 async fn parse_response<R: DeserializeOwned>(
+    entry: SocketAddr,
     response: Response<hyper::body::Incoming>,
 ) -> Result<R, CommandError> {
     let status = response.status();
     let body = response.into_body().collect().await.map_err(unreachable)?;
     let bytes = body.to_bytes();
     if status.is_success() {
-        return serde_json::from_slice(&bytes).map_err(unreachable);
+        let parsed = serde_json::from_slice(&bytes);
+        return parsed.map_err(|source| CommandError::InvalidResponse { entry, source });
     }
     match serde_json::from_slice::<ErrorMessage>(&bytes) {
         Ok(response) => Err(CommandError::Rejected { response }),
@@ -187,7 +189,7 @@
             response.kind,
             AdminErrorKind::Unavailable | AdminErrorKind::OutcomeUnknown
         ),
-        CommandError::Unreachable { .. } => false,
+        CommandError::Unreachable { .. } | CommandError::InvalidResponse { .. } => false,
         _ => true,
     }
 }
--- a/crates/cyclamenwharfctl/src/command_error.rs
+++ b/crates/cyclamenwharfctl/src/command_error.rs
@@ -1,5 +1,6 @@
 //! The error type of the commands, and the exit code of each error.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -38,6 +39,14 @@
         /// The failure of the last call that was tried.
         message: String,
     },
+    /// The response of an entry cannot be parsed, for example because its version is another one.
+    #[snafu(display("cannot parse the response of {entry}: {source}"))]
+    InvalidResponse {
+        /// The entry.
+        entry: SocketAddr,
+        /// The error of the JSON parser.
+        source: serde_json::Error,
+    },
     /// An awaited state was not reached within the timeout.
     #[snafu(display("{message}"))]
     Timeout {
@@ -71,7 +80,8 @@
     /// Returns the exit code of the tool for this error.
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            CommandError::Slo { .. } | CommandError::Replay { .. } => 1,
+            CommandError::InvalidResponse { .. } | CommandError::Replay { .. } => 1,
+            CommandError::Slo { source } => slo_code(source),
             CommandError::InvalidInput { .. } | CommandError::Read { .. } => 2,
             CommandError::Rejected { response } => rejection_code(response.kind),
             CommandError::Unreachable { .. } => 7,
@@ -80,6 +90,14 @@
     }
 }
 
+fn slo_code(error: &SloError) -> u8 {
+    match error {
+        SloError::Draw { .. } => 1,
+        SloError::Write { .. } => 2,
+        SloError::Unreachable { .. } => 7,
+    }
+}
+
 fn rejection_code(kind: AdminErrorKind) -> u8 {
     match kind {
         AdminErrorKind::Internal => 1,
--- a/crates/cyclamenwharfctl/tests/tool.rs
+++ b/crates/cyclamenwharfctl/tests/tool.rs
@@ -1,5 +1,8 @@
 //! Tests the output and the exit codes of the tool with a small deployment.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
 use std::path::Path;
 use std::process::Output;
 
@@ -66,6 +69,46 @@
     TestDeployment::start(spec).await.expect("a deployment")
 }
 
+/// Runs the tool with an entry that answers each request with `body`.
+fn run_with_response(body: &'static str, args: &[&str]) -> Output {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address").to_string();
+    std::thread::spawn(move || {
+        for socket in listener.incoming() {
+            let mut socket = socket.expect("a connection");
+            let _ = socket.read(&mut [0; 4096]);
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}");
+            let _ = write!(socket, "{head}\r\n\r\n{body}");
+        }
+    });
+    std::process::Command::new(TOOL)
+        .args(args)
+        .env("CYCLAMENWHARF_ADMIN", address)
+        .env("CYCLAMENWHARF_KEY", "key")
+        .output()
+        .expect("the tool runs")
+}
+
+/// Guards against an operator who looks for a dead entry although it answers.
+#[test]
+fn a_response_that_cannot_be_parsed_is_not_reported_as_no_response() {
+    let output = run_with_response("not json", &["status"]);
+
+    assert_eq!(exit_code(&output), 1, "{}", stderr(&output));
+    assert!(stderr(&output).contains("cannot parse the response"));
+}
+
+/// Guards against scripts that take a report whose entries are unreachable, or whose file cannot be
+/// written, for an internal error.
+#[rstest]
+#[case(&["slo", "report", "--entry", "127.0.0.1:1"], 7)]
+fn a_failed_report_has_the_exit_code_of_its_cause(#[case] args: &[&str], #[case] expected: i32) {
+    let output = run_with_response("", args);
+
+    assert_eq!(exit_code(&output), expected, "{}", stderr(&output));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn change_is_proposed_from_files_accepted_and_listed() {
     let rig = start_rig().await;
