Count the bytes of a batch once it has been sent

The metric cyclamenwharf_batch_sent_bytes_total was raised before a batch was sent, so an operator who compared it with the capacity page saw traffic to entries that were down. It is raised when the other entry has answered. A batch that cannot be encoded counted as 0 bytes and was sent all the same; it is logged now and not sent.

bytes_of_batches_that_reach_no_entry_are_not_counted failed before.

--- a/crates/cyclamenwharf/src/control/peer_sender.rs
+++ b/crates/cyclamenwharf/src/control/peer_sender.rs
@@ -7,6 +7,7 @@
 use cw_wire::ReportBatch;
 use cw_wire::path;
 use log::debug;
+use log::warn;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -33,15 +34,20 @@
 impl PeerSender {
     /// Sends a batch to each of `peers`, and reports [`Event::SendFailed`] for each that fails.
     pub(super) fn send_batch(&self, peers: &[EntryPeer], batch: ReportBatch) {
-        let size = cw_wire::encode(&batch).map_or(0, |bytes| bytes.len() as u64);
+        let size = match cw_wire::encode(&batch) {
+            Ok(bytes) => bytes.len() as u64,
+            Err(error) => {
+                warn!("cannot encode a batch: {error}");
+                return;
+            }
+        };
         let batch = Arc::new(batch);
         for peer in peers {
-            self.metrics.sent_bytes.inc_by(size);
-            tokio::spawn(self.clone().send_to_peer(peer.clone(), batch.clone()));
+            tokio::spawn(self.clone().send_to_peer(peer.clone(), batch.clone(), size));
         }
     }
 
-    async fn send_to_peer(self, peer: EntryPeer, batch: Arc<ReportBatch>) {
+    async fn send_to_peer(self, peer: EntryPeer, batch: Arc<ReportBatch>, size: u64) {
         let call = |client: PeerClient| {
             let batch = batch.clone();
             async move {
@@ -56,10 +62,13 @@
             // one. The peer may receive it twice.
             outcome = call(self.client.with_new_pool()).await;
         }
-        if let Err(error) = outcome {
-            debug!("cannot send a batch to a peer: {error}");
-            self.metrics.unsent_batches.inc();
-            let _ = self.events.send(Event::SendFailed(peer.host)).await;
+        match outcome {
+            Ok(()) => self.metrics.sent_bytes.inc_by(size),
+            Err(error) => {
+                debug!("cannot send a batch to a peer: {error}");
+                self.metrics.unsent_batches.inc();
+                let _ = self.events.send(Event::SendFailed(peer.host)).await;
+            }
         }
     }
 
--- a/crates/cyclamenwharf/tests/control/control_state.rs
+++ b/crates/cyclamenwharf/tests/control/control_state.rs
@@ -63,6 +63,23 @@
     assert!(!response.drained);
 }
 
+/// Guards against a capacity plan that counts traffic which never left: batches to an entry that is
+/// down.
+#[tokio::test]
+async fn bytes_of_batches_that_reach_no_entry_are_not_counted() {
+    let platform = TestPlatform::start().await;
+    platform.write_snapshot(&snapshot(1));
+    platform.add_dead_host("entry-b");
+    let entry = platform.start_entry("entry-a").await;
+
+    wait_until("batches are not sent", || {
+        entry.counter("cyclamenwharf_batches_unsent_total") >= 2.0
+    })
+    .await;
+
+    assert_eq!(entry.counter("cyclamenwharf_batch_sent_bytes_total"), 0.0);
+}
+
 #[tokio::test]
 async fn start_with_the_service_down_takes_a_peers_configuration() {
     let platform = TestPlatform::start().await;
--- a/crates/cyclamenwharf/tests/control/test_platform.rs
+++ b/crates/cyclamenwharf/tests/control/test_platform.rs
@@ -31,6 +31,7 @@
 use cyclamenwharf::PlatformSettings;
 use cyclamenwharf::SecretSettings;
 use cyclamenwharf::Supervisor;
+use prometheus::Registry;
 use serde_json::Value;
 
 /// The shared secret of all processes.
@@ -54,6 +55,7 @@
     pub(crate) control: Control,
     pub(crate) health: Arc<Health>,
     pub(crate) supervisor: Supervisor,
+    registry: Registry,
 }
 
 impl TestPlatform {
@@ -73,11 +75,12 @@
         let settings = self.settings(name);
         let health = Arc::new(Health::default());
         let supervisor = Supervisor::new(name);
+        let registry = Registry::new();
         let parts = ControlParts {
             settings: settings.clone(),
             clock: Clock::default(),
             supervisor: supervisor.clone(),
-            registry: prometheus::Registry::new(),
+            registry: registry.clone(),
             health: health.clone(),
             traces: Default::default(),
         };
@@ -98,9 +101,25 @@
             control,
             health,
             supervisor,
+            registry,
         }
     }
 
+    /// Adds the host of an entry that nothing runs on to the host list.
+    pub(crate) fn add_dead_host(&self, name: &str) {
+        let settings = self.settings(name);
+        self.host_list.update(|hosts| {
+            hosts.push(Host {
+                host: settings.host.clone(),
+                role: HostRole::Entry,
+                zone: settings.zone.clone(),
+                region: settings.region.clone(),
+                peers: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                state: HostState::Live,
+            });
+        });
+    }
+
     pub(crate) fn write_snapshot(&self, snapshot: &Snapshot) {
         let value = serde_json::to_vec(snapshot).expect("a snapshot is JSON");
         self.key_value.put(CONFIG_KEY, value);
@@ -138,6 +157,14 @@
     pub(crate) fn revision(&self) -> Revision {
         self.control.view.load().config.revision
     }
+
+    /// Returns the value of a counter.
+    pub(crate) fn counter(&self, name: &str) -> f64 {
+        let families = self.registry.gather();
+        let family = families.iter().find(|family| family.name() == name);
+        let family = family.expect("a registered counter");
+        family.get_metric()[0].get_counter().get_value()
+    }
 }
 
 pub(crate) fn any_port() -> SocketAddr {
