Count all calls to the key-value service, and acknowledge by the agent's clock

The entry that it serves calls neither today, so nobody can see it; no test. The attempt simulation acknowledged with its own clock although the agent's starts at 0 with each incarnation; it uses the agent's now, as for all other events.

--- a/crates/cw_policy/tests/attempt/world/entries.rs
+++ b/crates/cw_policy/tests/attempt/world/entries.rs
@@ -123,7 +123,7 @@
         if let Some(at) = pick_index(n, self.readers.len()) {
             let reader = self.readers[at].0;
             let (id, next) = (reader.id, TokenIndex(reader.next));
-            let steps = self.table.on_ack(self.now, &Ack { id, next });
+            let steps = self.table.on_ack(self.agent_time(), &Ack { id, next });
             self.apply(steps);
         }
     }
--- a/crates/cyclamenwharf/src/control/counting_key_value.rs
+++ b/crates/cyclamenwharf/src/control/counting_key_value.rs
@@ -51,6 +51,22 @@
         self.inner.list(prefix)
     }
 
+    fn list_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
+        self.count("list_stale");
+        self.inner.list_stale(prefix)
+    }
+
+    fn snapshot<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<(Vec<Versioned>, StoreRevision), StoreError>> {
+        self.count("snapshot");
+        self.inner.snapshot(prefix)
+    }
+
     fn swap<'a>(
         &'a self,
         key: &'a str,
