--- a/crates/cw_policy/benches/crashes.rs
+++ b/crates/cw_policy/benches/crashes.rs
@@ -91,6 +91,9 @@
         let request = Fingerprint(u64::MAX - u64::from(number));
         tracker.record_completion(now, black_box(request));
     });
+    let mut news = tracker.news(now);
+    news.crashes.truncate(1);
+    let news_bytes = cw_wire::encode(&news).map_or(0, |bytes| bytes.len());
     let evidence = Instant::now();
     let crashes = tracker.evidence(now).crashes.len();
     let evidence = evidence.elapsed().as_micros();
@@ -102,6 +105,7 @@
         "is_refused_suspected_ns": suspected,
         "completion_ns": completion,
         "evidence_us": evidence,
+        "news_of_one_crash_bytes": news_bytes,
         "crashes_in_evidence": crashes,
     });
     println!("{result:#}");
