Split the files that send, receive and sync by what they do

Moves only, but for three extracted functions; what follows from an earlier transmission is a method of ExchangeEvent in cw_policy now.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -89,6 +89,19 @@
     Expired,
 }
 
+impl ExchangeEvent {
+    /// Returns the event that ends a send if an earlier transmission of it may have run at the same
+    /// target. What shows that the last transmission did not run says nothing about that one.
+    #[must_use]
+    pub fn after_earlier_run(self, may_have_run: bool) -> Self {
+        match self {
+            ExchangeEvent::NotRun(fault) if may_have_run => ExchangeEvent::Lost(fault),
+            ExchangeEvent::NoCopy if may_have_run => ExchangeEvent::Lost(Fault::Broken),
+            event => event,
+        }
+    }
+}
+
 /// The state from which a request resumes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resume {
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -0,0 +1,142 @@
+//! Queries the other entries for data that the key-value service does not give.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_wire::DirectorySnapshot;
+use http::Method;
+use http::StatusCode;
+use log::info;
+use log::warn;
+
+use super::directory_sync::DirectorySync;
+use super::directory_sync::Topic;
+use super::peer_api::CONFIG_PATH;
+use super::peer_api::CRASHES_PATH;
+use super::peer_api::TARGETS_PATH;
+use super::target_records::apply_listing;
+use super::target_records::set_target_count;
+
+/// How often an entry without any data queries the other entries. The service usually answers
+/// sooner.
+const PEER_QUERY_PERIOD: Duration = Duration::from_millis(250);
+
+impl DirectorySync {
+    /// Queries the other entries while no data is known, so that startup does not wait for the
+    /// timeout of a call that the service never answers.
+    pub(super) async fn query_peers_until_known(&self) -> Infallible {
+        loop {
+            tokio::time::sleep(PEER_QUERY_PERIOD).await;
+            let is_known = {
+                let state = self.context.state();
+                match self.topic {
+                    Topic::Config => state.config.is_some(),
+                    Topic::Targets => !state.fleet.is_empty(),
+                }
+            };
+            if !is_known {
+                self.query_peers().await;
+            }
+        }
+    }
+
+    /// Queries the other entries, when the service does not answer, for data that they have
+    /// announced and this entry lacks.
+    pub(super) async fn query_peers(&self) {
+        let path = match self.topic {
+            Topic::Config => CONFIG_PATH,
+            Topic::Targets => TARGETS_PATH,
+        };
+        for (entry, address) in self.context.other_entries() {
+            if !self.is_missing_updates() {
+                return;
+            }
+            if self.topic == Topic::Config && self.context.config().is_none() {
+                self.query_crash_evidence(entry.as_str(), address).await;
+            }
+            let call = self.entries.call(Method::GET, address, path, Bytes::new());
+            match call.await {
+                Ok(answer) if answer.status == StatusCode::OK => match self.topic {
+                    Topic::Config => self.activate_config(&answer.body, entry.as_str()),
+                    Topic::Targets => self.apply_peer_snapshot(entry.as_str(), &answer.body),
+                },
+                Ok(answer) => info!(
+                    entry = entry.as_str();
+                    "an entry answered a query with status {}", answer.status
+                ),
+                Err(error) => info!(entry = entry.as_str(); "failed to query an entry: {error}"),
+            }
+        }
+    }
+
+    /// Asks another entry for the evidence against requests that crash targets, before its
+    /// configuration lets requests in.
+    async fn query_crash_evidence(&self, entry: &str, address: SocketAddr) {
+        let call = self
+            .entries
+            .call(Method::GET, address, CRASHES_PATH, Bytes::new());
+        match call.await {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                self.apply_crash_evidence(entry, &answer.body);
+            }
+            // The other entry has none.
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
+            Ok(answer) => info!(
+                entry = entry;
+                "an entry answered a query with status {}", answer.status
+            ),
+            Err(error) => info!(entry = entry; "failed to query an entry: {error}"),
+        }
+    }
+
+    /// Returns whether this entry lacks data that other entries have announced, or has no targets.
+    /// Without targets it would refuse requests that the other entries serve.
+    fn is_missing_updates(&self) -> bool {
+        let state = self.context.state();
+        match self.topic {
+            Topic::Config => state.config_version() < state.peer_config_version,
+            Topic::Targets => state.fleet.is_empty() || state.directory_log.is_behind(),
+        }
+    }
+
+    /// Applies the targets that another entry knows. Later changes by the messages of that entry
+    /// build on them.
+    fn apply_peer_snapshot(&self, entry: &str, body: &[u8]) {
+        let snapshot: DirectorySnapshot = match cw_wire::decode(body) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                warn!(entry = entry; "failed to decode the targets of another entry: {error}");
+                return;
+            }
+        };
+        let now = self.context.now();
+        let mut state = self.context.state();
+        if !state.directory_log.accepts_read(snapshot.newest) {
+            info!(
+                entry = entry,
+                revision = snapshot.newest,
+                newest = state.directory_log.newest();
+                "ignored outdated targets of another entry"
+            );
+            return;
+        }
+        info!(
+            entry = entry,
+            targets = snapshot.targets.len(),
+            revision = snapshot.newest;
+            "applied the targets of another entry"
+        );
+        if state.fleet.is_empty() {
+            // The service has not answered yet, so the changes that other entries send apply from
+            // now on.
+            state.fleet.record_directory_failure();
+        }
+        for (id, value) in &snapshot.targets {
+            apply_listing(&self.context, now, &mut state, id, value, snapshot.newest);
+        }
+        state.directory_log.record_read(snapshot.newest);
+        set_target_count(&self.context, state.fleet.len());
+    }
+}
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -1,14 +1,11 @@
 //! Keeps the configuration and the targets in sync with the key-value service.
 
 use std::collections::BTreeSet;
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cw_policy::budget::Backoff;
-use cw_policy::forward::Listing;
 use cw_store::HttpClient;
 use cw_store::KeyValueStore;
 use cw_store::StoreError;
@@ -16,22 +13,18 @@
 use cw_store::Versioned;
 use cw_store::WatchEvent;
 use cw_types::TargetId;
-use cw_types::Time;
 use cw_wire::DirectoryChange;
-use cw_wire::DirectorySnapshot;
 use futures::StreamExt;
-use http::Method;
-use http::StatusCode;
 use log::info;
 use log::warn;
 
 use super::crash_evidence_state::CRASHES_KEY;
 use super::crash_evidence_state::restore_evidence;
 use super::forward_context::ForwardContext;
-use super::forward_context::ForwardState;
-use super::peer_api::CONFIG_PATH;
-use super::peer_api::CRASHES_PATH;
-use super::peer_api::TARGETS_PATH;
+use super::target_records::apply_directory_change;
+use super::target_records::apply_listing;
+use super::target_records::set_target_count;
+use super::target_records::target_id;
 
 /// The delay after failed calls. The service charges for failed calls too, and its data must be
 /// applied within seconds of its recovery.
@@ -43,10 +36,6 @@
 /// How often an entry that does not watch the service checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(150);
 
-/// How often an entry without any data queries the other entries. The service usually answers
-/// sooner.
-const PEER_QUERY_PERIOD: Duration = Duration::from_millis(250);
-
 /// The part of the key-value service that is kept in sync.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Topic {
@@ -165,7 +154,7 @@
         }
     }
 
-    fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
+    pub(super) fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
         if let Err(error) = restore_evidence(&self.context, value) {
             warn!(
                 source = source;
@@ -255,7 +244,7 @@
     }
 
     /// Activates a configuration if it can be parsed and is newer than the current one.
-    fn activate_config(&self, document: &Bytes, source: &str) {
+    pub(super) fn activate_config(&self, document: &Bytes, source: &str) {
         let config = match self.context.dialect.parse_config(document) {
             Ok(config) => config,
             Err(error) => {
@@ -283,124 +272,6 @@
         self.context.peer_update.notify_one();
     }
 
-    // ---- Data of the other entries ----
-
-    /// Queries the other entries while no data is known, so that startup does not wait for the
-    /// timeout of a call that the service never answers.
-    async fn query_peers_until_known(&self) -> Infallible {
-        loop {
-            tokio::time::sleep(PEER_QUERY_PERIOD).await;
-            let is_known = {
-                let state = self.context.state();
-                match self.topic {
-                    Topic::Config => state.config.is_some(),
-                    Topic::Targets => !state.fleet.is_empty(),
-                }
-            };
-            if !is_known {
-                self.query_peers().await;
-            }
-        }
-    }
-
-    /// Queries the other entries, when the service does not answer, for data that they have
-    /// announced and this entry lacks.
-    async fn query_peers(&self) {
-        let path = match self.topic {
-            Topic::Config => CONFIG_PATH,
-            Topic::Targets => TARGETS_PATH,
-        };
-        for (entry, address) in self.context.other_entries() {
-            if !self.is_missing_updates() {
-                return;
-            }
-            if self.topic == Topic::Config && self.context.config().is_none() {
-                self.query_crash_evidence(entry.as_str(), address).await;
-            }
-            let call = self.entries.call(Method::GET, address, path, Bytes::new());
-            match call.await {
-                Ok(answer) if answer.status == StatusCode::OK => match self.topic {
-                    Topic::Config => self.activate_config(&answer.body, entry.as_str()),
-                    Topic::Targets => self.apply_peer_snapshot(entry.as_str(), &answer.body),
-                },
-                Ok(answer) => info!(
-                    entry = entry.as_str();
-                    "an entry answered a query with status {}", answer.status
-                ),
-                Err(error) => info!(entry = entry.as_str(); "failed to query an entry: {error}"),
-            }
-        }
-    }
-
-    /// Asks another entry for the evidence against requests that crash targets, before its
-    /// configuration lets requests in.
-    async fn query_crash_evidence(&self, entry: &str, address: SocketAddr) {
-        let call = self
-            .entries
-            .call(Method::GET, address, CRASHES_PATH, Bytes::new());
-        match call.await {
-            Ok(answer) if answer.status == StatusCode::OK => {
-                self.apply_crash_evidence(entry, &answer.body);
-            }
-            // The other entry has none.
-            Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
-            Ok(answer) => info!(
-                entry = entry;
-                "an entry answered a query with status {}", answer.status
-            ),
-            Err(error) => info!(entry = entry; "failed to query an entry: {error}"),
-        }
-    }
-
-    /// Returns whether this entry lacks data that other entries have announced, or has no targets.
-    /// Without targets it would refuse requests that the other entries serve.
-    fn is_missing_updates(&self) -> bool {
-        let state = self.context.state();
-        match self.topic {
-            Topic::Config => state.config_version() < state.peer_config_version,
-            Topic::Targets => state.fleet.is_empty() || state.directory_log.is_behind(),
-        }
-    }
-
-    /// Applies the targets that another entry knows. Later changes by the messages of that entry
-    /// build on them.
-    fn apply_peer_snapshot(&self, entry: &str, body: &[u8]) {
-        let snapshot: DirectorySnapshot = match cw_wire::decode(body) {
-            Ok(snapshot) => snapshot,
-            Err(error) => {
-                warn!(entry = entry; "failed to decode the targets of another entry: {error}");
-                return;
-            }
-        };
-        let now = self.context.now();
-        let mut state = self.context.state();
-        if !state.directory_log.accepts_read(snapshot.newest) {
-            info!(
-                entry = entry,
-                revision = snapshot.newest,
-                newest = state.directory_log.newest();
-                "ignored outdated targets of another entry"
-            );
-            return;
-        }
-        info!(
-            entry = entry,
-            targets = snapshot.targets.len(),
-            revision = snapshot.newest;
-            "applied the targets of another entry"
-        );
-        if state.fleet.is_empty() {
-            // The service has not answered yet, so the changes that other entries send apply from
-            // now on.
-            state.fleet.record_directory_failure();
-        }
-        for (id, value) in &snapshot.targets {
-            apply_listing(&self.context, now, &mut state, id, value, snapshot.newest);
-        }
-        state.directory_log.record_read(snapshot.newest);
-        set_target_count(&self.context, state.fleet.len());
-    }
-
     fn apply_delete(&self, key: &str, revision: StoreRevision) {
         if self.topic == Topic::Targets {
             self.apply_change(key, None, revision);
@@ -430,104 +301,3 @@
         target_id(&self.context, key)
     }
 }
-
-/// Applies a change of the targets, from the watch of any entry. `trusted` says whether a target
-/// without a record is gone.
-pub(super) fn apply_directory_change(
-    context: &ForwardContext,
-    now: Time,
-    state: &mut ForwardState,
-    change: &DirectoryChange,
-    trusted: bool,
-) {
-    let Some(id) = target_id(context, &change.key) else {
-        return;
-    };
-    match &change.value {
-        Some(value) => apply_listing(context, now, state, &id, value, change.revision),
-        None => {
-            if state.fleet.apply_removal(now, &id, trusted) {
-                info!(
-                    target_id = id.as_str(),
-                    revision = change.revision,
-                    trusted = u64::from(trusted);
-                    "the record of a target was deleted"
-                );
-            }
-        }
-    }
-    set_target_count(context, state.fleet.len());
-}
-
-fn apply_listing(
-    context: &ForwardContext,
-    now: Time,
-    state: &mut ForwardState,
-    id: &TargetId,
-    value: &[u8],
-    revision: i64,
-) {
-    match context.dialect.parse_listing(id.as_str(), value) {
-        Ok(listing) => {
-            record_restart(context, now, state, &listing);
-            if state.fleet.record_listing(now, listing.clone()) {
-                // An outdated record, which does not revert that a target is leaving, is not passed
-                // on either.
-                if state.fleet.listing(id) == Some(&listing) {
-                    let value = Bytes::copy_from_slice(value);
-                    state.listings.insert(id.clone(), value);
-                }
-                info!(
-                    target_id = id.as_str(),
-                    service = listing.service.as_str(),
-                    zone = listing.zone.as_str(),
-                    address = listing.address.to_string(),
-                    leaving = u64::from(listing.leaving),
-                    revision = revision;
-                    "the record of a target has changed"
-                );
-            }
-        }
-        Err(error) => {
-            warn!(target_id = id.as_str(); "failed to parse the record of a target: {error}");
-            state.fleet.record_removal(now, id);
-        }
-    }
-}
-
-/// Records a crash if a record shows that a target has started again under its id, so that the
-/// incarnation before has ended.
-fn record_restart(context: &ForwardContext, now: Time, state: &mut ForwardState, new: &Listing) {
-    let Some(known) = state.fleet.listing(&new.id) else {
-        return;
-    };
-    if known.leaving || known.incarnation() >= new.incarnation() {
-        return;
-    }
-    let (incarnation, zone) = (known.incarnation(), known.zone.clone());
-    let crashes = &mut state.crashes;
-    let suspects = crashes.record_crash(now, &new.id, incarnation, &zone);
-    if !suspects.is_empty() {
-        context.peer_update.notify_one();
-        context.crashes_changed.notify_one();
-        info!(
-            target_id = new.id.as_str(),
-            incarnation = incarnation.0,
-            suspects = suspects.len(),
-            found_by = "the directory";
-            "a target crashed with requests in flight"
-        );
-    }
-}
-
-fn target_id(context: &ForwardContext, key: &str) -> Option<TargetId> {
-    key.strip_prefix(context.dialect.targets_prefix())?
-        .parse()
-        .ok()
-}
-
-/// Sets the gauge of the number of targets.
-pub(super) fn set_target_count(context: &ForwardContext, targets: usize) {
-    let targets = i64::try_from(targets).unwrap_or(i64::MAX);
-    context.metrics.targets.set(targets);
-}
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -24,7 +24,6 @@
 use super::crash_evidence_state::CrashEvidenceState;
 use super::directory_sync::DirectorySync;
 use super::directory_sync::Topic;
-use super::directory_sync::set_target_count;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::forward_metrics::ForwardMetrics;
@@ -34,6 +33,7 @@
 use super::prompt_location_state::PromptLocationState;
 use super::state_store::SharedState;
 use super::state_store::StateStore;
+use super::target_records::set_target_count;
 
 /// The maximum number of concurrent caller connections. A process has about four thousand file
 /// descriptors.
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -18,9 +18,9 @@
 use log::info;
 use tokio::net::UdpSocket;
 
-use super::directory_sync::apply_directory_change;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
+use super::target_records::apply_directory_change;
 
 /// The longest time between two messages. A new prompt triggers a message at once.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -0,0 +1,226 @@
+//! Reads the response to one send of a request: all of it, or the first events of a stream.
+
+use bytes::Bytes;
+use cw_policy::forward::ExchangeEvent;
+use cw_policy::forward::Fault;
+use cw_store::TargetResponseHead;
+use cw_types::Time;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use log::info;
+
+use super::exchange_driver::ExchangeDriver;
+use super::response::BufferedResponse;
+use super::send_outcome::ActiveSend;
+use super::send_outcome::Reuse;
+use super::send_outcome::SendOutcome;
+use super::send_outcome::TargetStream;
+use super::sending::Destination;
+
+/// A response whose body has not been read.
+struct ResponseStart {
+    head: BufferedResponse,
+    body: Incoming,
+    reuse: Reuse,
+    active: ActiveSend,
+}
+
+impl ExchangeDriver {
+    /// Reads a response: all of it, or the first events of a stream.
+    pub(super) async fn receive(
+        &mut self,
+        destination: &Destination,
+        mut active: ActiveSend,
+        response: Response<Incoming>,
+    ) -> SendOutcome {
+        let resumed = destination.resume_from.is_some();
+        let (parts, body) = response.into_parts();
+        let answer = self.context.dialect.parse_response(&parts);
+        if let Some(event) = self.mismatch_event(&answer, resumed) {
+            if !matches!(event, ExchangeEvent::Lost(_)) {
+                active.guard.mark_answered();
+            }
+            return SendOutcome::Event(event.after_earlier_run(active.may_have_run));
+        }
+        if let Some(load) = answer.load {
+            let now = self.context.now();
+            let mut state = self.context.state();
+            state
+                .fleet
+                .record_load(now, &destination.placement.target, load);
+        }
+        let head = BufferedResponse {
+            status: parts.status,
+            headers: self.context.dialect.caller_headers(&parts.headers),
+            body: Bytes::new(),
+        };
+        let reuse = match answer.close {
+            true => Reuse::No,
+            false => Reuse::Idle(answer.idle_timeout),
+        };
+        let start = ResponseStart {
+            head,
+            body,
+            reuse,
+            active,
+        };
+        if parts.status.is_success() && self.exchange.plan().streaming {
+            if self.weights.is_none() {
+                self.weights = answer.weight_version;
+            }
+            return self
+                .read_first_events(start, destination.give_up_at, resumed)
+                .await;
+        }
+        self.read_whole(start, destination.give_up_at).await
+    }
+
+    /// Returns the event for a response that does not answer this request, `None` for one that
+    /// does.
+    fn mismatch_event(&self, answer: &TargetResponseHead, resumed: bool) -> Option<ExchangeEvent> {
+        if answer.wrong_target {
+            return Some(ExchangeEvent::NotRun(Fault::Replaced));
+        }
+        if answer.not_executed && resumed {
+            return Some(ExchangeEvent::NoCopy);
+        }
+        if answer.not_executed {
+            return Some(ExchangeEvent::NotRun(Fault::Full));
+        }
+        let is_same_id = answer.id.as_deref() == Some(self.request.head.id.as_str());
+        let is_own = is_same_id && answer.from_target;
+        (!is_own).then_some(ExchangeEvent::Lost(Fault::Broken))
+    }
+
+    async fn read_whole(&self, start: ResponseStart, give_up_at: Option<Time>) -> SendOutcome {
+        let ResponseStart {
+            head,
+            body,
+            reuse,
+            mut active,
+        } = start;
+        let body = match self.in_time(give_up_at, body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => {
+                self.log_break(&error);
+                return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
+            }
+            Err(event) => return SendOutcome::Event(event),
+        };
+        active.guard.mark_begun();
+        self.record_completion(&mut active);
+        self.release_connection(active, reuse);
+        let answer = BufferedResponse { body, ..head };
+        match answer.status.is_server_error() {
+            true => SendOutcome::ErrorResponse(answer),
+            false => SendOutcome::Response(answer),
+        }
+    }
+
+    /// Records that a target has run the request to its end.
+    pub(super) fn record_completion(&self, active: &mut ActiveSend) {
+        active.guard.mark_answered();
+        let now = self.context.now();
+        let mut state = self.context.state();
+        state.crashes.record_completion(now, self.fingerprint);
+    }
+
+    /// Returns the connection of a completed request to the pool, if the target keeps it open.
+    pub(super) fn release_connection(&self, active: ActiveSend, reuse: Reuse) {
+        let Reuse::Idle(idle) = reuse else {
+            return;
+        };
+        if let Some(placed) = self.exchange.placed() {
+            let now = self.context.now();
+            self.context
+                .pool
+                .put(now, &placed.target, active.connection, idle);
+        }
+    }
+
+    async fn read_first_events(
+        &mut self,
+        start: ResponseStart,
+        give_up_at: Option<Time>,
+        resumed: bool,
+    ) -> SendOutcome {
+        let ResponseStart {
+            head,
+            mut body,
+            reuse,
+            mut active,
+        } = start;
+        self.request.events.restart();
+        loop {
+            let data = match self.next_data(&mut body, give_up_at).await {
+                Ok(Some(data)) => data,
+                // The caller already has the last event, and nothing follows it.
+                Ok(None) if self.request.events.may_end() => {
+                    active.guard.mark_begun();
+                    self.record_completion(&mut active);
+                    self.release_connection(active, reuse);
+                    return SendOutcome::StreamEnd(head);
+                }
+                Ok(None) => {
+                    info!(
+                        request = self.request.head.id.as_str();
+                        "the response ended before its first event"
+                    );
+                    return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
+                Err(event) => return SendOutcome::Event(event),
+            };
+            match self.request.events.push(&data) {
+                Ok(first) if first.is_empty() => {}
+                Ok(first) => {
+                    self.exchange.record_start();
+                    active.guard.mark_begun();
+                    self.record_prompt_time(resumed);
+                    return SendOutcome::Stream(Box::new(TargetStream {
+                        head,
+                        first,
+                        body,
+                        reuse,
+                        active,
+                    }));
+                }
+                Err(error) => {
+                    info!(
+                        request = self.request.head.id.as_str();
+                        "the stream contains an invalid event: {error}"
+                    );
+                    return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
+                }
+            }
+        }
+    }
+
+    /// Returns the next data of a response, which is empty for trailers, or `None` at its end.
+    async fn next_data(
+        &self,
+        body: &mut Incoming,
+        give_up_at: Option<Time>,
+    ) -> Result<Option<Bytes>, ExchangeEvent> {
+        match self.in_time(give_up_at, body.frame()).await? {
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Err(error)) => {
+                self.log_break(&error);
+                Err(ExchangeEvent::Lost(Fault::Broken))
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// Records how long the target took to read the whole prompt.
+    fn record_prompt_time(&self, resumed: bool) {
+        let prompt = self.request.head.demand.prompt;
+        if !resumed {
+            let time = self.context.now().since(self.sent_at);
+            let mut state = self.context.state();
+            let ahead = (self.backlog.excess == 0).then_some(self.backlog.unread);
+            let service = &self.request.service;
+            state.run_times.record_prompt(service, prompt, ahead, time);
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -166,13 +166,8 @@
                 return TargetStreamEnd::Event(ExchangeEvent::Leaving);
             }
             if self.has_run_long_enough(last_received) {
-                if !is_cleared {
-                    // A request that crashes its targets does so when they begin to run it.
-                    is_cleared = true;
-                    let mut state = self.context.state();
-                    state
-                        .crashes
-                        .record_completion(last_received, self.fingerprint);
+                if !std::mem::replace(&mut is_cleared, true) {
+                    self.clear_suspicion(last_received);
                 }
                 self.maintain_copy(last_received, &mut renewal);
             }
@@ -238,6 +233,13 @@
             .is_some_and(|since| now.since(since) >= COPY_READY_DELAY)
     }
 
+    /// Clears the request of earlier crashes, because its target has run it for a while. A request
+    /// that crashes its targets does so when they begin to run it.
+    fn clear_suspicion(&self, now: Time) {
+        let mut state = self.context.state();
+        state.crashes.record_completion(now, self.fingerprint);
+    }
+
     /// Records the duration of a run, from its first event to its last, if a single target ran it.
     fn record_run(&self) {
         if let (1, Some(first)) = (self.exchange.sends(), self.target_started_at) {
