Move types that two files share to files of their own

Seven pairs or triples of files imported each other. The position of a queued request, the candidates of routing, the state of a fake engine that survives its restarts, the results of the planner's calls, the state of the admin handlers and a forwarding entry's refusal response have files of their own now; the agent starts its runners from attempt_steps.rs.

--- a/crates/cw_policy/src/queue/mod.rs
+++ b/crates/cw_policy/src/queue/mod.rs
@@ -9,6 +9,7 @@
 mod flow;
 mod queue_event;
 mod queue_limits;
+mod queue_position;
 mod queued_request;
 mod request_queue;
 mod target_pool;
--- a/crates/cw_policy/src/queue/request_queue.rs
+++ b/crates/cw_policy/src/queue/request_queue.rs
@@ -6,7 +6,6 @@
 use cw_types::ErrorKind;
 use cw_types::GenerationId;
 use cw_types::Time;
-use cw_types::WorkspaceId;
 use rand::Rng;
 use rand::RngExt;
 
@@ -16,28 +15,9 @@
 use super::QueuedRequest;
 use super::TargetPool;
 use super::flow::DeadlineKey;
+use super::queue_position::QueuePosition;
 use super::target_pool::PoolQueue;
 
-/// The position of a request, by which it is found in the queue.
-#[derive(Clone, Debug)]
-pub(super) struct QueuePosition {
-    pub(super) pool: TargetPool,
-    pub(super) rank: u8,
-    pub(super) workspace: WorkspaceId,
-    pub(super) key: DeadlineKey,
-}
-
-impl QueuePosition {
-    pub(super) fn of(request: &QueuedRequest) -> Self {
-        Self {
-            pool: request.pool.clone(),
-            rank: request.rank,
-            workspace: request.workspace.clone(),
-            key: (request.deadline, request.id),
-        }
-    }
-}
-
 /// The requests of an entry that wait for a target.
 #[derive(Clone, Debug, Default)]
 pub struct RequestQueue {
--- a/crates/cw_policy/src/queue/target_pool.rs
+++ b/crates/cw_policy/src/queue/target_pool.rs
@@ -11,7 +11,7 @@
 use super::drain_rate::DrainRate;
 use super::flow::Flow;
 use super::flow::RankQueue;
-use super::request_queue::QueuePosition;
+use super::queue_position::QueuePosition;
 
 /// The targets that requests wait for: requests of one pool can run on the same targets.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/cw_policy/src/routing/affinity_key.rs
+++ b/crates/cw_policy/src/routing/affinity_key.rs
@@ -4,8 +4,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::RouteRequest;
+use super::candidate::Member;
 use super::shortlist::Shortlist;
-use super::target_index::Member;
 
 /// The length of the leading part of a prompt that is hashed, in bytes. It is longer than the
 /// beginning that the prompts of most workspaces share, so that a workspace spreads over targets,
--- a/crates/cw_policy/src/routing/decision.rs
+++ b/crates/cw_policy/src/routing/decision.rs
@@ -11,11 +11,11 @@
 use super::TargetIndex;
 use super::affinity_key::AffinityKey;
 use super::cached_shares::CachedShares;
+use super::candidate::Candidate;
+use super::candidate::Group;
+use super::candidate::Member;
 use super::estimate::estimate;
 use super::shortlist::Shortlist;
-use super::target_index::Candidate;
-use super::target_index::Group;
-use super::target_index::Member;
 
 /// How many targets of the rendezvous order are compared.
 const RENDEZVOUS_CANDIDATES: usize = 4;
--- a/crates/cw_policy/src/routing/estimate.rs
+++ b/crates/cw_policy/src/routing/estimate.rs
@@ -6,8 +6,8 @@
 
 use super::DispatchLog;
 use super::RoutingCosts;
-use super::target_index::Candidate;
-use super::target_index::Group;
+use super::candidate::Candidate;
+use super::candidate::Group;
 
 /// The smallest fraction of its limit that a target takes after it became alive again.
 const MIN_RAMP_SHARE: f64 = 0.1;
--- a/crates/cw_policy/src/routing/mod.rs
+++ b/crates/cw_policy/src/routing/mod.rs
@@ -9,6 +9,7 @@
 
 mod affinity_key;
 mod cached_shares;
+mod candidate;
 mod choice;
 mod decision;
 mod dispatch_log;
--- a/crates/cw_testkit/src/model_engine/engine_process.rs
+++ b/crates/cw_testkit/src/model_engine/engine_process.rs
@@ -36,11 +36,11 @@
 use super::batch::Batch;
 use super::batch::Step;
 use super::event_log::EventLog;
-use super::fake_engine::PersistentState;
 use super::job::Job;
 use super::loaded_versions::LoadedVersions;
 use super::loaded_versions::OrderOutcome;
 use super::loaded_versions::VersionKey;
+use super::persistent_state::PersistentState;
 use super::prompt_ids;
 
 /// The maximum number of unsent events in one stream.
--- a/crates/cw_testkit/src/model_engine/fake_engine.rs
+++ b/crates/cw_testkit/src/model_engine/fake_engine.rs
@@ -4,14 +4,11 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
 
 use cw_types::ModelName;
 use cw_types::VersionName;
 use tokio_util::sync::CancellationToken;
 
-use crate::server::Gate;
 use crate::server::HttpServer;
 
 use super::EngineCounters;
@@ -19,6 +16,7 @@
 use super::EngineTimings;
 use super::api::Versions;
 use super::engine_process::EngineProcess;
+use super::persistent_state::PersistentState;
 
 /// The configuration of a fake engine.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -55,31 +53,6 @@
     }
 }
 
-/// The state that survives restarts of the engine: its pause gate, counters and injected faults.
-#[derive(Debug, Default)]
-pub(super) struct PersistentState {
-    pub(super) gate: Gate,
-    counters: Mutex<EngineCounters>,
-    faults: Mutex<EngineFaults>,
-}
-
-impl PersistentState {
-    pub(super) fn counters(&self) -> MutexGuard<'_, EngineCounters> {
-        self.counters.lock().expect("no panic under this lock")
-    }
-
-    pub(super) fn faults(&self) -> MutexGuard<'_, EngineFaults> {
-        self.faults.lock().expect("no panic under this lock")
-    }
-
-    pub(super) fn take_next_error(&self) -> bool {
-        let mut faults = self.faults();
-        let due = faults.next_errors > 0;
-        faults.next_errors = faults.next_errors.saturating_sub(1);
-        due
-    }
-}
-
 #[derive(Debug)]
 struct RunningProcess {
     server: HttpServer,
--- a/crates/cw_testkit/src/model_engine/mod.rs
+++ b/crates/cw_testkit/src/model_engine/mod.rs
@@ -14,6 +14,7 @@
 mod fake_engine;
 mod job;
 mod loaded_versions;
+mod persistent_state;
 mod prefix_cache;
 mod token_source;
 
--- a/crates/cyclamenwharf/src/agent/agent_state.rs
+++ b/crates/cyclamenwharf/src/agent/agent_state.rs
@@ -15,14 +15,10 @@
 use cw_store::KeyValueStore;
 use cw_types::AttemptId;
 use cw_types::Time;
-use cw_wire::Dispatch;
-use cw_wire::Work;
 use tokio::sync::Notify;
 
 use super::agent_metrics::AgentMetrics;
 use super::attempt_signals::AttemptSignals;
-use super::call_runner;
-use super::generate_runner;
 use super::leaving_state::LeavingState;
 use super::target_client::TargetClient;
 use crate::AgentSettings;
@@ -144,29 +140,4 @@
     pub(super) fn remove_unused_signals(&self) {
         lock(&self.signals).retain(|_, signal| signal.strong_count() > 0);
     }
-
-    fn execute(self: &Arc<Self>, step: AttemptStep) {
-        match step {
-            AttemptStep::Start(dispatch) => self.spawn_runner(*dispatch),
-            AttemptStep::Abort(id) => self.signals(id).abort.cancel(),
-            AttemptStep::Resume(id) => self.signals(id).resume.notify_one(),
-            AttemptStep::Wake(id) => {
-                self.signals(id).output.send_replace(());
-            }
-        }
-    }
-
-    fn spawn_runner(self: &Arc<Self>, dispatch: Dispatch) {
-        let state = Arc::clone(self);
-        let signals = self.signals(dispatch.id);
-        let Dispatch { id, rank, work, .. } = dispatch;
-        match work {
-            Work::Generate(work) => self.supervisor.spawn(async move {
-                generate_runner::run(&state, id, rank, work, &signals).await;
-            }),
-            Work::Call(call) => self.supervisor.spawn(async move {
-                call_runner::run(&state, id, call, &signals).await;
-            }),
-        }
-    }
 }
--- a/crates/cyclamenwharf/src/agent/mod.rs
+++ b/crates/cyclamenwharf/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod agent_metrics;
 mod agent_state;
 mod attempt_signals;
+mod attempt_steps;
 mod call_runner;
 mod engine_json;
 mod frame_stream;
--- a/crates/cyclamenwharf/src/control/admin/endpoints.rs
+++ b/crates/cyclamenwharf/src/control/admin/endpoints.rs
@@ -16,6 +16,7 @@
 use dropshot::TypedBody;
 use dropshot::endpoint;
 
+use super::AdminContext;
 use super::ChangeMessage;
 use super::ChangePath;
 use super::ErrorMessage;
@@ -37,7 +38,6 @@
 use super::convert::from_record;
 use super::convert::parse;
 use super::convert::to_edit;
-use super::server::AdminContext;
 use crate::control::Inspection;
 
 type Context = RequestContext<Arc<AdminContext>>;
--- a/crates/cyclamenwharf/src/control/admin/mod.rs
+++ b/crates/cyclamenwharf/src/control/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The admin API: its messages, its server and the changes of the configuration behind it.
 
+mod admin_context;
 mod auth;
 mod change_service;
 mod convert;
@@ -31,6 +32,6 @@
 pub use server::admin_description;
 pub use traces::TraceMessage;
 
+pub(super) use admin_context::AdminContext;
 pub(super) use change_service::ChangeService;
-pub(super) use server::AdminContext;
 pub(super) use server::start;
--- a/crates/cyclamenwharf/src/control/admin/server.rs
+++ b/crates/cyclamenwharf/src/control/admin/server.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cw_types::HostId;
 use dropshot::ApiDescription;
 use dropshot::ApiDescriptionRegisterError;
 use dropshot::Body;
@@ -16,15 +15,12 @@
 use http::Response;
 use http::StatusCode;
 use prometheus::Encoder;
-use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use super::ChangeService;
+use super::AdminContext;
 use super::endpoints;
 use super::traces;
-use crate::Health;
 use crate::StartError;
-use crate::TraceStore;
 
 /// The maximum size of a request body, which is a change of many records.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -32,16 +28,6 @@
 /// The version of the admin API.
 const VERSION: &str = "1.0.0";
 
-/// The state that the handlers share.
-pub(in crate::control) struct AdminContext {
-    pub(in crate::control) host: HostId,
-    pub(in crate::control) health: Arc<Health>,
-    pub(in crate::control) traces: Arc<TraceStore>,
-    pub(in crate::control) registry: Registry,
-    pub(in crate::control) secrets: Vec<String>,
-    pub(in crate::control) changes: ChangeService,
-}
-
 type Context = RequestContext<Arc<AdminContext>>;
 type HandlerResult = Result<Response<Body>, HttpError>;
 type Api = ApiDescription<Arc<AdminContext>>;
--- a/crates/cyclamenwharf/src/control/admin/traces.rs
+++ b/crates/cyclamenwharf/src/control/admin/traces.rs
@@ -12,10 +12,10 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use super::AdminContext;
 use super::ErrorMessage;
 use super::endpoints::authorize;
 use super::error::AdminErrorKind;
-use super::server::AdminContext;
 
 type Context = RequestContext<Arc<AdminContext>>;
 
--- a/crates/cyclamenwharf/src/control/lease_calls.rs
+++ b/crates/cyclamenwharf/src/control/lease_calls.rs
@@ -17,7 +17,7 @@
 use cw_types::Time;
 use tokio::sync::mpsc;
 
-use super::planner_task::CallResult;
+use super::call_result::CallResult;
 use crate::planner_key::PLANNER_KEY;
 
 /// The value of the planner's key.
--- a/crates/cyclamenwharf/src/control/mod.rs
+++ b/crates/cyclamenwharf/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! One thread owns the control state and publishes an immutable [`View`] for the traffic threads.
 
 pub mod admin;
+mod call_result;
 mod control_metrics;
 mod core;
 mod core_queries;
--- a/crates/cyclamenwharf/src/control/planner_task.rs
+++ b/crates/cyclamenwharf/src/control/planner_task.rs
@@ -17,7 +17,6 @@
 use cw_store::WeightStore;
 use cw_types::FencingNumber;
 use cw_types::HostId;
-use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::OrderResponse;
 use cw_wire::path;
@@ -32,6 +31,7 @@
 use super::Inspection;
 use super::PlannerStatus;
 use super::SharedView;
+use super::call_result::CallResult;
 use super::lease_calls::LeaseCalls;
 use crate::Clock;
 use crate::PeerClient;
@@ -48,17 +48,6 @@
 /// The period at which the descriptions are requested while at least one of them is unknown.
 const UNKNOWN_WEIGHTS_PERIOD: Duration = Duration::from_millis(500);
 
-/// The result of an asynchronous call.
-#[derive(Debug)]
-pub(super) enum CallResult {
-    /// The result of a call for the lease.
-    Lease(LeaseEvent),
-    /// The outcome of an order, by target and sequence number.
-    Order(TargetId, u64, OrderOutcome),
-    /// The description of the weights of this name.
-    Weights(String, WeightsInfo),
-}
-
 /// The task that acquires the planner's lease and sends orders while it holds the lease.
 pub(super) struct PlannerTask {
     pub(super) host: HostId,
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -25,9 +25,9 @@
 use tokio::task::JoinHandle;
 use xxhash_rust::xxh3::Xxh3Default;
 
-use super::caller_api::refusal_response;
 use super::forward_context::ForwardContext;
 use super::loss_check::LossCheck;
+use super::refusal_response::refusal_response;
 use super::response::BufferedResponse;
 use super::send_outcome::SendOutcome;
 
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -34,6 +34,7 @@
 mod placement_choice;
 mod prompt_location_state;
 mod receiving;
+mod refusal_response;
 mod response;
 mod send_deadline;
 mod send_outcome;
