--- a/crates/cw_policy/src/attempt/table/peer_events.rs
+++ b/crates/cw_policy/src/attempt/table/peer_events.rs
@@ -58,29 +58,32 @@
         if let Some(reason) = self.readiness.refusal(&dispatch.work) {
             return (self.refuse_permanently(now, id, reason), steps);
         }
+        match self.admit(now, dispatch, &mut steps) {
+            true => (self.open_reader(id, from), steps),
+            false => (self.refuse_permanently(now, id, NotRunReason::Busy), steps),
+        }
+    }
+
+    /// Starts an attempt or lets it wait. Returns false if it is refused.
+    fn admit(&mut self, now: Time, dispatch: Dispatch, steps: &mut Vec<AttemptStep>) -> bool {
+        let id = dispatch.id;
         match self.admission.submit(now, ticket(now, &dispatch)) {
-            AdmissionOutcome::Refuse { .. } => {
-                return (self.refuse_permanently(now, id, NotRunReason::Busy), steps);
-            }
+            AdmissionOutcome::Refuse { .. } => return false,
             AdmissionOutcome::Start => {
                 self.insert(now, dispatch);
-                self.start(now, id, &mut steps);
+                self.start(now, id, steps);
             }
             AdmissionOutcome::Wait { displaced } => {
                 self.insert(now, dispatch);
                 if let Some(other) = displaced {
-                    self.end(
-                        now,
-                        other,
-                        AttemptEnd::NotRun(NotRunReason::Busy),
-                        &mut steps,
-                    );
+                    let end = AttemptEnd::NotRun(NotRunReason::Busy);
+                    self.end(now, other, end, steps);
                 }
                 // A resumed attempt may take a reserved slot, which the attempts ahead of it may not.
-                self.start_waiting(now, &mut steps);
+                self.start_waiting(now, steps);
             }
         }
-        (self.open_reader(id, from), steps)
+        true
     }
 
     /// Attaches to the requested attempt, or to the newest of a generation, within the workspace.
--- a/crates/cyclamenwharf/src/entry/completions.rs
+++ b/crates/cyclamenwharf/src/entry/completions.rs
@@ -7,13 +7,16 @@
 use chrono::Utc;
 use cw_policy::GenerationPlan;
 use cw_policy::View;
+use cw_types::AdapterName;
 use cw_types::ByteSize;
 use cw_types::ErrorKind;
 use cw_types::GenerationId;
+use cw_types::ModelName;
 use cw_types::Route;
 use cw_types::RouteName;
 use cw_types::RouteTarget;
 use cw_types::TokenIndex;
+use cw_types::VersionName;
 use cw_wire::Fingerprint;
 use cw_wire::Generate;
 use cw_wire::Sampling;
@@ -142,30 +145,19 @@
         Some(last_event) => (last_event.version.clone(), last_event.adapter.clone()),
         None => (version, adapter),
     };
-    let plan = new_plan(
-        route,
-        completion,
-        last_event.as_ref(),
-        is_idempotent(route, headers)?,
-    )?;
-    let work = Generate {
+    let idempotent = is_idempotent(route, headers)?;
+    let plan = new_plan(route, completion, last_event.as_ref(), idempotent)?;
+    let destination = RouteTarget::Model {
         model: model.clone(),
         version: version.clone(),
         adapter: adapter.clone(),
-        prompt: completion.prompt.clone(),
-        sampling: sampling(completion, generation),
-        so_far: Vec::new(),
-        max_tokens: completion.max_tokens,
     };
+    let work = new_work((model, version, adapter), completion, generation);
     Ok(Job {
         generation,
         workspace: caller.workspace.clone(),
         route: name,
-        destination: RouteTarget::Model {
-            model,
-            version,
-            adapter,
-        },
+        destination,
         weight: caller.weight,
         priority: route.priority.clone(),
         rank: rank(view, route),
@@ -180,6 +172,22 @@
     })
 }
 
+fn new_work(
+    (model, version, adapter): (ModelName, VersionName, Option<AdapterName>),
+    completion: &CompletionRequest,
+    generation: GenerationId,
+) -> Generate {
+    Generate {
+        model,
+        version,
+        adapter,
+        prompt: completion.prompt.clone(),
+        sampling: sampling(completion, generation),
+        so_far: Vec::new(),
+        max_tokens: completion.max_tokens,
+    }
+}
+
 fn read_last_event_id(headers: &HeaderMap) -> Result<Option<EventId>, ApiError> {
     let Some(value) = headers.get(LAST_EVENT_ID_HEADER) else {
         return Ok(None);
--- a/crates/cyclamenwharf/src/entry/delivery.rs
+++ b/crates/cyclamenwharf/src/entry/delivery.rs
@@ -97,18 +97,13 @@
                 self.answer(now, answer).await;
             }
             Step::Finish(finish) => {
-                self.context
-                    .suspicion
-                    .record_completion(self.job.fingerprint);
+                self.clear_suspicion();
                 self.record_end("finished");
                 self.context.slo.record_completion(&self.class, true);
                 self.send(Output::Finished(finish)).await;
             }
             Step::Fail { kind, ran, retry } => self.fail(kind, ran, retry).await,
-            Step::ClearSuspicion => self
-                .context
-                .suspicion
-                .record_completion(self.job.fingerprint),
+            Step::ClearSuspicion => self.clear_suspicion(),
             Step::Abandon => self.record_end("abandoned"),
             Step::Crashed { target } => self.warn(&target, "the engine crashed during an attempt"),
             Step::Lost { target } => self.warn(&target, "the attempt was lost"),
@@ -121,6 +116,11 @@
         }
     }
 
+    fn clear_suspicion(&self) {
+        let suspicion = &self.context.suspicion;
+        suspicion.record_completion(self.job.fingerprint);
+    }
+
     async fn answer(&mut self, now: Time, answer: ServiceAnswer) {
         self.context
             .suspicion
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -151,7 +151,6 @@
     ) -> TargetStreamEnd {
         let deadline = self.exchange.plan().deadline;
         let mut last_received = self.context.now();
-        self.record_pause(last_received);
         self.target_started_at = Some(last_received);
         let first = std::mem::take(&mut stream.first);
         if !self.send_events(first, events).await {
@@ -171,13 +170,9 @@
                 }
                 self.maintain_copy(last_received, &mut renewal);
             }
-            let until = self
-                .exchange
-                .event_deadline(last_received)
-                .unwrap_or(deadline);
-            timer
-                .as_mut()
-                .reset(self.context.clock.instant(until.min(deadline)));
+            let until = self.exchange.event_deadline(last_received);
+            let until = until.map_or(deadline, |until| until.min(deadline));
+            timer.as_mut().reset(self.context.clock.instant(until));
             let frame = tokio::select! {
                 biased;
                 frame = stream.body.frame() => frame,
@@ -188,11 +183,8 @@
                 Ok(complete) => complete,
                 Err(end) => return end,
             };
-            if !complete.is_empty() {
-                self.record_pause(self.context.now());
-                if !self.send_events(complete, events).await {
-                    return TargetStreamEnd::CallerGone;
-                }
+            if !complete.is_empty() && !self.send_events(complete, events).await {
+                return TargetStreamEnd::CallerGone;
             }
             last_received = self.context.now();
         }
@@ -258,8 +250,10 @@
         }
     }
 
-    /// Passes events on to the caller. Returns whether it is still connected.
-    async fn send_events(&self, complete: Bytes, events: &EventSender) -> bool {
+    /// Passes events on to the caller, and records the pause before them. Returns whether the caller is
+    /// still connected.
+    async fn send_events(&mut self, complete: Bytes, events: &EventSender) -> bool {
+        self.record_pause(self.context.now());
         self.context.metrics.events.inc();
         events.send(Ok(complete)).await.is_ok()
     }
