Clear all crashes of a completed request, and end announcements with their crash

Found while reading the diff. A completed request was cleared only if a crash counted against it at that moment; one that passed for part of a mass failure stayed and could count later. And an entry without others makes no announcements, so the list of those still to be made grew with each crash for as long as it ran.

a_completion_also_clears_crashes_in_a_mass_failure fails on the code before (nothing is told as cleared). The list is private; it is cut with the crashes, which are bounded.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -164,8 +164,7 @@
     /// Records that a request has completed, or has run for long enough that it did not crash its
     /// target. The crashes so far do not count against it.
     pub fn record_completion(&mut self, now: Time, request: Fingerprint) {
-        if self.table.assess(request) != CrashSuspicion::Unsuspected {
-            self.table.record_completion(request);
+        if self.table.record_completion(request) {
             let announcement = Announcement::new(now);
             let at = self.table_time(now);
             self.cleared.insert(request, (at, announcement));
@@ -246,10 +245,7 @@
             is_new |= self.receive_notice(now, notice);
         }
         for request in &news.cleared {
-            if self.table.assess(*request) != CrashSuspicion::Unsuspected {
-                self.table.record_completion(*request);
-                is_new = true;
-            }
+            is_new |= self.table.record_completion(*request);
             // It is not announced again, but a late message must not suspect it again either.
             let done = Announcement {
                 next_at: now,
@@ -288,6 +284,9 @@
         self.sends.expire(now);
         let table_now = self.table_time(now);
         self.table.expire(table_now);
+        // An entry without others announces nothing, so these do not end by themselves.
+        let table = &self.table;
+        self.announcements.retain(|id, _| table.crash(id).is_some());
         self.cleared
             .retain(|_, (at, _)| table_now.since(*at) <= CLEARED_TTL);
     }
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -129,14 +129,19 @@
         number
     }
 
-    /// Records that a request has completed, so that no crash counts against it any more.
-    pub fn record_completion(&mut self, request: Fingerprint) {
+    /// Records that a request has completed, so that no crash counts against it any more. Returns
+    /// whether it was in flight at any.
+    pub fn record_completion(&mut self, request: Fingerprint) -> bool {
         self.confirmed.remove(&request);
-        for number in self.by_request.remove(&request).unwrap_or_default() {
+        let Some(numbers) = self.by_request.remove(&request) else {
+            return false;
+        };
+        for number in numbers {
             if let Some(crash) = self.crashes.get_mut(&number) {
                 crash.suspects.remove(&request);
             }
         }
+        true
     }
 
     /// Returns the crashes that count as evidence against a request, those in a mass failure left
--- a/crates/cw_policy/tests/forward/crash_tracker.rs
+++ b/crates/cw_policy/tests/forward/crash_tracker.rs
@@ -192,6 +192,23 @@
     );
 }
 
+/// Guards against a completion that clears only what counts at the moment: a crash that passes for
+/// part of a mass failure may count later.
+#[rstest]
+fn a_completion_also_clears_crashes_in_a_mass_failure() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..4 {
+        crash(&mut tracker, at(1000), 0, number, &[OTHER + number as u64]);
+    }
+    let mut other = tracker.clone();
+
+    tracker.record_completion(at(1100), Fingerprint(OTHER));
+
+    let news = tracker.news(at(1100));
+    assert_eq!(news.cleared, vec![Fingerprint(OTHER)]);
+    assert!(other.receive(at(1200), &news));
+}
+
 /// Guards against refusing requests because their engines died together, with a zone or with the
 /// power, time and again.
 #[rstest]
