Take only a closed port for a crash, not a reset connection

Found while reading the diff. A check of a target that lost an answer took a reset connection, and one that broke right after it was accepted, for a crash. A target with too many connections resets them, so under overload a request that lost its answer three times could have been refused as crashing, although nothing had ended. Only a refused connection, or none within the timeout at an entry that hears from others, counts now; after a connection that breaks at once a second attempt decides.

No test: a fake that resets new connections while it runs would be a new stand-in.

--- a/crates/cyclamenwharf/src/forward/loss_check.rs
+++ b/crates/cyclamenwharf/src/forward/loss_check.rs
@@ -12,6 +12,7 @@
 use log::warn;
 
 use super::forward_context::ForwardContext;
+use super::target_connection::ConnectError;
 use super::target_connection::TargetConnection;
 
 /// The time from a broken connection to the check. By then the target's other connections have
@@ -21,6 +22,10 @@
 /// The period at which a check waits for another one of the same target.
 const WAIT_PERIOD: Duration = Duration::from_millis(5);
 
+/// The maximum number of connection attempts of a check. The second one shows whether a target that
+/// broke the first connection has ended.
+const CONNECT_ATTEMPTS: u32 = 2;
+
 /// A target that did not answer a request.
 pub(super) struct LossCheck {
     pub(super) context: Arc<ForwardContext>,
@@ -57,13 +62,12 @@
             }
             return;
         }
-        let finding = self.find().await;
-        self.context.state().checked_targets.remove(&self.target);
-        match finding {
+        match self.find().await {
             Finding::Alive => self.context.state().crashes.record_alive(&self.target),
             Finding::Crashed => record_crash(&self.context, &self.target, "the connection check"),
             Finding::Unknown => {}
         }
+        self.context.state().checked_targets.remove(&self.target);
     }
 
     async fn find(&self) -> Finding {
@@ -71,26 +75,34 @@
         if self.has_answered() {
             return Finding::Alive;
         }
-        let connection = match TargetConnection::connect(self.address).await {
-            Ok(connection) => connection,
-            Err(error) if error.is_refused() => return Finding::Crashed,
-            // A target that does not answer may have ended, or this entry may be cut off.
-            Err(_) => {
-                let now = self.context.now();
-                return match self.context.state().fleet.is_in_contact(now) {
-                    true => Finding::Crashed,
-                    false => Finding::Unknown,
-                };
+        for _ in 0..CONNECT_ATTEMPTS {
+            match TargetConnection::connect(self.address).await {
+                Ok(connection) => {
+                    // A target that is about to end may still have accepted the connection.
+                    tokio::time::sleep(CHECK_DELAY).await;
+                    if connection.is_ready() {
+                        let now = self.context.now();
+                        self.context.pool.put(now, &self.target, connection, None);
+                        return Finding::Alive;
+                    }
+                }
+                Err(error) if error.is_refused() => return Finding::Crashed,
+                Err(ConnectError::Timeout) => return self.find_unreachable(),
+                Err(_) => return Finding::Unknown,
             }
-        };
-        // A target that is about to end may still have accepted the connection.
-        tokio::time::sleep(CHECK_DELAY).await;
-        if !connection.is_ready() {
-            return Finding::Crashed;
         }
+        // A target that breaks connections which it has accepted may have too many of them.
+        Finding::Unknown
+    }
+
+    /// Returns the finding for a target that does not answer a connection attempt: it may have ended,
+    /// or this entry may be cut off.
+    fn find_unreachable(&self) -> Finding {
         let now = self.context.now();
-        self.context.pool.put(now, &self.target, connection, None);
-        Finding::Alive
+        match self.context.state().fleet.is_in_contact(now) {
+            true => Finding::Crashed,
+            false => Finding::Unknown,
+        }
     }
 
     /// Returns whether the target has shown since the loss that it runs, without a new connection.
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -54,13 +54,13 @@
 }
 
 impl ConnectError {
-    /// Returns whether the host of the target answered that nothing listens at the address.
+    /// Returns whether the host of the target answered that nothing listens at the address. A target
+    /// with too many connections resets them instead.
     pub(super) fn is_refused(&self) -> bool {
         let ConnectError::Connect { source } = self else {
             return false;
         };
-        let kind = source.kind();
-        kind == io::ErrorKind::ConnectionRefused || kind == io::ErrorKind::ConnectionReset
+        source.kind() == io::ErrorKind::ConnectionRefused
     }
 }
 
