--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Returns how many requests were in flight at the crash of an incarnation that does not count
+    /// against them, because it passes for a part of a mass failure.
+    pub fn mass_failure_suspects(&self, target: &TargetId, incarnation: Incarnation) -> usize {
+        self.table
+            .mass_failure_suspects(&crash_id(target, incarnation))
+    }
+
     /// Returns whether a request may be refused if its `undecided` last losses are crashes.
     pub fn may_refuse(&self, request: Fingerprint, undecided: usize) -> bool {
         self.crash_count(request) + undecided >= self.table.limits().refusing_crashes
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -208,6 +208,18 @@
         self.crashes.get(self.numbers.get(id)?)
     }
 
+    /// Returns how many requests were in flight at a crash that does not count against them, because
+    /// it passes for a part of a mass failure.
+    pub fn mass_failure_suspects(&self, id: &CrashId) -> usize {
+        let Some(crash) = self.crash(id) else {
+            return 0;
+        };
+        let suspects = crash.suspects.iter();
+        suspects
+            .filter(|suspect| self.is_mass_failure(crash, Some(**suspect)))
+            .count()
+    }
+
     /// Returns whether a request was in flight at several crashes, in mass failures or not.
     pub fn is_repeated(&self, request: Fingerprint) -> bool {
         let numbers = self.by_request.get(&request);
--- a/crates/cyclamenwharf/src/forward/loss_check.rs
+++ b/crates/cyclamenwharf/src/forward/loss_check.rs
@@ -141,6 +141,7 @@
         incarnation = incarnation.0,
         zone = zone.as_str(),
         suspects = suspects.len(),
+        in_mass_failure = state.crashes.mass_failure_suspects(target, incarnation),
         found_by = found_by;
         "a target crashed with requests in flight"
     );
