--- /dev/null
+++ b/crates/cw_policy/tests/forward/crashing_load.rs
@@ -0,0 +1,329 @@
+//! A simulated load of requests that crash targets and of others beside them, at several entries.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cw_policy::forward::CrashTracker;
+use cw_policy::forward::SendEnd;
+use cw_policy::forward::SendId;
+use cw_types::Incarnation;
+use cw_types::Time;
+use cw_wire::Fingerprint;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fixtures::at;
+use crate::fixtures::engine;
+use crate::fixtures::name;
+
+/// The number of engines of each availability zone.
+const ENGINES: usize = 12;
+
+/// How long an engine is down after a crash, in milliseconds.
+const DOWN_TIME: u64 = 1500;
+
+/// How long an engine runs an innocent request until it completes, in milliseconds.
+const RUN_TIME: u64 = 1200;
+
+/// The time between a loss and the next send of the same request, in milliseconds.
+const RESEND_DELAY: u64 = 20;
+
+/// The step of the simulation, in milliseconds. The entries tell each other as often.
+const STEP: u64 = 10;
+
+/// The first identity of an innocent request. Those below crash their targets.
+const FIRST_INNOCENT: u64 = 1000;
+
+/// The times at which whole zones are lost.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ZoneLosses {
+    /// The time of the first one, in milliseconds.
+    pub(crate) first: u64,
+    /// The time between two losses, in milliseconds; 0 for none at all.
+    pub(crate) period: u64,
+    /// Whether all zones are lost together, and not one after the other.
+    pub(crate) together: bool,
+}
+
+/// A load of crashing and of innocent requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashingLoad {
+    pub(crate) seed: u64,
+    pub(crate) entries: usize,
+    pub(crate) zones: usize,
+    /// The number of different crashing requests.
+    pub(crate) crashing: u64,
+    /// The time between the sends of two crashing requests, in milliseconds.
+    pub(crate) gap: u64,
+    /// The pause after each of them has been sent once, in milliseconds.
+    pub(crate) pause: u64,
+    /// The number of innocent requests in flight.
+    pub(crate) innocent: usize,
+    pub(crate) losses: ZoneLosses,
+    /// How long the load lasts, in milliseconds.
+    pub(crate) duration: u64,
+}
+
+impl Default for CrashingLoad {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries: 1,
+            zones: 3,
+            crashing: 0,
+            gap: 40,
+            pause: 0,
+            innocent: 24,
+            losses: ZoneLosses::default(),
+            duration: 40_000,
+        }
+    }
+}
+
+/// What the callers of a load have seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoadOutcome {
+    /// The number of engines that each crashing request has ended.
+    pub(crate) crashes: BTreeMap<u64, usize>,
+    /// The crashing requests that entries would still send at the end.
+    pub(crate) not_refused: Vec<u64>,
+    /// The innocent requests that an entry refused.
+    pub(crate) wrongly_refused: BTreeSet<u64>,
+    /// How many innocent requests completed.
+    pub(crate) completed: usize,
+    /// How many innocent requests lost their engine, counted once each time.
+    pub(crate) lost: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Engine {
+    incarnation: u64,
+    up_at: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct InnocentRun {
+    request: u64,
+    entry: usize,
+    engine: (usize, usize),
+    send: SendId,
+    ends_at: u64,
+}
+
+struct World {
+    load: CrashingLoad,
+    rng: SmallRng,
+    now: u64,
+    entries: Vec<CrashTracker>,
+    engines: BTreeMap<(usize, usize), Engine>,
+    runs: Vec<InnocentRun>,
+    /// The innocent requests that are sent again, and when.
+    waiting: Vec<(u64, u64)>,
+    next_innocent: u64,
+    outcome: LoadOutcome,
+}
+
+impl CrashingLoad {
+    /// Plays the load, and returns what its callers have seen.
+    pub(crate) fn play(self) -> LoadOutcome {
+        let engines = (0..self.zones).flat_map(|zone| (0..ENGINES).map(move |at| (zone, at)));
+        let first = Engine {
+            incarnation: 1,
+            up_at: 0,
+        };
+        let mut world = World {
+            load: self,
+            rng: SmallRng::seed_from_u64(self.seed),
+            now: 1000,
+            entries: vec![CrashTracker::default(); self.entries],
+            engines: engines.map(|engine| (engine, first)).collect(),
+            runs: Vec::new(),
+            waiting: Vec::new(),
+            next_innocent: FIRST_INNOCENT,
+            outcome: LoadOutcome::default(),
+        };
+        while world.now < 1000 + self.duration {
+            world.step();
+        }
+        world.finish()
+    }
+
+    /// Returns the crashing request that is sent in the step before `elapsed` milliseconds.
+    fn crashing_request(&self, elapsed: u64) -> Option<u64> {
+        if self.crashing == 0 {
+            return None;
+        }
+        let round = self.gap * self.crashing + self.pause;
+        let position = elapsed % round;
+        let number = position / self.gap;
+        (number < self.crashing && position % self.gap < STEP).then_some(number)
+    }
+
+    fn lost_zones(&self, elapsed: u64) -> Vec<usize> {
+        let losses = self.losses;
+        let is_loss = losses.period > 0
+            && elapsed >= losses.first
+            && (elapsed - losses.first) % losses.period < STEP;
+        let number = (elapsed.saturating_sub(losses.first) / losses.period.max(1)) as usize;
+        match (is_loss, losses.together) {
+            (false, _) => Vec::new(),
+            (true, true) => (0..self.zones).collect(),
+            (true, false) => vec![number % self.zones],
+        }
+    }
+}
+
+impl World {
+    fn step(&mut self) {
+        self.now += STEP;
+        let elapsed = self.now - 1000;
+        self.complete_runs();
+        self.send_innocent_requests();
+        if let Some(request) = self.load.crashing_request(elapsed) {
+            self.send_crashing(request);
+        }
+        for zone in self.load.lost_zones(elapsed) {
+            for number in 0..ENGINES {
+                self.crash((zone, number));
+            }
+        }
+        self.share_news();
+    }
+
+    fn time(&self) -> Time {
+        at(self.now)
+    }
+
+    fn pick_engine(&mut self) -> Option<(usize, usize)> {
+        let now = self.now;
+        let up = |engine: &Engine| engine.up_at <= now;
+        let candidates: Vec<_> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| up(engine))
+            .map(|(id, _)| *id)
+            .collect();
+        let at = self.rng.random_range(0..candidates.len().max(1));
+        candidates.get(at).copied()
+    }
+
+    fn send(&mut self, entry: usize, id: (usize, usize), request: u64) -> SendId {
+        let incarnation = Incarnation(self.engines[&id].incarnation);
+        let now = self.time();
+        let target = engine(id.0, id.1);
+        self.entries[entry].record_send(now, &target, incarnation, Fingerprint(request))
+    }
+
+    fn send_crashing(&mut self, request: u64) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        if self.entries[entry].is_refused(Fingerprint(request)) {
+            return;
+        }
+        if let Some(id) = self.pick_engine() {
+            self.send(entry, id, request);
+            *self.outcome.crashes.entry(request).or_default() += 1;
+            self.crash(id);
+        }
+    }
+
+    fn send_innocent_requests(&mut self) {
+        let now = self.now;
+        let due: Vec<u64> = (self.waiting.iter())
+            .filter(|(_, at)| *at <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        self.waiting.retain(|(_, at)| *at > now);
+        for request in due {
+            self.send_innocent(request);
+        }
+        while self.runs.len() + self.waiting.len() < self.load.innocent {
+            let request = self.next_innocent;
+            self.next_innocent += 1;
+            self.send_innocent(request);
+        }
+    }
+
+    fn send_innocent(&mut self, request: u64) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        if self.entries[entry].is_refused(Fingerprint(request)) {
+            self.outcome.wrongly_refused.insert(request);
+            return;
+        }
+        let Some(engine) = self.pick_engine() else {
+            self.waiting.push((request, self.now + DOWN_TIME));
+            return;
+        };
+        let send = self.send(entry, engine, request);
+        self.runs.push(InnocentRun {
+            request,
+            entry,
+            engine,
+            send,
+            ends_at: self.now + RUN_TIME,
+        });
+    }
+
+    fn complete_runs(&mut self) {
+        let now = self.now;
+        let (ended, running) = self.runs.iter().partition(|run| run.ends_at <= now);
+        self.runs = running;
+        let ended: Vec<InnocentRun> = ended;
+        for run in ended {
+            let target = engine(run.engine.0, run.engine.1);
+            let tracker = &mut self.entries[run.entry];
+            tracker.record_completion(at(now), Fingerprint(run.request));
+            tracker.record_end(at(now), &target, run.send, SendEnd::Answered);
+            self.outcome.completed += 1;
+        }
+    }
+
+    /// Ends an engine. Each entry that had requests there finds it at once.
+    fn crash(&mut self, id: (usize, usize)) {
+        let now = self.now;
+        let state = self.engines.get_mut(&id).unwrap();
+        if state.up_at > now {
+            return;
+        }
+        let incarnation = Incarnation(state.incarnation);
+        state.incarnation += 1;
+        state.up_at = now + DOWN_TIME;
+        let (lost, running): (Vec<InnocentRun>, _) =
+            self.runs.iter().partition(|run| run.engine == id);
+        self.runs = running;
+        let target = engine(id.0, id.1);
+        for run in lost {
+            self.entries[run.entry].record_end(at(now), &target, run.send, SendEnd::Unanswered);
+            self.waiting.push((run.request, now + RESEND_DELAY));
+            self.outcome.lost += 1;
+        }
+        for entry in &mut self.entries {
+            entry.record_crash(at(now), &target, incarnation, &name(&format!("z{}", id.0)));
+        }
+    }
+
+    fn share_news(&mut self) {
+        let now = self.time();
+        for from in 0..self.entries.len() {
+            let news = self.entries[from].news(now);
+            for (to, entry) in self.entries.iter_mut().enumerate() {
+                if to != from && !news.is_empty() {
+                    entry.receive(now, &news);
+                }
+            }
+        }
+        for entry in &mut self.entries {
+            entry.expire(now);
+        }
+    }
+
+    fn finish(mut self) -> LoadOutcome {
+        let entries = &self.entries;
+        let is_sent = |request: &u64| {
+            let refuses = |entry: &CrashTracker| entry.is_refused(Fingerprint(*request));
+            !entries.iter().all(refuses)
+        };
+        self.outcome.not_refused = (0..self.load.crashing).filter(is_sent).collect();
+        self.outcome
+    }
+}
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod config;
 mod crash_tracker;
+mod crashing_load;
 mod directory_log;
 mod event_stream;
 mod exchange;
@@ -11,4 +12,5 @@
 mod peers;
 mod placement;
 mod prompts;
+mod several_crashing_requests;
 mod start_estimate;
--- /dev/null
+++ b/crates/cw_policy/tests/forward/several_crashing_requests.rs
@@ -0,0 +1,111 @@
+//! Tests that several requests that crash targets at the same time are found, and that the requests
+//! beside them and those at the loss of zones are not refused.
+
+use rstest::rstest;
+
+use crate::crashing_load::CrashingLoad;
+use crate::crashing_load::ZoneLosses;
+
+/// The number of engines that a request may end, by the platform's rules: three, and three further
+/// ones until the last entry knows.
+const MAX_CRASHES: usize = 6;
+
+/// Guards against crashing requests that hide each other: the crashes of the others looked like a
+/// mass failure, in which no crash counts.
+#[rstest]
+fn several_crashing_requests_are_refused(
+    #[values(2, 3, 4, 7, 16)] crashing: u64,
+    #[values(40, 150, 250, 500, 1000)] gap: u64,
+    #[values(1, 3)] zones: usize,
+    #[values(1, 4)] entries: usize,
+) {
+    let load = CrashingLoad {
+        seed: crashing * gap,
+        crashing,
+        gap,
+        zones,
+        entries,
+        duration: 10 * gap * crashing + 10_000,
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    assert!(outcome.not_refused.is_empty(), "{outcome:?}");
+    let most = outcome.crashes.values().max();
+    assert!(most <= Some(&MAX_CRASHES), "{outcome:?}");
+}
+
+/// Guards against refusing a request because requests that crash targets ran beside it, now at this
+/// target and now at that one.
+#[rstest]
+fn requests_beside_several_crashing_ones_are_not_refused(
+    #[values(2, 4, 8, 16)] crashing: u64,
+    #[values(40, 100, 250, 1000)] gap: u64,
+    #[values(1, 3)] zones: usize,
+    #[values(8, 48)] innocent: usize,
+) {
+    let load = CrashingLoad {
+        seed: crashing + gap,
+        crashing,
+        gap,
+        zones,
+        innocent,
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    assert!(outcome.wrongly_refused.is_empty(), "{outcome:?}");
+    assert!(outcome.completed > innocent, "{outcome:?}");
+}
+
+/// Guards against refusing requests that lose their engines with a zone again and again.
+#[rstest]
+fn requests_at_the_loss_of_zones_are_not_refused(
+    #[values(400, 600, 900, 1700, 3000, 6500)] period: u64,
+    #[values(false, true)] together: bool,
+    #[values(1, 4)] entries: usize,
+) {
+    let load = CrashingLoad {
+        seed: period,
+        entries,
+        losses: ZoneLosses {
+            first: 500,
+            period,
+            together,
+        },
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    assert!(outcome.wrongly_refused.is_empty(), "{outcome:?}");
+    assert!(outcome.lost > 24, "{outcome:?}");
+}
+
+/// Guards against a mend that takes the losses of zones for the cause of other crashes, or the
+/// other way round.
+#[rstest]
+fn crashing_requests_are_refused_while_zones_are_lost(
+    #[values(2, 8)] crashing: u64,
+    #[values(60, 300)] gap: u64,
+    #[values(3000, 6500)] period: u64,
+) {
+    let load = CrashingLoad {
+        seed: crashing * period,
+        crashing,
+        gap,
+        losses: ZoneLosses {
+            first: 700,
+            period,
+            together: false,
+        },
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    assert!(outcome.not_refused.is_empty(), "{outcome:?}");
+    assert!(outcome.wrongly_refused.is_empty(), "{outcome:?}");
+}
