--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -6,6 +6,7 @@
 
 use cw_types::HostId;
 use cw_types::Incarnation;
+use cw_types::Rate;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
@@ -274,6 +275,16 @@
         }
     }
 
+    /// Records the limit that a target names in an answer, `None` if it names none. Returns whether
+    /// that is a change.
+    pub fn record_limit(&mut self, id: &TargetId, limit: Option<Rate>) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut member.rate_limit, limit);
+        before != limit
+    }
+
     /// Records a failure of a request that was sent to an incarnation of a target. It says nothing
     /// about a later one.
     pub fn record_failure(
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cw_types::Rate;
 use cw_types::Time;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
@@ -125,6 +126,8 @@
     pub(super) preferred: bool,
     /// The estimated time at which the target began to read its current prompt.
     pub(super) reading_since: Time,
+    /// The limit that the target names on the requests that it takes from all entries together.
+    pub(super) rate_limit: Option<Rate>,
 }
 
 impl Member {
@@ -151,6 +154,7 @@
             replaced: false,
             preferred: false,
             reading_since: now,
+            rate_limit: None,
         }
     }
 
--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -10,6 +10,7 @@
 use cw_policy::forward::Listing;
 use cw_policy::forward::ReportedLoad;
 use cw_types::ErrorKind;
+use cw_types::Rate;
 use cw_types::TargetId;
 use cw_types::WorkspaceId;
 use http::HeaderMap;
@@ -62,7 +63,7 @@
 }
 
 /// The parsed header fields of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TargetResponseHead {
     /// The id of the request that it responds to.
     pub id: Option<String>,
@@ -74,6 +75,8 @@
     pub wrong_target: bool,
     /// The target's reported load.
     pub load: Option<ReportedLoad>,
+    /// The limit that the target names on the requests that it takes from all entries together.
+    pub rate_limit: Option<Rate>,
     /// How long the target keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
     /// Whether the target closes the connection.
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -4,6 +4,8 @@
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Fault;
 use cw_store::TargetResponseHead;
+use cw_types::Rate;
+use cw_types::TargetId;
 use cw_types::Time;
 use http::Response;
 use http_body_util::BodyExt;
@@ -37,6 +39,9 @@
         let resumed = destination.resume_from.is_some();
         let (parts, body) = response.into_parts();
         let answer = self.context.dialect.parse_response(&parts);
+        if !answer.wrong_target {
+            self.record_limit(&destination.placement.target, answer.rate_limit);
+        }
         if let Some(event) = self.mismatch_event(&answer, resumed) {
             if !matches!(event, ExchangeEvent::Lost(_)) {
                 active.guard.mark_answered();
@@ -93,6 +98,19 @@
         (!is_own).then_some(ExchangeEvent::Lost(Fault::Broken))
     }
 
+    /// Records the limit that a target names in the head of a response.
+    fn record_limit(&self, target: &TargetId, limit: Option<Rate>) {
+        if !self.context.state().fleet.record_limit(target, limit) {
+            return;
+        }
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = target.as_str(),
+            limit = limit.map_or("none".to_owned(), |limit| limit.to_string());
+            "a target has changed the limit that it names"
+        );
+    }
+
     async fn read_whole(&self, start: ResponseStart, give_up_at: Option<Time>) -> SendOutcome {
         let ResponseStart {
             head,
