--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -6,7 +6,7 @@
 
 use cw_types::HostId;
 use cw_types::Incarnation;
-use cw_types::Rate;
+use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
@@ -17,6 +17,7 @@
 use super::Fault;
 use super::Listing;
 use super::ReportedLoad;
+use super::limit_shares;
 use super::member::Member;
 use super::peers::Peers;
 use crate::CurrentIncarnation;
@@ -85,6 +86,8 @@
     pub(super) own_host: Option<HostId>,
     /// All entries, including this one.
     pub(super) entries: BTreeSet<HostId>,
+    /// The demand of this entry for each service.
+    pub(super) demands: BTreeMap<ServiceName, limit_shares::ServiceDemand>,
     /// The last loss of each availability zone, see [`MIN_ZONE_LOSSES`].
     zone_losses: BTreeMap<ZoneId, Time>,
     /// When this entry last received anything from a target or from another entry.
@@ -101,6 +104,7 @@
             peers: Peers::default(),
             own_host: None,
             entries: BTreeSet::new(),
+            demands: BTreeMap::new(),
             zone_losses: BTreeMap::new(),
             contact_at: Time::default(),
         }
@@ -275,16 +279,6 @@
         }
     }
 
-    /// Records the limit that a target names in an answer, `None` if it names none. Returns whether
-    /// that is a change.
-    pub fn record_limit(&mut self, id: &TargetId, limit: Option<Rate>) -> bool {
-        let Some(member) = self.members.get_mut(id) else {
-            return false;
-        };
-        let before = std::mem::replace(&mut member.rate_limit, limit);
-        before != limit
-    }
-
     /// Records a failure of a request that was sent to an incarnation of a target. It says nothing
     /// about a later one.
     pub fn record_failure(
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use cw_types::Rate;
 use cw_types::Time;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
 use super::Listing;
+use super::target_limit::TargetLimit;
 
 /// The half-life of a target's penalty.
 const PENALTY_HALF_LIFE: Duration = Duration::from_secs(3);
@@ -127,7 +127,7 @@
     /// The estimated time at which the target began to read its current prompt.
     pub(super) reading_since: Time,
     /// The limit that the target names on the requests that it takes from all entries together.
-    pub(super) rate_limit: Option<Rate>,
+    pub(super) limit: TargetLimit,
 }
 
 impl Member {
@@ -154,7 +154,7 @@
             replaced: false,
             preferred: false,
             reading_since: now,
-            rate_limit: None,
+            limit: TargetLimit::default(),
         }
     }
 
@@ -233,6 +233,11 @@
         self.backoff_until = self.backoff_until.max(now + BACKOFF_BASE);
     }
 
+    /// Returns whether the target takes a request of this entry now, by the limit that it names.
+    pub(super) fn has_slot(&self, now: Time) -> bool {
+        self.limit.next_slot(now).is_some_and(|at| at <= now)
+    }
+
     /// Returns the load of this entry at the target.
     pub(super) fn share(&self) -> TargetShare {
         TargetShare {
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -8,6 +8,7 @@
 //!   keys.
 //! - [`Fleet`]: the targets and their load, and the choice of one for a request ([`Placement`]).
 //! - [`Fleet::receive_peer`]: the load that the other entries report to have at the targets.
+//! - [`Fleet::next_slot`]: when a target takes the next request, by the limit that it names.
 //! - [`EntryList`]: the list of the other entries.
 //! - [`RunCopy`]: a copy of a run's cache memory at another engine.
 //! - [`PromptLocations`]: the target that has read each prompt.
@@ -26,6 +27,7 @@
 mod exchange;
 mod fleet;
 mod forward_config;
+mod limit_shares;
 mod listing;
 mod member;
 mod peers;
@@ -35,6 +37,7 @@
 mod run_times;
 mod standing_queues;
 mod start_estimate;
+mod target_limit;
 mod target_sends;
 
 pub use crash_tracker::CrashTracker;
@@ -58,6 +61,7 @@
 pub use forward_config::ForwardService;
 pub use forward_config::KeyHolder;
 pub use forward_config::Repeat;
+pub use limit_shares::Slot;
 pub use listing::Listing;
 pub use member::Demand;
 pub use member::Fault;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -5,6 +5,8 @@
 
 use cw_types::HostId;
 use cw_types::Incarnation;
+use cw_types::Rate;
+use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::OutstandingWork;
@@ -56,6 +58,8 @@
     incarnation: CurrentIncarnation,
     sequence: u64,
     shares: BTreeMap<TargetHash, TargetShare>,
+    /// The demand of the entry for each service.
+    demands: BTreeMap<ServiceName, Rate>,
     /// Whether the entry watches the directory and the directory answers it.
     watching: bool,
 }
@@ -68,6 +72,12 @@
 }
 
 impl Peers {
+    /// Returns the demand of an entry for a service, `None` if nothing is known of the entry.
+    pub(super) fn demand(&self, host: &HostId, service: &ServiceName) -> Option<f64> {
+        let peer = self.peers.get(host)?;
+        Some(peer.demands.get(service).map_or(0.0, |demand| demand.0))
+    }
+
     /// Returns the total load of the other entries at a target.
     pub(super) fn total_at(&self, hash: TargetHash) -> TargetShare {
         let mut sum = TargetShare::default();
@@ -104,11 +114,13 @@
             incarnation: CurrentIncarnation::new(message.incarnation),
             sequence: message.sequence,
             shares: message.shares.iter().copied().collect(),
+            demands: message.demands.iter().cloned().collect(),
             watching: message.directory.as_ref().is_some_and(|update| update.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
         self.record_contact(now);
         self.update_peer_shares(now);
+        self.receive_limits(now, &message.limits);
         let lost: Vec<TargetId> = self
             .members
             .iter()
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -139,14 +139,16 @@
         now: Time,
         requirements: &'a Requirements<'_>,
     ) -> impl Iterator<Item = &'a Member> {
-        self.eligible(requirements).filter(move |member| {
+        self.eligible(now, requirements).filter(move |member| {
             member.backoff_until <= now && !member.replaced && !self.is_zone_suspect(now, member)
         })
     }
 
-    /// Returns the targets of the service that are neither leaving nor excluded.
+    /// Returns the targets of the service that are neither leaving nor excluded, and that take a
+    /// request of this entry now.
     fn eligible<'a>(
         &'a self,
+        now: Time,
         requirements: &'a Requirements<'_>,
     ) -> impl Iterator<Item = &'a Member> {
         self.members
@@ -155,6 +157,22 @@
                 member.listing.service == *requirements.service && !member.listing.leaving
             })
             .filter(|member| !requirements.excluded.contains(&member.listing.id))
+            .filter(move |member| member.has_slot(now))
+    }
+
+    /// Returns whether a target that is at its limit may be sent a request later.
+    pub(super) fn is_candidate(
+        &self,
+        now: Time,
+        member: &Member,
+        requirements: &Requirements<'_>,
+    ) -> bool {
+        let listing = &member.listing;
+        listing.service == *requirements.service
+            && !listing.leaving
+            && !requirements.excluded.contains(&listing.id)
+            && member.backoff_until <= now
+            && !member.replaced
     }
 
     /// Returns the eligible target with the lowest cost among those that `accept` selects.
@@ -165,7 +183,7 @@
         rng: &mut impl Rng,
         accept: impl Fn(&Member) -> bool,
     ) -> Option<TargetId> {
-        self.eligible(requirements)
+        self.eligible(now, requirements)
             .filter(|member| accept(member))
             .map(|member| {
                 let jitter = rng.random_range(0.0..JITTER);
--- /dev/null
+++ b/crates/cw_policy/src/forward/target_limit.rs
@@ -0,0 +1,125 @@
+//! The limit that a target names on the requests that it takes a second, and the part of it that
+//! this entry may use.
+
+use std::time::Duration;
+
+use cw_types::Rate;
+use cw_types::Time;
+
+/// The rate at which a target is tried that takes fewer requests, so that the end of its limit is
+/// noticed.
+const MIN_RATE: Rate = Rate(0.2);
+
+/// The longest time between two requests of an entry. Its share is larger before this has passed, if
+/// it has requests.
+const MAX_INTERVAL: Duration = Duration::from_secs(60);
+
+/// The shortest time between two requests of an entry, which is no restriction.
+const MIN_INTERVAL: Duration = Duration::from_micros(1);
+
+/// The number of requests that an entry may send at once after it has sent none for a while.
+const BURST: u32 = 1;
+
+/// What a target has said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct LimitWord {
+    /// The requests a second that it takes from all entries together, `None` without a limit.
+    pub(super) rate: Option<Rate>,
+    /// When it said so.
+    pub(super) said_at: Time,
+}
+
+/// The part of a limit that this entry may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Pace {
+    /// The time between two requests, `None` if the other entries use the whole limit.
+    interval: Option<Duration>,
+    /// When the next request may be sent.
+    next_at: Time,
+}
+
+/// The limit of one incarnation of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct TargetLimit {
+    word: Option<LimitWord>,
+    /// The pace of this entry while there is a limit.
+    pace: Option<Pace>,
+}
+
+impl TargetLimit {
+    /// Returns what the target has said last.
+    pub(super) fn word(&self) -> Option<LimitWord> {
+        self.word
+    }
+
+    /// Returns the limit in force.
+    pub(super) fn rate(&self) -> Option<Rate> {
+        let rate = self.word.and_then(|word| word.rate);
+        rate.map(|rate| if rate < MIN_RATE { MIN_RATE } else { rate })
+    }
+
+    /// Records what the target has said, unless a later word is known. Returns whether the limit
+    /// has changed.
+    pub(super) fn record(&mut self, word: LimitWord) -> bool {
+        if self.word.is_some_and(|known| known.said_at >= word.said_at) {
+            return false;
+        }
+        let before = self.rate();
+        self.word = Some(word);
+        before != self.rate()
+    }
+
+    /// Sets the share of the limit that this entry may use, from 0 to 1. `phase` is the part of an
+    /// interval, from 0 to 1, after which it sends its first request. It differs between entries, so
+    /// that they do not begin together.
+    pub(super) fn set_share(&mut self, now: Time, share: f64, phase: f64) {
+        let Some(rate) = self.rate() else {
+            self.pace = None;
+            return;
+        };
+        let interval = match rate.0 * share {
+            own if own > 0.0 => {
+                let seconds = (1.0 / own).min(MAX_INTERVAL.as_secs_f64());
+                Some(Duration::from_secs_f64(seconds).max(MIN_INTERVAL))
+            }
+            _ => None,
+        };
+        let before = self
+            .pace
+            .and_then(|pace| Some((pace.interval?, pace.next_at)));
+        let next_at = match (before, interval) {
+            // The slots that are taken already keep their number, and so their part of the limit.
+            (Some((before, next_at)), Some(interval)) if next_at > now => {
+                let scale = interval.as_secs_f64() / before.as_secs_f64();
+                now + now.until(next_at).mul_f64(scale)
+            }
+            (Some((_, next_at)), _) => next_at,
+            (None, Some(interval)) => now + interval.mul_f64(phase),
+            (None, None) => now,
+        };
+        self.pace = Some(Pace { interval, next_at });
+    }
+
+    /// Returns when this entry may send the next request, `None` if the other entries use the whole
+    /// limit.
+    pub(super) fn next_slot(&self, now: Time) -> Option<Time> {
+        match self.pace {
+            None => Some(now),
+            Some(pace) => pace.interval.map(|_| pace.next_at.max(now)),
+        }
+    }
+
+    /// Uses the next slot, and returns its time.
+    pub(super) fn take_slot(&mut self, now: Time) -> Time {
+        let Some(pace) = &mut self.pace else {
+            return now;
+        };
+        let Some(interval) = pace.interval else {
+            return now;
+        };
+        let slot = pace.next_at.max(now);
+        let earliest = now.before(interval * BURST);
+        pace.next_at = pace.next_at.max(earliest) + interval;
+        slot
+    }
+}
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -14,3 +14,4 @@
 mod prompts;
 mod several_crashing_requests;
 mod start_estimate;
+mod target_limits;
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -33,6 +33,8 @@
         lost: Vec::new(),
         prompts: Vec::new(),
         crashes: CrashNews::default(),
+        limits: Vec::new(),
+        demands: Vec::new(),
         directory: Some(DirectoryUpdate {
             up: true,
             trusted: true,
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -3,10 +3,13 @@
 use cw_macro::data;
 use cw_types::HostId;
 use cw_types::Incarnation;
+use cw_types::Rate;
+use cw_types::ServiceName;
 
 use crate::CachedPrompt;
 use crate::CrashNews;
 use crate::DirectoryUpdate;
+use crate::LimitNotice;
 use crate::TargetHash;
 
 /// The work that one entry has at one target.
@@ -23,7 +26,7 @@
 }
 
 /// The work that one entry has at all targets. Each message replaces all earlier ones.
-#[data(Eq)]
+#[data]
 pub struct OutstandingWork {
     /// The host of the entry.
     pub host: HostId,
@@ -42,4 +45,10 @@
     /// Requests that may crash targets. Entries of an earlier version do not send it.
     #[serde(default)]
     pub crashes: CrashNews,
+    /// What targets have said of their limits. Entries of an earlier version do not send it.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
+    /// The rate of requests for each service. Entries of an earlier version do not send it.
+    #[serde(default)]
+    pub demands: Vec<(ServiceName, Rate)>,
 }
--- a/crates/cyclamenwharf/src/forward/copy_renewal.rs
+++ b/crates/cyclamenwharf/src/forward/copy_renewal.rs
@@ -120,6 +120,10 @@
             return;
         };
         self.exchange.set_copy(None);
+        // A copy that is not dropped ends with its lifetime.
+        if !self.take_own_slot(self.context.now(), &source) {
+            return;
+        }
         let call = self.context.dialect.drop_copy_request(&name.name);
         let context = Arc::clone(&self.context);
         tokio::spawn(async move {
@@ -134,12 +138,25 @@
         });
     }
 
+    /// Uses a slot for a call of the entry itself. Returns whether the target takes it now.
+    fn take_own_slot(&self, now: Time, target: &TargetId) -> bool {
+        let mut state = self.context.state();
+        let has_slot = state.fleet.has_slot(now, target);
+        if has_slot {
+            state.fleet.take_slot(now, target);
+        }
+        has_slot
+    }
+
     fn start_copy(
         &self,
         now: Time,
         keeper: TargetId,
     ) -> Option<AbortOnDropHandle<Option<RunCopy>>> {
         let source = self.exchange.placed()?.target.clone();
+        if !self.take_own_slot(now, &source) {
+            return None;
+        }
         let source_address = self.address(&source)?;
         let keeper_address = self.address(&keeper)?;
         let call = self
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -110,7 +110,11 @@
         exchange: Exchange,
     ) -> Self {
         let now = exchange.plan().arrived;
-        context.state().budgets.record_first(now, &request.service);
+        {
+            let mut state = context.state();
+            state.budgets.record_first(now, &request.service);
+            state.fleet.record_demand(now, &request.service);
+        }
         let prompt_hash = request.head.prompt_key.as_deref().map(PromptHash::of);
         Self {
             fingerprint: request.fingerprint(),
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -96,6 +96,8 @@
             prompts: state.own_prompts.recorded_since(last_sent),
             lost: state.fleet.lost_since(last_sent),
             crashes: state.crashes.news(now),
+            limits: state.fleet.limit_notices(now),
+            demands: state.fleet.demand_notices(now),
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -8,6 +8,7 @@
 use cw_policy::forward::Requirements;
 use cw_policy::forward::Resume;
 use cw_policy::forward::RunCopy;
+use cw_policy::forward::Slot;
 use cw_policy::forward::StartEstimate;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -18,10 +19,16 @@
 use super::exchange_driver::millis;
 use super::forward_context::ForwardState;
 
+/// The fraction of the objective that a request waits for a target that is at its limit. The answer
+/// must still come in time.
+const SLOT_WAIT_SHARE: f64 = 0.25;
+
 /// The result of the selection.
 pub(super) enum PlacementChoice {
     /// Send to this target. The flag says whether it resumes from a copy there.
     Send(Placement, bool),
+    /// Send to a target that is at its limit when it takes the request, in a slot kept for it.
+    Wait(Slot),
     /// No target is available.
     NoTarget,
     /// No target can start the request in time. One can after this delay.
@@ -45,15 +52,16 @@
                 "the engine with the copy of a run is not usable"
             );
         }
-        let usable_copy = resume
-            .copy
-            .as_ref()
-            .filter(|copy| state.fleet.may_have_copy(now, copy));
+        let usable_copy = resume.copy.as_ref().filter(|copy| {
+            let fleet = &state.fleet;
+            fleet.may_have_copy(now, copy) && fleet.has_slot(now, &copy.keeper)
+        });
         if let Some(RunCopy { keeper: target, .. }) = usable_copy {
             let keeper = state
                 .fleet
                 .select_keeper(now, &requirements, target, &mut state.rng);
             let target = target.clone();
+            state.fleet.take_slot(now, &target);
             let placement = Placement {
                 incarnation: state.fleet.incarnation(&target),
                 target,
@@ -62,9 +70,87 @@
             return PlacementChoice::Send(placement, true);
         }
         let Some(placement) = state.fleet.place(now, &requirements, &mut state.rng) else {
+            return self.wait_for_slot(now, &requirements, state);
+        };
+        let choice = self.admit(now, &requirements, placement, state);
+        if let PlacementChoice::Send(placement, _) = &choice {
+            state.fleet.take_slot(now, &placement.target);
+        }
+        choice
+    }
+
+    /// Selects the target of the next send, and waits while all are at the limits that they name, if
+    /// one takes the request in time.
+    pub(super) async fn place_in_turn(&self, now: Time, resume: &Resume) -> PlacementChoice {
+        let mut now = now;
+        loop {
+            match self.place(now, resume) {
+                PlacementChoice::Wait(slot) => {
+                    tokio::time::sleep_until(self.context.clock.instant(slot.at)).await;
+                    now = self.context.now();
+                    if let Some(placement) = self.place_at(now, &slot.target) {
+                        return PlacementChoice::Send(placement, false);
+                    }
+                }
+                choice => return choice,
+            }
+        }
+    }
+
+    /// Returns the placement at a target that has kept a slot, unless it cannot be used any more.
+    fn place_at(&self, now: Time, target: &TargetId) -> Option<Placement> {
+        let context = Arc::clone(&self.context);
+        let mut state = context.state();
+        let state = &mut *state;
+        if !state.fleet.is_usable(now, target) {
+            return None;
+        }
+        let requirements = self.requirements(now, state);
+        let keeper = match requirements.wants_copy {
+            true => state
+                .fleet
+                .select_keeper(now, &requirements, target, &mut state.rng),
+            false => None,
+        };
+        Some(Placement {
+            incarnation: state.fleet.incarnation(target),
+            target: target.clone(),
+            keeper,
+        })
+    }
+
+    /// Returns the decision for a request that no target takes now. A request that could not be sent
+    /// within [`SLOT_WAIT_SHARE`] of its objective is refused at once, unless it was accepted before.
+    fn wait_for_slot(
+        &self,
+        now: Time,
+        requirements: &Requirements<'_>,
+        state: &mut ForwardState,
+    ) -> PlacementChoice {
+        let plan = self.exchange.plan();
+        let Some(interval) = state.fleet.slot_interval(now, requirements) else {
             return PlacementChoice::NoTarget;
         };
-        self.admit(now, &requirements, placement, state)
+        let slot = state.fleet.next_slot(now, requirements);
+        let wait = slot.as_ref().map_or(interval, |slot| now.until(slot.at));
+        let longest = match self.exchange.sends() > 0 || self.request.events.last().is_some() {
+            true => now.until(plan.deadline),
+            false => plan.objective,
+        };
+        if let Some(slot) = slot
+            && wait <= longest.mul_f64(SLOT_WAIT_SHARE)
+        {
+            state.fleet.take_slot(now, &slot.target);
+            return PlacementChoice::Wait(slot);
+        }
+        info!(
+            request = self.request.head.id.as_str(),
+            route = self.request.admitted.route.name.as_str(),
+            after_ms = millis(wait),
+            interval_ms = millis(interval);
+            "all targets of a request are at the limits that they name"
+        );
+        PlacementChoice::Crowded(wait)
     }
 
     /// Returns the decision for a request at the selected `placement`, which may be too busy to
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Fault;
+use cw_policy::forward::Placement;
 use cw_store::TargetResponseHead;
 use cw_types::Rate;
-use cw_types::TargetId;
 use cw_types::Time;
 use http::Response;
 use http_body_util::BodyExt;
@@ -40,7 +40,7 @@
         let (parts, body) = response.into_parts();
         let answer = self.context.dialect.parse_response(&parts);
         if !answer.wrong_target {
-            self.record_limit(&destination.placement.target, answer.rate_limit);
+            self.record_limit(&destination.placement, answer.rate_limit);
         }
         if let Some(event) = self.mismatch_event(&answer, resumed) {
             if !matches!(event, ExchangeEvent::Lost(_)) {
@@ -99,10 +99,15 @@
     }
 
     /// Records the limit that a target names in the head of a response.
-    fn record_limit(&self, target: &TargetId, limit: Option<Rate>) {
-        if !self.context.state().fleet.record_limit(target, limit) {
+    fn record_limit(&self, placement: &Placement, limit: Option<Rate>) {
+        let now = self.context.now();
+        let (target, incarnation) = (&placement.target, placement.incarnation);
+        let mut state = self.context.state();
+        let fleet = &mut state.fleet;
+        if !fleet.record_limit(now, target, incarnation, self.sent_at, limit) {
             return;
         }
+        self.context.peer_update.notify_one();
         info!(
             request = self.request.head.id.as_str(),
             target_id = target.as_str(),
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -62,14 +62,17 @@
             return SendOutcome::Event(ExchangeEvent::CrashesTargets);
         }
         let now = self.context.now();
-        let (placement, resumed) = match self.place(now, resume) {
+        let (placement, resumed) = match self.place_in_turn(now, resume).await {
             PlacementChoice::Send(placement, resumed) => (placement, resumed),
-            PlacementChoice::NoTarget => return SendOutcome::Event(ExchangeEvent::NoTarget),
+            PlacementChoice::Wait(_) | PlacementChoice::NoTarget => {
+                return SendOutcome::Event(ExchangeEvent::NoTarget);
+            }
             PlacementChoice::Crowded(after) => {
                 self.retry_after = Some(after);
                 return SendOutcome::Event(ExchangeEvent::Crowded);
             }
         };
+        let now = self.context.now();
         let Some(address) = self.address(&placement.target) else {
             return SendOutcome::Event(ExchangeEvent::NoTarget);
         };
@@ -152,7 +155,7 @@
             self.log_break(&error);
             match self.after_break(&error, reused) {
                 AfterBreak::Reconnect => guard.mark_not_sent(),
-                AfterBreak::Repeat if self.spend_repeat(now) => may_have_run = true,
+                AfterBreak::Repeat if self.spend_repeat(id) => may_have_run = true,
                 AfterBreak::Repeat => return Err(ExchangeEvent::Lost(Fault::Broken)),
                 AfterBreak::End(event) => {
                     if matches!(event, ExchangeEvent::NotRun(_)) {
@@ -181,10 +184,19 @@
         })
     }
 
-    /// Charges the budget for a repeat at the same target. Returns whether it allows one.
-    fn spend_repeat(&self, now: Time) -> bool {
+    /// Charges the budget for a repeat at the same target. Returns whether the budget and the limit of
+    /// the target allow one.
+    fn spend_repeat(&self, target: &TargetId) -> bool {
+        let now = self.context.now();
         let mut state = self.context.state();
-        state.budgets.try_spend(now, &self.request.service)
+        if !state.fleet.has_slot(now, target) {
+            return false;
+        }
+        let is_allowed = state.budgets.try_spend(now, &self.request.service);
+        if is_allowed {
+            state.fleet.take_slot(now, target);
+        }
+        is_allowed
     }
 
     fn on_unreachable(&self, id: &TargetId, error: &ConnectError) -> ExchangeEvent {
