--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -65,6 +65,9 @@
     pub target: TargetId,
     /// When the request may be sent.
     pub at: Time,
+    /// Whether the slot can be kept for one request. A target that wants no requests until then takes
+    /// any number afterwards, so that all that wait for it would be sent at once.
+    pub is_single: bool,
 }
 
 impl Fleet {
@@ -112,6 +115,21 @@
         is_change
     }
 
+    /// Records that an incarnation of a target wants no requests from this entry for a time.
+    pub fn record_rest(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        incarnation: Incarnation,
+        rest: Duration,
+    ) {
+        if let Some(member) = self.members.get_mut(id)
+            && member.listing.incarnation() == incarnation
+        {
+            member.limit.record_rest(now, rest);
+        }
+    }
+
     /// Returns what to tell the other entries of the limits of targets.
     pub fn limit_notices(&self, now: Time) -> Vec<LimitNotice> {
         let members = self.members.values();
@@ -160,6 +178,7 @@
         Some(Slot {
             target: member.listing.id.clone(),
             at,
+            is_single: member.limit.is_paced(),
         })
     }
 
--- a/crates/cw_policy/src/forward/target_limit.rs
+++ b/crates/cw_policy/src/forward/target_limit.rs
@@ -17,6 +17,10 @@
 /// The shortest time between two requests of an entry, which is no restriction.
 const MIN_INTERVAL: Duration = Duration::from_micros(1);
 
+/// The longest time without requests that a target is granted. Its record would lapse in less, if it
+/// did not renew it.
+const MAX_REST: Duration = Duration::from_secs(60);
+
 /// The number of requests that an entry may send at once after it has sent none for a while.
 const BURST: u32 = 1;
 
@@ -44,6 +48,8 @@
     word: Option<LimitWord>,
     /// The pace of this entry while there is a limit.
     pace: Option<Pace>,
+    /// The end of the time in which the target wants no requests from this entry.
+    rest_until: Time,
 }
 
 impl TargetLimit {
@@ -100,17 +106,29 @@
         self.pace = Some(Pace { interval, next_at });
     }
 
+    /// Records that the target wants no requests from this entry for a time.
+    pub(super) fn record_rest(&mut self, now: Time, rest: Duration) {
+        self.rest_until = self.rest_until.max(now + rest.min(MAX_REST));
+    }
+
+    /// Returns whether the target takes one request after the other.
+    pub(super) fn is_paced(&self) -> bool {
+        self.pace.is_some()
+    }
+
     /// Returns when this entry may send the next request, `None` if the other entries use the whole
     /// limit.
     pub(super) fn next_slot(&self, now: Time) -> Option<Time> {
+        let earliest = now.max(self.rest_until);
         match self.pace {
-            None => Some(now),
-            Some(pace) => pace.interval.map(|_| pace.next_at.max(now)),
+            None => Some(earliest),
+            Some(pace) => pace.interval.map(|_| pace.next_at.max(earliest)),
         }
     }
 
     /// Uses the next slot, and returns its time.
     pub(super) fn take_slot(&mut self, now: Time) -> Time {
+        let now = now.max(self.rest_until);
         let Some(pace) = &mut self.pace else {
             return now;
         };
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -14,6 +14,7 @@
 use cw_types::Time;
 use cw_wire::TargetHash;
 use log::info;
+use rand::RngExt;
 
 use super::exchange_driver::ExchangeDriver;
 use super::exchange_driver::millis;
@@ -23,6 +24,10 @@
 /// must still come in time.
 const SLOT_WAIT_SHARE: f64 = 0.25;
 
+/// The range of the delay after which callers are told to come back, as a multiple of the time until a
+/// target takes a request.
+const RETURN_SPREAD: std::ops::Range<f64> = 1.0..1.5;
+
 /// The result of the selection.
 pub(super) enum PlacementChoice {
     /// Send to this target. The flag says whether it resumes from a copy there.
@@ -128,16 +133,17 @@
         state: &mut ForwardState,
     ) -> PlacementChoice {
         let plan = self.exchange.plan();
-        let Some(interval) = state.fleet.slot_interval(now, requirements) else {
+        let slot = state.fleet.next_slot(now, requirements);
+        let interval = state.fleet.slot_interval(now, requirements);
+        let next = slot.as_ref().map(|slot| now.until(slot.at));
+        let Some(wait) = next.or(interval) else {
             return PlacementChoice::NoTarget;
         };
-        let slot = state.fleet.next_slot(now, requirements);
-        let wait = slot.as_ref().map_or(interval, |slot| now.until(slot.at));
         let longest = match self.exchange.sends() > 0 || self.request.events.last().is_some() {
             true => now.until(plan.deadline),
             false => plan.objective,
         };
-        if let Some(slot) = slot
+        if let Some(slot) = slot.filter(|slot| slot.is_single)
             && wait <= longest.mul_f64(SLOT_WAIT_SHARE)
         {
             state.fleet.take_slot(now, &slot.target);
@@ -146,11 +152,12 @@
         info!(
             request = self.request.head.id.as_str(),
             route = self.request.admitted.route.name.as_str(),
-            after_ms = millis(wait),
-            interval_ms = millis(interval);
-            "all targets of a request are at the limits that they name"
+            after_ms = millis(wait);
+            "all targets of a request are at their limits or want none for a while"
         );
-        PlacementChoice::Crowded(wait)
+        // Callers that are refused meanwhile do not come back at the same moment.
+        let spread = state.rng.random_range(RETURN_SPREAD);
+        PlacementChoice::Crowded(wait.mul_f64(spread))
     }
 
     /// Returns the decision for a request at the selected `placement`, which may be too busy to
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -1,5 +1,7 @@
 //! Reads the response to one send of a request: all of it, or the first events of a stream.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Fault;
@@ -13,6 +15,7 @@
 use log::info;
 
 use super::exchange_driver::ExchangeDriver;
+use super::exchange_driver::millis;
 use super::response::BufferedResponse;
 use super::send_outcome::ActiveSend;
 use super::send_outcome::Reuse;
@@ -41,6 +44,7 @@
         let answer = self.context.dialect.parse_response(&parts);
         if !answer.wrong_target {
             self.record_limit(&destination.placement, answer.rate_limit);
+            self.record_rest(&destination.placement, answer.rest);
         }
         if let Some(event) = self.mismatch_event(&answer, resumed) {
             if !matches!(event, ExchangeEvent::Lost(_)) {
@@ -116,6 +120,23 @@
         );
     }
 
+    /// Records that a target which has turned the request away wants none for a while.
+    fn record_rest(&self, placement: &Placement, rest: Option<Duration>) {
+        let Some(rest) = rest else {
+            return;
+        };
+        let now = self.context.now();
+        let (target, incarnation) = (&placement.target, placement.incarnation);
+        let mut state = self.context.state();
+        state.fleet.record_rest(now, target, incarnation, rest);
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = target.as_str(),
+            rest_ms = millis(rest);
+            "a target wants no requests for a while"
+        );
+    }
+
     async fn read_whole(&self, start: ResponseStart, give_up_at: Option<Time>) -> SendOutcome {
         let ResponseStart {
             head,
