--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -227,6 +227,17 @@
         gone
     }
 
+    /// Records that an incarnation of a target has said itself that it is leaving, which its record may
+    /// not say yet. Returns whether that is new.
+    pub fn record_leaving(&mut self, id: &TargetId, incarnation: Incarnation) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        let is_new = member.listing.incarnation() == incarnation && !member.listing.leaving;
+        member.listing.leaving |= is_new;
+        is_new
+    }
+
     // ---- Traffic ----
 
     /// Records that a request was sent to a target.
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -12,6 +12,7 @@
 use crate::fixtures::fleet;
 use crate::fixtures::listing;
 use cw_types::Incarnation;
+use rstest::rstest;
 
 #[test]
 fn an_unlisted_target_is_dropped() {
@@ -197,3 +198,28 @@
 
     assert!(!fleet.is_suspect(later, &engine(0, 5)));
 }
+
+/// Guards against a record that takes back what a target has said itself, and against applying it to
+/// the incarnation that starts afterwards.
+#[rstest]
+#[case(1, false)]
+#[case(2, true)]
+fn a_target_that_says_that_it_leaves_takes_no_requests_until_it_starts_again(
+    #[case] started: u64,
+    #[case] is_usable: bool,
+) {
+    let mut fleet = fleet(1, 1);
+    let target = engine(0, 0);
+
+    let is_new = fleet.record_leaving(&target, Incarnation(1));
+    fleet.record_listing(
+        at(100),
+        Listing {
+            started: Some(started),
+            ..listing(0, 0)
+        },
+    );
+
+    assert!(is_new);
+    assert_eq!(fleet.is_usable(at(100), &target), is_usable);
+}
--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -77,6 +77,8 @@
     pub load: Option<ReportedLoad>,
     /// The limit that the target names on the requests that it takes from all entries together.
     pub rate_limit: Option<Rate>,
+    /// Whether the target says that it is leaving.
+    pub leaving: bool,
     /// How long the target, which has turned the request away, wants none from this entry.
     pub rest: Option<Duration>,
     /// How long the target keeps an idle connection open.
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -45,6 +45,9 @@
         if !answer.wrong_target {
             self.record_limit(&destination.placement, answer.rate_limit);
             self.record_rest(&destination.placement, answer.rest);
+            if answer.leaving {
+                self.record_leaving(&destination.placement);
+            }
         }
         if let Some(event) = self.mismatch_event(&answer, resumed) {
             if !matches!(event, ExchangeEvent::Lost(_)) {
@@ -120,6 +123,19 @@
         );
     }
 
+    /// Records that a target says that it is leaving.
+    fn record_leaving(&self, placement: &Placement) {
+        let (target, incarnation) = (&placement.target, placement.incarnation);
+        let mut state = self.context.state();
+        if state.fleet.record_leaving(target, incarnation) {
+            info!(
+                request = self.request.head.id.as_str(),
+                target_id = target.as_str();
+                "a target says that it is leaving"
+            );
+        }
+    }
+
     /// Records that a target which has turned the request away wants none for a while.
     fn record_rest(&self, placement: &Placement, rest: Option<Duration>) {
         let Some(rest) = rest else {
