--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -25,11 +26,13 @@
 /// The default timeout of a call, which for a streamed response ends when its headers arrive.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The status and the body of a response.
+/// The status, the headers and the body of a response.
 #[derive(Debug)]
 pub struct HttpResponse {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -100,6 +103,7 @@
         let call = async {
             let response = self.send(method, address, path, body).await?;
             let status = response.status();
+            let headers = response.headers().clone();
             let body = response
                 .into_body()
                 .collect()
@@ -107,6 +111,7 @@
                 .map_err(outcome_unknown)?;
             Ok(HttpResponse {
                 status,
+                headers,
                 body: body.to_bytes(),
             })
         };
