--- a/crates/cw_policy/tests/forward/target_limits.rs
+++ b/crates/cw_policy/tests/forward/target_limits.rs
@@ -157,67 +157,98 @@
     }
 
     fn play(self) -> Outcome {
-        let mut rng = SmallRng::seed_from_u64(self.seed);
-        let target = engine(0, 0);
-        let mut fleets = vec![fleet(1, 1); self.entries];
-        for (number, fleet) in fleets.iter_mut().enumerate() {
-            let others = (0..self.entries).filter(|other| *other != number).map(host);
-            fleet.set_entries(&host(number), others);
-        }
-        let mut answers: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
-        let mut messages: BTreeMap<u64, Vec<(usize, OutstandingWork)>> = BTreeMap::new();
-        let mut times = Vec::new();
+        let fleets = (0..self.entries).map(|number| {
+            let mut fleet = fleet(1, 1);
+            let others = (0..self.entries).filter(|other| *other != number);
+            fleet.set_entries(&host(number), others.map(host));
+            fleet
+        });
+        let mut world = World {
+            load: self,
+            rng: SmallRng::seed_from_u64(self.seed),
+            fleets: fleets.collect(),
+            answers: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            times: Vec::new(),
+        };
         for now in (0..self.duration).step_by(STEP as usize) {
-            let later = answers.split_off(&(now + 1));
-            for number in std::mem::replace(&mut answers, later)
-                .into_values()
-                .flatten()
-            {
-                let (time, sent_at) = (at(now), at(now - ANSWER_TIME));
-                let rate = Some(Rate(self.limit));
-                fleets[number].record_limit(time, &target, Incarnation(1), sent_at, rate);
+            world.deliver(now);
+            world.send_requests(now);
+            if now % MESSAGE_PERIOD == 0 {
+                world.send_messages(now);
             }
-            let later = messages.split_off(&(now + 1));
-            for (to, message) in std::mem::replace(&mut messages, later)
-                .into_values()
-                .flatten()
-            {
-                fleets[to].receive_peer(at(now), &message);
+        }
+        Outcome {
+            times: world.times,
+            load: self,
+        }
+    }
+}
+
+/// The entries, and what is under way between them and the target.
+struct World {
+    load: Load,
+    rng: SmallRng,
+    fleets: Vec<Fleet>,
+    /// The entries that get an answer, by its time.
+    answers: BTreeMap<u64, Vec<usize>>,
+    /// The entries that get a message, by its time.
+    messages: BTreeMap<u64, Vec<(usize, OutstandingWork)>>,
+    times: Vec<u64>,
+}
+
+impl World {
+    fn deliver(&mut self, now: u64) {
+        let later = self.answers.split_off(&(now + 1));
+        let answers = std::mem::replace(&mut self.answers, later);
+        for number in answers.into_values().flatten() {
+            let (time, sent_at) = (at(now), at(now - ANSWER_TIME));
+            let rate = Some(Rate(self.load.limit));
+            let target = engine(0, 0);
+            self.fleets[number].record_limit(time, &target, Incarnation(1), sent_at, rate);
+        }
+        let later = self.messages.split_off(&(now + 1));
+        let messages = std::mem::replace(&mut self.messages, later);
+        for (to, message) in messages.into_values().flatten() {
+            self.fleets[to].receive_peer(at(now), &message);
+        }
+    }
+
+    fn send_requests(&mut self, now: u64) {
+        let (load, target) = (self.load, engine(0, 0));
+        for (number, fleet) in self.fleets.iter_mut().enumerate() {
+            if !load.is_up(number, now) {
+                continue;
             }
-            for (number, fleet) in fleets.iter_mut().enumerate() {
-                if !self.is_up(number, now) {
-                    continue;
-                }
-                let part = self.spread.part(number, self.entries, now);
-                let expected = self.limit * self.demand * part * STEP as f64 / 1000.0;
-                let count = expected as u64 + u64::from(rng.random_bool(expected.fract()));
-                for _ in 0..count {
-                    fleet.record_demand(at(now), &name("engines"));
-                    if fleet.has_slot(at(now), &target) {
-                        fleet.take_slot(at(now), &target);
-                        times.push(now);
-                        answers.entry(now + ANSWER_TIME).or_default().push(number);
-                    }
+            let part = load.spread.part(number, load.entries, now);
+            let expected = load.limit * load.demand * part * STEP as f64 / 1000.0;
+            let count = expected as u64 + u64::from(self.rng.random_bool(expected.fract()));
+            for _ in 0..count {
+                fleet.record_demand(at(now), &name("engines"));
+                if fleet.has_slot(at(now), &target) {
+                    fleet.take_slot(at(now), &target);
+                    self.times.push(now);
+                    let answers = self.answers.entry(now + ANSWER_TIME).or_default();
+                    answers.push(number);
                 }
             }
-            if now % MESSAGE_PERIOD == 0 {
-                for from in (0..self.entries).filter(|from| self.is_up(*from, now)) {
-                    let sent = message(&fleets[from], at(now), from, now / MESSAGE_PERIOD);
-                    for to in (0..self.entries).filter(|to| *to != from) {
-                        if let Some(arrival) = self.arrival(&mut rng, now, from, to) {
-                            messages
-                                .entry(arrival)
-                                .or_default()
-                                .push((to, sent.clone()));
-                        }
-                    }
-                }
-                for fleet in &mut fleets {
-                    fleet.expire_peers(at(now));
+        }
+    }
+
+    fn send_messages(&mut self, now: u64) {
+        let load = self.load;
+        for from in (0..load.entries).filter(|from| load.is_up(*from, now)) {
+            let sent = message(&self.fleets[from], at(now), from, now / MESSAGE_PERIOD);
+            for to in (0..load.entries).filter(|to| *to != from) {
+                if let Some(arrival) = load.arrival(&mut self.rng, now, from, to) {
+                    let messages = self.messages.entry(arrival).or_default();
+                    messages.push((to, sent.clone()));
                 }
             }
         }
-        Outcome { times, load: self }
+        for fleet in &mut self.fleets {
+            fleet.expire_peers(at(now));
+        }
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -42,26 +42,13 @@
         let resumed = destination.resume_from.is_some();
         let (parts, body) = response.into_parts();
         let answer = self.context.dialect.parse_response(&parts);
-        if !answer.wrong_target {
-            self.record_limit(&destination.placement, answer.rate_limit);
-            self.record_rest(&destination.placement, answer.rest);
-            if answer.leaving {
-                self.record_leaving(&destination.placement);
-            }
-        }
+        self.record_target_state(&destination.placement, &answer);
         if let Some(event) = self.mismatch_event(&answer, resumed) {
             if !matches!(event, ExchangeEvent::Lost(_)) {
                 active.guard.mark_answered();
             }
             return SendOutcome::Event(event.after_earlier_run(active.may_have_run));
         }
-        if let Some(load) = answer.load {
-            let now = self.context.now();
-            let mut state = self.context.state();
-            state
-                .fleet
-                .record_load(now, &destination.placement.target, load);
-        }
         let head = BufferedResponse {
             status: parts.status,
             headers: self.context.dialect.caller_headers(&parts.headers),
@@ -100,9 +87,31 @@
         if answer.not_executed {
             return Some(ExchangeEvent::NotRun(Fault::Full));
         }
+        (!self.is_own(answer)).then_some(ExchangeEvent::Lost(Fault::Broken))
+    }
+
+    /// Records what a target says of itself in the head of a response.
+    fn record_target_state(&self, placement: &Placement, answer: &TargetResponseHead) {
+        if answer.wrong_target {
+            return;
+        }
+        self.record_limit(placement, answer.rate_limit);
+        self.record_rest(placement, answer.rest);
+        if answer.leaving {
+            self.record_leaving(placement);
+        }
+        // A response to another request says nothing about the load of this target now.
+        if let Some(load) = answer.load.filter(|_| self.is_own(answer)) {
+            let now = self.context.now();
+            let mut state = self.context.state();
+            state.fleet.record_load(now, &placement.target, load);
+        }
+    }
+
+    /// Returns whether the target has responded to this request by running it.
+    fn is_own(&self, answer: &TargetResponseHead) -> bool {
         let is_same_id = answer.id.as_deref() == Some(self.request.head.id.as_str());
-        let is_own = is_same_id && answer.from_target;
-        (!is_own).then_some(ExchangeEvent::Lost(Fault::Broken))
+        is_same_id && answer.from_target
     }
 
     /// Records the limit that a target names in the head of a response.
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -77,13 +77,7 @@
             return SendOutcome::Event(ExchangeEvent::NoTarget);
         };
         self.record_send(now, &placement, resumed);
-        if let Some(prompt) = self.prompt_hash {
-            let mut state = self.context.state();
-            if let Some(target) = state.fleet.hash(&placement.target) {
-                let read = CachedPrompt { prompt, target };
-                state.own_prompts.record(now, read);
-            }
-        }
+        self.record_prompt(now, &placement.target);
         self.exchange.record_send(now, placement.clone());
         self.sent_at = now;
         let prompt_time = {
@@ -106,6 +100,18 @@
         }
     }
 
+    /// Records that a target reads the prompt of the request.
+    fn record_prompt(&self, now: Time, target: &TargetId) {
+        let Some(prompt) = self.prompt_hash else {
+            return;
+        };
+        let mut state = self.context.state();
+        if let Some(target) = state.fleet.hash(target) {
+            let read = CachedPrompt { prompt, target };
+            state.own_prompts.record(now, read);
+        }
+    }
+
     /// Returns the name by which engines know the copy that the request resumes from.
     fn copy_name(&self, resume: &Resume, address: SocketAddr) -> Option<CopyName> {
         let copy = resume.copy.as_ref()?;
