--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -100,8 +100,9 @@
         if answer.leaving {
             self.record_leaving(placement);
         }
-        // A response to another request says nothing about the load of this target now.
-        if let Some(load) = answer.load.filter(|_| self.is_own(answer)) {
+        // A late response to another request tells an old load, and a refusal has effects of its own.
+        let is_run = self.is_own(answer) && !answer.not_executed;
+        if let Some(load) = answer.load.filter(|_| is_run) {
             let now = self.context.now();
             let mut state = self.context.state();
             state.fleet.record_load(now, &placement.target, load);
