--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -296,7 +296,7 @@
     /// Drops what is outdated.
     pub fn expire(&mut self, now: Time) {
         self.sends.expire(now);
-        for id in self.table.find_single() {
+        for id in self.table.find_isolated() {
             self.announcements.insert(id, Announcement::new(now));
         }
         let table_now = self.table_time(now);
@@ -338,7 +338,7 @@
             true => self.add(now, crash, ages),
             false => self.record(crash, ages),
         };
-        (notice.is_single && self.table.record_single(&id)) | is_new
+        (notice.is_isolated && self.table.record_isolated(&id)) | is_new
     }
 
     /// Adds a crash, and announces it if anything in it is new.
@@ -367,7 +367,7 @@
             incarnation: crash.id.incarnation,
             age: self.table_time(now).since(crash.at),
             send_ages: send_ages.unwrap_or_default(),
-            is_single: self.table.is_single(&crash.id),
+            is_isolated: self.table.is_isolated(&crash.id),
             suspects,
         }
     }
--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -67,7 +67,7 @@
     pub at: Time,
     /// Whether the slot can be kept for one request. A target that wants no requests until then takes
     /// any number afterwards, so that all that wait for it would be sent at once.
-    pub is_single: bool,
+    pub is_exclusive: bool,
 }
 
 impl Fleet {
@@ -178,7 +178,7 @@
         Some(Slot {
             target: member.listing.id.clone(),
             at,
-            is_single: member.limit.is_paced(),
+            is_exclusive: member.limit.is_paced(),
         })
     }
 
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -58,8 +58,8 @@
     incarnation: CurrentIncarnation,
     sequence: u64,
     shares: BTreeMap<TargetHash, TargetShare>,
-    /// The demand of the entry for each service.
-    demands: BTreeMap<ServiceName, Rate>,
+    /// The demand of the entry for each service, `None` if it does not tell it.
+    demands: Option<BTreeMap<ServiceName, Rate>>,
     /// Whether the entry watches the directory and the directory answers it.
     watching: bool,
 }
@@ -72,10 +72,11 @@
 }
 
 impl Peers {
-    /// Returns the demand of an entry for a service, `None` if nothing is known of the entry.
+    /// Returns the demand of an entry for a service, `None` if the entry does not tell it.
     pub(super) fn demand(&self, host: &HostId, service: &ServiceName) -> Option<f64> {
         let peer = self.peers.get(host)?;
-        Some(peer.demands.get(service).map_or(0.0, |demand| demand.0))
+        let demand = peer.demands.as_ref()?.get(service);
+        Some(demand.map_or(0.0, |demand| demand.0))
     }
 
     /// Returns the total load of the other entries at a target.
@@ -114,7 +115,7 @@
             incarnation: CurrentIncarnation::new(message.incarnation),
             sequence: message.sequence,
             shares: message.shares.iter().copied().collect(),
-            demands: message.demands.iter().cloned().collect(),
+            demands: (message.demands.as_ref()).map(|demands| demands.iter().cloned().collect()),
             watching: message.directory.as_ref().is_some_and(|update| update.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
--- a/crates/cw_policy/src/suspicion/crash_cause.rs
+++ b/crates/cw_policy/src/suspicion/crash_cause.rs
@@ -63,7 +63,7 @@
         !self.is_lost_repeatedly(crash, request)
             && self.may_be_mass_failure(crash, request)
             && self.is_start_of_loss(crash, request)
-            && !self.is_single(&crash.id)
+            && !self.is_isolated(&crash.id)
     }
 
     /// Returns whether so many targets in the zone of a crash responded both before and after it that
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -77,7 +77,7 @@
     /// When the targets of each availability zone have responded.
     pub(super) responses: BTreeMap<ZoneId, BTreeMap<TargetId, Responses>>,
     /// The crashes in zones that are known not to have been lost.
-    single: BTreeSet<CrashId>,
+    isolated: BTreeSet<CrashId>,
     confirmed: BTreeSet<Fingerprint>,
     /// How many suspected requests this entry has in flight at each target.
     suspect_counts: BTreeMap<TargetId, u32>,
@@ -163,25 +163,25 @@
     }
 
     /// Records that the zone of a crash was not lost. Returns whether that is new.
-    pub fn record_single(&mut self, id: &CrashId) -> bool {
-        self.numbers.contains_key(id) && self.single.insert(id.clone())
+    pub fn record_isolated(&mut self, id: &CrashId) -> bool {
+        self.numbers.contains_key(id) && self.isolated.insert(id.clone())
     }
 
     /// Returns whether the zone of a crash is known not to have been lost.
-    pub fn is_single(&self, id: &CrashId) -> bool {
-        self.single.contains(id)
+    pub fn is_isolated(&self, id: &CrashId) -> bool {
+        self.isolated.contains(id)
     }
 
     /// Finds the recent crashes in zones whose targets have responded since, and records that these
     /// zones were not lost.
-    pub fn find_single(&mut self) -> Vec<CrashId> {
+    pub fn find_isolated(&mut self) -> Vec<CrashId> {
         let unsettled = self.unsettled.iter();
         let recent = unsettled.filter_map(|number| self.crashes.get(number));
         let found: Vec<CrashId> = recent
-            .filter(|crash| !self.is_single(&crash.id) && self.has_survivors(crash))
+            .filter(|crash| !self.is_isolated(&crash.id) && self.has_survivors(crash))
             .map(|crash| crash.id.clone())
             .collect();
-        self.single.extend(found.iter().cloned());
+        self.isolated.extend(found.iter().cloned());
         found
     }
 
@@ -462,7 +462,7 @@
         };
         self.numbers.remove(&crash.id);
         self.settled.remove(&number);
-        self.single.remove(&crash.id);
+        self.isolated.remove(&crash.id);
         self.send_ages.remove(&crash.id);
         for suspect in crash.suspects {
             self.forget_crash(suspect, number);
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -34,7 +34,7 @@
         prompts: Vec::new(),
         crashes: CrashNews::default(),
         limits: Vec::new(),
-        demands: Vec::new(),
+        demands: None,
         directory: Some(DirectoryUpdate {
             up: true,
             trusted: true,
--- a/crates/cw_policy/tests/forward/target_limits.rs
+++ b/crates/cw_policy/tests/forward/target_limits.rs
@@ -135,7 +135,7 @@
         directory: None,
         crashes: Default::default(),
         limits: fleet.limit_notices(now),
-        demands: fleet.demand_notices(now),
+        demands: Some(fleet.demand_notices(now)),
     }
 }
 
@@ -323,6 +323,27 @@
     assert_eq!(fleet.has_slot(at(2100), &target), is_over);
 }
 
+/// Guards against using the whole limit beside an entry of an earlier version, which does not tell its
+/// demand.
+#[rstest]
+fn an_entry_that_tells_no_demand_counts_as_much_as_this_one() {
+    let (target, now) = (engine(0, 0), at(2000));
+    let mut fleet = fleet(1, 1);
+    fleet.set_entries(&host(0), [host(1)].into_iter());
+    let told = OutstandingWork {
+        demands: None,
+        ..message(&fleet, now, 1, 1)
+    };
+    fleet.receive_peer(now, &told);
+    fleet.record_demand(now, &name("engines"));
+    fleet.record_limit(now, &target, Incarnation(1), now, Some(Rate(10.0)));
+
+    let first = fleet.take_slot(now, &target);
+    let second = fleet.take_slot(now, &target);
+
+    assert_eq!(first.until(second), Duration::from_millis(200));
+}
+
 /// Guards against a limit of an incarnation that has ended.
 #[rstest]
 fn a_limit_belongs_to_the_incarnation_that_named_it() {
--- a/crates/cw_wire/src/crash_notice.rs
+++ b/crates/cw_wire/src/crash_notice.rs
@@ -28,7 +28,7 @@
     pub send_ages: Vec<Duration>,
     /// Whether the sender knows that the zone was not lost: its other targets went on to respond.
     #[serde(default)]
-    pub is_single: bool,
+    pub is_isolated: bool,
 }
 
 /// What an entry has learned of requests that crash targets.
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -48,7 +48,7 @@
     /// What targets have said of their limits. Entries of an earlier version do not send it.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
-    /// The rate of requests for each service. Entries of an earlier version do not send it.
+    /// The rate of requests for each service, `None` from entries of an earlier version.
     #[serde(default)]
-    pub demands: Vec<(ServiceName, Rate)>,
+    pub demands: Option<Vec<(ServiceName, Rate)>>,
 }
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -97,7 +97,7 @@
             lost: state.fleet.lost_since(last_sent),
             crashes: state.crashes.news(now),
             limits: state.fleet.limit_notices(now),
-            demands: state.fleet.demand_notices(now),
+            demands: Some(state.fleet.demand_notices(now)),
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -143,7 +143,7 @@
             true => now.until(plan.deadline),
             false => plan.objective,
         };
-        if let Some(slot) = slot.filter(|slot| slot.is_single)
+        if let Some(slot) = slot.filter(|slot| slot.is_exclusive)
             && wait <= longest.mul_f64(SLOT_WAIT_SHARE)
         {
             state.fleet.take_slot(now, &slot.target);
