--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -1,9 +1,9 @@
 //! Divides the limits of targets among the entries, and keeps this entry to its part.
 //!
-//! Each entry tells the others how many requests it has for each service, and what targets have said
-//! of their limits. All divide a limit in the same way: in proportion to the demand, and among so few
-//! entries that each may send at least one request a second. An entry that hears nothing of another
-//! one takes that one's demand for as large as its own.
+//! Each entry tells the others how many requests it has for each service, and what targets have
+//! reported of their limits. All divide a limit in the same way: in proportion to the demand, among few
+//! more entries than it has requests a second. The demand of an entry whose messages do not arrive is
+//! taken to be as large as one's own.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,19 +21,19 @@
 use super::Fleet;
 use super::Requirements;
 use super::member::Member;
-use super::target_limit::LimitWord;
+use super::target_limit::LimitReport;
 
 /// The time over which the demand for a service is averaged. It is long enough for a few requests of
 /// an entry with little traffic, and shorter than the window in which a target's requests count.
 const DEMAND_TIME: Duration = Duration::from_millis(700);
 
-/// How long the others are told of what a target has said. Messages are sent several times a
-/// second, so lost ones are made up for.
-const TELLING_TIME: Duration = Duration::from_secs(3);
+/// How long a report is passed on to the other entries. Messages are sent several times a second, so
+/// lost ones are made up for.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
 
-/// How many more entries share a limit than it has requests a second. Each may send one request at
-/// once after a pause, and all of these together must stay within what targets bear for a moment:
-/// half as much again as the limit over four seconds, and five requests.
+/// How many more entries share a limit than it has requests a second. Each may save up one request, and
+/// all of these together must stay within what the platform allows in four seconds: half as much again
+/// as the limit, and five requests.
 const SPARE_USERS: usize = 3;
 
 /// The maximum number of limits in one message, which must fit into a datagram.
@@ -102,12 +102,12 @@
         if member.listing.incarnation() != incarnation {
             return false;
         }
-        let said_at = match (rate, member.limit.rate()) {
+        let reported_at = match (rate, member.limit.rate()) {
             (None, None) => return false,
             (None, Some(_)) => sent_at,
             (Some(_), _) => now,
         };
-        let is_change = member.limit.record(LimitWord { rate, said_at });
+        let is_change = member.limit.record(LimitReport { rate, reported_at });
         let service = member.listing.service.clone();
         if is_change {
             self.divide_limits(now, |other| *other == service);
@@ -133,12 +133,12 @@
     /// Returns what to tell the other entries of the limits of targets.
     pub fn limit_notices(&self, now: Time) -> Vec<LimitNotice> {
         let members = self.members.values();
-        let words = members.filter_map(|member| Some((member.hash, member.limit.word()?)));
-        let recent = words.filter(|(_, word)| now.since(word.said_at) <= TELLING_TIME);
-        let notices = recent.map(|(target, word)| LimitNotice {
+        let reports = members.filter_map(|member| Some((member.hash, member.limit.report()?)));
+        let recent = reports.filter(|(_, report)| now.since(report.reported_at) <= NOTICE_TIME);
+        let notices = recent.map(|(target, report)| LimitNotice {
             target,
-            rate: word.rate,
-            age: now.since(word.said_at),
+            rate: report.rate,
+            age: now.since(report.reported_at),
         });
         notices.take(MAX_NOTICES).collect()
     }
@@ -154,13 +154,13 @@
     /// Applies what another entry tells of the limits of targets.
     pub(super) fn receive_limits(&mut self, now: Time, notices: &[LimitNotice]) {
         for notice in notices {
-            let word = LimitWord {
+            let report = LimitReport {
                 rate: notice.rate,
-                said_at: now.before(notice.age),
+                reported_at: now.before(notice.age),
             };
             let mut members = self.members.values_mut();
             if let Some(member) = members.find(|member| member.hash == notice.target) {
-                member.limit.record(word);
+                member.limit.record(report);
             }
         }
         self.divide_limits(now, |_| true);
@@ -208,10 +208,11 @@
 
     /// Divides the limits of the targets whose services are selected.
     pub(super) fn divide_limits(&mut self, now: Time, is_selected: impl Fn(&ServiceName) -> bool) {
-        let has_word =
-            |member: &Member| member.limit.word().is_some() && is_selected(&member.listing.service);
+        let has_report = |member: &Member| {
+            member.limit.report().is_some() && is_selected(&member.listing.service)
+        };
         let mut demands: BTreeMap<ServiceName, Vec<EntryDemand>> = BTreeMap::new();
-        for member in self.members.values().filter(|member| has_word(member)) {
+        for member in self.members.values().filter(|member| has_report(member)) {
             let service = &member.listing.service;
             if !demands.contains_key(service) {
                 demands.insert(service.clone(), self.entry_demands(now, service));
@@ -219,7 +220,7 @@
         }
         for member in self.members.values_mut() {
             if let Some(demands) = demands.get(&member.listing.service)
-                && member.limit.word().is_some()
+                && member.limit.report().is_some()
             {
                 let rate = member.limit.rate().unwrap_or_default();
                 let (share, phase) = own_share(&member.listing.id, rate, demands);
--- a/crates/cw_policy/src/forward/target_limit.rs
+++ b/crates/cw_policy/src/forward/target_limit.rs
@@ -1,5 +1,5 @@
-//! The limit that a target names on the requests that it takes a second, and the part of it that
-//! this entry may use.
+//! Whether a target takes one more request of this entry, and if not, when: by the limit that it names
+//! on the requests of all entries, and by the time in which it wants none from this one.
 
 use std::time::Duration;
 
@@ -17,20 +17,20 @@
 /// The shortest time between two requests of an entry, which is no restriction.
 const MIN_INTERVAL: Duration = Duration::from_micros(1);
 
-/// The longest time without requests that a target is granted. Its record would lapse in less, if it
-/// did not renew it.
+/// The longest time in which a target gets no requests because it wants none. A target that names a
+/// longer one is tried again after this.
 const MAX_REST: Duration = Duration::from_secs(60);
 
-/// The number of requests that an entry may send at once after it has sent none for a while.
+/// The number of requests that an entry may save up while it sends none, beside the next one.
 const BURST: u32 = 1;
 
-/// What a target has said of its limit.
+/// What a target has reported of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct LimitWord {
+pub(super) struct LimitReport {
     /// The requests a second that it takes from all entries together, `None` without a limit.
     pub(super) rate: Option<Rate>,
-    /// When it said so.
-    pub(super) said_at: Time,
+    /// When it reported that.
+    pub(super) reported_at: Time,
 }
 
 /// The part of a limit that this entry may use.
@@ -45,7 +45,7 @@
 /// The limit of one incarnation of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct TargetLimit {
-    word: Option<LimitWord>,
+    report: Option<LimitReport>,
     /// The pace of this entry while there is a limit.
     pace: Option<Pace>,
     /// The end of the time in which the target wants no requests from this entry.
@@ -53,25 +53,28 @@
 }
 
 impl TargetLimit {
-    /// Returns what the target has said last.
-    pub(super) fn word(&self) -> Option<LimitWord> {
-        self.word
+    /// Returns the last report of the target.
+    pub(super) fn report(&self) -> Option<LimitReport> {
+        self.report
     }
 
     /// Returns the limit in force.
     pub(super) fn rate(&self) -> Option<Rate> {
-        let rate = self.word.and_then(|word| word.rate);
+        let rate = self.report.and_then(|report| report.rate);
         rate.map(|rate| if rate < MIN_RATE { MIN_RATE } else { rate })
     }
 
-    /// Records what the target has said, unless a later word is known. Returns whether the limit
+    /// Records a report of the target, unless a later one is known. Returns whether the limit
     /// has changed.
-    pub(super) fn record(&mut self, word: LimitWord) -> bool {
-        if self.word.is_some_and(|known| known.said_at >= word.said_at) {
+    pub(super) fn record(&mut self, report: LimitReport) -> bool {
+        if self
+            .report
+            .is_some_and(|known| known.reported_at >= report.reported_at)
+        {
             return false;
         }
         let before = self.rate();
-        self.word = Some(word);
+        self.report = Some(report);
         before != self.rate()
     }
 
--- a/crates/cw_policy/tests/forward/target_limits.rs
+++ b/crates/cw_policy/tests/forward/target_limits.rs
@@ -67,7 +67,7 @@
     None,
     /// One message in three is lost, and all are late.
     BadMessages,
-    /// The last entry hears nothing and is not heard.
+    /// All messages from and to the last entry are lost.
     CutOff,
     /// Half of the entries end at half of the time.
     Leaving,
--- a/crates/cw_wire/src/limit_notice.rs
+++ b/crates/cw_wire/src/limit_notice.rs
@@ -7,13 +7,13 @@
 
 use crate::TargetHash;
 
-/// What a target has said of the requests that it takes from all entries together.
+/// What a target has reported of the requests that it takes from all entries together.
 #[data(Copy)]
 pub struct LimitNotice {
     /// The incarnation of the target.
     pub target: TargetHash,
     /// The limit in requests a second, `None` if it has none any more.
     pub rate: Option<Rate>,
-    /// The time since it said so.
+    /// The time since it reported that.
     pub age: Duration,
 }
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -45,7 +45,7 @@
     /// Requests that may crash targets. Entries of an earlier version do not send it.
     #[serde(default)]
     pub crashes: CrashNews,
-    /// What targets have said of their limits. Entries of an earlier version do not send it.
+    /// What targets have reported of their limits. Entries of an earlier version do not send it.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
     /// The rate of requests for each service, `None` from entries of an earlier version.
