Recognize a sudden loss of most targets soon after another one

Cause: a mass failure had to begin after two seconds without crashes in its zone. Engines that come back after 400 ms can be lost again before that, and then each crash counted against the requests in flight.

Change: a loss of most of the targets that responded shortly before, within 30 ms and without crashes just before it, is a mass failure whatever happened earlier. It is decided when it happens. After such a loss, a target that ended and came back no longer passes for one that the loss spared; responses belong to an incarnation.

Tried before: counting all targets that ever responded (broke the requests that hit one target after the other), the restart rule for all losses (broke the waves of 16 requests).

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -139,10 +139,16 @@
         self.sends.record_alive(target);
     }
 
-    /// Records when a target of a zone last responded to a request of this entry.
-    pub fn record_response(&mut self, at: Time, zone: &ZoneId, target: &TargetId) {
+    /// Records when an incarnation of a target last responded to a request of this entry.
+    pub fn record_response(
+        &mut self,
+        at: Time,
+        zone: &ZoneId,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) {
         let at = self.table_time(at);
-        self.table.record_response(at, zone, target);
+        self.table.record_response(at, zone, target, incarnation);
     }
 
     /// Records that an incarnation of a target has crashed. Returns the requests that may be the
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -334,15 +334,12 @@
         member.is_some_and(|member| member.responded_at > since)
     }
 
-    /// Returns the targets that have responded since a point in time, with their zones and the time.
-    pub fn responses_since(&self, since: Time) -> impl Iterator<Item = (&TargetId, &ZoneId, Time)> {
+    /// Returns the targets that have responded since a point in time, and when.
+    pub fn responses_since(&self, since: Time) -> impl Iterator<Item = (&Listing, Time)> {
         let members = self.members.values();
         members
             .filter(move |member| member.responded_at > since)
-            .map(|member| {
-                let listing = &member.listing;
-                (&listing.id, &listing.zone, member.responded_at)
-            })
+            .map(|member| (&member.listing, member.responded_at))
     }
 
     /// Records a loss of the target's availability zone if enough of its targets were lost
--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -52,7 +52,10 @@
 /// When a target has responded to requests.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Responses {
+    /// When the target first responded.
     pub(super) first: Time,
+    /// The incarnation that responded last, and when it first did.
+    pub(super) incarnation: (Incarnation, Time),
     pub(super) last: Time,
 }
 
@@ -78,6 +81,8 @@
     pub(super) responses: BTreeMap<ZoneId, BTreeMap<TargetId, Responses>>,
     /// The crashes in zones that are known not to have been lost.
     isolated: BTreeSet<CrashId>,
+    /// The crashes at which most of the active targets were lost at the same moment.
+    sudden_losses: BTreeSet<CrashId>,
     confirmed: BTreeSet<Fingerprint>,
     /// How many suspected requests this entry has in flight at each target.
     suspect_counts: BTreeMap<TargetId, u32>,
@@ -127,7 +132,9 @@
         }
         match self.crashes.entry(number) {
             Entry::Vacant(vacant) => {
-                vacant.insert(crash);
+                vacant.insert(crash.clone());
+                // The targets that respond now may be lost later, so this is decided once.
+                self.sudden_losses.extend(self.find_sudden_loss(&crash));
                 true
             }
             Entry::Occupied(mut known) => {
@@ -167,6 +174,11 @@
         self.numbers.contains_key(id) && self.isolated.insert(id.clone())
     }
 
+    /// Returns whether a crash is one of a sudden loss.
+    pub(super) fn is_sudden_loss(&self, id: &CrashId) -> bool {
+        self.sudden_losses.contains(id)
+    }
+
     /// Returns whether the zone of a crash is known not to have been lost.
     pub fn is_isolated(&self, id: &CrashId) -> bool {
         self.isolated.contains(id)
@@ -202,14 +214,24 @@
 
     /// Records that a target of a zone has responded to a request. A zone whose targets go on to
     /// respond is not lost.
-    pub fn record_response(&mut self, at: Time, zone: &ZoneId, target: &TargetId) {
+    pub fn record_response(
+        &mut self,
+        at: Time,
+        zone: &ZoneId,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) {
         let targets = self.responses.entry(zone.clone()).or_default();
         let first = Responses {
             first: at,
+            incarnation: (incarnation, at),
             last: at,
         };
         let responses = targets.entry(target.clone()).or_insert(first);
         responses.last = at.max(responses.last);
+        if responses.incarnation.0 != incarnation {
+            responses.incarnation = (incarnation, at);
+        }
     }
 
     /// Records that a request has completed, so that no crash counts against it any more. Returns
@@ -463,6 +485,7 @@
         self.numbers.remove(&crash.id);
         self.settled.remove(&number);
         self.isolated.remove(&crash.id);
+        self.sudden_losses.remove(&crash.id);
         self.send_ages.remove(&crash.id);
         for suspect in crash.suspects {
             self.forget_crash(suspect, number);
--- a/crates/cw_policy/tests/forward/crashing_load.rs
+++ b/crates/cw_policy/tests/forward/crashing_load.rs
@@ -18,12 +18,6 @@
 use crate::fixtures::engine;
 use crate::fixtures::name;
 
-/// The number of engines of each availability zone.
-const ENGINES: usize = 12;
-
-/// How long an engine is down after a crash, in milliseconds.
-const DOWN_TIME: u64 = 1500;
-
 /// How long an engine runs an innocent request until it completes, in milliseconds.
 const RUN_TIME: u64 = 1200;
 
@@ -60,6 +54,10 @@
     pub(crate) seed: u64,
     pub(crate) entries: usize,
     pub(crate) zones: usize,
+    /// The number of engines of each availability zone.
+    pub(crate) engines: usize,
+    /// How long an engine is down after a crash, in milliseconds.
+    pub(crate) down: u64,
     /// The number of different crashing requests.
     pub(crate) crashing: u64,
     /// The time between the sends of two crashing requests, in milliseconds.
@@ -82,6 +80,8 @@
             seed: 1,
             entries: 1,
             zones: 3,
+            engines: 12,
+            down: 1500,
             crashing: 0,
             gap: 40,
             pause: 0,
@@ -170,7 +170,7 @@
 impl CrashingLoad {
     /// Plays the load, and returns what its callers have seen.
     pub(crate) fn play(self) -> LoadOutcome {
-        let engines = (0..self.zones).flat_map(|zone| (0..ENGINES).map(move |at| (zone, at)));
+        let engines = (0..self.zones).flat_map(|zone| (0..self.engines).map(move |at| (zone, at)));
         let first = Engine {
             incarnation: 1,
             up_at: 0,
@@ -227,7 +227,7 @@
         }
         self.run_crashing_requests();
         for zone in self.load.lost_zones(elapsed) {
-            for number in 0..ENGINES {
+            for number in 0..self.load.engines {
                 self.crash((zone, number));
             }
         }
@@ -313,7 +313,7 @@
             return;
         }
         let Some(engine) = self.pick_engine() else {
-            self.waiting.push((request, self.now + DOWN_TIME));
+            self.waiting.push((request, self.now + self.load.down));
             return;
         };
         let send = self.send(entry, engine, request);
@@ -335,7 +335,9 @@
         for run in &self.runs {
             let (zone, number) = run.engine;
             let tracker = &mut self.entries[run.entry];
-            tracker.record_response(now, &name(&format!("z{zone}")), &engine(zone, number));
+            let incarnation = Incarnation(self.engines[&run.engine].incarnation);
+            let zone_id = name(&format!("z{zone}"));
+            tracker.record_response(now, &zone_id, &engine(zone, number), incarnation);
         }
     }
 
@@ -362,7 +364,7 @@
         }
         let incarnation = Incarnation(state.incarnation);
         state.incarnation += 1;
-        state.up_at = now + DOWN_TIME;
+        state.up_at = now + self.load.down;
         let (lost, running): (Vec<InnocentRun>, _) =
             self.runs.iter().partition(|run| run.engine == id);
         self.runs = running;
--- a/crates/cw_policy/tests/forward/several_crashing_requests.rs
+++ b/crates/cw_policy/tests/forward/several_crashing_requests.rs
@@ -135,6 +135,37 @@
     assert!(outcome.lost > 24, "{outcome:?}");
 }
 
+/// Guards against refusing requests that lose their engines with all others, in a small deployment
+/// whose engines come back sooner than a loss takes to be forgotten.
+#[rstest]
+fn requests_at_quick_losses_of_all_engines_are_not_refused(
+    #[values(1, 2)] seed: u64,
+    #[values(2, 12)] engines: usize,
+    #[values(700, 1500)] period: u64,
+    #[values(1, 2)] entries: usize,
+    #[values(12, 24)] innocent: usize,
+) {
+    let load = CrashingLoad {
+        seed,
+        entries,
+        engines,
+        innocent,
+        down: 400,
+        duration: 15_000,
+        losses: ZoneLosses {
+            first: 500,
+            step: 0,
+            period,
+        },
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    assert!(outcome.wrongly_refused.is_empty(), "{outcome:?}");
+    assert!(outcome.lost > 24, "{outcome:?}");
+}
+
 /// Guards against a mend that takes the losses of zones for the cause of other crashes, or the
 /// other way round.
 #[rstest]
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -270,8 +270,8 @@
         let now = context.now();
         let mut state = context.state();
         let ForwardState { fleet, crashes, .. } = &mut *state;
-        for (target, zone, at) in fleet.responses_since(last) {
-            crashes.record_response(at, zone, target);
+        for (target, at) in fleet.responses_since(last) {
+            crashes.record_response(at, &target.zone, &target.id, target.incarnation());
         }
         last = now;
         for id in state.fleet.expire(now) {
