Let a message of another entry cost what it carries

Change: the sums are kept, and a message replaces only the shares in which it differs from the one before; targets are found by their hash; only targets that named a limit are divided. A new list of entries is ranked by hashes of hosts and targets, without building strings. Each target has 16 near entries by rendezvous hashing, more where a service has few targets; placement prefers near targets by four requests, so that an empty target is not chosen by all entries at once. A plain request no longer counts requests that other entries had hundreds of milliseconds ago.

--- /dev/null
+++ b/crates/cw_policy/src/forward/entry_ranking.rs
@@ -0,0 +1,93 @@
+//! Ranks the entries by rendezvous hashing, so that all of them agree without a message which entries
+//! are near a target.
+
+use std::collections::BTreeSet;
+
+use cw_types::HostId;
+use cw_types::TargetId;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The number of entries near a target. They hear of each other's prompts there at once, so the cost
+/// of a prompt is the same in a deployment of any size.
+const MIN_NEAR_ENTRIES: usize = 16;
+
+/// The number of targets of a service that an entry is near to, if there are that many. It leaves a
+/// choice after the loss of an availability zone.
+const MIN_NEAR_TARGETS: usize = 24;
+
+/// How near this entry is to a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Nearness {
+    /// No other entry is nearer.
+    Nearest,
+    /// It is one of the entries that hear of each other's prompts at the target at once.
+    Near,
+    /// It hears of them with the regular messages.
+    #[default]
+    Far,
+}
+
+/// The entries with their hashes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EntryRanking {
+    own: u64,
+    others: Vec<(u64, HostId)>,
+}
+
+impl EntryRanking {
+    /// Creates a ranking of all entries, one of which is this one.
+    pub(super) fn new(own: &HostId, entries: &BTreeSet<HostId>) -> Self {
+        let others = entries.iter().filter(|host| *host != own);
+        Self {
+            own: host_hash(own),
+            others: others.map(|host| (host_hash(host), host.clone())).collect(),
+        }
+    }
+
+    /// Returns the number of entries near a target of a service with this number of targets.
+    pub(super) fn near_entries(&self, targets: usize) -> usize {
+        let entries = self.others.len() + 1;
+        let enough = (entries * MIN_NEAR_TARGETS).div_ceil(targets.max(1));
+        enough.max(MIN_NEAR_ENTRIES)
+    }
+
+    /// Returns how near this entry is to a target of a service with this number of targets.
+    pub(super) fn nearness(&self, target: &TargetId, targets: usize) -> Nearness {
+        let seed = target_seed(target);
+        let own = weight(self.own, seed);
+        let others = self.others.iter();
+        let before = others.filter(|(host, _)| weight(*host, seed) > own).count();
+        match before {
+            0 => Nearness::Nearest,
+            _ if before < self.near_entries(targets) => Nearness::Near,
+            _ => Nearness::Far,
+        }
+    }
+
+    /// Returns the other entries near a target of a service with this number of targets.
+    pub(super) fn nearest_others(&self, target: &TargetId, targets: usize) -> Vec<&HostId> {
+        let seed = target_seed(target);
+        let others = self.others.iter();
+        let mut ranked: Vec<(u64, &HostId)> =
+            others.map(|(host, id)| (weight(*host, seed), id)).collect();
+        let count = self.near_entries(targets).min(ranked.len());
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by(count, |one, other| other.0.cmp(&one.0));
+            ranked.truncate(count);
+        }
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+}
+
+fn host_hash(host: &HostId) -> u64 {
+    xxh3_64(host.as_str().as_bytes())
+}
+
+fn target_seed(target: &TargetId) -> u64 {
+    xxh3_64(target.as_str().as_bytes())
+}
+
+fn weight(host: u64, target: u64) -> u64 {
+    xxh3_64_with_seed(&host.to_le_bytes(), target)
+}
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -17,6 +17,8 @@
 use super::Fault;
 use super::Listing;
 use super::ReportedLoad;
+use super::entry_ranking::EntryRanking;
+use super::entry_ranking::Nearness;
 use super::limit_shares;
 use super::member::Member;
 use super::peers::Peers;
@@ -81,11 +83,18 @@
     limits: FleetLimits,
     directory: Directory,
     pub(super) members: BTreeMap<TargetId, Member>,
+    /// The targets by the hash that messages between entries name them by.
+    pub(super) by_hash: BTreeMap<TargetHash, TargetId>,
+    /// The number of targets of each service.
+    pub(super) service_sizes: BTreeMap<ServiceName, usize>,
+    /// The targets that have reported a limit.
+    pub(super) limited: BTreeSet<TargetId>,
     pub(super) peers: Peers,
     /// The host of this entry, once the other entries are known.
     pub(super) own_host: Option<HostId>,
     /// All entries, including this one.
     pub(super) entries: BTreeSet<HostId>,
+    pub(super) ranking: EntryRanking,
     /// The demand of this entry for each service.
     pub(super) demands: BTreeMap<ServiceName, limit_shares::ServiceDemand>,
     /// The last loss of each availability zone, see [`MIN_ZONE_LOSSES`].
@@ -101,9 +110,13 @@
             limits,
             directory: Directory::Up(Time::default()),
             members: BTreeMap::new(),
+            by_hash: BTreeMap::new(),
+            service_sizes: BTreeMap::new(),
+            limited: BTreeSet::new(),
             peers: Peers::default(),
             own_host: None,
             entries: BTreeSet::new(),
+            ranking: EntryRanking::default(),
             demands: BTreeMap::new(),
             zone_losses: BTreeMap::new(),
             contact_at: Time::default(),
@@ -123,22 +136,61 @@
                 member.missing_since = None;
                 true
             }
-            Some(member) => {
-                member.restart(now, listing);
-                member.peers = self.peers.total_at(member.hash);
+            Some(_) => {
+                self.replace_listing(now, listing);
                 true
             }
             None => {
-                let id = listing.id.clone();
-                let mut member = Member::new(now, listing);
-                member.peers = self.peers.total_at(member.hash);
-                member.preferred = self.prefers(&id);
-                self.members.insert(id, member);
+                self.add_member(now, listing);
                 true
             }
         }
     }
 
+    fn add_member(&mut self, now: Time, listing: Listing) {
+        let id = listing.id.clone();
+        let size = self
+            .service_sizes
+            .entry(listing.service.clone())
+            .or_default();
+        *size += 1;
+        let mut member = Member::new(now, listing);
+        member.peers = self.peers.total_at(member.hash);
+        member.nearness = match self.own_host {
+            Some(_) => self.ranking.nearness(&id, *size),
+            None => Nearness::Far,
+        };
+        self.by_hash.insert(member.hash, id.clone());
+        self.members.insert(id, member);
+    }
+
+    /// Replaces the record of a target by that of another incarnation, or of another service.
+    fn replace_listing(&mut self, now: Time, listing: Listing) {
+        let Some(member) = self.members.get_mut(&listing.id) else {
+            return;
+        };
+        if member.listing.service != listing.service {
+            self.remove_member(&listing.id);
+            self.add_member(now, listing);
+            return;
+        }
+        self.by_hash.remove(&member.hash);
+        member.restart(now, listing);
+        member.peers = self.peers.total_at(member.hash);
+        self.by_hash.insert(member.hash, member.listing.id.clone());
+    }
+
+    fn remove_member(&mut self, id: &TargetId) {
+        let Some(member) = self.members.remove(id) else {
+            return;
+        };
+        self.by_hash.remove(&member.hash);
+        self.limited.remove(id);
+        if let Some(size) = self.service_sizes.get_mut(&member.listing.service) {
+            *size = size.saturating_sub(1);
+        }
+    }
+
     /// Records that the directory no longer lists a target. Returns whether the state changed.
     ///
     /// A record that expired during an outage of the directory may be registered again. Until then
@@ -155,7 +207,7 @@
             return false;
         };
         if trusted || member.listing.leaving {
-            self.members.remove(id);
+            self.remove_member(id);
             return true;
         }
         let first = member.missing_since.is_none();
@@ -222,7 +274,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.members.remove(id);
+            self.remove_member(id);
         }
         gone
     }
--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -108,6 +108,7 @@
             (Some(_), _) => now,
         };
         let is_change = member.limit.record(LimitReport { rate, reported_at });
+        self.limited.insert(id.clone());
         let service = member.listing.service.clone();
         if is_change {
             self.divide_limits(now, |other| *other == service);
@@ -132,7 +133,7 @@
 
     /// Returns what to tell the other entries of the limits of targets.
     pub fn limit_notices(&self, now: Time) -> Vec<LimitNotice> {
-        let members = self.members.values();
+        let members = self.limited.iter().filter_map(|id| self.members.get(id));
         let reports = members.filter_map(|member| Some((member.hash, member.limit.report()?)));
         let recent = reports.filter(|(_, report)| now.since(report.reported_at) <= NOTICE_TIME);
         let notices = recent.map(|(target, report)| LimitNotice {
@@ -158,9 +159,12 @@
                 rate: notice.rate,
                 reported_at: now.before(notice.age),
             };
-            let mut members = self.members.values_mut();
-            if let Some(member) = members.find(|member| member.hash == notice.target) {
+            let Some(id) = self.by_hash.get(&notice.target) else {
+                continue;
+            };
+            if let Some(member) = self.members.get_mut(id) {
                 member.limit.record(report);
+                self.limited.insert(id.clone());
             }
         }
         self.divide_limits(now, |_| true);
@@ -212,13 +216,17 @@
             member.limit.report().is_some() && is_selected(&member.listing.service)
         };
         let mut demands: BTreeMap<ServiceName, Vec<EntryDemand>> = BTreeMap::new();
-        for member in self.members.values().filter(|member| has_report(member)) {
+        let limited = self.limited.iter().filter_map(|id| self.members.get(id));
+        for member in limited.filter(|member| has_report(member)) {
             let service = &member.listing.service;
             if !demands.contains_key(service) {
                 demands.insert(service.clone(), self.entry_demands(now, service));
             }
         }
-        for member in self.members.values_mut() {
+        for id in &self.limited {
+            let Some(member) = self.members.get_mut(id) else {
+                continue;
+            };
             if let Some(demands) = demands.get(&member.listing.service)
                 && member.limit.report().is_some()
             {
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -7,6 +7,7 @@
 use cw_wire::TargetShare;
 
 use super::Listing;
+use super::entry_ranking::Nearness;
 use super::target_limit::TargetLimit;
 
 /// The half-life of a target's penalty.
@@ -122,8 +123,8 @@
     pub(super) listed_at: Time,
     /// Whether another target now listens at the address.
     pub(super) replaced: bool,
-    /// Whether this is the entry that prefers the target.
-    pub(super) preferred: bool,
+    /// How near this entry is to the target among all entries.
+    pub(super) nearness: Nearness,
     /// The estimated time at which the target began to read its current prompt.
     pub(super) reading_since: Time,
     /// The limit that the target names on the requests that it takes from all entries together.
@@ -152,13 +153,13 @@
             responded_at: Time::default(),
             listed_at: now,
             replaced: false,
-            preferred: false,
+            nearness: Nearness::default(),
             reading_since: now,
             limit: TargetLimit::default(),
         }
     }
 
-    /// Resets the state after a restart under the same id. Only the preference remains, and the
+    /// Resets the state after a restart under the same id. Only the nearness remains, and the
     /// outstanding load of this entry, whose requests end with the connections to the incarnation
     /// before.
     pub(super) fn restart(&mut self, now: Time, listing: Listing) {
@@ -167,7 +168,7 @@
             unread: self.unread,
             copies: self.copies,
             tokens: self.tokens,
-            preferred: self.preferred,
+            nearness: self.nearness,
             ..Self::new(now, listing)
         };
     }
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod crash_tracker;
 mod directory_log;
 mod entry_list;
+mod entry_ranking;
 mod event_stream;
 mod exchange;
 mod fleet;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -1,6 +1,7 @@
 //! The load and the losses at the targets that the other entries report.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cw_types::HostId;
@@ -12,9 +13,9 @@
 use cw_wire::OutstandingWork;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::Fleet;
+use super::entry_ranking::EntryRanking;
 use crate::CurrentIncarnation;
 use crate::IncarnationOrder;
 
@@ -57,7 +58,8 @@
     received_at: Time,
     incarnation: CurrentIncarnation,
     sequence: u64,
-    shares: BTreeMap<TargetHash, TargetShare>,
+    /// The load at each target, in the order of the hashes.
+    shares: Vec<(TargetHash, TargetShare)>,
     /// The demand of the entry for each service, `None` if it does not tell it.
     demands: Option<BTreeMap<ServiceName, Rate>>,
     /// Whether the entry watches the directory and the directory answers it.
@@ -69,6 +71,8 @@
 pub(super) struct Peers {
     limits: PeerLimits,
     peers: BTreeMap<HostId, Peer>,
+    /// The sum of the shares at each target.
+    totals: BTreeMap<TargetHash, TargetShare>,
 }
 
 impl Peers {
@@ -81,18 +85,58 @@
 
     /// Returns the total load of the other entries at a target.
     pub(super) fn total_at(&self, hash: TargetHash) -> TargetShare {
-        let mut sum = TargetShare::default();
-        for share in self
-            .peers
-            .values()
-            .filter_map(|peer| peer.shares.get(&hash))
-        {
-            sum.runs += share.runs;
-            sum.unread += share.unread;
-            sum.copies += share.copies;
-            sum.tokens += share.tokens;
+        self.totals.get(&hash).copied().unwrap_or_default()
+    }
+
+    /// Replaces the shares of an entry, and returns the targets at which they differ from those
+    /// before. Only these are added up again.
+    fn set_shares(
+        &mut self,
+        host: &HostId,
+        new: Vec<(TargetHash, TargetShare)>,
+    ) -> Vec<TargetHash> {
+        let Some(peer) = self.peers.get_mut(host) else {
+            return Vec::new();
+        };
+        let old = std::mem::replace(&mut peer.shares, new);
+        let new = &peer.shares;
+        let mut changed = Vec::new();
+        let (mut from, mut to) = (old.iter().peekable(), new.iter().peekable());
+        loop {
+            let hash = match (from.peek(), to.peek()) {
+                (Some((before, _)), Some((after, _))) => *before.min(after),
+                (Some((hash, _)), None) | (None, Some((hash, _))) => *hash,
+                (None, None) => return changed,
+            };
+            let before = from.next_if(|(other, _)| *other == hash);
+            let after = to.next_if(|(other, _)| *other == hash);
+            let share = |found: Option<&(TargetHash, TargetShare)>| {
+                found.map(|(_, share)| *share).unwrap_or_default()
+            };
+            let (before, after) = (share(before), share(after));
+            if before == after {
+                continue;
+            }
+            changed.push(hash);
+            let total = self.totals.entry(hash).or_default();
+            *total = exchange_share(*total, before, after);
+            if *total == TargetShare::default() {
+                self.totals.remove(&hash);
+            }
         }
-        sum
+    }
+}
+
+/// Returns a sum of shares in which one of them is replaced by another.
+fn exchange_share(total: TargetShare, before: TargetShare, after: TargetShare) -> TargetShare {
+    TargetShare {
+        runs: total
+            .runs
+            .saturating_sub(before.runs)
+            .saturating_add(after.runs),
+        unread: (total.unread.saturating_sub(before.unread)).saturating_add(after.unread),
+        copies: (total.copies.saturating_sub(before.copies)).saturating_add(after.copies),
+        tokens: (total.tokens.saturating_sub(before.tokens)).saturating_add(after.tokens),
     }
 }
 
@@ -114,19 +158,20 @@
             received_at: now,
             incarnation: CurrentIncarnation::new(message.incarnation),
             sequence: message.sequence,
-            shares: message.shares.iter().copied().collect(),
+            shares: known.map(|peer| peer.shares.clone()).unwrap_or_default(),
             demands: (message.demands.as_ref()).map(|demands| demands.iter().cloned().collect()),
             watching: message.directory.as_ref().is_some_and(|update| update.up),
         };
         self.peers.peers.insert(message.host.clone(), peer);
         self.record_contact(now);
-        self.update_peer_shares(now);
+        let mut shares = message.shares.clone();
+        shares.sort_unstable_by_key(|(hash, _)| *hash);
+        shares.dedup_by_key(|(hash, _)| *hash);
+        self.update_peer_shares(now, &message.host, shares);
         self.receive_limits(now, &message.limits);
-        let lost: Vec<TargetId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| message.lost.contains(&member.hash))
-            .map(|(id, _)| id.clone())
+        let lost = message.lost.iter();
+        let lost: Vec<TargetId> = lost
+            .filter_map(|hash| self.by_hash.get(hash).cloned())
             .collect();
         for id in lost {
             if let Some(member) = self.members.get_mut(&id) {
@@ -156,11 +201,9 @@
             .map(|(host, _)| host.clone())
             .collect();
         for host in &gone {
+            self.update_peer_shares(now, host, Vec::new());
             self.peers.peers.remove(host);
         }
-        if !gone.is_empty() {
-            self.update_peer_shares(now);
-        }
         gone
     }
 
@@ -170,6 +213,15 @@
         self.watchers_before(now) < WATCHERS
     }
 
+    /// Returns whether this entry has to read the directory right after its start, for those that start
+    /// with it: no more than a few of the listed entries have a smaller host id, or none is listed.
+    pub fn is_first_watcher(&self) -> bool {
+        match &self.own_host {
+            Some(own) => self.entries.range(..own).count() < WATCHERS,
+            None => false,
+        }
+    }
+
     /// Returns whether this entry writes the shared state of all entries to the store.
     pub fn is_writer(&self, now: Time) -> bool {
         self.watchers_before(now) == 0
@@ -224,34 +276,43 @@
 
     /// Sets the list of entries.
     ///
-    /// Each target is preferred by one entry, selected by rendezvous hashing, so that entries that
-    /// place requests at the same moment choose different targets.
+    /// Each target has a nearest entry and some that are near it, selected by rendezvous hashing, so that
+    /// entries that place requests at the same moment choose different targets.
     pub fn set_entries(&mut self, own: &HostId, others: impl Iterator<Item = HostId>) {
-        self.entries = others.chain([own.clone()]).collect();
+        let entries: BTreeSet<HostId> = others.chain([own.clone()]).collect();
+        if entries == self.entries && self.own_host.as_ref() == Some(own) {
+            return;
+        }
+        self.ranking = EntryRanking::new(own, &entries);
+        self.entries = entries;
         self.own_host = Some(own.clone());
-        let ids: Vec<TargetId> = self.members.keys().cloned().collect();
-        for id in ids {
-            let prefers = self.prefers(&id);
-            if let Some(member) = self.members.get_mut(&id) {
-                member.preferred = prefers;
-            }
+        for (id, member) in &mut self.members {
+            let size = self.service_sizes.get(&member.listing.service);
+            member.nearness = self.ranking.nearness(id, size.copied().unwrap_or_default());
         }
     }
 
-    /// Returns whether this is the entry that prefers the target.
-    pub(super) fn prefers(&self, id: &TargetId) -> bool {
-        let weight = |host: &HostId| {
-            let text = format!("{}/{}", host.as_str(), id.as_str());
-            xxh3_64(text.as_bytes())
-        };
-        let preferring = self.entries.iter().max_by_key(|host| weight(host));
-        preferring.is_some() && preferring == self.own_host.as_ref()
+    /// Returns the other entries that are near a target. They choose it as readily as this one, so they
+    /// hear of its prompts there at once.
+    pub fn entries_near(&self, target: &TargetId) -> Vec<&HostId> {
+        let member = self.members.get(target);
+        let size = member.and_then(|member| self.service_sizes.get(&member.listing.service));
+        let size = size.copied().unwrap_or_default();
+        self.ranking.nearest_others(target, size)
     }
 
-    fn update_peer_shares(&mut self, now: Time) {
-        for member in self.members.values_mut() {
-            let peers = self.peers.total_at(member.hash);
-            member.update_unread(now, |member| member.peers = peers);
+    fn update_peer_shares(
+        &mut self,
+        now: Time,
+        host: &HostId,
+        shares: Vec<(TargetHash, TargetShare)>,
+    ) {
+        for hash in self.peers.set_shares(host, shares) {
+            let member = self.by_hash.get(&hash);
+            if let Some(member) = member.and_then(|id| self.members.get_mut(id)) {
+                let peers = self.peers.total_at(hash);
+                member.update_unread(now, |member| member.peers = peers);
+            }
         }
     }
 }
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -13,6 +13,7 @@
 
 use super::Demand;
 use super::Fleet;
+use super::entry_ranking::Nearness;
 use super::member::Member;
 
 /// The cost of one point of a target's penalty, in requests. A target that went silent costs as
@@ -38,9 +39,14 @@
 /// shared prompt prefixes.
 const MEMORY_SHARE: f64 = 0.9;
 
-/// The cost of a target that another entry prefers, in requests. Two entries that place requests
+/// The cost of a target that another entry is nearer to, in requests. Two entries that place requests
 /// within the same few milliseconds do not know of each other's choice.
-const NOT_PREFERRED_COST: f64 = 0.5;
+const NOT_NEAREST_COST: f64 = 0.5;
+
+/// The cost of a target that enough other entries are nearer to, in requests. This entry hears late of
+/// their prompts there, and an empty target that all entries choose until they hear of each other has a
+/// queue of many seconds. It exceeds the load of a target that reads a prompt and runs some requests.
+const FAR_COST: f64 = 4.0;
 
 /// The cost of a target that may have been lost with its availability zone, in requests. It is
 /// high enough to avoid such a target in most cases, and lower than [`FULL_COST`].
@@ -205,7 +211,9 @@
 /// Returns the cost of sending a request to a target, in requests.
 fn cost(now: Time, member: &Member, requirements: &Requirements<'_>) -> f64 {
     let peers = member.peers;
-    let others = match requirements.peers_known {
+    // Requests without a prompt take milliseconds, so those in the messages of other entries have ended.
+    // All entries would choose the target that had the fewest then.
+    let others = match requirements.peers_known && requirements.demand.prompt > 0 {
         true => f64::from(peers.runs),
         false => member.other_requests(now),
     };
@@ -217,9 +225,11 @@
     if member.listing.zone != *requirements.zone {
         cost += ZONE_COST;
     }
-    if !member.preferred {
-        cost += NOT_PREFERRED_COST;
-    }
+    cost += match member.nearness {
+        Nearness::Nearest => 0.0,
+        Nearness::Near => NOT_NEAREST_COST,
+        Nearness::Far => FAR_COST,
+    };
     if requirements.reader == Some(member.hash) {
         cost -= UNREAD_COST * requirements.demand.prompt as f64 / 1000.0;
     }
