Tell prompts to near entries, read the registry when it is needed

Change: a prompt is told at once to the entries near its target, and to all with the next regular message. Shares are encoded without field names; earlier versions decode them. An entry lists the others after its own registration, when it hears nobody, and rarely otherwise; silent entries drop out by the clock. A starting entry takes the targets from another one, unless it is one of the first two by name.

--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -312,7 +312,7 @@
 fn registered_entries_are_listed() {
     let mut entry_list = EntryList::default();
 
-    entry_list.set_registered(BTreeMap::from([(name("a"), address(1))]));
+    entry_list.set_registered(at(0), BTreeMap::from([(name("a"), address(1))]));
 
     assert_eq!(
         entry_list.others(at(0)),
@@ -325,10 +325,10 @@
 #[test]
 fn an_entry_with_an_expired_record_is_listed_while_it_sends_messages() {
     let mut entry_list = EntryList::default();
-    entry_list.set_registered(BTreeMap::from([(name("a"), address(1))]));
+    entry_list.set_registered(at(0), BTreeMap::from([(name("a"), address(1))]));
     entry_list.record_message(at(10_000), &name("a"), address(1));
 
-    entry_list.set_registered(BTreeMap::new());
+    entry_list.set_registered(at(10_100), BTreeMap::new());
 
     assert!(
         entry_list
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -5,6 +5,9 @@
 use cw_types::Incarnation;
 use cw_types::Rate;
 use cw_types::ServiceName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::Serializer;
 
 use crate::CachedPrompt;
 use crate::CrashNews;
@@ -13,7 +16,10 @@
 use crate::TargetHash;
 
 /// The work that one entry has at one target.
-#[data(Copy, Default, Eq)]
+///
+/// It is encoded without the names of its fields, which are longer than the values. Entries of an
+/// earlier version encode them, and decode either.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct TargetShare {
     /// Requests in progress.
     pub runs: u32,
@@ -25,6 +31,12 @@
     pub tokens: u64,
 }
 
+impl Serialize for TargetShare {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.runs, self.unread, self.copies, self.tokens).serialize(serializer)
+    }
+}
+
 /// The work that one entry has at all targets. Each message replaces all earlier ones.
 #[data]
 pub struct OutstandingWork {
--- a/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
+++ b/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
@@ -42,6 +42,11 @@
         self.written.clone_from(&self.offered);
     }
 
+    /// The evidence is read before the first configuration lets requests in.
+    fn is_restored_at_start(&self) -> bool {
+        false
+    }
+
     fn urgent_change<'a>(&'a self, context: &'a ForwardContext) -> BoxFuture<'a, ()> {
         context.crashes_changed.notified().boxed()
     }
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use log::info;
 use log::warn;
+use rand::RngExt;
 
 use super::directory_sync::DirectorySync;
 use super::directory_sync::Topic;
@@ -23,6 +24,12 @@
 /// sooner.
 const PEER_QUERY_PERIOD: Duration = Duration::from_millis(250);
 
+/// The time between the queries of an entry that has just started. Registering takes a few milliseconds.
+const START_QUERY_PERIOD: Duration = Duration::from_millis(40);
+
+/// The number of these queries, after which the entry reads the service itself.
+const START_QUERIES: u32 = 25;
+
 impl DirectorySync {
     /// Queries the other entries while no data is known, so that startup does not wait for the
     /// timeout of a call that the service never answers.
@@ -42,6 +49,54 @@
         }
     }
 
+    /// Takes the targets from another entry after the start, since a read of all of them takes several
+    /// calls of the service. Returns whether that succeeded.
+    ///
+    /// Where all entries start at once, the watchers read the service and the others ask them.
+    pub(super) async fn start_from_peers(&self) -> bool {
+        for _ in 0..START_QUERIES {
+            tokio::time::sleep(START_QUERY_PERIOD).await;
+            let now = self.context.now();
+            let (is_watcher, source) = {
+                let mut state = self.context.state();
+                let state = &mut *state;
+                let others: Vec<SocketAddr> = state.entry_list.others(now).into_values().collect();
+                let at = state.rng.random_range(0..others.len().max(1));
+                (state.fleet.is_first_watcher(), others.get(at).copied())
+            };
+            if is_watcher {
+                return false;
+            }
+            if let Some(source) = source {
+                self.query_targets(source).await;
+            }
+            if !self.context.state().fleet.is_empty() {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn query_targets(&self, source: SocketAddr) {
+        let call = self
+            .entries
+            .call(Method::GET, source, TARGETS_PATH, Bytes::new());
+        match call.await {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                self.apply_peer_snapshot(&source.to_string(), &answer.body);
+            }
+            // The other entry has just started too.
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
+            Ok(answer) => info!(
+                entry = source.to_string();
+                "an entry answered a query with status {}", answer.status
+            ),
+            Err(error) => {
+                info!(entry = source.to_string(); "failed to query an entry: {error}");
+            }
+        }
+    }
+
     /// Queries the other entries, when the service does not answer, for data that they have
     /// announced and this entry lacks.
     pub(super) async fn query_peers(&self) {
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -58,6 +58,9 @@
     /// Runs until the future is dropped.
     pub(super) async fn run(self) {
         let mut failures = 0;
+        if self.topic == Topic::Targets && self.start_from_peers().await {
+            self.wait_until_needed().await;
+        }
         loop {
             let result = tokio::select! {
                 result = self.read_and_watch(&mut failures) => result,
--- a/crates/cyclamenwharf/src/forward/entry_registry.rs
+++ b/crates/cyclamenwharf/src/forward/entry_registry.rs
@@ -11,6 +11,7 @@
 use cw_store::StoreError;
 use cw_store::Swap;
 use cw_types::HostId;
+use cw_types::Time;
 use log::info;
 use log::warn;
 
@@ -19,18 +20,24 @@
 /// The prefix of the keys of entries. The rest of a key is the name of the host.
 const ENTRIES_PREFIX: &str = "cyclamenwharf/entries/";
 
-/// The lease of an entry's record, and so the time that a failed entry counts among those that
-/// share the budgets.
-const LEASE_TTL: Duration = Duration::from_secs(12);
+/// The lease of an entry's record. Entries that hear each other notice a failed one sooner, so it only
+/// bounds how long new entries find the record.
+const LEASE_TTL: Duration = Duration::from_secs(30);
 
-/// How often the lease is renewed and the records of the other entries are read.
-const REFRESH_PERIOD: Duration = Duration::from_secs(3);
+/// How often the lease is renewed.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(10);
 
-/// The period during startup, until all entries that started together have found each other.
-const STARTUP_PERIOD: Duration = Duration::from_millis(700);
+/// How often the registry checks whether a call is due.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// The number of rounds with the startup period.
-const STARTUP_ROUNDS: u32 = 6;
+/// The delay after a failed round. The service charges for failed calls too.
+const RETRY_PERIOD: Duration = Duration::from_secs(3);
+
+/// The delay after each of the first failed rounds, so that entries find each other soon after a start.
+const STARTUP_RETRY_PERIOD: Duration = Duration::from_millis(700);
+
+/// The number of failed rounds with the delay of the startup.
+const STARTUP_RETRIES: u32 = 6;
 
 /// The record of an entry.
 #[data(Copy, Eq)]
@@ -45,37 +52,60 @@
     pub(super) store: Arc<dyn KeyValueStore>,
 }
 
+/// The registration of this entry.
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    lease: LeaseId,
+    renewed_at: Time,
+}
+
 impl EntryRegistry {
     /// Runs until the future is dropped.
     pub(super) async fn run(self) {
-        let mut lease = None;
-        let mut rounds: u32 = 0;
+        let mut registration = None;
+        let mut failures: u32 = 0;
         loop {
-            if let Err(error) = self.run_round(&mut lease).await {
-                self.context.metrics.record_store_message("failed");
-                warn!("failed to maintain the record of this entry: {error}");
-            }
-            rounds = rounds.saturating_add(1);
-            let period = match rounds <= STARTUP_ROUNDS {
-                true => STARTUP_PERIOD,
-                false => REFRESH_PERIOD,
+            let period = match self.run_round(&mut registration).await {
+                Ok(()) => CHECK_PERIOD,
+                Err(error) => {
+                    self.context.metrics.record_store_message("failed");
+                    warn!("failed to maintain the record of this entry: {error}");
+                    failures = failures.saturating_add(1);
+                    match failures <= STARTUP_RETRIES {
+                        true => STARTUP_RETRY_PERIOD,
+                        false => RETRY_PERIOD,
+                    }
+                }
             };
             tokio::time::sleep(period).await;
         }
     }
 
-    async fn run_round(&self, lease: &mut Option<LeaseId>) -> Result<(), StoreError> {
-        let is_valid = match *lease {
-            Some(current) => self.keep_lease(current).await?,
-            None => false,
-        };
-        if !is_valid {
-            *lease = None;
-            let granted = self.store.grant(LEASE_TTL).await?;
-            self.register(granted).await?;
-            *lease = Some(granted);
+    async fn run_round(&self, registration: &mut Option<Registration>) -> Result<(), StoreError> {
+        let now = self.context.now();
+        let is_due = registration.is_none_or(|known| now.since(known.renewed_at) >= RENEWAL_PERIOD);
+        if is_due {
+            let is_valid = match *registration {
+                Some(known) => self.keep_lease(known.lease).await?,
+                None => false,
+            };
+            if !is_valid {
+                *registration = None;
+                let lease = self.store.grant(LEASE_TTL).await?;
+                self.register(lease).await?;
+                *registration = Some(Registration {
+                    lease,
+                    renewed_at: now,
+                });
+            }
+            if let Some(known) = registration {
+                known.renewed_at = now;
+            }
+        }
+        if self.context.state().entry_list.needs_registry(now) {
+            self.read_records().await?;
         }
-        self.read_records().await
+        Ok(())
     }
 
     /// Renews the lease. Returns whether it was still valid.
@@ -111,7 +141,9 @@
     }
 
     async fn read_records(&self) -> Result<(), StoreError> {
-        let found = self.store.list_stale(ENTRIES_PREFIX).await?;
+        // Of two entries, the one that registers last must find the other one, so the read reflects all
+        // registrations.
+        let found = self.store.list(ENTRIES_PREFIX).await?;
         let mut entries: BTreeMap<HostId, SocketAddr> = BTreeMap::new();
         for item in found {
             let host = item
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -67,6 +67,8 @@
     pub(super) standing_queues: StandingQueues,
     /// The requests that crash the targets that run them.
     pub(super) crashes: CrashTracker,
+    /// The targets that were sent prompts since the last message to other entries.
+    pub(super) prompted_targets: BTreeSet<TargetId>,
     /// The targets that a `LossCheck` is checking.
     pub(super) checked_targets: BTreeSet<TargetId>,
     /// The budgets for repeated sends.
@@ -94,6 +96,8 @@
     pub(super) pool: ConnectionPool,
     /// Triggers a message to the other entries.
     pub(super) peer_update: Notify,
+    /// Triggers a message to the entries near the targets that were sent prompts.
+    pub(super) prompt_update: Notify,
     /// Signals that there is new evidence against requests that crash targets.
     pub(super) crashes_changed: Notify,
     /// Signals that another entry has newer directory data.
@@ -127,6 +131,7 @@
             run_times: RunTimes::default(),
             standing_queues: StandingQueues::default(),
             crashes: CrashTracker::default(),
+            prompted_targets: BTreeSet::new(),
             checked_targets: BTreeSet::new(),
             budgets: ServiceBudgets::new(budget, ENTRIES_ASSUMED),
             entry_list: EntryList::default(),
@@ -140,6 +145,7 @@
             metrics,
             pool: ConnectionPool::default(),
             peer_update: Notify::new(),
+            prompt_update: Notify::new(),
             crashes_changed: Notify::new(),
             directory_behind: Notify::new(),
             state: Mutex::new(state),
@@ -159,10 +165,11 @@
         let now = self.now();
         let mut state = self.state();
         let before = state.entry_list.others(now);
-        state.entry_list.set_registered(registered);
+        state.entry_list.set_registered(now, registered);
         let others = state.entry_list.others(now);
         if before != others {
             info!(others = others.len(); "the list of other entries has changed");
+            self.peer_update.notify_one();
         }
         self.update_entries(now, &mut state);
     }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -280,6 +280,8 @@
         for host in state.fleet.expire_peers(now) {
             info!(entry = host.as_str(); "no more messages from another entry");
         }
+        state.entry_list.expire(now);
+        context.update_entries(now, &mut state);
         set_target_count(&context, state.fleet.len());
         state.crashes.expire(now);
         state.own_prompts.expire(now);
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -29,10 +29,13 @@
         demand: Demand,
     ) -> Self {
         let now = context.now();
-        context.state().fleet.record_send(now, target, demand);
+        let mut state = context.state();
+        state.fleet.record_send(now, target, demand);
         if demand.prompt > 0 {
-            context.peer_update.notify_one();
+            state.prompted_targets.insert(target.clone());
+            context.prompt_update.notify_one();
         }
+        drop(state);
         Self {
             context: Arc::clone(context),
             target: target.clone(),
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -3,13 +3,16 @@
 //! Datagrams suffice: each message replaces the previous one, and the next message makes up for a
 //! lost one.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cw_policy::forward::DirectoryUpdateStep;
+use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::Time;
+use cw_wire::CrashNews;
 use cw_wire::DirectoryUpdate;
 use cw_wire::OutstandingWork;
 use cw_wire::decode;
@@ -22,7 +25,8 @@
 use super::forward_context::ForwardState;
 use super::target_records::apply_directory_change;
 
-/// The longest time between two messages. A new prompt triggers a message at once.
+/// The longest time between two messages to all entries. A loss triggers one at once, and a new prompt
+/// one to the entries near its target.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The addition to [`MAX_SEND_INTERVAL`] for each other entry, so that the total work grows only
@@ -38,6 +42,16 @@
 /// The maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
+/// The entries that a message goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// All other entries.
+    All,
+    /// Those near the targets that this entry has just sent prompts to. They choose these targets as
+    /// readily as this one; the others hear of it with the next regular message.
+    Near,
+}
+
 /// Sends messages to the other entries and receives theirs.
 pub(super) struct PeerExchange {
     pub(super) context: Arc<ForwardContext>,
@@ -49,35 +63,74 @@
     /// Sends messages to the other entries until the future is dropped.
     pub(super) async fn run_sender(self) {
         let mut sequence = 0;
-        let mut last_sent = Time::default();
+        let mut last_to_all = Time::default();
         loop {
-            let entries = self.context.other_entries();
-            let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
             tokio::time::sleep(MIN_SEND_INTERVAL).await;
-            // Watchers keep the short interval for any number of entries, so that none of them is
-            // taken for failed.
-            let now = self.context.now();
-            let interval = match self.context.state().fleet.is_watcher(now) {
-                true => MAX_SEND_INTERVAL,
-                false => MAX_SEND_INTERVAL + INTERVAL_PER_ENTRY.saturating_mul(count),
-            };
-            // A timeout continues as well: the other entries must learn that this one is alive.
-            let _ = tokio::time::timeout(interval, self.context.peer_update.notified()).await;
+            let audience = self.next_audience(last_to_all).await;
+            let entries = self.receivers(audience);
             if entries.is_empty() {
                 continue;
             }
             sequence += 1;
             let now = self.context.now();
-            let message = self.build_message(now, sequence, last_sent);
-            last_sent = now;
+            let message = self.build_message(now, sequence, last_to_all, audience);
+            if audience == Audience::All {
+                last_to_all = now;
+            }
             match encode(&message) {
-                Ok(bytes) => self.send(&bytes, entries.into_values()).await,
+                Ok(bytes) => self.send(&bytes, entries).await,
                 Err(error) => info!("failed to encode a message to the other entries: {error}"),
             }
         }
     }
 
-    fn build_message(&self, now: Time, sequence: u64, last_sent: Time) -> OutstandingWork {
+    /// Waits until a message is due, and returns to whom.
+    async fn next_audience(&self, last_to_all: Time) -> Audience {
+        let now = self.context.now();
+        let (is_watcher, count) = {
+            let state = self.context.state();
+            (state.fleet.is_watcher(now), state.entry_list.len())
+        };
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        // Watchers keep the short interval for any number of entries, so that none of them is
+        // taken for failed.
+        let interval = match is_watcher {
+            true => MAX_SEND_INTERVAL,
+            false => MAX_SEND_INTERVAL + INTERVAL_PER_ENTRY.saturating_mul(count),
+        };
+        let due = self.context.clock.instant(last_to_all + interval);
+        tokio::select! {
+            biased;
+            () = self.context.peer_update.notified() => Audience::All,
+            // The other entries must learn that this one is alive.
+            () = tokio::time::sleep_until(due) => Audience::All,
+            () = self.context.prompt_update.notified() => Audience::Near,
+        }
+    }
+
+    /// Returns the addresses of the entries that a message goes to.
+    fn receivers(&self, audience: Audience) -> Vec<SocketAddr> {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let prompted = std::mem::take(&mut state.prompted_targets);
+        let others = state.entry_list.others(now);
+        if audience == Audience::All {
+            return others.into_values().collect();
+        }
+        let near: BTreeSet<&HostId> = (prompted.iter())
+            .flat_map(|target| state.fleet.entries_near(target))
+            .collect();
+        let known = others.iter().filter(|(host, _)| near.contains(host));
+        known.map(|(_, address)| *address).collect()
+    }
+
+    fn build_message(
+        &self,
+        now: Time,
+        sequence: u64,
+        last_to_all: Time,
+        audience: Audience,
+    ) -> OutstandingWork {
         let mut state = self.context.state();
         let state = &mut *state;
         let config = state.config_version();
@@ -93,15 +146,19 @@
             sequence,
             shares,
             directory,
-            prompts: state.own_prompts.recorded_since(last_sent),
-            lost: state.fleet.lost_since(last_sent),
-            crashes: state.crashes.news(now),
+            prompts: state.own_prompts.recorded_since(last_to_all),
+            lost: state.fleet.lost_since(last_to_all),
+            // Each announcement is made a few times, to all.
+            crashes: match audience {
+                Audience::All => state.crashes.news(now),
+                Audience::Near => CrashNews::default(),
+            },
             limits: state.fleet.limit_notices(now),
             demands: Some(state.fleet.demand_notices(now)),
         }
     }
 
-    async fn send(&self, bytes: &[u8], peers: impl Iterator<Item = SocketAddr>) {
+    async fn send(&self, bytes: &[u8], peers: Vec<SocketAddr>) {
         for peer in peers {
             if let Err(error) = self.socket.send_to(bytes, peer).await {
                 debug!(peer = peer.to_string(); "failed to send a message to an entry: {error}");
--- a/crates/cyclamenwharf/src/forward/prompt_location_state.rs
+++ b/crates/cyclamenwharf/src/forward/prompt_location_state.rs
@@ -48,6 +48,10 @@
         self.written.clone_from(&self.offered);
     }
 
+    fn is_restored_at_start(&self) -> bool {
+        true
+    }
+
     fn urgent_change<'a>(&'a self, _context: &'a ForwardContext) -> BoxFuture<'a, ()> {
         std::future::pending().boxed()
     }
--- a/crates/cyclamenwharf/src/forward/state_store.rs
+++ b/crates/cyclamenwharf/src/forward/state_store.rs
@@ -39,6 +39,9 @@
     /// Records that the value that was returned last is written.
     fn record_written(&mut self);
 
+    /// Returns whether each entry reads the key at its start. Otherwise only the entry that writes it does.
+    fn is_restored_at_start(&self) -> bool;
+
     /// Completes when the state has changed so much that it should be written at once.
     fn urgent_change<'a>(&'a self, context: &'a ForwardContext) -> BoxFuture<'a, ()>;
 
@@ -63,11 +66,11 @@
         let mut is_restored = false;
         let mut revision = None;
         loop {
-            if !is_restored {
+            let is_writer = self.context.state().fleet.is_writer(self.context.now());
+            if !is_restored && (is_writer || self.state.is_restored_at_start()) {
                 let result = self.restore().await;
                 is_restored = self.log_failure(result);
             }
-            let is_writer = self.context.state().fleet.is_writer(self.context.now());
             if is_restored && is_writer {
                 let result = self.write_changes(&mut revision).await;
                 self.log_failure(result);
