Simulate entries that choose while they know late

The pattern: many entries choose at once and hear of each other's choices with the next message. The simulation plays real fleets with messages as they are sent. Now: no prompt finds more than one before it and under 5% find any; at most a twelfth of the plain requests wait.

--- /dev/null
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -0,0 +1,364 @@
+//! Tests of many entries that choose targets while they know late what the others have chosen.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cw_policy::forward::Demand;
+use cw_policy::forward::Fleet;
+use cw_policy::forward::FleetLimits;
+use cw_policy::forward::Listing;
+use cw_policy::forward::ReportedLoad;
+use cw_policy::forward::Requirements;
+use cw_types::HostId;
+use cw_types::Incarnation;
+use cw_types::TargetId;
+use cw_wire::CrashNews;
+use cw_wire::OutstandingWork;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+use crate::fixtures::DEMAND;
+use crate::fixtures::MEMORY;
+use crate::fixtures::at;
+use crate::fixtures::listing;
+use crate::fixtures::name;
+
+/// The number of tokens of a prompt that an engine reads in a millisecond.
+const READ_RATE: u64 = 8;
+
+/// How long an engine generates after it has read the prompt, in milliseconds.
+const GENERATION_TIME: u64 = 3000;
+
+/// The time that a message to near entries takes, in milliseconds.
+const NEAR_DELAY: u64 = 6;
+
+/// The number of targets that run a plain request each in [`PLAIN_TIME`] in [`PLAIN_SLOTS`] slots.
+const PLAIN_TARGETS: usize = 6;
+
+const PLAIN_SLOTS: usize = 6;
+
+/// How long a target runs a plain request, in milliseconds.
+const PLAIN_TIME: u64 = 30;
+
+/// A fleet of entries and targets under a constant load.
+#[derive(Clone, Copy, Debug)]
+struct LateKnowledge {
+    entries: usize,
+    /// The number of engines, in six zones.
+    engines: usize,
+    /// The number of prompts a second.
+    prompts: f64,
+    /// The number of empty engines that are listed after half of the time.
+    joining: usize,
+    /// The time between two messages of an entry to all others, in milliseconds.
+    period: u64,
+    /// How long the load lasts, in milliseconds.
+    duration: u64,
+}
+
+/// What the engines have seen.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// How many prompts found this many prompts before them at their engine.
+    queues: BTreeMap<u64, usize>,
+}
+
+impl Outcome {
+    fn longest(&self) -> u64 {
+        self.queues.keys().next_back().copied().unwrap_or_default()
+    }
+
+    /// Returns the share of the prompts that found at least one before them.
+    fn waiting_share(&self) -> f64 {
+        let all: usize = self.queues.values().sum();
+        let waiting: usize = self.queues.range(1..).map(|(_, count)| count).sum();
+        waiting as f64 / all.max(1) as f64
+    }
+}
+
+/// A run at an engine.
+struct Run {
+    entry: usize,
+    target: TargetId,
+    starts_at: u64,
+    ends_at: u64,
+    has_started: bool,
+}
+
+struct World {
+    load: LateKnowledge,
+    rng: SmallRng,
+    hosts: Vec<HostId>,
+    fleets: Vec<Fleet>,
+    sequences: Vec<u64>,
+    /// When each engine has read the prompts that it was sent.
+    free_at: BTreeMap<TargetId, u64>,
+    runs: Vec<Run>,
+    /// Messages under way: when they arrive, from which entry, and where to.
+    messages: Vec<(u64, OutstandingWork, Vec<usize>)>,
+    outcome: Outcome,
+}
+
+impl LateKnowledge {
+    fn play(self, seed: u64) -> Outcome {
+        let hosts: Vec<HostId> = (0..self.entries)
+            .map(|number| name(&format!("entry-{number}")))
+            .collect();
+        let fleets = hosts.iter().map(|own| {
+            let mut fleet = Fleet::new(FleetLimits::default());
+            for number in 0..self.engines {
+                fleet.record_listing(at(0), engine_listing(number));
+            }
+            let others = hosts.iter().filter(|host| *host != own).cloned();
+            fleet.set_entries(own, others);
+            fleet
+        });
+        let mut world = World {
+            load: self,
+            rng: SmallRng::seed_from_u64(seed),
+            fleets: fleets.collect(),
+            sequences: vec![0; hosts.len()],
+            hosts,
+            free_at: BTreeMap::new(),
+            runs: Vec::new(),
+            messages: Vec::new(),
+            outcome: Outcome::default(),
+        };
+        for now in 1..=self.duration {
+            world.step(now);
+        }
+        world.outcome
+    }
+}
+
+impl World {
+    fn step(&mut self, now: u64) {
+        if now == self.load.duration / 2 {
+            let engines = self.load.engines;
+            for fleet in &mut self.fleets {
+                for number in engines..engines + self.load.joining {
+                    fleet.record_listing(at(now), engine_listing(number));
+                }
+            }
+        }
+        self.advance_runs(now);
+        self.deliver(now);
+        for entry in 0..self.hosts.len() {
+            // The entries do not send at the same moment.
+            if (now + entry as u64 * 37) % self.load.period == 0 {
+                self.send(now + 1, entry, (0..self.hosts.len()).collect());
+            }
+        }
+        if self.rng.random_bool(self.load.prompts / 1000.0) {
+            self.place(now);
+        }
+    }
+
+    fn place(&mut self, now: u64) {
+        let entry = self.rng.random_range(0..self.hosts.len());
+        let (service, zone) = (name("engines"), name(&format!("z{}", entry % 6)));
+        let excluded = BTreeSet::new();
+        let requirements = Requirements {
+            service: &service,
+            memory: Some(MEMORY),
+            demand: DEMAND,
+            zone: &zone,
+            excluded: &excluded,
+            wants_copy: false,
+            reader: None,
+            peers_known: true,
+        };
+        let placed = self.fleets[entry].place(at(now), &requirements, &mut self.rng);
+        let target = placed.expect("an engine").target;
+        self.fleets[entry].record_send(at(now), &target, DEMAND);
+        let free_at = self.free_at.entry(target.clone()).or_default();
+        let reading_time = DEMAND.prompt / READ_RATE;
+        let queue = free_at.saturating_sub(now).div_ceil(reading_time);
+        *self.outcome.queues.entry(queue).or_default() += 1;
+        *free_at = now.max(*free_at) + reading_time;
+        let starts_at = *free_at;
+        let near = self.fleets[entry].entries_near(&target);
+        let near: Vec<usize> = (near.iter())
+            .filter_map(|host| self.hosts.iter().position(|other| other == *host))
+            .collect();
+        self.runs.push(Run {
+            entry,
+            target,
+            starts_at,
+            ends_at: starts_at + GENERATION_TIME,
+            has_started: false,
+        });
+        self.send(now + NEAR_DELAY, entry, near);
+    }
+
+    fn advance_runs(&mut self, now: u64) {
+        for run in &mut self.runs {
+            let fleet = &mut self.fleets[run.entry];
+            if !run.has_started && run.starts_at <= now {
+                run.has_started = true;
+                fleet.record_start(at(now), &run.target, DEMAND);
+            }
+            if run.ends_at <= now {
+                fleet.record_end(at(now), &run.target, DEMAND, true);
+            }
+        }
+        self.runs.retain(|run| run.ends_at > now);
+    }
+
+    fn send(&mut self, arrives_at: u64, entry: usize, to: Vec<usize>) {
+        self.sequences[entry] += 1;
+        let message = OutstandingWork {
+            host: self.hosts[entry].clone(),
+            incarnation: Incarnation(1),
+            sequence: self.sequences[entry],
+            shares: self.fleets[entry].shares(),
+            lost: Vec::new(),
+            prompts: Vec::new(),
+            directory: None,
+            crashes: CrashNews::default(),
+            limits: Vec::new(),
+            demands: None,
+        };
+        self.messages.push((arrives_at, message, to));
+    }
+
+    fn deliver(&mut self, now: u64) {
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition(|(arrives_at, ..)| *arrives_at <= now);
+        self.messages = waiting;
+        for (_, message, to) in due {
+            for entry in to {
+                if self.hosts[entry] != message.host {
+                    self.fleets[entry].receive_peer(at(now), &message);
+                }
+            }
+        }
+    }
+}
+
+fn engine_listing(number: usize) -> Listing {
+    Listing {
+        slots: 16,
+        ..listing(number % 6, number / 6)
+    }
+}
+
+/// Guards against entries that all choose the same engines because each hears of the others' choices
+/// late: with full knowledge no prompt finds another one before it at this load. Without near entries,
+/// the engines that had just joined got queues of many prompts.
+#[rstest]
+#[case::small(4, 36, 12.0, 4, 240)]
+#[case::grown(23, 80, 30.0, 12, 430)]
+#[case::large(103, 288, 87.0, 0, 1230)]
+#[case::empty_engines_join(103, 288, 87.0, 72, 1230)]
+fn prompts_are_spread_though_choices_are_known_late(
+    #[case] entries: usize,
+    #[case] engines: usize,
+    #[case] prompts: f64,
+    #[case] joining: usize,
+    #[case] period: u64,
+) {
+    let load = LateKnowledge {
+        entries,
+        engines,
+        prompts,
+        joining,
+        period,
+        duration: 8000,
+    };
+
+    let outcome = load.play(5);
+
+    assert!(outcome.longest() <= 1, "{outcome:?}");
+    assert!(outcome.waiting_share() < 0.05, "{outcome:?}");
+}
+
+/// Guards against entries that choose a plain target because it had the fewest requests when they last
+/// heard of it: its requests have ended since, and all entries choose it until they hear otherwise.
+#[rstest]
+#[case::grown(23)]
+#[case::large(103)]
+fn plain_requests_are_spread_though_loads_are_known_late(#[case] entries: usize) {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let hosts: Vec<HostId> = (0..entries)
+        .map(|number| name(&format!("entry-{number}")))
+        .collect();
+    let mut fleets: Vec<Fleet> = (hosts.iter())
+        .map(|own| {
+            let mut fleet = Fleet::new(FleetLimits::default());
+            for number in 0..PLAIN_TARGETS {
+                fleet.record_listing(at(0), listing(number, 0));
+            }
+            let others = hosts.iter().filter(|host| *host != own).cloned();
+            fleet.set_entries(own, others);
+            fleet
+        })
+        .collect();
+    let period = 200 + 10 * entries as u64;
+    let mut runs: Vec<(u64, usize, TargetId)> = Vec::new();
+    let mut found = Vec::new();
+
+    for now in 1..4000 {
+        let (ended, running): (Vec<_>, Vec<_>) =
+            runs.into_iter().partition(|(ends_at, ..)| *ends_at <= now);
+        runs = running;
+        for (_, entry, target) in ended {
+            let running = runs.iter().filter(|(.., other)| *other == target).count();
+            let load = ReportedLoad {
+                running: u32::try_from(running).unwrap(),
+                waiting: 0,
+            };
+            fleets[entry].record_load(at(now), &target, load);
+            fleets[entry].record_end(at(now), &target, Demand::default(), true);
+        }
+        for from in 0..entries {
+            if (now + from as u64 * 37) % period == 0 {
+                let message = OutstandingWork {
+                    host: hosts[from].clone(),
+                    incarnation: Incarnation(1),
+                    sequence: now,
+                    shares: fleets[from].shares(),
+                    lost: Vec::new(),
+                    prompts: Vec::new(),
+                    directory: None,
+                    crashes: CrashNews::default(),
+                    limits: Vec::new(),
+                    demands: None,
+                };
+                for (to, fleet) in fleets.iter_mut().enumerate() {
+                    if to != from {
+                        fleet.receive_peer(at(now), &message);
+                    }
+                }
+            }
+        }
+        if rng.random_bool(0.568) {
+            let entry = rng.random_range(0..entries);
+            let (service, zone) = (name("engines"), name(&format!("z{}", entry % 6)));
+            let excluded = BTreeSet::new();
+            let requirements = Requirements {
+                service: &service,
+                memory: None,
+                demand: Demand::default(),
+                zone: &zone,
+                excluded: &excluded,
+                wants_copy: false,
+                reader: None,
+                peers_known: true,
+            };
+            let placed = fleets[entry].place(at(now), &requirements, &mut rng);
+            let target = placed.expect("a target").target;
+            fleets[entry].record_send(at(now), &target, Demand::default());
+            found.push(runs.iter().filter(|(.., other)| *other == target).count());
+            runs.push((now + PLAIN_TIME, entry, target));
+        }
+    }
+
+    let all = found.len();
+    let waiting = found.iter().filter(|count| **count >= PLAIN_SLOTS).count();
+    // Random choices fill all slots of a target for a twelfth of the requests.
+    assert!(waiting * 12 <= all, "{waiting} of {all} wait");
+}
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod fixtures;
 mod fleet;
+mod late_knowledge;
 mod peers;
 mod placement;
 mod prompts;
