Send each directory change twice, and ask the watcher for missing ones

An entry that missed one, or heard that a watcher had read all targets again, read them itself, in six calls each.

Change: a change is in two messages of each watcher. An entry with a gap waits 300 ms for the other watcher and asks the one that knows more for the changes. A watcher tells the differences when it reads all targets again. The store is read if that fails.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -2,8 +2,9 @@
 //!
 //! Each call to the key-value service is charged and its rate is bounded, so only some entries
 //! watch it and forward the changes. Datagrams may be lost, so each change is sent more than once
-//! and carries the revision of the change before it. An entry that finds a gap reads the directory
-//! itself.
+//! and carries the revision of the change before it. An entry that finds a gap waits for the other
+//! watchers, asks the one that knows more for the changes that it lacks, and reads the directory itself
+//! only if that fails.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,13 +15,20 @@
 
 use super::Fleet;
 
-/// How long a change is included in messages. The time covers several messages in a row.
-const RESEND_TIME: Duration = Duration::from_millis(900);
+/// The number of messages that include a change. With two watchers, a change is lost for an entry only if
+/// twice as many datagrams in a row are.
+const MAX_SENDS: u32 = 2;
 
-/// The maximum number of changes in one message. An entry that misses older ones reads the
-/// directory.
+/// The maximum number of changes in one message, which must fit into a datagram.
 const MAX_CHANGES: usize = 128;
 
+/// The maximum number of changes that are kept for entries that miss some.
+const MAX_HISTORY: usize = 1024;
+
+/// How long an entry that misses changes waits for the messages of the other watchers. They arrive within
+/// some tens of milliseconds of each other.
+const GAP_DELAY: Duration = Duration::from_millis(300);
+
 /// The step that follows a [`DirectoryUpdate`] message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryUpdateStep {
@@ -28,16 +36,24 @@
     Nothing,
     /// Apply these new changes, which directly follow the last known revision.
     Apply(Vec<DirectoryChange>),
-    /// Read the whole directory, because changes are missing.
-    Reread,
+    /// Ask the sender for the changes since the last known revision, because some are missing.
+    Missing,
+}
+
+/// A change, and the number of messages that have included it.
+#[derive(Clone, Debug)]
+struct KnownChange {
+    change: DirectoryChange,
+    sends: u32,
 }
 
 /// The directory changes that an entry knows of.
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryLog {
     newest: i64,
-    recent: VecDeque<(Time, DirectoryChange)>,
-    behind: bool,
+    history: VecDeque<KnownChange>,
+    /// Since when changes are missing.
+    behind_since: Option<Time>,
 }
 
 impl DirectoryLog {
@@ -46,62 +62,86 @@
         if revision > self.newest {
             self.newest = revision;
             // The individual changes up to this revision are unknown.
-            self.recent.clear();
+            self.history.clear();
         }
-        self.behind = false;
+        self.behind_since = None;
     }
 
-    /// Records a change that this entry's own watch delivered.
-    pub fn record_change(
+    /// Records that the whole directory was read at `revision`, with the differences from what was known
+    /// before. They are sent like changes, so that the other entries need not read the directory too.
+    pub fn record_differences(
         &mut self,
-        now: Time,
-        key: &str,
-        value: Option<bytes::Bytes>,
         revision: i64,
+        differences: Vec<(String, Option<bytes::Bytes>)>,
     ) {
-        let last = self.recent.back().map(|(_, change)| change);
+        if self.newest == 0 {
+            self.record_read(revision);
+            return;
+        }
+        for (key, value) in differences {
+            self.record_change(&key, value, revision);
+        }
+        self.behind_since = None;
+    }
+
+    /// Records a change that this entry's own watch delivered.
+    pub fn record_change(&mut self, key: &str, value: Option<bytes::Bytes>, revision: i64) {
+        let last = self.history.back().map(|known| &known.change);
         // One transaction of the key-value service may change several keys at the same revision.
         let previous = match last {
             Some(last) if last.revision == revision => last.previous,
             _ if revision <= self.newest => return,
             _ => self.newest,
         };
-        let change = DirectoryChange {
-            previous,
-            revision,
-            key: key.to_owned(),
-            value,
-        };
         self.newest = revision;
-        self.recent.push_back((now, change));
-        while self.recent.len() > MAX_CHANGES {
-            self.recent.pop_front();
-        }
+        self.keep(KnownChange {
+            change: DirectoryChange {
+                previous,
+                revision,
+                key: key.to_owned(),
+                value,
+            },
+            sends: 0,
+        });
     }
 
-    /// Drops the changes that have been sent for long enough, and returns the message for the other
-    /// entries.
+    /// Returns the message for the other entries, with the changes that have not been sent often enough.
     pub fn update(&mut self, now: Time, fleet: &Fleet, config: u64) -> DirectoryUpdate {
-        while let Some((at, _)) = self.recent.front()
-            && now.since(*at) > RESEND_TIME
-        {
-            self.recent.pop_front();
+        let mut update = self.digest(now, fleet, config);
+        let unsent = self.history.iter().rev();
+        let unsent = unsent.take_while(|known| known.sends < MAX_SENDS).count();
+        let first = self.history.len() - unsent.min(MAX_CHANGES);
+        for known in self.history.iter_mut().skip(first) {
+            known.sends += 1;
+            update.changes.push(known.change.clone());
         }
+        update
+    }
+
+    /// Returns the message for the other entries without any changes.
+    pub fn digest(&self, now: Time, fleet: &Fleet, config: u64) -> DirectoryUpdate {
         DirectoryUpdate {
             up: fleet.is_directory_up(),
             trusted: fleet.is_trusted(now),
             config,
             newest: self.newest,
-            changes: self
-                .recent
-                .iter()
-                .map(|(_, change)| change.clone())
-                .collect(),
+            changes: Vec::new(),
         }
     }
 
+    /// Returns all changes after `revision`, `None` if they are not known any more.
+    pub fn changes_since(&self, revision: i64) -> Option<Vec<DirectoryChange>> {
+        let known = self.history.iter().map(|known| &known.change);
+        let missing: Vec<DirectoryChange> = known
+            .filter(|change| change.revision > revision)
+            .cloned()
+            .collect();
+        let first = missing.first()?;
+        (first.previous <= revision).then_some(missing)
+    }
+
     /// Processes a message of another entry.
-    pub fn receive(&mut self, update: &DirectoryUpdate) -> DirectoryUpdateStep {
+    pub fn receive(&mut self, now: Time, update: &DirectoryUpdate) -> DirectoryUpdateStep {
         if update.newest <= self.newest {
             return DirectoryUpdateStep::Nothing;
         }
@@ -118,13 +158,28 @@
             .last()
             .is_some_and(|change| change.revision == update.newest);
         if !follows || !ends {
-            self.behind = true;
-            return DirectoryUpdateStep::Reread;
+            self.behind_since.get_or_insert(now);
+            return DirectoryUpdateStep::Missing;
         }
         self.newest = update.newest;
+        self.behind_since = None;
+        for change in &new {
+            // The watchers send it to the others.
+            self.keep(KnownChange {
+                change: change.clone(),
+                sends: MAX_SENDS,
+            });
+        }
         DirectoryUpdateStep::Apply(new)
     }
 
+    fn keep(&mut self, known: KnownChange) {
+        self.history.push_back(known);
+        while self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
     /// Returns whether the whole directory as of `revision` may be applied. An answer that was under
     /// way while newer changes were applied would undo them.
     pub fn accepts_read(&self, revision: i64) -> bool {
@@ -136,8 +191,8 @@
         self.newest
     }
 
-    /// Returns whether changes are missing, so that the directory must be read.
-    pub fn is_behind(&self) -> bool {
-        self.behind
+    /// Returns whether changes have been missing for so long that this entry has to ask for them.
+    pub fn is_behind(&self, now: Time) -> bool {
+        (self.behind_since).is_some_and(|since| now.since(since) >= GAP_DELAY)
     }
 }
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cw_wire::DirectorySnapshot;
+use cw_wire::DirectoryUpdate;
 use http::Method;
 use http::StatusCode;
 use log::info;
@@ -14,9 +15,11 @@
 
 use super::directory_sync::DirectorySync;
 use super::directory_sync::Topic;
+use super::peer_api::CHANGES_PATH;
 use super::peer_api::CONFIG_PATH;
 use super::peer_api::CRASHES_PATH;
 use super::peer_api::TARGETS_PATH;
+use super::target_records::apply_directory_update;
 use super::target_records::apply_listing;
 use super::target_records::set_target_count;
 
@@ -97,6 +100,51 @@
         }
     }
 
+    /// Asks the entry that has told of changes which this one misses for them, so that not all entries
+    /// read the service after a lost message.
+    pub(super) async fn query_missing_changes(&self) {
+        let now = self.context.now();
+        let (source, newest) = {
+            let mut state = self.context.state();
+            if !state.directory_log.is_behind(now) {
+                return;
+            }
+            (state.directory_source.take(), state.directory_log.newest())
+        };
+        let Some(source) = source else {
+            return;
+        };
+        let path = format!("{CHANGES_PATH}?{newest}");
+        let call = self.entries.call(Method::GET, source, &path, Bytes::new());
+        let update = match call.await {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                cw_wire::decode::<DirectoryUpdate>(&answer.body)
+            }
+            Ok(answer) => {
+                info!(
+                    entry = source.to_string(), since = newest;
+                    "an entry answered a query for changes with status {}", answer.status
+                );
+                return;
+            }
+            Err(error) => {
+                info!(entry = source.to_string(); "failed to query an entry for changes: {error}");
+                return;
+            }
+        };
+        match update {
+            Ok(update) => {
+                let now = self.context.now();
+                let mut state = self.context.state();
+                apply_directory_update(&self.context, now, &mut state, &update);
+                set_target_count(&self.context, state.fleet.len());
+            }
+            Err(error) => {
+                warn!(entry = source.to_string(); "failed to decode the changes of an entry: {error}");
+            }
+        }
+    }
+
     /// Queries the other entries, when the service does not answer, for data that they have
     /// announced and this entry lacks.
     pub(super) async fn query_peers(&self) {
@@ -152,7 +200,10 @@
         let state = self.context.state();
         match self.topic {
             Topic::Config => state.config_version() < state.peer_config_version,
-            Topic::Targets => state.fleet.is_empty() || state.directory_log.is_behind(),
+            Topic::Targets => {
+                let now = self.context.now();
+                state.fleet.is_empty() || state.directory_log.is_behind(now)
+            }
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -21,6 +21,7 @@
 use super::crash_evidence_state::CRASHES_KEY;
 use super::crash_evidence_state::restore_evidence;
 use super::forward_context::ForwardContext;
+use super::forward_context::ForwardState;
 use super::target_records::apply_directory_change;
 use super::target_records::apply_listing;
 use super::target_records::set_target_count;
@@ -95,10 +96,13 @@
             let behind = self.context.directory_behind.notified();
             // A timeout continues as well, since the role of this entry may have changed.
             let _ = tokio::time::timeout(ROLE_CHECK_PERIOD, behind).await;
+            if self.topic == Topic::Targets {
+                self.query_missing_changes().await;
+            }
             let now = self.context.now();
             let state = self.context.state();
             let is_behind = match self.topic {
-                Topic::Targets => state.directory_log.is_behind(),
+                Topic::Targets => state.directory_log.is_behind(now),
                 Topic::Config => {
                     state.config.is_none() || state.config_version() < state.peer_config_version
                 }
@@ -216,6 +220,7 @@
             );
             return;
         }
+        let differences = self.differences(&state, items, &names);
         for item in items {
             if let Some(id) = self.target_id(&item.key) {
                 apply_listing(
@@ -229,10 +234,32 @@
             }
         }
         state.fleet.retain_listed(now, &names);
-        state.directory_log.record_read(revision.0);
+        state
+            .directory_log
+            .record_differences(revision.0, differences);
         set_target_count(&self.context, state.fleet.len());
     }
 
+    /// Returns the keys that differ between what is known and a read of all targets.
+    fn differences(
+        &self,
+        state: &ForwardState,
+        items: &[Versioned],
+        names: &BTreeSet<TargetId>,
+    ) -> Vec<(String, Option<Bytes>)> {
+        let is_known = |item: &Versioned| {
+            let id = self.target_id(&item.key);
+            let known = id.and_then(|id| state.listings.get(&id));
+            known.is_some_and(|known| *known == item.value)
+        };
+        let written = items.iter().filter(|item| !is_known(item));
+        let written = written.map(|item| (item.key.clone(), Some(item.value.clone())));
+        let prefix = self.context.dialect.targets_prefix();
+        let deleted = state.listings.keys().filter(|id| !names.contains(*id));
+        let deleted = deleted.map(|id| (format!("{prefix}{id}"), None));
+        written.chain(deleted).collect()
+    }
+
     fn apply_put(&self, item: &Versioned) {
         match self.topic {
             Topic::Config => self.apply_config(item),
@@ -288,7 +315,7 @@
         let mut state = self.context.state();
         state
             .directory_log
-            .record_change(now, key, value.clone(), revision.0);
+            .record_change(key, value.clone(), revision.0);
         let change = DirectoryChange {
             previous: 0,
             revision: revision.0,
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -55,6 +55,8 @@
     pub(super) fleet: Fleet,
     /// The directory changes that this entry knows of.
     pub(super) directory_log: DirectoryLog,
+    /// The entry that has told of directory changes which this one misses.
+    pub(super) directory_source: Option<SocketAddr>,
     /// The newest configuration version that another entry has announced.
     pub(super) peer_config_version: u64,
     /// The targets that have read the prompts of this entry.
@@ -125,6 +127,7 @@
                 ..FleetLimits::default()
             }),
             directory_log: DirectoryLog::default(),
+            directory_source: None,
             peer_config_version: 0,
             own_prompts: PromptLocations::new(PromptLocationLimits::default()),
             peer_prompts: PromptLocations::new(PromptLocationLimits::default()),
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cw_wire::DirectorySnapshot;
+use cw_wire::DirectoryUpdate;
 use dropshot::Body;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -16,6 +17,9 @@
 
 use super::forward_context::ForwardContext;
 
+/// The path of the directory changes. The query is the revision after which they begin.
+pub(super) const CHANGES_PATH: &str = "/changes";
+
 /// The path of the configuration.
 pub(super) const CONFIG_PATH: &str = "/config";
 
@@ -33,6 +37,7 @@
 impl Handler for PeerApi {
     fn handle(self: Arc<Self>, request: Request<Body>) -> BoxFuture<'static, Response<Body>> {
         let body = match request.uri().path() {
+            CHANGES_PATH => self.changes(request.uri().query()),
             CONFIG_PATH => self.context.state().config_bytes.clone(),
             CRASHES_PATH => self.crash_evidence(),
             TARGETS_PATH => self.targets(),
@@ -65,6 +70,28 @@
         }
     }
 
+    /// Returns the directory changes after a revision in encoded form, `None` if they are not known.
+    fn changes(&self, since: Option<&str>) -> Option<Bytes> {
+        let since: i64 = since?.parse().ok()?;
+        let now = self.context.now();
+        let update = {
+            let state = self.context.state();
+            let changes = state.directory_log.changes_since(since)?;
+            let config = state.config_version();
+            DirectoryUpdate {
+                changes,
+                ..state.directory_log.digest(now, &state.fleet, config)
+            }
+        };
+        match cw_wire::encode(&update) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                warn!("failed to encode directory changes: {error}");
+                None
+            }
+        }
+    }
+
     /// Returns the known targets in encoded form, `None` if there are none.
     fn targets(&self) -> Option<Bytes> {
         let snapshot = {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cw_policy::forward::DirectoryUpdateStep;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::Time;
@@ -23,7 +22,8 @@
 
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
-use super::target_records::apply_directory_change;
+use super::target_records::AppliedUpdate;
+use super::target_records::apply_directory_update;
 
 /// The longest time between two messages to all entries. A loss triggers one at once, and a new prompt
 /// one to the entries near its target.
@@ -134,9 +134,10 @@
         let mut state = self.context.state();
         let state = &mut *state;
         let config = state.config_version();
-        let directory = match state.fleet.is_watcher(now) {
-            true => Some(state.directory_log.update(now, &state.fleet, config)),
-            false => None,
+        let directory = match (state.fleet.is_watcher(now), audience) {
+            (true, Audience::All) => Some(state.directory_log.update(now, &state.fleet, config)),
+            (true, Audience::Near) => Some(state.directory_log.digest(now, &state.fleet, config)),
+            (false, _) => None,
         };
         let mut shares = state.fleet.shares();
         shares.truncate(MAX_SHARES);
@@ -187,7 +188,13 @@
     }
 
     /// Applies the directory changes that a watcher sends.
-    fn receive_directory(&self, now: Time, state: &mut ForwardState, update: &DirectoryUpdate) {
+    fn receive_directory(
+        &self,
+        now: Time,
+        state: &mut ForwardState,
+        update: &DirectoryUpdate,
+        from: SocketAddr,
+    ) {
         state.peer_config_version = state.peer_config_version.max(update.config);
         let is_watcher = state.fleet.is_watcher(now);
         let is_up = state.fleet.is_directory_up();
@@ -199,14 +206,8 @@
         if !is_watcher {
             state.fleet.record_directory_answer(now);
         }
-        match state.directory_log.receive(update) {
-            DirectoryUpdateStep::Nothing => {}
-            DirectoryUpdateStep::Reread => self.context.directory_behind.notify_waiters(),
-            DirectoryUpdateStep::Apply(changes) => {
-                for change in &changes {
-                    apply_directory_change(&self.context, now, state, change, update.trusted);
-                }
-            }
+        if apply_directory_update(&self.context, now, state, update) == AppliedUpdate::Missing {
+            state.directory_source = Some(from);
         }
         if update.config > state.config_version() {
             self.context.directory_behind.notify_waiters();
@@ -238,7 +239,7 @@
         }
         if state.fleet.receive_peer(now, message) {
             if let Some(update) = &message.directory {
-                self.receive_directory(now, &mut state, update);
+                self.receive_directory(now, &mut state, update, from);
             }
             for prompt in &message.prompts {
                 state.peer_prompts.record(now, *prompt);
--- a/crates/cyclamenwharf/src/forward/target_records.rs
+++ b/crates/cyclamenwharf/src/forward/target_records.rs
@@ -1,10 +1,12 @@
 //! Applies the records of targets from the directory.
 
 use bytes::Bytes;
+use cw_policy::forward::DirectoryUpdateStep;
 use cw_policy::forward::Listing;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::DirectoryChange;
+use cw_wire::DirectoryUpdate;
 use log::info;
 use log::warn;
 
@@ -101,6 +103,34 @@
     }
 }
 
+/// Whether the changes of an update could be applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AppliedUpdate {
+    /// All that it has are known now.
+    Complete,
+    /// Some before it are missing.
+    Missing,
+}
+
+/// Applies the changes of the directory that another entry sends.
+pub(super) fn apply_directory_update(
+    context: &ForwardContext,
+    now: Time,
+    state: &mut ForwardState,
+    update: &DirectoryUpdate,
+) -> AppliedUpdate {
+    match state.directory_log.receive(now, update) {
+        DirectoryUpdateStep::Nothing => AppliedUpdate::Complete,
+        DirectoryUpdateStep::Missing => AppliedUpdate::Missing,
+        DirectoryUpdateStep::Apply(changes) => {
+            for change in &changes {
+                apply_directory_change(context, now, state, change, update.trusted);
+            }
+            AppliedUpdate::Complete
+        }
+    }
+}
+
 /// Returns the target that a key of the directory is for.
 pub(super) fn target_id(context: &ForwardContext, key: &str) -> Option<TargetId> {
     key.strip_prefix(context.dialect.targets_prefix())?
