Compare the last changes of the directory, not the reads of it

Change: an entry tells the revision of its last change, and keeps that of its last read for itself. A starting entry takes both from another one, also when there are no targets yet; a watcher that starts asks first, so that it can tell the differences.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -50,17 +50,23 @@
 /// The directory changes that an entry knows of.
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryLog {
+    /// The revision as of which the directory is known.
     newest: i64,
+    /// The revision of the last known change. Reads by several entries have different revisions even if
+    /// nothing has changed between, so the entries compare this one.
+    last_change: i64,
     history: VecDeque<KnownChange>,
     /// Since when changes are missing.
     behind_since: Option<Time>,
 }
 
 impl DirectoryLog {
-    /// Records that the whole directory was read at `revision`.
-    pub fn record_read(&mut self, revision: i64) {
+    /// Records that the whole directory was read at `revision`, and that `last_change` is the newest
+    /// change in it. What was known before is replaced.
+    pub fn record_read(&mut self, revision: i64, last_change: i64) {
         if revision > self.newest {
             self.newest = revision;
+            self.last_change = last_change;
             // The individual changes up to this revision are unknown.
             self.history.clear();
         }
@@ -74,13 +80,10 @@
         revision: i64,
         differences: Vec<(String, Option<bytes::Bytes>)>,
     ) {
-        if self.newest == 0 {
-            self.record_read(revision);
-            return;
-        }
         for (key, value) in differences {
             self.record_change(&key, value, revision);
         }
+        self.newest = self.newest.max(revision);
         self.behind_since = None;
     }
 
@@ -91,9 +94,10 @@
         let previous = match last {
             Some(last) if last.revision == revision => last.previous,
             _ if revision <= self.newest => return,
-            _ => self.newest,
+            _ => self.last_change,
         };
         self.newest = revision;
+        self.last_change = revision;
         self.keep(KnownChange {
             change: DirectoryChange {
                 previous,
@@ -124,7 +128,7 @@
             up: fleet.is_directory_up(),
             trusted: fleet.is_trusted(now),
             config,
-            newest: self.newest,
+            newest: self.last_change,
             changes: Vec::new(),
         }
     }
@@ -162,6 +166,7 @@
             return DirectoryUpdateStep::Missing;
         }
         self.newest = update.newest;
+        self.last_change = update.newest;
         self.behind_since = None;
         for change in &new {
             // The watchers send it to the others.
@@ -186,11 +191,16 @@
         revision >= self.newest
     }
 
-    /// Returns the revision of the last known change.
+    /// Returns the revision as of which the directory is known, 0 if it is not.
     pub fn newest(&self) -> i64 {
         self.newest
     }
 
+    /// Returns the revision of the last known change.
+    pub fn last_change(&self) -> i64 {
+        self.last_change
+    }
+
     /// Returns whether changes have been missing for so long that this entry has to ask for them.
     pub fn is_behind(&self, now: Time) -> bool {
         (self.behind_since).is_some_and(|since| now.since(since) >= GAP_DELAY)
--- a/crates/cw_policy/tests/forward/directory_log.rs
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -26,8 +26,8 @@
 #[test]
 fn changes_are_applied_in_order_and_once() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
-    watcher.record_read(10);
-    other.record_read(10);
+    watcher.record_read(10, 10);
+    other.record_read(10, 10);
     watcher.record_change("a", value("1"), 11);
     watcher.record_change("a", None, 14);
 
@@ -47,8 +47,8 @@
 #[test]
 fn the_whole_directory_is_applied_only_if_no_newer_change_is_known() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
-    watcher.record_read(10);
-    other.record_read(10);
+    watcher.record_read(10, 10);
+    other.record_read(10, 10);
     watcher.record_change("a", value("1"), 12);
 
     other.receive(at(1), &watcher.update(at(1), &answering_fleet(), 1));
@@ -61,8 +61,8 @@
 #[test]
 fn an_entry_that_misses_changes_gets_them_from_the_watcher() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
-    watcher.record_read(10);
-    other.record_read(10);
+    watcher.record_read(10, 10);
+    other.record_read(10, 10);
     watcher.record_change("a", value("1"), 11);
     for _ in 0..2 {
         // These messages are lost.
@@ -89,8 +89,8 @@
 #[test]
 fn a_full_read_by_a_watcher_is_told_as_its_differences() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
-    watcher.record_read(10);
-    other.record_read(10);
+    watcher.record_read(10, 10);
+    other.record_read(10, 10);
 
     watcher.record_differences(20, vec![("a".to_owned(), value("1"))]);
     let step = other.receive(at(0), &watcher.update(at(0), &answering_fleet(), 1));
@@ -99,7 +99,44 @@
 
     assert!(matches!(step, DirectoryUpdateStep::Apply(changes) if changes.len() == 1));
     assert_eq!(same, DirectoryUpdateStep::Nothing);
-    assert!(watcher.accepts_read(20) && !watcher.accepts_read(19));
+    assert!(watcher.accepts_read(30) && !watcher.accepts_read(29));
+}
+
+/// Guards against entries that read the directory because two of them have read it at different revisions
+/// between which nothing has changed.
+#[test]
+fn reads_at_different_revisions_agree_if_nothing_has_changed() {
+    let logs = [12, 15].map(|revision| {
+        let mut log = DirectoryLog::default();
+        log.record_read(revision, 10);
+        log
+    });
+    let [mut early, mut late] = logs;
+
+    let first = early.receive(at(0), &late.update(at(0), &answering_fleet(), 1));
+    late.record_change("a", value("1"), 20);
+    let second = early.receive(at(1), &late.update(at(1), &answering_fleet(), 1));
+
+    assert_eq!(first, DirectoryUpdateStep::Nothing);
+    assert!(matches!(second, DirectoryUpdateStep::Apply(changes) if changes.len() == 1));
+}
+
+/// Guards against an entry that asks forever for changes that nobody has: it has read the directory since
+/// and found no difference.
+#[test]
+fn a_read_without_differences_ends_a_gap() {
+    let mut log = DirectoryLog::default();
+    log.record_read(10, 10);
+    let ahead = DirectoryUpdate {
+        newest: 14,
+        ..log.digest(at(0), &answering_fleet(), 1)
+    };
+    log.receive(at(0), &ahead);
+
+    log.record_differences(16, Vec::new());
+
+    assert_eq!(log.receive(at(900), &ahead), DirectoryUpdateStep::Nothing);
+    assert!(!log.is_behind(at(5000)));
 }
 
 /// Guards against an entry that tells what it does not know: after a read without differences from
@@ -107,11 +144,14 @@
 #[test]
 fn changes_before_a_first_read_are_not_known() {
     let mut log = DirectoryLog::default();
-    log.record_differences(20, vec![("a".to_owned(), value("1"))]);
+    log.record_read(20, 18);
     log.record_change("b", value("1"), 25);
 
-    assert!(log.changes_since(19).is_none());
-    assert!(log.changes_since(20).is_some());
+    assert!(log.changes_since(17).is_none());
+    assert!(
+        log.changes_since(18).is_some(),
+        "nothing has changed in between"
+    );
     assert!(log.changes_since(25).is_none(), "there is none");
 }
 
@@ -120,7 +160,7 @@
 #[test]
 fn a_change_is_sent_twice() {
     let mut watcher = DirectoryLog::default();
-    watcher.record_read(10);
+    watcher.record_read(10, 10);
     watcher.record_change("a", value("1"), 11);
 
     let sent: Vec<usize> = (0..4)
@@ -136,8 +176,8 @@
 #[test]
 fn one_revision_may_change_several_keys() {
     let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
-    watcher.record_read(10);
-    other.record_read(10);
+    watcher.record_read(10, 10);
+    other.record_read(10, 10);
     for key in ["a", "b", "c"] {
         watcher.record_change(key, None, 11);
     }
@@ -189,7 +229,7 @@
                 DirectoryUpdateStep::Nothing => {}
                 DirectoryUpdateStep::Missing if rng.random_bool(0.3) => {
                     actual = expected.clone();
-                    other.record_read(revision);
+                    other.record_read(revision, revision);
                 }
                 DirectoryUpdateStep::Missing => {
                     let missing = DirectoryUpdate {
--- a/crates/cw_wire/src/directory_update.rs
+++ b/crates/cw_wire/src/directory_update.rs
@@ -38,8 +38,11 @@
 /// The complete content of the directory, as known to an entry.
 #[data(Default, Eq)]
 pub struct DirectorySnapshot {
-    /// The revision of the last change included.
+    /// The revision as of which the targets are known.
     pub newest: i64,
+    /// The revision of the last change included. Entries of an earlier version do not send it.
+    #[serde(default)]
+    pub last_change: Option<i64>,
     /// The values of the target keys, as stored in the key-value service.
     pub targets: BTreeMap<TargetId, Bytes>,
 }
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -33,6 +33,9 @@
 /// The number of these queries, after which the entry reads the service itself.
 const START_QUERIES: u32 = 25;
 
+/// The same number for an entry that watches the service if none has the targets.
+const WATCHER_START_QUERIES: u32 = 3;
+
 impl DirectorySync {
     /// Queries the other entries while no data is known, so that startup does not wait for the
     /// timeout of a call that the service never answers.
@@ -55,9 +58,10 @@
     /// Takes the targets from another entry after the start, since a read of all of them takes several
     /// calls of the service. Returns whether that succeeded.
     ///
-    /// Where all entries start at once, the watchers read the service and the others ask them.
+    /// Where all entries start at once, the watchers read the service and the others ask them. A watcher
+    /// that starts later asks the others too, so that it can tell the differences since.
     pub(super) async fn start_from_peers(&self) -> bool {
-        for _ in 0..START_QUERIES {
+        for round in 0..START_QUERIES {
             tokio::time::sleep(START_QUERY_PERIOD).await;
             let now = self.context.now();
             let (is_watcher, source) = {
@@ -67,13 +71,13 @@
                 let at = state.rng.random_range(0..others.len().max(1));
                 (state.fleet.is_first_watcher(), others.get(at).copied())
             };
-            if is_watcher {
+            if is_watcher && round >= WATCHER_START_QUERIES {
                 return false;
             }
             if let Some(source) = source {
                 self.query_targets(source).await;
             }
-            if !self.context.state().fleet.is_empty() {
+            if self.context.state().directory_log.newest() > 0 {
                 return true;
             }
         }
@@ -242,7 +246,10 @@
         for (id, value) in &snapshot.targets {
             apply_listing(&self.context, now, &mut state, id, value, snapshot.newest);
         }
-        state.directory_log.record_read(snapshot.newest);
+        let last_change = snapshot.last_change.unwrap_or(snapshot.newest);
+        state
+            .directory_log
+            .record_read(snapshot.newest, last_change);
         set_target_count(&self.context, state.fleet.len());
     }
 }
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -234,9 +234,12 @@
             }
         }
         state.fleet.retain_listed(now, &names);
-        state
-            .directory_log
-            .record_differences(revision.0, differences);
+        let is_first = state.directory_log.newest() == 0;
+        let last_change = items.iter().map(|item| item.modified.0).max();
+        match is_first {
+            true => (state.directory_log).record_read(revision.0, last_change.unwrap_or_default()),
+            false => (state.directory_log).record_differences(revision.0, differences),
+        }
         set_target_count(&self.context, state.fleet.len());
     }
 
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Returns the known targets in encoded form, `None` if there are none.
+    /// Returns the known targets in encoded form, `None` if the directory has not been read.
     fn targets(&self) -> Option<Bytes> {
         let snapshot = {
             let state = self.context.state();
@@ -100,12 +100,13 @@
             let known = listings.filter(|(id, _)| state.fleet.listing(id).is_some());
             DirectorySnapshot {
                 newest: state.directory_log.newest(),
+                last_change: Some(state.directory_log.last_change()),
                 targets: known
                     .map(|(id, value)| (id.clone(), value.clone()))
                     .collect(),
             }
         };
-        if snapshot.targets.is_empty() {
+        if snapshot.newest == 0 {
             return None;
         }
         match cw_wire::encode(&snapshot) {
