Bound the body of an answer and of a store's response

Cause: the body of an answer that is not a stream, and of each response of the store, was read to its end whatever its length, until the caller's deadline or the timeout of the call. A target that sends bytes without end filled the memory of the entry: 268 MB in a test, where the server itself stopped.

Change: both are limited to 8 MiB; the request or the call then ends like one whose connection broke, with a line in the log. Heads without end were bounded by the HTTP library already, and events by EventStream.

Beside it: a read of the targets and an answer with missing changes have log lines.

--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -12,6 +12,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -26,6 +27,10 @@
 /// The default timeout of a call, which for a streamed response ends when its headers arrive.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum size of the body of a response. A page of the key-value service has about 1 MB, and what
+/// answers at an address may send bytes without end.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 /// The status, the headers and the body of a response.
 #[derive(Debug)]
 pub struct HttpResponse {
@@ -104,8 +109,7 @@
             let response = self.send(method, address, path, body).await?;
             let status = response.status();
             let headers = response.headers().clone();
-            let body = response
-                .into_body()
+            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
                 .collect()
                 .await
                 .map_err(outcome_unknown)?;
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -140,6 +140,13 @@
             Ok(update) => {
                 let now = self.context.now();
                 let mut state = self.context.state();
+                info!(
+                    entry = source.to_string(),
+                    changes = update.changes.len(),
+                    since = newest,
+                    newest = update.newest;
+                    "received the missing directory changes of another entry"
+                );
                 apply_directory_update(&self.context, now, &mut state, &update);
                 set_target_count(&self.context, state.fleet.len());
             }
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -235,6 +235,14 @@
         }
         state.fleet.retain_listed(now, &names);
         let is_first = state.directory_log.newest() == 0;
+        info!(
+            targets = items.len(),
+            differences = differences.len(),
+            revision = revision.0,
+            known = state.directory_log.newest(),
+            watcher = u64::from(state.fleet.is_watcher(now));
+            "read the targets from the key-value service"
+        );
         let last_change = items.iter().map(|item| item.modified.0).max();
         match is_first {
             true => (state.directory_log).record_read(revision.0, last_change.unwrap_or_default()),
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -11,6 +11,7 @@
 use cw_types::Time;
 use http::Response;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use log::info;
 
@@ -23,6 +24,10 @@
 use super::send_outcome::TargetStream;
 use super::sending::Destination;
 
+/// The maximum size of the body of an answer that is not a stream. The smallest entries have 88 MB for all
+/// requests, and a target in trouble may send bytes without end.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// A response whose body has not been read.
 struct ResponseStart {
     head: BufferedResponse,
@@ -170,10 +175,11 @@
             reuse,
             mut active,
         } = start;
-        let body = match self.in_time(give_up_at, body.collect()).await {
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = match self.in_time(give_up_at, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
-                self.log_break(&error);
+                self.log_incomplete(error.as_ref());
                 return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
             }
             Err(event) => return SendOutcome::Event(event),
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -227,6 +227,16 @@
         );
     }
 
+    /// Logs why the body of an answer is not complete.
+    pub(super) fn log_incomplete(&self, error: &(dyn std::error::Error + Send + Sync)) {
+        let target = self.exchange.placed().map(|placed| placed.target.as_str());
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = target.unwrap_or("none");
+            "the answer of a target is incomplete: {error:?}"
+        );
+    }
+
     /// Returns the action after a connection breaks before the head of the response. `reused` says
     /// whether it had carried a request before.
     fn after_break(&self, error: &hyper::Error, reused: bool) -> AfterBreak {
