Let one watcher send the changes, and ask few entries at a start

Change: an entry asks at most four others, at random, and only until the directory has been read; the first watcher sends the changes, the others tell their last one and answer for gaps.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -1,7 +1,7 @@
 //! Distributes directory changes from the few entries that watch it to all others.
 //!
 //! Each call to the key-value service is charged and its rate is bounded, so only some entries
-//! watch it and forward the changes. Datagrams may be lost, so each change is sent more than once
+//! watch it, and one of these forwards the changes. Datagrams may be lost, so each change is sent more than once
 //! and carries the revision of the change before it. An entry that finds a gap waits for the other
 //! watchers, asks the one that knows more for the changes that it lacks, and reads the directory itself
 //! only if that fails.
@@ -15,8 +15,7 @@
 
 use super::Fleet;
 
-/// The number of messages that include a change. With two watchers, a change is lost for an entry only if
-/// twice as many datagrams in a row are.
+/// The number of messages that include a change. An entry that loses all of them asks for the change.
 const MAX_SENDS: u32 = 2;
 
 /// The maximum number of changes in one message, which must fit into a datagram.
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -11,7 +11,6 @@
 use http::StatusCode;
 use log::info;
 use log::warn;
-use rand::RngExt;
 
 use super::directory_sync::DirectorySync;
 use super::directory_sync::Topic;
@@ -27,6 +26,10 @@
 /// sooner.
 const PEER_QUERY_PERIOD: Duration = Duration::from_millis(250);
 
+/// The maximum number of other entries that are queried in a row. All entries may lack the same data, and
+/// each asking each other one would keep small hosts from anything else.
+const MAX_QUERIES: usize = 4;
+
 /// The time between the queries of an entry that has just started. Registering takes a few milliseconds.
 const START_QUERY_PERIOD: Duration = Duration::from_millis(40);
 
@@ -46,7 +49,7 @@
                 let state = self.context.state();
                 match self.topic {
                     Topic::Config => state.config.is_some(),
-                    Topic::Targets => !state.fleet.is_empty(),
+                    Topic::Targets => state.directory_log.newest() > 0,
                 }
             };
             if !is_known {
@@ -63,18 +66,11 @@
     pub(super) async fn start_from_peers(&self) -> bool {
         for round in 0..START_QUERIES {
             tokio::time::sleep(START_QUERY_PERIOD).await;
-            let now = self.context.now();
-            let (is_watcher, source) = {
-                let mut state = self.context.state();
-                let state = &mut *state;
-                let others: Vec<SocketAddr> = state.entry_list.others(now).into_values().collect();
-                let at = state.rng.random_range(0..others.len().max(1));
-                (state.fleet.is_first_watcher(), others.get(at).copied())
-            };
+            let is_watcher = self.context.state().fleet.is_first_watcher();
             if is_watcher && round >= WATCHER_START_QUERIES {
                 return false;
             }
-            if let Some(source) = source {
+            if let Some((_, source)) = self.context.sample_entries(1).pop() {
                 self.query_targets(source).await;
             }
             if self.context.state().directory_log.newest() > 0 {
@@ -163,7 +159,7 @@
             Topic::Config => CONFIG_PATH,
             Topic::Targets => TARGETS_PATH,
         };
-        for (entry, address) in self.context.other_entries() {
+        for (entry, address) in self.context.sample_entries(MAX_QUERIES) {
             if !self.is_missing_updates() {
                 return;
             }
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -28,6 +28,7 @@
 use log::info;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 
 use crate::Clock;
@@ -187,10 +188,12 @@
         state.fleet.set_entries(&self.settings.host, hosts);
     }
 
-    /// Returns the other entries and their addresses for messages.
-    pub(super) fn other_entries(&self) -> BTreeMap<HostId, SocketAddr> {
+    /// Returns up to `count` of the other entries, selected at random, with their addresses.
+    pub(super) fn sample_entries(&self, count: usize) -> Vec<(HostId, SocketAddr)> {
         let now = self.now();
-        self.state().entry_list.others(now)
+        let mut state = self.state();
+        let others = state.entry_list.others(now).into_iter();
+        others.sample(&mut state.rng, count)
     }
 
     pub(super) fn config(&self) -> Option<Arc<ForwardConfig>> {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -134,9 +134,12 @@
         let mut state = self.context.state();
         let state = &mut *state;
         let config = state.config_version();
-        let directory = match (state.fleet.is_watcher(now), audience) {
-            (true, Audience::All) => Some(state.directory_log.update(now, &state.fleet, config)),
-            (true, Audience::Near) => Some(state.directory_log.digest(now, &state.fleet, config)),
+        // The changes fill the link of a small host, so one watcher sends them. The others tell which is
+        // their last, and have them for entries that miss some.
+        let sends_changes = audience == Audience::All && state.fleet.is_writer(now);
+        let directory = match (state.fleet.is_watcher(now), sends_changes) {
+            (true, true) => Some(state.directory_log.update(now, &state.fleet, config)),
+            (true, false) => Some(state.directory_log.digest(now, &state.fleet, config)),
             (false, _) => None,
         };
         let mut shares = state.fleet.shares();
