--- a/crates/cw_policy/tests/forward/late_knowledge.rs
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -147,7 +147,7 @@
         self.deliver(now);
         for entry in 0..self.hosts.len() {
             // The entries do not send at the same moment.
-            if (now + entry as u64 * 37) % self.load.period == 0 {
+            if (now + entry as u64 * 37).is_multiple_of(self.load.period) {
                 self.send(now + 1, entry, (0..self.hosts.len()).collect());
             }
         }
@@ -315,7 +315,7 @@
             fleets[entry].record_end(at(now), &target, Demand::default(), true);
         }
         for from in 0..entries {
-            if (now + from as u64 * 37) % period == 0 {
+            if (now + from as u64 * 37).is_multiple_of(period) {
                 let message = OutstandingWork {
                     host: hosts[from].clone(),
                     incarnation: Incarnation(1),
