Split the simulation of plain requests into functions

Its load is a type of its own now, with the fixtures that the other tests use; seeds and bounds are as before.

--- a/crates/cw_policy/tests/forward/late_knowledge.rs
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -1,7 +1,6 @@
 //! Tests of many entries that choose targets while they know late what the others have chosen.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use cw_policy::forward::Demand;
 use cw_policy::forward::Fleet;
@@ -20,7 +19,7 @@
 use rstest::rstest;
 
 use crate::fixtures::DEMAND;
-use crate::fixtures::MEMORY;
+use crate::fixtures::TestRequest;
 use crate::fixtures::at;
 use crate::fixtures::listing;
 use crate::fixtures::name;
@@ -158,17 +157,13 @@
 
     fn place(&mut self, now: u64) {
         let entry = self.rng.random_range(0..self.hosts.len());
-        let (service, zone) = (name("engines"), name(&format!("z{}", entry % 6)));
-        let excluded = BTreeSet::new();
+        let request = TestRequest {
+            zone: name(&format!("z{}", entry % 6)),
+            ..TestRequest::default()
+        };
         let requirements = Requirements {
-            service: &service,
-            memory: Some(MEMORY),
-            demand: DEMAND,
-            zone: &zone,
-            excluded: &excluded,
             wants_copy: false,
-            reader: None,
-            peers_known: true,
+            ..request.requirements()
         };
         let placed = self.fleets[entry].place(at(now), &requirements, &mut self.rng);
         let target = placed.expect("an engine").target;
@@ -209,18 +204,11 @@
 
     fn send(&mut self, arrives_at: u64, entry: usize, to: Vec<usize>) {
         self.sequences[entry] += 1;
-        let message = OutstandingWork {
-            host: self.hosts[entry].clone(),
-            incarnation: Incarnation(1),
-            sequence: self.sequences[entry],
-            shares: self.fleets[entry].shares(),
-            lost: Vec::new(),
-            prompts: Vec::new(),
-            directory: None,
-            crashes: CrashNews::default(),
-            limits: Vec::new(),
-            demands: None,
-        };
+        let message = message(
+            &self.hosts[entry],
+            self.sequences[entry],
+            &self.fleets[entry],
+        );
         self.messages.push((arrives_at, message, to));
     }
 
@@ -276,18 +264,39 @@
     assert!(outcome.waiting_share() < 0.05, "{outcome:?}");
 }
 
-/// Guards against entries that choose a plain target because it had the fewest requests when they last
-/// heard of it: its requests have ended since, and all entries choose it until they hear otherwise.
-#[rstest]
-#[case::grown(23)]
-#[case::large(103)]
-fn plain_requests_are_spread_though_loads_are_known_late(#[case] entries: usize) {
-    let mut rng = SmallRng::seed_from_u64(7);
-    let hosts: Vec<HostId> = (0..entries)
-        .map(|number| name(&format!("entry-{number}")))
-        .collect();
-    let mut fleets: Vec<Fleet> = (hosts.iter())
-        .map(|own| {
+/// Returns the message in which an entry tells its load.
+fn message(host: &HostId, sequence: u64, fleet: &Fleet) -> OutstandingWork {
+    OutstandingWork {
+        host: host.clone(),
+        incarnation: Incarnation(1),
+        sequence,
+        shares: fleet.shares(),
+        lost: Vec::new(),
+        prompts: Vec::new(),
+        directory: None,
+        crashes: CrashNews::default(),
+        limits: Vec::new(),
+        demands: None,
+    }
+}
+
+/// Entries that send plain requests to a few targets.
+struct PlainLoad {
+    rng: SmallRng,
+    hosts: Vec<HostId>,
+    fleets: Vec<Fleet>,
+    /// The end, the entry and the target of each request in progress.
+    runs: Vec<(u64, usize, TargetId)>,
+    /// How many requests each request found at its target.
+    found: Vec<usize>,
+}
+
+impl PlainLoad {
+    fn new(entries: usize) -> Self {
+        let hosts: Vec<HostId> = (0..entries)
+            .map(|number| name(&format!("entry-{number}")))
+            .collect();
+        let fleets = hosts.iter().map(|own| {
             let mut fleet = Fleet::new(FleetLimits::default());
             for number in 0..PLAIN_TARGETS {
                 fleet.record_listing(at(0), listing(number, 0));
@@ -295,70 +304,91 @@
             let others = hosts.iter().filter(|host| *host != own).cloned();
             fleet.set_entries(own, others);
             fleet
-        })
-        .collect();
-    let period = 200 + 10 * entries as u64;
-    let mut runs: Vec<(u64, usize, TargetId)> = Vec::new();
-    let mut found = Vec::new();
+        });
+        Self {
+            rng: SmallRng::seed_from_u64(7),
+            fleets: fleets.collect(),
+            hosts,
+            runs: Vec::new(),
+            found: Vec::new(),
+        }
+    }
 
-    for now in 1..4000 {
-        let (ended, running): (Vec<_>, Vec<_>) =
-            runs.into_iter().partition(|(ends_at, ..)| *ends_at <= now);
-        runs = running;
+    fn running_at(&self, target: &TargetId) -> usize {
+        let runs = self.runs.iter();
+        runs.filter(|(.., other)| other == target).count()
+    }
+
+    /// Ends the requests that are over; their answers tell the load of the target.
+    fn end_runs(&mut self, now: u64) {
+        let (ended, running) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|(ends_at, ..)| *ends_at <= now);
+        self.runs = running;
+        let ended: Vec<_> = ended;
         for (_, entry, target) in ended {
-            let running = runs.iter().filter(|(.., other)| *other == target).count();
             let load = ReportedLoad {
-                running: u32::try_from(running).unwrap(),
+                running: u32::try_from(self.running_at(&target)).expect("a small number"),
                 waiting: 0,
             };
-            fleets[entry].record_load(at(now), &target, load);
-            fleets[entry].record_end(at(now), &target, Demand::default(), true);
+            self.fleets[entry].record_load(at(now), &target, load);
+            self.fleets[entry].record_end(at(now), &target, Demand::default(), true);
         }
-        for from in 0..entries {
-            if (now + from as u64 * 37).is_multiple_of(period) {
-                let message = OutstandingWork {
-                    host: hosts[from].clone(),
-                    incarnation: Incarnation(1),
-                    sequence: now,
-                    shares: fleets[from].shares(),
-                    lost: Vec::new(),
-                    prompts: Vec::new(),
-                    directory: None,
-                    crashes: CrashNews::default(),
-                    limits: Vec::new(),
-                    demands: None,
-                };
-                for (to, fleet) in fleets.iter_mut().enumerate() {
-                    if to != from {
-                        fleet.receive_peer(at(now), &message);
-                    }
-                }
+    }
+
+    fn tell(&mut self, now: u64, from: usize) {
+        let message = message(&self.hosts[from], now, &self.fleets[from]);
+        for (to, fleet) in self.fleets.iter_mut().enumerate() {
+            if to != from {
+                fleet.receive_peer(at(now), &message);
             }
         }
-        if rng.random_bool(0.568) {
-            let entry = rng.random_range(0..entries);
-            let (service, zone) = (name("engines"), name(&format!("z{}", entry % 6)));
-            let excluded = BTreeSet::new();
-            let requirements = Requirements {
-                service: &service,
-                memory: None,
-                demand: Demand::default(),
-                zone: &zone,
-                excluded: &excluded,
-                wants_copy: false,
-                reader: None,
-                peers_known: true,
-            };
-            let placed = fleets[entry].place(at(now), &requirements, &mut rng);
-            let target = placed.expect("a target").target;
-            fleets[entry].record_send(at(now), &target, Demand::default());
-            found.push(runs.iter().filter(|(.., other)| *other == target).count());
-            runs.push((now + PLAIN_TIME, entry, target));
+    }
+
+    fn place(&mut self, now: u64) {
+        let entry = self.rng.random_range(0..self.hosts.len());
+        let request = TestRequest {
+            zone: name(&format!("z{}", entry % 6)),
+            demand: Demand::default(),
+            ..TestRequest::default()
+        };
+        let requirements = Requirements {
+            memory: None,
+            wants_copy: false,
+            ..request.requirements()
+        };
+        let placed = self.fleets[entry].place(at(now), &requirements, &mut self.rng);
+        let target = placed.expect("a target").target;
+        self.fleets[entry].record_send(at(now), &target, Demand::default());
+        self.found.push(self.running_at(&target));
+        self.runs.push((now + PLAIN_TIME, entry, target));
+    }
+}
+
+/// Guards against entries that choose a plain target because it had the fewest requests when they last
+/// heard of it: its requests have ended since, and all entries choose it until they hear otherwise.
+#[rstest]
+#[case::grown(23)]
+#[case::large(103)]
+fn plain_requests_are_spread_though_loads_are_known_late(#[case] entries: usize) {
+    let mut load = PlainLoad::new(entries);
+    let period = 200 + 10 * entries as u64;
+
+    for now in 1..4000 {
+        load.end_runs(now);
+        for entry in 0..entries {
+            if (now + entry as u64 * 37).is_multiple_of(period) {
+                load.tell(now, entry);
+            }
+        }
+        if load.rng.random_bool(0.568) {
+            load.place(now);
         }
     }
 
-    let all = found.len();
-    let waiting = found.iter().filter(|count| **count >= PLAIN_SLOTS).count();
+    let all = load.found.len();
+    let waiting = load.found.iter().filter(|count| **count >= PLAIN_SLOTS);
+    let waiting = waiting.count();
     // Random choices fill all slots of a target for a twelfth of the requests.
     assert!(waiting * 12 <= all, "{waiting} of {all} wait");
 }
