--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -2,9 +2,9 @@
 //!
 //! Each call to the key-value service is charged and its rate is bounded, so only some entries
 //! watch it, and one of these forwards the changes. Datagrams may be lost, so each change is sent more than once
-//! and carries the revision of the change before it. An entry that finds a gap waits for the other
-//! watchers, asks the one that knows more for the changes that it lacks, and reads the directory itself
-//! only if that fails.
+//! and carries the revision of the change before it. An entry that finds a gap waits for
+//! the next messages, asks the watcher that knows more for the changes that it lacks, and reads the
+//! directory itself only if that fails.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -24,8 +24,8 @@
 /// The maximum number of changes that are kept for entries that miss some.
 const MAX_HISTORY: usize = 1024;
 
-/// How long an entry that misses changes waits for the messages of the other watchers. They arrive within
-/// some tens of milliseconds of each other.
+/// How long an entry that misses changes waits for them. A watcher that does not send changes may tell its
+/// last one before they arrive, and the next message repeats them within 200 ms.
 const GAP_DELAY: Duration = Duration::from_millis(300);
 
 /// The step that follows a [`DirectoryUpdate`] message.
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -222,7 +222,8 @@
         }
     }
 
-    /// Returns whether this entry writes the shared state of all entries to the store.
+    /// Returns whether this entry writes the shared state of all entries to the store, and sends the changes
+    /// of the directory to them.
     pub fn is_writer(&self, now: Time) -> bool {
         self.watchers_before(now) == 0
     }
