--- a/crates/cw_policy/tests/forward/late_knowledge.rs
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -365,8 +365,8 @@
     }
 }
 
-/// Guards against entries that choose a plain target because it had the fewest requests when they last
-/// heard of it: its requests have ended since, and all entries choose it until they hear otherwise.
+/// Guards against entries that choose a plain target because it had the fewest requests in the last
+/// messages: these requests have ended since, and all entries choose it until the next messages.
 #[rstest]
 #[case::grown(23)]
 #[case::large(103)]
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Asks the entry that has told of changes which this one misses for them, so that not all entries
-    /// read the service after a lost message.
+    /// Requests missing directory changes from the entry that announced them, so that not all entries read
+    /// the service after a lost message.
     pub(super) async fn query_missing_changes(&self) {
         let now = self.context.now();
         let (source, newest) = {
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -56,7 +56,7 @@
     pub(super) fleet: Fleet,
     /// The directory changes that this entry knows of.
     pub(super) directory_log: DirectoryLog,
-    /// The entry that has told of directory changes which this one misses.
+    /// The address of the entry that announced directory changes which are missing here.
     pub(super) directory_source: Option<SocketAddr>,
     /// The newest configuration version that another entry has announced.
     pub(super) peer_config_version: u64,
