Take the configuration of the entries that have a newer one than the store

Callers saw refusals by an older version although a newer one had been acknowledged. Cause: an entry that was told of a newer version read the store and asked nobody else if that succeeded. A store that has come back from an older copy answers with an older version, and the entry served it for as long as the store had it. An entry that started then did not ask the others at all.

Each entry now tells its version in each message, not the watching ones only, and an entry that is behind after a read asks those that have the newer version.

A version that only entries had that have ended is unknown until the operator writes again.

--- a/crates/cw_policy/src/forward/entry_list.rs
+++ b/crates/cw_policy/src/forward/entry_list.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns whether the registry has been read since the start.
+    pub fn is_registry_read(&self) -> bool {
+        self.read_at.is_some()
+    }
+
     /// Returns whether the registry has to be read.
     pub fn needs_registry(&self, now: Time) -> bool {
         let Some(read_at) = self.read_at else {
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -65,6 +65,8 @@
     demands: Option<BTreeMap<ServiceName, Rate>>,
     /// Whether the entry watches the directory and the directory answers it.
     watching: bool,
+    /// The version of the configuration in force at the entry, 0 for none.
+    config: u64,
 }
 
 /// The last messages of the other entries.
@@ -162,6 +164,9 @@
             shares: known.map(|peer| peer.shares.clone()).unwrap_or_default(),
             demands: (message.demands.as_ref()).map(|demands| demands.iter().cloned().collect()),
             watching: message.directory.as_ref().is_some_and(|update| update.up),
+            config: (message.directory.iter())
+                .map(|update| update.config)
+                .fold(message.config, u64::max),
         };
         self.peers.peers.insert(message.host.clone(), peer);
         self.record_contact(now);
@@ -249,6 +254,20 @@
         self.ranking.first_heard(suspect, heard)
     }
 
+    /// Returns the newest version of the configuration that another entry has in force, 0 for none.
+    pub fn newest_config(&self) -> u64 {
+        let versions = self.peers.peers.values().map(|peer| peer.config);
+        versions.max().unwrap_or_default()
+    }
+
+    /// Returns the other entries that have a version of the configuration, or a newer one, in force.
+    pub fn entries_with_config(&self, version: u64) -> impl Iterator<Item = &HostId> {
+        let peers = self.peers.peers.iter();
+        peers
+            .filter(move |(_, peer)| peer.config >= version)
+            .map(|(host, _)| host)
+    }
+
     /// Returns the number of other entries with a valid message.
     pub fn peer_count(&self) -> usize {
         self.peers.peers.len()
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -38,6 +38,7 @@
         crashes: CrashNews::default(),
         limits: Vec::new(),
         demands: None,
+        config: 0,
         directory: Some(DirectoryUpdate {
             up: true,
             trusted: true,
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -52,6 +52,10 @@
     pub lost: Vec<TargetHash>,
     /// Prompts that the entry has sent since the last message.
     pub prompts: Vec<CachedPrompt>,
+    /// The version of the configuration in force at the entry, 0 for none. Entries of an earlier version tell it
+    /// in `directory` only.
+    #[serde(default)]
+    pub config: u64,
     /// The directory changes, if the entry watches the directory.
     pub directory: Option<DirectoryUpdate>,
     /// Requests that may crash targets. Entries of an earlier version do not send it.
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -36,6 +36,14 @@
 /// The number of these queries, after which the entry reads the service itself.
 const START_QUERIES: u32 = 25;
 
+/// How often an entry that has just started looks whether it knows the others. Reading the registry takes some
+/// milliseconds, and no request is served meanwhile.
+const REGISTRY_POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// How long an entry that has just started looks for others with a newer configuration than the service has.
+/// It refuses all requests meanwhile, and some of the others may not answer.
+const CONFIG_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The same number for an entry that watches the service if none has the targets.
 const WATCHER_START_QUERIES: u32 = 3;
 
@@ -152,32 +160,63 @@
         }
     }
 
-    /// Queries the other entries, when the service does not answer, for data that they have
-    /// announced and this entry lacks.
+    /// Queries the other entries for data that they have announced and this entry lacks, when the service
+    /// does not answer or has older data.
     pub(super) async fn query_peers(&self) {
-        let path = match self.topic {
-            Topic::Config => CONFIG_PATH,
-            Topic::Targets => TARGETS_PATH,
+        let entries = match self.topic {
+            Topic::Config => self.context.sample_config_sources(MAX_QUERIES),
+            Topic::Targets => self.context.sample_entries(MAX_QUERIES),
         };
-        for (entry, address) in self.context.sample_entries(MAX_QUERIES) {
+        for (entry, address) in entries {
             if !self.is_missing_updates() {
                 return;
             }
-            if self.topic == Topic::Config && self.context.config().is_none() {
-                self.query_crash_evidence(entry.as_str(), address).await;
-            }
-            let call = self.entries.call(Method::GET, address, path, Bytes::new());
-            match call.await {
-                Ok(answer) if answer.status == StatusCode::OK => match self.topic {
-                    Topic::Config => self.activate_config(&answer.body, entry.as_str()),
-                    Topic::Targets => self.apply_peer_snapshot(entry.as_str(), &answer.body),
-                },
-                Ok(answer) => info!(
-                    entry = entry.as_str();
-                    "an entry answered a query with status {}", answer.status
-                ),
-                Err(error) => info!(entry = entry.as_str(); "failed to query an entry: {error}"),
+            self.query_entry(entry.as_str(), address).await;
+        }
+    }
+
+    /// Queries some other entries at the same time, before this one has any configuration.
+    pub(super) async fn query_at_start(&self) {
+        let queries = async {
+            while !self.context.state().entry_list.is_registry_read() {
+                tokio::time::sleep(REGISTRY_POLL_PERIOD).await;
             }
+            let entries = self.context.sample_entries(MAX_QUERIES);
+            let queries = entries
+                .iter()
+                .map(|(entry, address)| self.query_entry(entry.as_str(), *address));
+            futures::future::join_all(queries).await;
+        };
+        if tokio::time::timeout(CONFIG_QUERY_TIMEOUT, queries)
+            .await
+            .is_err()
+        {
+            info!("some entries did not answer a query for the configuration in time");
+        }
+    }
+
+    /// Queries one other entry for the data of the topic, and applies it.
+    async fn query_entry(&self, entry: &str, address: SocketAddr) {
+        let path = match self.topic {
+            Topic::Config => CONFIG_PATH,
+            Topic::Targets => TARGETS_PATH,
+        };
+        if self.topic == Topic::Config && self.context.config().is_none() {
+            self.query_crash_evidence(entry, address).await;
+        }
+        let call = self.entries.call(Method::GET, address, path, Bytes::new());
+        match call.await {
+            Ok(answer) if answer.status == StatusCode::OK => match self.topic {
+                Topic::Config => self.activate_config(&answer.body, entry),
+                Topic::Targets => self.apply_peer_snapshot(entry, &answer.body),
+            },
+            // The other entry has just started too.
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
+            Ok(answer) => info!(
+                entry = entry;
+                "an entry answered a query with status {}", answer.status
+            ),
+            Err(error) => info!(entry = entry; "failed to query an entry: {error}"),
         }
     }
 
@@ -203,10 +242,10 @@
 
     /// Returns whether this entry lacks data that other entries have announced, or has no targets.
     /// Without targets it would refuse requests that the other entries serve.
-    fn is_missing_updates(&self) -> bool {
+    pub(super) fn is_missing_updates(&self) -> bool {
         let state = self.context.state();
         match self.topic {
-            Topic::Config => state.config_version() < state.peer_config_version,
+            Topic::Config => state.is_config_behind(),
             Topic::Targets => {
                 let now = self.context.now();
                 state.fleet.is_empty() || state.directory_log.is_behind(now)
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -67,11 +67,16 @@
                 result = self.read_and_watch(&mut failures) => result,
                 never = self.query_peers_until_known() => match never {},
             };
-            let Err(error) = result else {
-                self.wait_until_needed().await;
-                continue;
-            };
-            self.record_failure(&error);
+            match result {
+                Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
+                    self.record_older_read();
+                }
+                Ok(()) => {
+                    self.wait_until_needed().await;
+                    continue;
+                }
+                Err(error) => self.record_failure(&error),
+            }
             self.query_peers().await;
             let pause = {
                 let mut state = self.context.state();
@@ -103,9 +108,7 @@
             let state = self.context.state();
             let is_behind = match self.topic {
                 Topic::Targets => state.directory_log.is_behind(now),
-                Topic::Config => {
-                    state.config.is_none() || state.config_version() < state.peer_config_version
-                }
+                Topic::Config => state.config.is_none() || state.is_config_behind(),
             };
             if is_behind || state.fleet.is_watcher(now) {
                 return;
@@ -115,13 +118,14 @@
 
     /// Reads the data, and watches it while this entry is a watcher, until a call fails.
     async fn read_and_watch(&self, failures: &mut u32) -> Result<(), StoreError> {
-        let evidence = async {
+        let others = async {
             if self.topic == Topic::Config && self.context.config().is_none() {
-                self.restore_crash_evidence().await;
+                // The service may have come back from an older copy, which the others know better.
+                futures::future::join(self.restore_crash_evidence(), self.query_at_start()).await;
             }
         };
         let (snapshot, ()) =
-            futures::future::join(self.store.snapshot(self.prefix()), evidence).await;
+            futures::future::join(self.store.snapshot(self.prefix()), others).await;
         let (items, revision) = snapshot?;
         self.record_success();
         self.apply_snapshot(&items, revision);
@@ -199,6 +203,17 @@
         }
     }
 
+    /// Logs that the service has an older configuration than another entry, since it has come back from an
+    /// older copy or does not have the newest change yet.
+    fn record_older_read(&self) {
+        let state = self.context.state();
+        info!(
+            version = state.config_version(),
+            announced = state.fleet.newest_config();
+            "the key-value service has an older configuration than another entry"
+        );
+    }
+
     // ---- Data of the service ----
 
     fn apply_snapshot(&self, items: &[Versioned], revision: StoreRevision) {
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -63,8 +63,6 @@
     pub(super) directory_log: DirectoryLog,
     /// The address of the entry that announced directory changes which are missing here.
     pub(super) directory_source: Option<SocketAddr>,
-    /// The newest configuration version that another entry has announced.
-    pub(super) peer_config_version: u64,
     /// The targets that have read the prompts of this entry.
     pub(super) own_prompts: PromptLocations,
     /// The targets that have read the prompts of other entries, or those from before a restart.
@@ -88,6 +86,11 @@
 }
 
 impl ForwardState {
+    /// Returns whether another entry has a newer configuration in force than this one.
+    pub(super) fn is_config_behind(&self) -> bool {
+        self.config_version() < self.fleet.newest_config()
+    }
+
     /// Returns the version of the active configuration, 0 without one.
     pub(super) fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version())
@@ -136,7 +139,6 @@
             }),
             directory_log: DirectoryLog::default(),
             directory_source: None,
-            peer_config_version: 0,
             own_prompts: PromptLocations::new(PromptLocationLimits::default()),
             peer_prompts: PromptLocations::new(PromptLocationLimits::default()),
             run_times: RunTimes::default(),
@@ -204,6 +206,19 @@
         others.sample(&mut state.rng, count)
     }
 
+    /// Returns up to `count` of the entries that have a newer configuration in force than this one, selected
+    /// at random, with their addresses.
+    pub(super) fn sample_config_sources(&self, count: usize) -> Vec<(HostId, SocketAddr)> {
+        let now = self.now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let version = state.config_version() + 1;
+        let mut others = state.entry_list.others(now);
+        let sources = state.fleet.entries_with_config(version);
+        let sources = sources.filter_map(|host| others.remove_entry(host));
+        sources.sample(&mut state.rng, count)
+    }
+
     pub(super) fn config(&self) -> Option<Arc<ForwardConfig>> {
         self.state().config.clone()
     }
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -149,6 +149,7 @@
             incarnation: self.incarnation,
             sequence,
             shares,
+            config,
             directory,
             prompts: state.own_prompts.recorded_since(last_to_all),
             lost: state.fleet.lost_since(last_to_all),
@@ -198,7 +199,6 @@
         update: &DirectoryUpdate,
         from: SocketAddr,
     ) {
-        state.peer_config_version = state.peer_config_version.max(update.config);
         let is_watcher = state.fleet.is_watcher(now);
         let is_up = state.fleet.is_directory_up();
         // An entry that cannot reach the directory has no valid data, and a watcher that can reach
@@ -212,9 +212,6 @@
         if apply_directory_update(&self.context, now, state, update) == AppliedUpdate::Missing {
             state.directory_source = Some(from);
         }
-        if update.config > state.config_version() {
-            self.context.directory_behind.notify_waiters();
-        }
     }
 
     /// Applies the crashes that another entry tells. Crashes that both have seen are told back, with
@@ -248,6 +245,9 @@
                 state.peer_prompts.record(now, *prompt);
             }
             self.receive_crashes(now, &mut state, message);
+            if state.is_config_behind() {
+                self.context.directory_behind.notify_waiters();
+            }
         }
         if state.fleet.peer_count() > before {
             self.context.update_entries(now, &mut state);
