Let each entry bound the age of what it knows of the store, whoever watches it

A change was in force late if the steps until then failed one after the other: a silent watch was noticed after 1.35 s, the word of its end took up to 0.2 s, the role passed on after 0.15 s, and the read of the new watching entry could wait 1.5 s on a connection that was silent too. The sum is above the bound of 2 s, and it grows with each entry that takes over and is cut off.

Cause: an entry relied on the entries that watch, and the time until it noticed their failure was not bounded by itself. Now what counts is the moment as of which an entry knows all changes. The watching entries tell how old their own last word of the store is, for the configuration and the targets apart, and with the delay of the message by the sender's clock. An entry whose knowledge is older than 1.35 s reads the store itself, over a new connection, within 0.5 s. These and a reserve of 0.15 s add up to the setting in_force (bounds.configApplyMs on the platform). The role of a watching entry follows the same age, and entries take it over one after the other.

Each read and watch says since when the store had no later change. A watch waits the shorter the older its last confirmation is.

In a sound deployment the calls are as before: two watching entries, and one read for each entry and change.

--- a/crates/cw_policy/benches/peers.rs
+++ b/crates/cw_policy/benches/peers.rs
@@ -80,6 +80,7 @@
         shares: (0..targets / 10).map(share).collect(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        clock: None,
         config: 0,
         directory: None,
         crashes: CrashNews::default(),
--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -129,9 +129,18 @@
             config,
             newest: self.last_change,
             changes: Vec::new(),
+            known: self.newest,
+            config_age: None,
+            targets_age: None,
         }
     }
 
+    /// Records that all changes up to `revision` are known. Another entry's word counts only if its last change
+    /// is known here.
+    pub fn record_known(&mut self, revision: i64) {
+        self.newest = self.newest.max(revision);
+    }
+
     /// Returns all changes after `revision`, `None` if they are not known any more.
     pub fn changes_since(&self, revision: i64) -> Option<Vec<DirectoryChange>> {
         let known = self.history.iter().map(|known| &known.change);
@@ -200,6 +209,12 @@
         self.last_change
     }
 
+    /// Returns when changes will have been missing for so long that this entry has to ask for them, `None` if
+    /// none is missing.
+    pub fn behind_at(&self) -> Option<Time> {
+        self.behind_since.map(|since| since + GAP_DELAY)
+    }
+
     /// Returns whether changes have been missing for so long that this entry has to ask for them.
     pub fn is_behind(&self, now: Time) -> bool {
         (self.behind_since).is_some_and(|since| now.since(since) >= GAP_DELAY)
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -16,6 +16,7 @@
 //! - [`StartEstimate`]: whether a request can start in time, also in view of a standing queue
 //!   ([`StandingQueues`]).
 //! - [`DirectoryLog`]: the directory changes that the watching entries send to all others.
+//! - [`Freshness`]: how recent the knowledge of the key-value service is, and when to ask it.
 //! - [`CrashTracker`]: the requests that may crash the targets that run them, and whether they may be sent
 //!   ([`Standing`]).
 //! - [`Exchange`]: the state machine of one request.
@@ -29,6 +30,7 @@
 mod exchange;
 mod fleet;
 mod forward_config;
+mod freshness;
 mod limit_shares;
 mod listing;
 mod member;
@@ -66,6 +68,10 @@
 pub use forward_config::ForwardService;
 pub use forward_config::KeyHolder;
 pub use forward_config::Repeat;
+pub use freshness::Freshness;
+pub use freshness::FreshnessLimits;
+pub use freshness::FreshnessStep;
+pub use freshness::Topic;
 pub use limit_shares::Slot;
 pub use listing::Listing;
 pub use member::Demand;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -10,12 +10,14 @@
 use cw_types::ServiceName;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::DirectoryUpdate;
 use cw_wire::OutstandingWork;
 use cw_wire::Suspect;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
 use super::Fleet;
+use super::Topic;
 use super::entry_ranking::EntryRanking;
 use crate::CurrentIncarnation;
 use crate::IncarnationOrder;
@@ -29,9 +31,15 @@
 const WATCHERS: usize = 2;
 
 /// How long an entry that watches the directory may be silent before another one takes over.
-/// Changes must take effect within two seconds, even if the watching entries have stopped silently.
 const WATCHER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The delay after which each further entry takes over the watch from one that is lost. A message of the one that
+/// has taken over arrives meanwhile.
+const TAKEOVER_STEP: Duration = Duration::from_millis(50);
+
+/// The maximum number of these delays.
+const MAX_TAKEOVER_RANK: u32 = 20;
+
 /// How long the messages of other entries are valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
@@ -53,6 +61,15 @@
     }
 }
 
+/// What another entry has told of its own knowledge of one part of the directory.
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    /// As of when the entry knew all changes, `None` if the directory has not answered it recently.
+    confirmed_at: Option<Time>,
+    /// Until when it counts as watching.
+    until: Time,
+}
+
 /// The last message of one other entry.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -63,8 +80,13 @@
     shares: Vec<(TargetHash, TargetShare)>,
     /// The demand of the entry for each service, `None` if it does not tell it.
     demands: Option<BTreeMap<ServiceName, Rate>>,
-    /// Whether the entry watches the directory and the directory answers it.
-    watching: bool,
+    /// The difference between this entry's clock and that of the other one, in microseconds, as its least delayed
+    /// message shows it.
+    clock_offset: Option<i64>,
+    /// What the entry has told of the directory.
+    watches: BTreeMap<Topic, Watch>,
+    /// Whether its last message tells of the directory at all.
+    tells_directory: bool,
     /// The version of the configuration in force at the entry, 0 for none.
     config: u64,
 }
@@ -143,6 +165,38 @@
     }
 }
 
+/// Returns the difference between the own clock and that of a sender by its least delayed message, in
+/// microseconds.
+fn clock_offset(now: Time, message: &OutstandingWork, before: Option<&Peer>) -> Option<i64> {
+    let offset = message_offset(now, message)?;
+    let least = before.and_then(|peer| peer.clock_offset);
+    Some(least.map_or(offset, |least| least.min(offset)))
+}
+
+/// Returns how long a message was under way, compared with the least delayed one.
+fn message_delay(now: Time, message: &OutstandingWork, clock_offset: Option<i64>) -> Duration {
+    let delay = message_offset(now, message).zip(clock_offset);
+    let micros = delay.map_or(0, |(offset, least)| offset.saturating_sub(least));
+    Duration::from_micros(u64::try_from(micros).unwrap_or_default())
+}
+
+fn message_offset(now: Time, message: &OutstandingWork) -> Option<i64> {
+    let sent = i64::try_from(message.clock?.as_micros()).ok()?;
+    i64::try_from(now.0).ok()?.checked_sub(sent)
+}
+
+/// Returns the watches of an entry that has just told nothing of the directory.
+fn ended_watches(now: Time, peer: &Peer) -> BTreeMap<Topic, Watch> {
+    let ended = |watch: &Watch| Watch {
+        confirmed_at: None,
+        until: watch.until.min(now),
+    };
+    let watches = peer.watches.iter();
+    watches
+        .map(|(topic, watch)| (*topic, ended(watch)))
+        .collect()
+}
+
 impl Fleet {
     /// Processes a message of another entry. Returns false for a duplicate or outdated message.
     pub fn receive_peer(&mut self, now: Time, message: &OutstandingWork) -> bool {
@@ -157,13 +211,24 @@
         if known.is_some_and(is_stale) {
             return false;
         }
+        let before = known.filter(|peer| peer.incarnation.get() == message.incarnation);
+        let clock_offset = clock_offset(now, message, before);
+        let delay = message_delay(now, message, clock_offset);
+        let watches = match &message.directory {
+            Some(update) => self.told_watches(now, delay, update),
+            None => before
+                .map(|peer| ended_watches(now, peer))
+                .unwrap_or_default(),
+        };
         let peer = Peer {
             received_at: now,
             incarnation: CurrentIncarnation::new(message.incarnation),
             sequence: message.sequence,
             shares: known.map(|peer| peer.shares.clone()).unwrap_or_default(),
             demands: (message.demands.as_ref()).map(|demands| demands.iter().cloned().collect()),
-            watching: message.directory.as_ref().is_some_and(|update| update.up),
+            clock_offset,
+            watches,
+            tells_directory: message.directory.is_some(),
             config: (message.directory.iter())
                 .map(|update| update.config)
                 .fold(message.config, u64::max),
@@ -213,10 +278,71 @@
         gone
     }
 
-    /// Returns whether this entry has to watch the directory for all. It does unless
-    /// enough entries with a smaller host id watch it and get answers.
-    pub fn is_watcher(&self, now: Time) -> bool {
-        self.watchers_before(now) < WATCHERS
+    /// Returns what an update of another entry, which was under way for `delay`, says of its own knowledge.
+    fn told_watches(
+        &self,
+        now: Time,
+        delay: Duration,
+        update: &DirectoryUpdate,
+    ) -> BTreeMap<Topic, Watch> {
+        let ages = [
+            (Topic::Config, update.config_age),
+            (Topic::Targets, update.targets_age),
+        ];
+        // Entries of an earlier version tell only whether the directory answers them.
+        let is_earlier =
+            update.up && update.known == 0 && ages.iter().all(|(_, age)| age.is_none());
+        let watch = |age: Option<Duration>| {
+            let confirmed_at = age.map(|age| now.before(delay + age));
+            let until = confirmed_at.map(|at| at + self.limits.max_age);
+            Watch {
+                confirmed_at,
+                until: match is_earlier {
+                    true => now + WATCHER_TIMEOUT,
+                    false => until.unwrap_or(now).min(now + WATCHER_TIMEOUT),
+                },
+            }
+        };
+        ages.into_iter()
+            .map(|(topic, age)| (topic, watch(age)))
+            .collect()
+    }
+
+    /// Returns as of when another entry knew all changes of a part of the directory, by its last message.
+    pub fn confirmation(&self, host: &HostId, topic: Topic) -> Option<Time> {
+        self.peers
+            .peers
+            .get(host)?
+            .watches
+            .get(&topic)?
+            .confirmed_at
+    }
+
+    /// Returns whether this entry has to watch a part of the directory for all. It does unless enough
+    /// entries with a smaller host id watch it and get answers.
+    ///
+    /// After the loss of a watching entry the others take over one after the other, in the order of their host
+    /// ids, so that not all of them call the directory.
+    pub fn is_watcher(&self, now: Time, topic: Topic) -> bool {
+        let mut ends = self.watch_ends(topic);
+        let active = ends.iter().filter(|end| **end > now).count();
+        if active >= WATCHERS {
+            return false;
+        }
+        ends.sort_unstable_by_key(|end| std::cmp::Reverse(*end));
+        let Some(last) = ends.get(WATCHERS - 1) else {
+            return true;
+        };
+        let before = self
+            .peers_before()
+            .filter(|peer| !peer.tells_directory && now.since(peer.received_at) < WATCHER_TIMEOUT);
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        now >= *last + TAKEOVER_STEP.saturating_mul(rank.min(MAX_TAKEOVER_RANK))
+    }
+
+    /// Returns whether this entry has to watch any part of the directory for all.
+    pub fn is_any_watcher(&self, now: Time) -> bool {
+        self.is_watcher(now, Topic::Config) || self.is_watcher(now, Topic::Targets)
     }
 
     /// Returns whether this entry has to read the directory right after its start, for those that start
@@ -231,20 +357,25 @@
     /// Returns whether this entry writes the shared state of all entries to the store, and sends the changes
     /// of the directory to them.
     pub fn is_writer(&self, now: Time) -> bool {
-        self.watchers_before(now) == 0
+        let ends = self.watch_ends(Topic::Targets);
+        self.is_watcher(now, Topic::Targets) && ends.iter().all(|end| *end <= now)
     }
 
-    /// Returns how many active watchers have a smaller host id than this entry.
-    fn watchers_before(&self, now: Time) -> usize {
-        let Some(own) = &self.own_host else {
-            return 0;
-        };
-        self.peers
-            .peers
-            .iter()
-            .filter(|(host, peer)| *host < own && peer.watching)
-            .filter(|(_, peer)| now.since(peer.received_at) < WATCHER_TIMEOUT)
-            .count()
+    /// Returns until when each entry with a smaller host id that has watched a part of the directory counts as
+    /// watching it.
+    fn watch_ends(&self, topic: Topic) -> Vec<Time> {
+        self.peers_before()
+            .filter_map(|peer| Some(peer.watches.get(&topic)?.until))
+            .collect()
+    }
+
+    /// Returns the entries with a smaller host id than this one, none before its own is known.
+    fn peers_before(&self) -> impl Iterator<Item = &Peer> {
+        let own = self.own_host.as_ref();
+        let peers = self.peers.peers.iter();
+        peers
+            .filter(move |(host, _)| own.is_some_and(|own| *host < own))
+            .map(|(_, peer)| peer)
     }
 
     /// Returns the entries that may count the trials of a suspect, the first one of which does while it is
--- a/crates/cw_policy/tests/forward/late_knowledge.rs
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -273,6 +273,7 @@
         shares: fleet.shares(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        clock: None,
         config: 0,
         directory: None,
         crashes: CrashNews::default(),
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fixtures;
 mod fleet;
+mod freshness;
 mod late_knowledge;
 mod peers;
 mod placement;
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -8,6 +8,7 @@
 use cw_policy::forward::Fault;
 use cw_policy::forward::Fleet;
 use cw_policy::forward::Listing;
+use cw_policy::forward::Topic;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_wire::CrashNews;
@@ -38,6 +39,7 @@
         crashes: CrashNews::default(),
         limits: Vec::new(),
         demands: None,
+        clock: None,
         config: 0,
         directory: Some(DirectoryUpdate {
             up: true,
@@ -45,6 +47,9 @@
             config: 1,
             newest: 1,
             changes: Vec::new(),
+            known: 0,
+            config_age: None,
+            targets_age: None,
         }),
     }
 }
@@ -251,7 +256,10 @@
             for other in others {
                 fleet.receive_peer(at(0), &message(other, 1));
             }
-            (fleet.is_watcher(at(10)), fleet.is_writer(at(10)))
+            (
+                fleet.is_watcher(at(10), Topic::Targets),
+                fleet.is_writer(at(10)),
+            )
         })
         .collect();
 
@@ -269,11 +277,11 @@
     fleet.set_entries(&name("d"), ["a", "b"].iter().map(|host| name(host)));
     fleet.receive_peer(at(0), &message("a", 1));
     fleet.receive_peer(at(0), &message("b", 1));
-    assert!(!fleet.is_watcher(at(10)));
+    assert!(!fleet.is_watcher(at(10), Topic::Targets));
 
     fleet.expire_peers(at(5000));
 
-    assert!(fleet.is_watcher(at(5000)));
+    assert!(fleet.is_watcher(at(5000), Topic::Targets));
     assert!(fleet.is_writer(at(5000)));
 }
 
@@ -292,7 +300,7 @@
 
     fleet.receive_peer(at(10), &rejected);
 
-    assert!(fleet.is_watcher(at(20)));
+    assert!(fleet.is_watcher(at(20), Topic::Targets));
 }
 
 /// Guards against missed changes when the machines of the watchers freeze, so that no message says
@@ -304,8 +312,8 @@
     fleet.receive_peer(at(0), &message("a", 1));
     fleet.receive_peer(at(0), &message("b", 1));
 
-    assert!(!fleet.is_watcher(at(900)));
-    assert!(fleet.is_watcher(at(1100)));
+    assert!(!fleet.is_watcher(at(900), Topic::Targets));
+    assert!(fleet.is_watcher(at(1100), Topic::Targets));
 }
 
 fn address(number: u8) -> SocketAddr {
--- a/crates/cw_store/src/etcd/watch_reader.rs
+++ b/crates/cw_store/src/etcd/watch_reader.rs
@@ -1,6 +1,7 @@
 //! Parses the response stream of a watch, which has one JSON message per line.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bytes::Buf;
 use bytes::BytesMut;
@@ -107,7 +108,9 @@
         }
         if message.events.is_empty() {
             let revision = StoreRevision(message.header.revision);
-            self.pending.push_back(Ok(WatchEvent::Progress(revision)));
+            let age = Duration::ZERO;
+            self.pending
+                .push_back(Ok(WatchEvent::Progress { revision, age }));
         }
         self.pending
             .extend(message.events.into_iter().map(to_event));
--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -51,17 +51,29 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::new(Client::builder(TokioExecutor::new()))
+    }
+}
+
+impl HttpClient {
+    fn new(builder: hyper_util::client::legacy::Builder) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: builder.build(connector),
             timeout: DEFAULT_TIMEOUT,
         }
     }
-}
 
-impl HttpClient {
+    /// Creates a client that opens a connection for each call, so that none is lost on a connection that has gone
+    /// silent.
+    pub fn without_reuse() -> Self {
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.pool_max_idle_per_host(0);
+        Self::new(builder)
+    }
+
     /// Returns a client that uses the same connection pool and ends each call after `timeout`.
     #[must_use]
     pub fn with_timeout(&self, timeout: Duration) -> Self {
--- a/crates/cw_store/src/key_value_store.rs
+++ b/crates/cw_store/src/key_value_store.rs
@@ -53,8 +53,13 @@
         /// The revision of the deletion.
         revision: StoreRevision,
     },
-    /// The watch is alive; the service is at this revision and reports no change.
-    Progress(StoreRevision),
+    /// The watch is alive, and all changes up to a revision have been reported.
+    Progress {
+        /// The revision.
+        revision: StoreRevision,
+        /// How long ago, at most, the service had no later change.
+        age: Duration,
+    },
 }
 
 /// The error of a call to a service.
@@ -127,6 +132,15 @@
         .boxed()
     }
 
+    /// Returns the same as [`Self::snapshot`], over connections that are opened for it if the service supports
+    /// that: those that are open may have gone silent.
+    fn fresh_snapshot<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<(Vec<Versioned>, StoreRevision), StoreError>> {
+        self.snapshot(prefix)
+    }
+
     /// Writes `value` if the key was last changed at `expected`, and attaches the key to `lease`.
     /// If `expected` is `None`, the key must not exist.
     fn swap<'a>(
--- a/crates/cw_store/tests/etcd_gateway.rs
+++ b/crates/cw_store/tests/etcd_gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cw_store::EtcdGateway;
@@ -223,7 +224,13 @@
     let items: Vec<_> = stream.collect().await;
 
     assert_eq!(items.len(), 4);
-    assert_eq!(items[0], Ok(WatchEvent::Progress(StoreRevision(4))));
+    assert_eq!(
+        items[0],
+        Ok(WatchEvent::Progress {
+            revision: StoreRevision(4),
+            age: Duration::ZERO,
+        })
+    );
     assert!(matches!(&items[1], Ok(WatchEvent::Put(put)) if put.value == "v"));
     assert!(matches!(&items[2], Ok(WatchEvent::Deleted { .. })));
     assert!(matches!(&items[3], Err(StoreError::Unavailable { .. })));
--- a/crates/cw_testkit/tests/key_value.rs
+++ b/crates/cw_testkit/tests/key_value.rs
@@ -94,7 +94,7 @@
         match within_timeout(events.next()).await {
             Some(Ok(WatchEvent::Put(found))) => seen.push(found.key),
             Some(Ok(WatchEvent::Deleted { key, .. })) => seen.push(format!("-{key}")),
-            Some(Ok(WatchEvent::Progress(_))) => {}
+            Some(Ok(WatchEvent::Progress { .. })) => {}
             other => panic!("the watch ended: {other:?}"),
         }
     }
--- a/crates/cw_wire/src/directory_update.rs
+++ b/crates/cw_wire/src/directory_update.rs
@@ -1,6 +1,7 @@
 //! Directory changes, sent by the entries that watch the directory to those that do not.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cw_macro::data;
@@ -33,6 +34,16 @@
     pub newest: i64,
     /// The most recent changes, in order.
     pub changes: Vec<DirectoryChange>,
+    /// The revision as of which the sender knows the targets, 0 from entries of an earlier version.
+    #[serde(default)]
+    pub known: i64,
+    /// How long ago, at most, the key-value service had no newer configuration. `None` if it has not told the
+    /// sender recently, and from entries of an earlier version.
+    #[serde(default)]
+    pub config_age: Option<Duration>,
+    /// How long ago, at most, the key-value service had no newer change of the targets.
+    #[serde(default)]
+    pub targets_age: Option<Duration>,
 }
 
 /// The complete content of the directory, as known to an entry.
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -1,5 +1,7 @@
 //! The work that a forwarding entry has at the targets, as announced to the other entries.
 
+use std::time::Duration;
+
 use cw_macro::data;
 use cw_types::HostId;
 use cw_types::Incarnation;
@@ -52,6 +54,10 @@
     pub lost: Vec<TargetHash>,
     /// Prompts that the entry has sent since the last message.
     pub prompts: Vec<CachedPrompt>,
+    /// The time on the clock of the entry, from an origin of its own. Two messages show by it whether one of them
+    /// was held up. Entries of an earlier version do not send it.
+    #[serde(default)]
+    pub clock: Option<Duration>,
     /// The version of the configuration in force at the entry, 0 for none. Entries of an earlier version tell it
     /// in `directory` only.
     #[serde(default)]
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -1,10 +1,10 @@
 //! Queries the other entries for data that the key-value service does not give.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_policy::forward::Topic;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
 use http::Method;
@@ -13,7 +13,6 @@
 use log::warn;
 
 use super::directory_sync::DirectorySync;
-use super::directory_sync::Topic;
 use super::peer_api::CHANGES_PATH;
 use super::peer_api::CONFIG_PATH;
 use super::peer_api::CRASHES_PATH;
@@ -22,14 +21,13 @@
 use super::target_records::apply_listing;
 use super::target_records::set_target_count;
 
-/// How often an entry without any data queries the other entries. The service usually answers
-/// sooner.
-const PEER_QUERY_PERIOD: Duration = Duration::from_millis(250);
-
 /// The maximum number of other entries that are queried in a row. All entries may lack the same data, and
 /// each asking each other one would keep small hosts from anything else.
 const MAX_QUERIES: usize = 4;
 
+/// The timeout of a query for missing changes. The service is asked next.
+pub(super) const CHANGES_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The time between the queries of an entry that has just started. Registering takes a few milliseconds.
 const START_QUERY_PERIOD: Duration = Duration::from_millis(40);
 
@@ -48,24 +46,6 @@
 const WATCHER_START_QUERIES: u32 = 3;
 
 impl DirectorySync {
-    /// Queries the other entries while no data is known, so that startup does not wait for the
-    /// timeout of a call that the service never answers.
-    pub(super) async fn query_peers_until_known(&self) -> Infallible {
-        loop {
-            tokio::time::sleep(PEER_QUERY_PERIOD).await;
-            let is_known = {
-                let state = self.context.state();
-                match self.topic {
-                    Topic::Config => state.config.is_some(),
-                    Topic::Targets => state.directory_log.newest() > 0,
-                }
-            };
-            if !is_known {
-                self.query_peers().await;
-            }
-        }
-    }
-
     /// Takes the targets from another entry after the start, since a read of all of them takes several
     /// calls of the service. Returns whether that succeeded.
     ///
@@ -109,55 +89,63 @@
     }
 
     /// Requests missing directory changes from the entry that announced them, so that not all entries read
-    /// the service after a lost message.
-    pub(super) async fn query_missing_changes(&self) {
+    /// the service after a lost message. Returns whether that was the reason to ask, and none is missing now.
+    pub(super) async fn query_missing_changes(&self) -> bool {
         let now = self.context.now();
         let (source, newest) = {
             let mut state = self.context.state();
             if !state.directory_log.is_behind(now) {
-                return;
+                return false;
             }
             (state.directory_source.take(), state.directory_log.newest())
         };
         let Some(source) = source else {
-            return;
+            return false;
         };
         let path = format!("{CHANGES_PATH}?{newest}");
         let call = self.entries.call(Method::GET, source, &path, Bytes::new());
-        let update = match call.await {
-            Ok(answer) if answer.status == StatusCode::OK => {
+        let update = match tokio::time::timeout(CHANGES_TIMEOUT, call).await {
+            Ok(Ok(answer)) if answer.status == StatusCode::OK => {
                 cw_wire::decode::<DirectoryUpdate>(&answer.body)
             }
-            Ok(answer) => {
+            Ok(Ok(answer)) => {
                 info!(
                     entry = source.to_string(), since = newest;
                     "an entry answered a query for changes with status {}", answer.status
                 );
-                return;
+                return false;
             }
-            Err(error) => {
+            Ok(Err(error)) => {
                 info!(entry = source.to_string(); "failed to query an entry for changes: {error}");
-                return;
+                return false;
             }
-        };
-        match update {
-            Ok(update) => {
-                let now = self.context.now();
-                let mut state = self.context.state();
+            Err(_) => {
                 info!(
-                    entry = source.to_string(),
-                    changes = update.changes.len(),
-                    since = newest,
-                    newest = update.newest;
-                    "received the missing directory changes of another entry"
+                    entry = source.to_string();
+                    "an entry did not answer a query for changes within {CHANGES_TIMEOUT:?}"
                 );
-                apply_directory_update(&self.context, now, &mut state, &update);
-                set_target_count(&self.context, state.fleet.len());
+                return false;
             }
+        };
+        let update = match update {
+            Ok(update) => update,
             Err(error) => {
                 warn!(entry = source.to_string(); "failed to decode the changes of an entry: {error}");
+                return false;
             }
-        }
+        };
+        let now = self.context.now();
+        let mut state = self.context.state();
+        info!(
+            entry = source.to_string(),
+            changes = update.changes.len(),
+            since = newest,
+            newest = update.newest;
+            "received the missing directory changes of another entry"
+        );
+        apply_directory_update(&self.context, now, &mut state, &update);
+        set_target_count(&self.context, state.fleet.len());
+        !state.directory_log.is_behind(now)
     }
 
     /// Queries the other entries for data that they have announced and this entry lacks, when the service
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use cw_policy::budget::Backoff;
+use cw_policy::forward::FreshnessStep;
+use cw_policy::forward::Topic;
 use cw_store::HttpClient;
 use cw_store::KeyValueStore;
 use cw_store::StoreError;
@@ -13,6 +15,7 @@
 use cw_store::Versioned;
 use cw_store::WatchEvent;
 use cw_types::TargetId;
+use cw_types::Time;
 use cw_wire::DirectoryChange;
 use futures::StreamExt;
 use log::info;
@@ -20,6 +23,7 @@
 
 use super::crash_evidence_state::CRASHES_KEY;
 use super::crash_evidence_state::restore_evidence;
+use super::directory_query::CHANGES_TIMEOUT;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::target_records::apply_directory_change;
@@ -37,14 +41,13 @@
 /// How often an entry that does not watch the service checks whether it should.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(150);
 
-/// The part of the key-value service that is kept in sync.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Topic {
-    /// The single key that holds the configuration.
-    Config,
-    /// The keys of the target records, which share a prefix.
-    Targets,
-}
+/// How long a check waits for the service before it asks the other entries as well. The service usually answers
+/// within milliseconds.
+const PEER_DELAY: Duration = Duration::from_millis(150);
+
+/// How long an entry that has taken the targets from another one waits for the word of a watching entry. Each
+/// sends one several times a second.
+const FIRST_WORD_DELAY: Duration = Duration::from_millis(400);
 
 /// Keeps one part of the key-value service in sync.
 pub(super) struct DirectorySync {
@@ -58,33 +61,12 @@
 impl DirectorySync {
     /// Runs until the future is dropped.
     pub(super) async fn run(self) {
-        let mut failures = 0;
         if self.topic == Topic::Targets && self.start_from_peers().await {
-            self.wait_until_needed().await;
-        }
-        loop {
-            let result = tokio::select! {
-                result = self.read_and_watch(&mut failures) => result,
-                never = self.query_peers_until_known() => match never {},
-            };
-            match result {
-                Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
-                    self.record_older_read();
-                }
-                Ok(()) => {
-                    self.wait_until_needed().await;
-                    continue;
-                }
-                Err(error) => self.record_failure(&error),
-            }
-            self.query_peers().await;
-            let pause = {
-                let mut state = self.context.state();
-                BACKOFF.delay(failures, &mut state.rng)
-            };
-            failures += 1;
-            tokio::time::sleep(pause).await;
+            let now = self.context.now();
+            let mut state = self.context.state();
+            state.freshness(self.topic).rest(now + FIRST_WORD_DELAY);
         }
+        futures::future::join(self.watch_in_turn(), self.keep_fresh()).await;
     }
 
     fn prefix(&self) -> &str {
@@ -94,62 +76,176 @@
         }
     }
 
-    /// Waits until this entry has to call the service, either because it has become a watcher or
-    /// because another entry has newer data.
-    async fn wait_until_needed(&self) {
+    // ---- Watching the service for all ----
+
+    /// Watches the service while it is this entry's turn.
+    async fn watch_in_turn(&self) {
         loop {
-            let behind = self.context.directory_behind.notified();
-            // A timeout continues as well, since the role of this entry may have changed.
-            let _ = tokio::time::timeout(ROLE_CHECK_PERIOD, behind).await;
-            if self.topic == Topic::Targets {
-                self.query_missing_changes().await;
-            }
-            let now = self.context.now();
-            let state = self.context.state();
-            let is_behind = match self.topic {
-                Topic::Targets => state.directory_log.is_behind(now),
-                Topic::Config => state.config.is_none() || state.is_config_behind(),
+            tokio::time::sleep(ROLE_CHECK_PERIOD).await;
+            let Some(after) = self.watch_start() else {
+                continue;
             };
-            if is_behind || state.fleet.is_watcher(now) {
-                return;
+            if let Err(error) = self.watch(after).await {
+                self.record_failure(&error);
+                self.context.state().freshness(self.topic).expire();
+                self.context.directory_behind.notify_waiters();
             }
         }
     }
 
-    /// Reads the data, and watches it while this entry is a watcher, until a call fails.
-    async fn read_and_watch(&self, failures: &mut u32) -> Result<(), StoreError> {
-        let others = async {
-            if self.topic == Topic::Config && self.context.config().is_none() {
-                // The service may have come back from an older copy, which the others know better.
-                futures::future::join(self.restore_crash_evidence(), self.query_at_start()).await;
-            }
-        };
-        let (snapshot, ()) =
-            futures::future::join(self.store.snapshot(self.prefix()), others).await;
-        let (items, revision) = snapshot?;
-        self.record_success();
-        self.apply_snapshot(&items, revision);
-        if !self.is_watcher() {
-            return Ok(());
+    /// Returns the revision after which this entry has to watch the service, `None` if it has not to, or if
+    /// the service does not answer it.
+    fn watch_start(&self) -> Option<StoreRevision> {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        state.freshness(self.topic).own_age(now)?;
+        if !state.fleet.is_watcher(now, self.topic) {
+            return None;
+        }
+        match self.topic {
+            Topic::Config => state.config_revision,
+            Topic::Targets => Some(StoreRevision(state.directory_log.newest())),
         }
-        let mut watch = self.store.watch(self.prefix(), revision).await?;
+    }
+
+    /// Watches the service until another entry does, or a call fails.
+    async fn watch(&self, after: StoreRevision) -> Result<(), StoreError> {
+        let mut watch = self.store.watch(self.prefix(), after).await?;
         while let Some(event) = watch.next().await {
             let event = event?;
-            *failures = 0;
             self.record_success();
             match event {
-                WatchEvent::Put(item) => self.apply_put(&item),
-                WatchEvent::Deleted { key, revision } => self.apply_delete(&key, revision),
-                WatchEvent::Progress(_) => {
+                WatchEvent::Progress { revision, age } => {
+                    let now = self.context.now();
+                    self.confirm(now.before(age), revision);
                     if !self.is_watcher() {
                         return Ok(());
                     }
                 }
+                event => self.apply_event(event),
+            }
+        }
+        Ok(())
+    }
+
+    // ---- Keeping up, whoever watches ----
+
+    /// Asks the service whenever the knowledge of this entry is too old, or older than that of another one.
+    async fn keep_fresh(&self) {
+        loop {
+            let behind = self.context.directory_behind.notified();
+            tokio::pin!(behind);
+            behind.as_mut().enable();
+            match self.next_step() {
+                FreshnessStep::Rest(until) => {
+                    let until = self.context.clock.instant(until);
+                    // A timeout continues as well: the next step is due.
+                    let _ = tokio::time::timeout_at(until, behind).await;
+                }
+                FreshnessStep::Check => self.check().await,
+            }
+        }
+    }
+
+    fn next_step(&self) -> FreshnessStep {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let (is_behind, behind_at) = match self.topic {
+            Topic::Config => (state.config.is_none() || state.is_config_behind(), None),
+            Topic::Targets => (
+                state.directory_log.is_behind(now),
+                state.directory_log.behind_at(),
+            ),
+        };
+        match state.freshness(self.topic).next_step(now, is_behind) {
+            FreshnessStep::Rest(until) => {
+                let behind_at = behind_at.filter(|at| *at > now);
+                FreshnessStep::Rest(behind_at.map_or(until, |at| at.min(until)))
             }
+            FreshnessStep::Check => FreshnessStep::Check,
         }
+    }
+
+    /// Asks the service, and the other entries if it does not answer soon or does not have what they know.
+    async fn check(&self) {
+        if self.may_ask_for_changes() && self.query_missing_changes().await {
+            return;
+        }
+        let read = self.read_service();
+        tokio::pin!(read);
+        let result = match tokio::time::timeout(PEER_DELAY, read.as_mut()).await {
+            Ok(result) => result,
+            Err(_) => futures::future::join(read, self.query_peers()).await.0,
+        };
+        match &result {
+            Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
+                self.record_older_read();
+            }
+            Ok(()) => {
+                let mut state = self.context.state();
+                state.freshness(self.topic).record_success();
+                return;
+            }
+            Err(error) => self.record_failure(error),
+        }
+        self.query_peers().await;
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let state = &mut *state;
+        let failures = state.freshness(self.topic).failures();
+        let pause = BACKOFF.delay(failures, &mut state.rng);
+        state.freshness(self.topic).record_failure(now, pause);
+    }
+
+    /// Returns whether there is time to ask another entry for missing changes before the service.
+    fn may_ask_for_changes(&self) -> bool {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let time_left = state.freshness(self.topic).time_left(now);
+        self.topic == Topic::Targets && time_left >= CHANGES_TIMEOUT
+    }
+
+    /// Reads all data of the topic. A watch may stand still without an error, so the changes that one reports do
+    /// not suffice.
+    async fn read_service(&self) -> Result<(), StoreError> {
+        let started = self.context.now();
+        let (timeout, is_first) = {
+            let mut state = self.context.state();
+            let is_first = self.topic == Topic::Config && state.config.is_none();
+            (state.freshness(self.topic).check_timeout(), is_first)
+        };
+        let read = async {
+            let read = self.store.fresh_snapshot(self.prefix());
+            let timed_out = || StoreError::OutcomeUnknown {
+                message: format!("no answer within {timeout:?}"),
+            };
+            let read = tokio::time::timeout(timeout, read).await;
+            read.unwrap_or_else(|_| Err(timed_out()))
+        };
+        let others = async {
+            if is_first {
+                // The service may have come back from an older copy, which the others know better.
+                futures::future::join(self.restore_crash_evidence(), self.query_at_start()).await;
+            }
+        };
+        let (read, ()) = futures::future::join(read, others).await;
+        let (items, revision) = read?;
+        self.record_success();
+        self.apply_snapshot(&items, revision);
+        self.confirm(started, revision);
         Ok(())
     }
 
+    /// Records that all changes up to a revision are known, which the service had as its newest as of a time.
+    fn confirm(&self, as_of: Time, revision: StoreRevision) {
+        let mut state = self.context.state();
+        match self.topic {
+            Topic::Config => state.config_revision = Some(revision),
+            Topic::Targets => state.directory_log.record_known(revision.0),
+        }
+        state.freshness(self.topic).confirm(as_of);
+    }
+
     /// Reads the evidence against requests that crash targets, before the first configuration lets
     /// requests in. If that fails, requests are served all the same, and the evidence follows.
     async fn restore_crash_evidence(&self) {
@@ -176,7 +272,7 @@
 
     fn is_watcher(&self) -> bool {
         let now = self.context.now();
-        self.context.state().fleet.is_watcher(now)
+        self.context.state().fleet.is_watcher(now, self.topic)
     }
 
     // ---- State of the service ----
@@ -255,7 +351,7 @@
             differences = differences.len(),
             revision = revision.0,
             known = state.directory_log.newest(),
-            watcher = u64::from(state.fleet.is_watcher(now));
+            watcher = u64::from(state.fleet.is_watcher(now, Topic::Targets));
             "read the targets from the key-value service"
         );
         let last_change = items.iter().map(|item| item.modified.0).max();
@@ -286,10 +382,17 @@
         written.chain(deleted).collect()
     }
 
-    fn apply_put(&self, item: &Versioned) {
-        match self.topic {
-            Topic::Config => self.apply_config(item),
-            Topic::Targets => self.apply_change(&item.key, Some(item.value.clone()), item.modified),
+    fn apply_event(&self, event: WatchEvent) {
+        match event {
+            WatchEvent::Put(item) if self.topic == Topic::Config => self.apply_config(&item),
+            WatchEvent::Put(item) => {
+                self.apply_change(&item.key, Some(item.value.clone()), item.modified);
+            }
+            WatchEvent::Deleted { key, revision } if self.topic == Topic::Targets => {
+                self.apply_change(&key, None, revision);
+            }
+            // A configuration is never deleted.
+            WatchEvent::Deleted { .. } | WatchEvent::Progress { .. } => {}
         }
     }
 
@@ -328,12 +431,6 @@
         self.context.peer_update.notify_one();
     }
 
-    fn apply_delete(&self, key: &str, revision: StoreRevision) {
-        if self.topic == Topic::Targets {
-            self.apply_change(key, None, revision);
-        }
-    }
-
     /// Applies a change of the targets that this entry's watch delivered, and announces it to the
     /// other entries.
     fn apply_change(&self, key: &str, value: Option<Bytes>, revision: StoreRevision) {
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -18,12 +18,16 @@
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
 use cw_policy::forward::ForwardConfig;
+use cw_policy::forward::Freshness;
+use cw_policy::forward::FreshnessLimits;
 use cw_policy::forward::PromptLocationLimits;
 use cw_policy::forward::PromptLocations;
 use cw_policy::forward::RunTimes;
 use cw_policy::forward::StandingQueues;
+use cw_policy::forward::Topic;
 use cw_store::Dialect;
 use cw_store::HttpClient;
+use cw_store::StoreRevision;
 use cw_types::HostId;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -59,6 +63,12 @@
     pub(super) listings: BTreeMap<TargetId, Bytes>,
     /// The targets that the directory lists, with their state as seen by this entry.
     pub(super) fleet: Fleet,
+    /// The revision as of which the configuration was last read from the key-value service.
+    pub(super) config_revision: Option<StoreRevision>,
+    /// How recent the knowledge of the configuration is.
+    config_freshness: Freshness,
+    /// How recent the knowledge of the targets is.
+    targets_freshness: Freshness,
     /// The directory changes that this entry knows of.
     pub(super) directory_log: DirectoryLog,
     /// The address of the entry that announced directory changes which are missing here.
@@ -86,6 +96,14 @@
 }
 
 impl ForwardState {
+    /// Returns how recent the knowledge of a part of the key-value service is.
+    pub(super) fn freshness(&mut self, topic: Topic) -> &mut Freshness {
+        match topic {
+            Topic::Config => &mut self.config_freshness,
+            Topic::Targets => &mut self.targets_freshness,
+        }
+    }
+
     /// Returns whether another entry has a newer configuration in force than this one.
     pub(super) fn is_config_behind(&self) -> bool {
         self.config_version() < self.fleet.newest_config()
@@ -129,12 +147,17 @@
             slack: settings.budget.slack,
             window: settings.budget.window,
         };
+        let freshness = FreshnessLimits::within(settings.in_force);
         let state = ForwardState {
             config: None,
             config_bytes: None,
+            config_revision: None,
+            config_freshness: Freshness::new(freshness),
+            targets_freshness: Freshness::new(freshness),
             listings: BTreeMap::new(),
             fleet: Fleet::new(FleetLimits {
                 record_ttl: settings.lapse,
+                max_age: freshness.max_age,
                 ..FleetLimits::default()
             }),
             directory_log: DirectoryLog::default(),
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -30,6 +30,10 @@
     /// How long the directory still lists a target that has stopped.
     #[serde_as(as = "DurationText")]
     pub lapse: Duration,
+    /// The time within which a change that the key-value service has acknowledged is in force.
+    #[serde_as(as = "DurationText")]
+    #[serde(default = "default_in_force")]
+    pub in_force: Duration,
     /// The maximum duration of a graceful shutdown.
     #[serde_as(as = "DurationText")]
     pub grace: Duration,
@@ -70,6 +74,11 @@
     pub window: Duration,
 }
 
+/// Operators expect a change of the configuration to be in force within seconds.
+fn default_in_force() -> Duration {
+    Duration::from_secs(2)
+}
+
 impl ForwardSettings {
     /// Reads and validates the settings.
     ///
@@ -94,6 +103,9 @@
         if settings.budget.window.is_zero() {
             return Err(value("budget.window", "a duration above zero"));
         }
+        if settings.in_force.is_zero() {
+            return Err(value("in_force", "a duration above zero"));
+        }
         if settings.grace.is_zero() {
             return Err(value("grace", "a duration above zero"));
         }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::forward::Topic;
 use cw_store::Dialect;
 use cw_store::HttpClient;
 use cw_store::KeyValueStore;
@@ -23,7 +24,6 @@
 use super::caller_api::CallerApi;
 use super::crash_evidence_state::CrashEvidenceState;
 use super::directory_sync::DirectorySync;
-use super::directory_sync::Topic;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::forward_metrics::ForwardMetrics;
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::forward::Topic;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::Time;
@@ -89,7 +90,7 @@
         let now = self.context.now();
         let (is_watcher, count) = {
             let state = self.context.state();
-            (state.fleet.is_watcher(now), state.entry_list.len())
+            (state.fleet.is_any_watcher(now), state.entry_list.len())
         };
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         // Watchers keep the short interval for any number of entries, so that none of them is
@@ -137,11 +138,18 @@
         // The changes fill the link of a small host, so one watcher sends them. The others tell which is
         // their last, and have them for entries that miss some.
         let sends_changes = audience == Audience::All && state.fleet.is_writer(now);
-        let directory = match (state.fleet.is_watcher(now), sends_changes) {
-            (true, true) => Some(state.directory_log.update(now, &state.fleet, config)),
-            (true, false) => Some(state.directory_log.digest(now, &state.fleet, config)),
-            (false, _) => None,
-        };
+        let ages = [Topic::Config, Topic::Targets].map(|topic| state.freshness(topic).own_age(now));
+        let directory = state.fleet.is_any_watcher(now).then(|| {
+            let update = match sends_changes {
+                true => state.directory_log.update(now, &state.fleet, config),
+                false => state.directory_log.digest(now, &state.fleet, config),
+            };
+            DirectoryUpdate {
+                config_age: ages[0],
+                targets_age: ages[1],
+                ..update
+            }
+        });
         let mut shares = state.fleet.shares();
         shares.truncate(MAX_SHARES);
         OutstandingWork {
@@ -149,6 +157,7 @@
             incarnation: self.incarnation,
             sequence,
             shares,
+            clock: Some(now.since(Time::default())),
             config,
             directory,
             prompts: state.own_prompts.recorded_since(last_to_all),
@@ -191,15 +200,22 @@
         }
     }
 
-    /// Applies the directory changes that a watcher sends.
+    /// Applies what another entry that watches the directory tells of it.
     fn receive_directory(
         &self,
         now: Time,
         state: &mut ForwardState,
+        message: &OutstandingWork,
         update: &DirectoryUpdate,
         from: SocketAddr,
     ) {
-        let is_watcher = state.fleet.is_watcher(now);
+        let host = &message.host;
+        if update.config <= state.config_version()
+            && let Some(as_of) = state.fleet.confirmation(host, Topic::Config)
+        {
+            state.freshness(Topic::Config).confirm_told(as_of);
+        }
+        let is_watcher = state.fleet.is_watcher(now, Topic::Targets);
         let is_up = state.fleet.is_directory_up();
         // An entry that cannot reach the directory has no valid data, and a watcher that can reach
         // it has newer data of its own.
@@ -211,6 +227,12 @@
         }
         if apply_directory_update(&self.context, now, state, update) == AppliedUpdate::Missing {
             state.directory_source = Some(from);
+            self.context.directory_behind.notify_waiters();
+            return;
+        }
+        if let Some(as_of) = state.fleet.confirmation(host, Topic::Targets) {
+            state.directory_log.record_known(update.known);
+            state.freshness(Topic::Targets).confirm_told(as_of);
         }
     }
 
@@ -239,7 +261,7 @@
         }
         if state.fleet.receive_peer(now, message) {
             if let Some(update) = &message.directory {
-                self.receive_directory(now, &mut state, update, from);
+                self.receive_directory(now, &mut state, message, update, from);
             }
             for prompt in &message.prompts {
                 state.peer_prompts.record(now, *prompt);
