Let a stream go on only at the software version that began it

Cause: nothing read the version in the record of a target, so the next target of a stream, and the keeper of its copy, could be of any version.

A stream is bound to the software of its target when the first event is passed on. The software is a hash of the service and the version; a target whose version cannot be read has a hash of its own incarnation, which equals no other. Placement, copies, moves away from targets that leave, named limits and estimates of the start follow it, since all choose among the same candidates. A change of the version under one id is a new instance. Where no target of the version takes requests the stream ends at once. New streams prefer a version with two targets or more, and one whose targets do not leave.

--- a/crates/cw_policy/benches/peers.rs
+++ b/crates/cw_policy/benches/peers.rs
@@ -49,6 +49,7 @@
             address: ([127, 0, 0, 1], 80).into(),
             zone: "zone".parse().expect("a valid name"),
             slots: 16,
+            version: Some("v1".parse().unwrap()),
             leaving: false,
             started: Some(1),
         };
@@ -80,6 +81,7 @@
         shares: (0..targets / 10).map(share).collect(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        origins: Vec::new(),
         clock: None,
         config: 0,
         directory: None,
--- a/crates/cw_policy/src/forward/entry_ranking.rs
+++ b/crates/cw_policy/src/forward/entry_ranking.rs
@@ -5,6 +5,7 @@
 
 use cw_types::HostId;
 use cw_types::TargetId;
+use cw_wire::StreamHash;
 use cw_wire::Suspect;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -21,6 +22,10 @@
 /// not answer.
 const MAX_KEEPERS: usize = 2;
 
+/// The number of entries that are told at once which software began a stream. Even if half of all entries are
+/// killed at that moment, one of them is left most of the time; all others hear of it a second later.
+const MAX_STREAM_KEEPERS: usize = 5;
+
 /// How near this entry is to a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Nearness {
@@ -75,14 +80,30 @@
         &self,
         suspect: Suspect,
         is_heard: impl Fn(&HostId) -> bool,
+    ) -> Vec<Option<&HostId>> {
+        self.first(suspect.hash(), MAX_KEEPERS, is_heard)
+    }
+
+    /// Returns the first entries that are told of a stream at once, among this one and those that are heard.
+    pub(super) fn first_for_stream(
+        &self,
+        stream: StreamHash,
+        is_heard: impl Fn(&HostId) -> bool,
+    ) -> Vec<Option<&HostId>> {
+        self.first(stream.number(), MAX_STREAM_KEEPERS, is_heard)
+    }
+
+    fn first(
+        &self,
+        hash: u64,
+        count: usize,
+        is_heard: impl Fn(&HostId) -> bool,
     ) -> Vec<Option<&HostId>> {
         let others = self.others.iter().filter(|(_, id)| is_heard(id));
-        let others = others.map(|(host, id)| (weight(*host, suspect.hash()), Some(id)));
-        let mut ranked: Vec<_> = others
-            .chain([(weight(self.own, suspect.hash()), None)])
-            .collect();
+        let others = others.map(|(host, id)| (weight(*host, hash), Some(id)));
+        let mut ranked: Vec<_> = others.chain([(weight(self.own, hash), None)]).collect();
         ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let first = ranked.into_iter().take(MAX_KEEPERS);
+        let first = ranked.into_iter().take(count);
         first.map(|(_, id)| id).collect()
     }
 
--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -6,6 +6,7 @@
 use cw_types::ErrorKind;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::SoftwareHash;
 
 use super::Fault;
 use super::Placement;
@@ -77,6 +78,10 @@
     NoTarget,
     /// No target can start the request in time, and it was not sent.
     Crowded,
+    /// It is not known which software began the stream that the request takes up.
+    OriginUnknown,
+    /// No target has the software that began the stream.
+    VersionGone,
     /// The request crashes the targets that run it, and was not sent.
     CrashesTargets,
     /// The request may be sent only on trial, and another trial of it is in progress.
@@ -144,6 +149,8 @@
     refused: u32,
     /// Whether a part of an answer was passed on to the caller.
     begun: bool,
+    /// The software that began the stream, at which alone it goes on.
+    origin: Option<SoftwareHash>,
     /// Whether the current target has answered.
     answering: bool,
     /// The maximum silence relative to its initial value, see [`SILENCE_GROWTH`].
@@ -161,6 +168,7 @@
             runs: 0,
             refused: 0,
             begun: false,
+            origin: None,
             answering: false,
             silence_factor: 1.0,
         }
@@ -213,10 +221,23 @@
         self.copy = copy;
     }
 
-    /// Records that a part of the answer is passed on.
+    /// Records that a part of the answer is passed on. It binds a stream to the software of its target.
     pub fn record_start(&mut self) {
         self.begun = true;
         self.answering = true;
+        if let (Repeat::Resume, Some(placed)) = (self.plan.repeat, &self.placed) {
+            self.origin.get_or_insert(placed.software);
+        }
+    }
+
+    /// Records which software began the stream, of which the caller already has a part.
+    pub fn take_up(&mut self, origin: SoftwareHash) {
+        self.origin = Some(origin);
+    }
+
+    /// Returns the software that began the stream, `None` while it may begin anywhere.
+    pub fn origin(&self) -> Option<SoftwareHash> {
+        self.origin
     }
 
     /// Returns the deadline for the first answer of a target that the request is sent to now,
@@ -275,6 +296,8 @@
         match event {
             ExchangeEvent::NoTarget => self.on_no_target(now),
             ExchangeEvent::Crowded => self.end(ErrorKind::Overloaded),
+            ExchangeEvent::OriginUnknown => self.end(ErrorKind::OriginUnknown),
+            ExchangeEvent::VersionGone => self.end(ErrorKind::VersionGone),
             ExchangeEvent::CrashesTargets => self.end(ErrorKind::Quarantined),
             ExchangeEvent::TrialInProgress => self.on_trial_in_progress(now),
             ExchangeEvent::NotRun(fault) => self.on_not_run(now, fault, spend),
@@ -407,6 +430,10 @@
 
     /// Returns the action that ends the request with an error.
     fn end(&self, kind: ErrorKind) -> ExchangeStep {
+        let kind = match kind {
+            ErrorKind::VersionGone if self.runs > 0 || self.begun => ErrorKind::GenerationLost,
+            kind => kind,
+        };
         if self.begun {
             return ExchangeStep::Break(kind);
         }
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -10,6 +10,7 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
+use cw_wire::SoftwareHash;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
@@ -23,6 +24,8 @@
 use super::limit_shares;
 use super::member::Member;
 use super::peers::Peers;
+use super::software_history::SoftwareHistories;
+use super::software_history::SoftwareSize;
 use crate::CurrentIncarnation;
 use crate::IncarnationOrder;
 
@@ -91,6 +94,8 @@
     pub(super) by_hash: BTreeMap<TargetHash, TargetId>,
     /// The number of targets of each service.
     pub(super) service_sizes: BTreeMap<ServiceName, usize>,
+    /// The software versions of the targets of each service.
+    pub(super) software: SoftwareHistories,
     /// The targets that have reported a limit.
     pub(super) limited: BTreeSet<TargetId>,
     pub(super) peers: Peers,
@@ -116,6 +121,7 @@
             members: BTreeMap::new(),
             by_hash: BTreeMap::new(),
             service_sizes: BTreeMap::new(),
+            software: SoftwareHistories::default(),
             limited: BTreeSet::new(),
             peers: Peers::default(),
             own_host: None,
@@ -131,6 +137,15 @@
 
     /// Records that the directory lists a target. Returns whether the state changed.
     pub fn record_listing(&mut self, now: Time, listing: Listing) -> bool {
+        let service = listing.service.clone();
+        let is_change = self.apply_listing(now, listing);
+        if is_change {
+            self.record_software(now, &service);
+        }
+        is_change
+    }
+
+    fn apply_listing(&mut self, now: Time, listing: Listing) -> bool {
         match self.members.get_mut(&listing.id) {
             Some(member) if member.listing == listing && member.missing_since.is_none() => false,
             Some(member) if member.listing.is_same_instance(&listing) => {
@@ -174,7 +189,7 @@
             return;
         };
         if member.listing.service != listing.service {
-            self.remove_member(&listing.id);
+            self.remove_member(now, &listing.id);
             self.add_member(now, listing);
             return;
         }
@@ -184,7 +199,7 @@
         self.by_hash.insert(member.hash, member.listing.id.clone());
     }
 
-    fn remove_member(&mut self, id: &TargetId) {
+    fn remove_member(&mut self, now: Time, id: &TargetId) {
         let Some(member) = self.members.remove(id) else {
             return;
         };
@@ -193,6 +208,51 @@
         if let Some(size) = self.service_sizes.get_mut(&member.listing.service) {
             *size = size.saturating_sub(1);
         }
+        self.record_software(now, &member.listing.service);
+    }
+
+    /// Records the software of the targets of a service after a change of one of them.
+    fn record_software(&mut self, now: Time, service: &ServiceName) {
+        let members = self.members.values();
+        let members = members.filter(|member| member.listing.service == *service);
+        let mut sizes: BTreeMap<SoftwareHash, SoftwareSize> = BTreeMap::new();
+        for member in members {
+            let size = sizes.entry(member.software).or_default();
+            match member.listing.leaving {
+                true => size.leaving += 1,
+                false => size.active += 1,
+            }
+        }
+        self.software.record(now, service, sizes);
+    }
+
+    /// Records that all changes of the targets before a time are known.
+    pub fn confirm_targets(&mut self, as_of: Time) {
+        self.software.confirm(as_of);
+    }
+
+    /// Returns the software that has begun all streams of a service that are no older than `longest`, `None` if
+    /// several versions have, or if that is not certain.
+    pub fn only_software(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        longest: Duration,
+    ) -> Option<SoftwareHash> {
+        self.software.only(now, service, longest)
+    }
+
+    /// Returns the software of a target that the directory lists.
+    pub fn software(&self, id: &TargetId) -> Option<SoftwareHash> {
+        self.members.get(id).map(|member| member.software)
+    }
+
+    /// Returns the service whose targets have this software and take requests, `None` if there are none.
+    pub fn service_with(&self, software: SoftwareHash) -> Option<&ServiceName> {
+        let mut members = self.members.values();
+        let member =
+            members.find(|member| member.software == software && !member.listing.leaving)?;
+        Some(&member.listing.service)
     }
 
     /// Records that the directory no longer lists a target. Returns whether the state changed.
@@ -211,7 +271,7 @@
             return false;
         };
         if trusted || member.listing.leaving {
-            self.remove_member(id);
+            self.remove_member(now, id);
             return true;
         }
         let first = member.missing_since.is_none();
@@ -278,19 +338,23 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.remove_member(id);
+            self.remove_member(now, id);
         }
         gone
     }
 
     /// Records that an incarnation of a target has said itself that it is leaving, which its record may
     /// not say yet. Returns whether that is new.
-    pub fn record_leaving(&mut self, id: &TargetId, incarnation: Incarnation) -> bool {
+    pub fn record_leaving(&mut self, now: Time, id: &TargetId, incarnation: Incarnation) -> bool {
         let Some(member) = self.members.get_mut(id) else {
             return false;
         };
         let is_new = member.listing.incarnation() == incarnation && !member.listing.leaving;
         member.listing.leaving |= is_new;
+        if is_new {
+            let service = member.listing.service.clone();
+            self.record_software(now, &service);
+        }
         is_new
     }
 
--- a/crates/cw_policy/src/forward/forward_config.rs
+++ b/crates/cw_policy/src/forward/forward_config.rs
@@ -170,6 +170,13 @@
         self.services.keys()
     }
 
+    /// Returns the maximum duration of a request on any route.
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let timeouts = routes.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the route and the workspace of a request.
     ///
     /// # Errors
--- a/crates/cw_policy/src/forward/listing.rs
+++ b/crates/cw_policy/src/forward/listing.rs
@@ -4,8 +4,10 @@
 
 use cw_types::Incarnation;
 use cw_types::ServiceName;
+use cw_types::SoftwareVersion;
 use cw_types::TargetId;
 use cw_types::ZoneId;
+use cw_wire::SoftwareHash;
 use cw_wire::TargetHash;
 
 /// The directory's record of one target.
@@ -21,6 +23,8 @@
     pub zone: ZoneId,
     /// The maximum number of concurrent requests.
     pub slots: u32,
+    /// The version of the target's software, `None` if it is not known.
+    pub version: Option<SoftwareVersion>,
     /// Whether the target is draining and accepts no new requests.
     pub leaving: bool,
     /// The Unix time at which the target started, in milliseconds. A different time under the same
@@ -40,10 +44,19 @@
         TargetHash::of_incarnation(&self.id, self.incarnation())
     }
 
+    /// Returns the hash of the software that this incarnation runs.
+    pub fn software(&self) -> SoftwareHash {
+        match &self.version {
+            Some(version) => SoftwareHash::of_version(&self.service, version),
+            None => SoftwareHash::of_incarnation(&self.service, &self.id, self.incarnation()),
+        }
+    }
+
     /// Returns whether `other` describes the same instance of the same target, without a restart.
     pub fn is_same_instance(&self, other: &Listing) -> bool {
         self.started == other.started
             && self.address == other.address
             && self.service == other.service
+            && self.version == other.version
     }
 }
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cw_types::Time;
+use cw_wire::SoftwareHash;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
 
@@ -90,6 +91,8 @@
     pub(super) listing: Listing,
     /// The hash that identifies this incarnation in messages between entries.
     pub(super) hash: TargetHash,
+    /// The software that this incarnation runs.
+    pub(super) software: SoftwareHash,
     /// The number of this entry's requests at the target.
     pub(super) runs: u32,
     /// The prompt tokens of those requests whose answer has not begun.
@@ -135,6 +138,7 @@
     pub(super) fn new(now: Time, listing: Listing) -> Self {
         Self {
             hash: listing.hash(),
+            software: listing.software(),
             listing,
             runs: 0,
             unread: 0,
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -12,6 +12,7 @@
 //! - [`EntryList`]: the list of the other entries.
 //! - [`RunCopy`]: a copy of a run's cache memory at another engine.
 //! - [`PromptLocations`]: the target that has read each prompt.
+//! - [`StreamOrigins`]: the software version that began each stream, at which alone it goes on.
 //! - [`RunTimes`]: the mean times that targets take to read prompts and to generate answers.
 //! - [`StartEstimate`]: whether a request can start in time, also in view of a standing queue
 //!   ([`StandingQueues`]).
@@ -39,8 +40,10 @@
 mod prompt_locations;
 mod run_copy;
 mod run_times;
+mod software_history;
 mod standing_queues;
 mod start_estimate;
+mod stream_origins;
 mod suspect_keys;
 mod suspect_ledger;
 mod target_limit;
@@ -88,6 +91,8 @@
 pub use standing_queues::StandingQueues;
 pub use start_estimate::Backlog;
 pub use start_estimate::StartEstimate;
+pub use stream_origins::StreamOriginLimits;
+pub use stream_origins::StreamOrigins;
 pub use suspect_keys::SuspectKeys;
 pub use suspect_ledger::Standing;
 pub use target_sends::SendEnd;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -12,6 +12,7 @@
 use cw_types::Time;
 use cw_wire::DirectoryUpdate;
 use cw_wire::OutstandingWork;
+use cw_wire::StreamHash;
 use cw_wire::Suspect;
 use cw_wire::TargetHash;
 use cw_wire::TargetShare;
@@ -385,6 +386,13 @@
         self.ranking.first_heard(suspect, heard)
     }
 
+    /// Returns the other entries that are told at once which software began a stream, and that are asked for it.
+    pub fn stream_keepers(&self, stream: StreamHash) -> Vec<&HostId> {
+        let heard = |host: &HostId| self.peers.peers.contains_key(host);
+        let keepers = self.ranking.first_for_stream(stream, heard);
+        keepers.into_iter().flatten().collect()
+    }
+
     /// Returns the newest version of the configuration that another entry has in force, 0 for none.
     pub fn newest_config(&self) -> u64 {
         let versions = self.peers.peers.values().map(|peer| peer.config);
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -7,6 +7,7 @@
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_types::ZoneId;
+use cw_wire::SoftwareHash;
 use cw_wire::TargetHash;
 use rand::Rng;
 use rand::RngExt;
@@ -52,6 +53,14 @@
 /// high enough to avoid such a target in most cases, and lower than [`FULL_COST`].
 const ZONE_SUSPECT_COST: f64 = 10.0;
 
+/// The cost of beginning a stream at the only target with its software version, in requests. The stream ends
+/// with that target.
+const LONE_COST: f64 = 3.0;
+
+/// The cost of beginning a stream at a software version whose targets are leaving while those of another one stay,
+/// in requests. Fewer and fewer targets can take it over.
+const RETIRING_COST: f64 = 1.0;
+
 /// The upper bound of the random part of a cost, in requests. It makes entries with similar views
 /// choose different targets.
 const JITTER: f64 = 0.4;
@@ -72,6 +81,8 @@
     pub excluded: &'a BTreeSet<TargetId>,
     /// Whether another engine should keep a copy of the run.
     pub wants_copy: bool,
+    /// The software that began the stream, which only goes on at it. `None` for what may begin anywhere.
+    pub software: Option<SoftwareHash>,
     /// The target that has already read the prompt, if known.
     pub reader: Option<TargetHash>,
     /// Whether the load that other entries report is known. Otherwise the targets' own reports are
@@ -86,6 +97,8 @@
     pub target: TargetId,
     /// The incarnation of the target at the time of the choice.
     pub incarnation: Incarnation,
+    /// The software of this incarnation.
+    pub software: SoftwareHash,
     /// The target that keeps a copy of the run, if there is one.
     pub keeper: Option<TargetId>,
 }
@@ -109,15 +122,22 @@
             .wants_copy
             .then(|| self.select_keeper(now, requirements, &target, rng))
             .flatten();
+        self.placement(target, keeper)
+    }
+
+    /// Returns the placement of a request at a target that the directory lists, as it is now.
+    pub fn placement(&self, target: TargetId, keeper: Option<TargetId>) -> Option<Placement> {
+        let member = self.members.get(&target)?;
         Some(Placement {
-            incarnation: self.incarnation(&target),
+            incarnation: member.listing.incarnation(),
+            software: member.software,
             target,
             keeper,
         })
     }
 
-    /// Selects the target that keeps a copy of a run at `target`. It has free memory, and is in
-    /// another availability zone if possible.
+    /// Selects the target that keeps a copy of a run at `target`. It has the same software and free memory, and is
+    /// in another availability zone if possible.
     pub fn select_keeper(
         &self,
         now: Time,
@@ -125,9 +145,11 @@
         target: &TargetId,
         rng: &mut impl Rng,
     ) -> Option<TargetId> {
-        let zone = &self.members.get(target)?.listing.zone;
+        let source = self.members.get(target)?;
+        let zone = &source.listing.zone;
         let fits = |member: &Member| {
             member.listing.id != *target
+                && member.software == source.software
                 && member.backoff_until <= now
                 && !member.replaced
                 && !self.is_zone_suspect(now, member)
@@ -163,6 +185,7 @@
                 member.listing.service == *requirements.service && !member.listing.leaving
             })
             .filter(|member| !requirements.excluded.contains(&member.listing.id))
+            .filter(|member| requirements.fits_software(member.software))
             .filter(move |member| member.has_slot(now))
     }
 
@@ -177,6 +200,7 @@
         listing.service == *requirements.service
             && !listing.leaving
             && !requirements.excluded.contains(&listing.id)
+            && requirements.fits_software(member.software)
             && member.backoff_until <= now
             && !member.replaced
     }
@@ -200,7 +224,8 @@
                     true => ZONE_SUSPECT_COST,
                     false => 0.0,
                 };
-                let cost = cost(now, member, requirements) + suspicion + jitter;
+                let future = self.software_cost(member, requirements);
+                let cost = cost(now, member, requirements) + suspicion + future + jitter;
                 (cost, &member.listing.id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
@@ -208,6 +233,34 @@
     }
 }
 
+impl Fleet {
+    /// Returns the cost of beginning a stream at a software version that may not last as long as the stream.
+    fn software_cost(&self, member: &Member, requirements: &Requirements<'_>) -> f64 {
+        let history = self.software.get(requirements.service);
+        let Some(history) = history.filter(|history| history.is_mixed()) else {
+            return 0.0;
+        };
+        if !requirements.wants_copy || requirements.software.is_some() {
+            return 0.0;
+        }
+        let mut cost = 0.0;
+        if history.size(member.software).active < 2 {
+            cost += LONE_COST;
+        }
+        if history.is_retiring(member.software) {
+            cost += RETIRING_COST;
+        }
+        cost
+    }
+}
+
+impl Requirements<'_> {
+    /// Returns whether a target with this software may take the request.
+    fn fits_software(&self, software: SoftwareHash) -> bool {
+        self.software.is_none_or(|required| required == software)
+    }
+}
+
 /// Returns the cost of sending a request to a target, in requests.
 fn cost(now: Time, member: &Member, requirements: &Requirements<'_>) -> f64 {
     let peers = member.peers;
--- /dev/null
+++ b/crates/cw_policy/src/forward/software_history.rs
@@ -0,0 +1,126 @@
+//! Which software versions the targets of a service have had.
+//!
+//! While a service has had one version for longer than any stream lives, that version began all of its streams, and
+//! no word of another entry is needed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cw_types::ServiceName;
+use cw_types::Time;
+use cw_wire::SoftwareHash;
+
+/// The longest time without a confirmation of the targets in which no version can have come and gone unseen. The
+/// record of a target that stops lasts for longer.
+const MAX_GAP: Duration = Duration::from_secs(3);
+
+/// The targets of one service that have the same software.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct SoftwareSize {
+    /// Those that take requests.
+    pub(super) active: usize,
+    /// Those that are leaving.
+    pub(super) leaving: usize,
+}
+
+/// The software of the targets of one service, now and before.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SoftwareHistory {
+    sizes: BTreeMap<SoftwareHash, SoftwareSize>,
+    /// The only software that the service has, and since when.
+    only: Option<(SoftwareHash, Time)>,
+}
+
+impl SoftwareHistory {
+    /// Records the software of all targets of the service.
+    pub(super) fn record(&mut self, now: Time, sizes: BTreeMap<SoftwareHash, SoftwareSize>) {
+        let mut found = sizes.keys();
+        self.only = match (found.next(), found.next(), self.only) {
+            // Nothing can begin a stream without a target.
+            (None, ..) => self.only,
+            (Some(one), None, Some((known, since))) if known == *one => Some((known, since)),
+            (Some(one), None, _) => Some((*one, now)),
+            (Some(_), Some(_), _) => None,
+        };
+        self.sizes = sizes;
+    }
+
+    /// Forgets what was before, since changes may have been missed.
+    fn forget(&mut self, now: Time) {
+        self.only = self.only.map(|(software, _)| (software, now));
+    }
+
+    /// Returns the software that has begun all streams that are no older than `longest`.
+    fn only(&self, now: Time, longest: Duration) -> Option<SoftwareHash> {
+        let (software, since) = self.only?;
+        (now.since(since) >= longest).then_some(software)
+    }
+
+    /// Returns the size of a software version, 0 if the service does not have it.
+    pub(super) fn size(&self, software: SoftwareHash) -> SoftwareSize {
+        self.sizes.get(&software).copied().unwrap_or_default()
+    }
+
+    /// Returns whether the targets have more than one software version.
+    pub(super) fn is_mixed(&self) -> bool {
+        self.sizes.len() > 1
+    }
+
+    /// Returns whether targets of a version are leaving while another version loses none.
+    pub(super) fn is_retiring(&self, software: SoftwareHash) -> bool {
+        let stays = |(other, size): (&SoftwareHash, &SoftwareSize)| {
+            *other != software && size.leaving == 0 && size.active > 0
+        };
+        self.size(software).leaving > 0 && self.sizes.iter().any(stays)
+    }
+}
+
+/// The software of the targets of all services.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SoftwareHistories {
+    services: BTreeMap<ServiceName, SoftwareHistory>,
+    /// As of when the targets were last known to be complete.
+    confirmed_at: Time,
+}
+
+impl SoftwareHistories {
+    /// Returns the history of a service.
+    pub(super) fn get(&self, service: &ServiceName) -> Option<&SoftwareHistory> {
+        self.services.get(service)
+    }
+
+    /// Records the software of all targets of a service.
+    pub(super) fn record(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        sizes: BTreeMap<SoftwareHash, SoftwareSize>,
+    ) {
+        let history = self.services.entry(service.clone()).or_default();
+        history.record(now, sizes);
+    }
+
+    /// Records that all changes of the targets before a time are known.
+    pub(super) fn confirm(&mut self, as_of: Time) {
+        if as_of.since(self.confirmed_at) > MAX_GAP {
+            for history in self.services.values_mut() {
+                history.forget(as_of);
+            }
+        }
+        self.confirmed_at = self.confirmed_at.max(as_of);
+    }
+
+    /// Returns the software that has begun all streams of a service that are no older than `longest`, `None` if
+    /// several versions have, or if that is not certain.
+    pub(super) fn only(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        longest: Duration,
+    ) -> Option<SoftwareHash> {
+        if now.since(self.confirmed_at) > MAX_GAP {
+            return None;
+        }
+        self.services.get(service)?.only(now, longest)
+    }
+}
--- /dev/null
+++ b/crates/cw_policy/src/forward/stream_origins.rs
@@ -0,0 +1,160 @@
+//! Records which software began each stream.
+//!
+//! What two software versions generate does not fit together, so a stream goes on only at the version that began
+//! it. A caller may take up a stream at any entry, which has to know that version, or refuse. The entry that passes
+//! on the first event tells some entries at once and all others with its next regular message.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use cw_types::Time;
+use cw_wire::Fingerprint;
+use cw_wire::SoftwareHash;
+use cw_wire::StreamHash;
+use cw_wire::StreamOrigin;
+
+/// Limits on the recorded streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamOriginLimits {
+    /// How long a stream is kept after its last record, which is longer than a caller waits for it.
+    pub ttl: Duration,
+    /// The maximum number of records. A hundred entries begin some hundred streams a second.
+    pub capacity: usize,
+}
+
+impl Default for StreamOriginLimits {
+    fn default() -> Self {
+        Self {
+            ttl: Duration::from_secs(60),
+            capacity: 32_768,
+        }
+    }
+}
+
+/// What is known of a stream or a request.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    /// The software that began it, `None` if several did.
+    software: Option<SoftwareHash>,
+    at: Time,
+}
+
+/// The software that began each stream, from this entry's own streams and those of other entries.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    limits: StreamOriginLimits,
+    streams: BTreeMap<StreamHash, Known>,
+    requests: BTreeMap<Fingerprint, Known>,
+    /// The records in the order in which they were made, and whether this entry passes on the stream.
+    order: VecDeque<(Time, StreamOrigin, bool)>,
+}
+
+impl StreamOrigins {
+    /// Creates an empty record.
+    pub fn new(limits: StreamOriginLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Records which software began a stream that this entry passes on.
+    pub fn record_own(&mut self, now: Time, origin: StreamOrigin) {
+        self.record(now, origin, true);
+    }
+
+    /// Records what another entry tells of a stream, or what was told before a restart.
+    pub fn record_told(&mut self, now: Time, origin: StreamOrigin) {
+        self.record(now, origin, false);
+    }
+
+    fn record(&mut self, now: Time, origin: StreamOrigin, is_own: bool) {
+        merge(&mut self.streams, origin.stream, origin.software, now);
+        merge(&mut self.requests, origin.request, origin.software, now);
+        self.order.push_back((now, origin, is_own));
+        while self.order.len() > self.limits.capacity {
+            self.evict_oldest();
+        }
+    }
+
+    /// Returns the software that began a stream. A caller that does not name the attempt that began it is
+    /// recognized by its request, unless streams of several versions answer the same one.
+    pub fn find(
+        &self,
+        now: Time,
+        stream: Option<StreamHash>,
+        request: Fingerprint,
+    ) -> Option<SoftwareHash> {
+        let known = match stream {
+            Some(stream) => self.streams.get(&stream),
+            None => self.requests.get(&request),
+        };
+        let known = known.filter(|known| now.since(known.at) <= self.limits.ttl);
+        known?.software
+    }
+
+    /// Returns the streams of this entry that were recorded after `since`, newest first.
+    pub fn own_since(&self, since: Time) -> impl Iterator<Item = StreamOrigin> {
+        let recent = self.recorded_since(since);
+        recent
+            .filter(|(_, is_own)| *is_own)
+            .map(|(origin, _)| origin)
+    }
+
+    /// Returns all streams that were recorded after `since`, newest first.
+    pub fn all_since(&self, since: Time) -> impl Iterator<Item = StreamOrigin> {
+        self.recorded_since(since).map(|(origin, _)| origin)
+    }
+
+    fn recorded_since(&self, since: Time) -> impl Iterator<Item = (StreamOrigin, bool)> {
+        let records = self.order.iter().rev();
+        records
+            .take_while(move |(at, ..)| *at > since)
+            .map(|(_, origin, is_own)| (*origin, *is_own))
+    }
+
+    /// Drops expired records.
+    pub fn expire(&mut self, now: Time) {
+        while let Some((at, ..)) = self.order.front()
+            && now.since(*at) > self.limits.ttl
+        {
+            self.evict_oldest();
+        }
+    }
+
+    /// Returns the number of recorded streams.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether no stream is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    fn evict_oldest(&mut self) {
+        let Some((at, origin, _)) = self.order.pop_front() else {
+            return;
+        };
+        // What was recorded again stays until its newest record is the oldest.
+        if (self.streams.get(&origin.stream)).is_some_and(|known| known.at <= at) {
+            self.streams.remove(&origin.stream);
+        }
+        if (self.requests.get(&origin.request)).is_some_and(|known| known.at <= at) {
+            self.requests.remove(&origin.request);
+        }
+    }
+}
+
+/// Adds a record. Two that contradict each other leave nothing to go by.
+fn merge<K: Ord>(known: &mut BTreeMap<K, Known>, key: K, software: SoftwareHash, now: Time) {
+    let known = known.entry(key).or_insert(Known {
+        software: Some(software),
+        at: now,
+    });
+    if known.software != Some(software) {
+        known.software = None;
+    }
+    known.at = known.at.max(now);
+}
--- a/crates/cw_policy/tests/forward/fixtures.rs
+++ b/crates/cw_policy/tests/forward/fixtures.rs
@@ -48,6 +48,7 @@
         address: format!("127.0.{zone}.{number}:80").parse().unwrap(),
         zone: name(&format!("z{zone}")),
         slots: 12,
+        version: Some("v1".parse().unwrap()),
         leaving: false,
         started: Some(1),
     }
@@ -92,6 +93,7 @@
             zone: &self.zone,
             excluded: &self.excluded,
             wants_copy: true,
+            software: None,
             reader: None,
             peers_known: true,
         }
@@ -114,6 +116,7 @@
     Placement {
         target,
         incarnation: Incarnation(1),
+        software: listing(0, 0).software(),
         keeper,
     }
 }
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -211,7 +211,7 @@
     let mut fleet = fleet(1, 1);
     let target = engine(0, 0);
 
-    let is_new = fleet.record_leaving(&target, Incarnation(1));
+    let is_new = fleet.record_leaving(at(10), &target, Incarnation(1));
     fleet.record_listing(
         at(100),
         Listing {
--- a/crates/cw_policy/tests/forward/freshness.rs
+++ b/crates/cw_policy/tests/forward/freshness.rs
@@ -376,6 +376,7 @@
             limits: Vec::new(),
             demands: None,
             // The clocks of entries have different origins.
+            origins: Vec::new(),
             clock: Some(Duration::from_millis(now + 7000 * number as u64)),
             config: entry.version,
             directory,
@@ -467,6 +468,7 @@
         crashes: CrashNews::default(),
         limits: Vec::new(),
         demands: None,
+        origins: Vec::new(),
         clock: Some(Duration::from_millis(sent)),
         config: 1,
         directory: Some(DirectoryUpdate {
--- a/crates/cw_policy/tests/forward/late_knowledge.rs
+++ b/crates/cw_policy/tests/forward/late_knowledge.rs
@@ -163,6 +163,7 @@
         };
         let requirements = Requirements {
             wants_copy: false,
+            software: None,
             ..request.requirements()
         };
         let placed = self.fleets[entry].place(at(now), &requirements, &mut self.rng);
@@ -273,6 +274,7 @@
         shares: fleet.shares(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        origins: Vec::new(),
         clock: None,
         config: 0,
         directory: None,
@@ -357,6 +359,7 @@
         let requirements = Requirements {
             memory: None,
             wants_copy: false,
+            software: None,
             ..request.requirements()
         };
         let placed = self.fleets[entry].place(at(now), &requirements, &mut self.rng);
--- a/crates/cw_policy/tests/forward/peers.rs
+++ b/crates/cw_policy/tests/forward/peers.rs
@@ -39,6 +39,7 @@
         crashes: CrashNews::default(),
         limits: Vec::new(),
         demands: None,
+        origins: Vec::new(),
         clock: None,
         config: 0,
         directory: Some(DirectoryUpdate {
--- a/crates/cw_policy/tests/forward/target_limits.rs
+++ b/crates/cw_policy/tests/forward/target_limits.rs
@@ -132,6 +132,7 @@
         shares: Vec::new(),
         lost: Vec::new(),
         prompts: Vec::new(),
+        origins: Vec::new(),
         clock: None,
         config: 0,
         directory: None,
--- a/crates/cw_store/src/dialect.rs
+++ b/crates/cw_store/src/dialect.rs
@@ -10,6 +10,7 @@
 use cw_policy::forward::Listing;
 use cw_policy::forward::ReportedLoad;
 use cw_types::ErrorKind;
+use cw_types::Incarnation;
 use cw_types::Rate;
 use cw_types::TargetId;
 use cw_types::WorkspaceId;
@@ -39,6 +40,8 @@
     pub shared_parts: Vec<String>,
     /// The id of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream, if the caller names it.
+    pub first_attempt: Option<String>,
 }
 
 /// The values that the forwarder adds to the headers of a request to a target.
@@ -119,6 +122,13 @@
     /// Fails with the reason why no copy was made, or why its name cannot be sent to targets.
     fn parse_copy_response(&self, status: StatusCode, body: &[u8]) -> Result<String, String>;
 
+    /// Builds the request that asks a target what it is.
+    fn identity_request(&self) -> Request<Bytes>;
+
+    /// Parses the incarnation of a target from the response to an [`identity_request`](Self::identity_request),
+    /// `None` if the target does not tell it.
+    fn parse_identity(&self, body: &[u8]) -> Option<Incarnation>;
+
     /// Parses the headers of a target's response.
     fn parse_response(&self, head: &response::Parts) -> TargetResponseHead;
 
--- a/crates/cw_types/src/error_kind.rs
+++ b/crates/cw_types/src/error_kind.rs
@@ -64,6 +64,10 @@
     Quarantined,
     /// A request that may be executed only once was dispatched, and its outcome is unknown.
     OutcomeUnknown,
+    /// It is not known which software version began the stream that the request takes up.
+    OriginUnknown,
+    /// No target has the software version that began the stream that the request takes up.
+    VersionGone,
     /// The generation cannot be continued; its output so far is final.
     GenerationLost,
     /// The target itself answered with an error.
@@ -79,7 +83,7 @@
 type Row = (ErrorKind, u16, &'static str, Ran, bool, &'static str);
 
 /// The response to each kind.
-const TABLE: [Row; 21] = [
+const TABLE: [Row; 23] = [
     (
         ErrorKind::BadRequest,
         422,
@@ -216,6 +220,22 @@
         false,
         "the request was dispatched and its outcome is unknown",
     ),
+    (
+        ErrorKind::OriginUnknown,
+        503,
+        "origin_unknown",
+        Ran::No,
+        true,
+        "it is not known which version began the stream",
+    ),
+    (
+        ErrorKind::VersionGone,
+        503,
+        "version_gone",
+        Ran::No,
+        false,
+        "no target has the version that began the stream",
+    ),
     (
         ErrorKind::GenerationLost,
         502,
--- a/crates/cw_types/src/lib.rs
+++ b/crates/cw_types/src/lib.rs
@@ -46,6 +46,7 @@
 pub use name::RegionId;
 pub use name::RouteName;
 pub use name::ServiceName;
+pub use name::SoftwareVersion;
 pub use name::TargetId;
 pub use name::VersionName;
 pub use name::WorkspaceId;
--- a/crates/cw_types/src/name.rs
+++ b/crates/cw_types/src/name.rs
@@ -103,6 +103,8 @@
     ModelName;
     /// The name of a model version.
     VersionName;
+    /// The version of a target's own software, not of a model that it serves.
+    SoftwareVersion;
     /// The name of an adapter (LoRA) of a model version.
     AdapterName;
     /// The name of a priority class.
--- a/crates/cw_wire/src/outstanding_work.rs
+++ b/crates/cw_wire/src/outstanding_work.rs
@@ -15,6 +15,7 @@
 use crate::CrashNews;
 use crate::DirectoryUpdate;
 use crate::LimitNotice;
+use crate::StreamOrigin;
 use crate::TargetHash;
 
 /// The work that one entry has at one target.
@@ -62,6 +63,10 @@
     /// in `directory` only.
     #[serde(default)]
     pub config: u64,
+    /// The streams that the entry has begun or taken up since the last message, with the software that began them.
+    /// Entries of an earlier version do not send them.
+    #[serde(default)]
+    pub origins: Vec<StreamOrigin>,
     /// The directory changes, if the entry watches the directory.
     pub directory: Option<DirectoryUpdate>,
     /// Requests that may crash targets. Entries of an earlier version do not send it.
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -161,6 +161,7 @@
             config,
             directory,
             prompts: state.own_prompts.recorded_since(last_to_all),
+            origins: Vec::new(),
             lost: state.fleet.lost_since(last_to_all),
             // Each announcement is made a few times, to all.
             crashes: match audience {
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -11,6 +11,7 @@
 use cw_policy::forward::RunCopy;
 use cw_policy::forward::Slot;
 use cw_policy::forward::StartEstimate;
+use cw_types::SoftwareVersion;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::TargetHash;
@@ -37,6 +38,8 @@
     Wait(Slot),
     /// No target is available.
     NoTarget,
+    /// No target has the software that began the stream.
+    VersionGone,
     /// No target can start the request in time. One can after this delay.
     Crowded(Duration),
 }
@@ -48,6 +51,10 @@
         let context = Arc::clone(&self.context);
         let mut state = context.state();
         let state = &mut *state;
+        let origin = self.exchange.origin();
+        if origin.is_some_and(|origin| state.fleet.service_with(origin).is_none()) {
+            return PlacementChoice::VersionGone;
+        }
         let avoided = state.crashes.targets_to_avoid(self.keys.clone());
         let requirements = self.requirements(now, state, self.exchange.excluded());
         if let Some(copy) = &resume.copy
@@ -63,7 +70,8 @@
         let usable_copy = resume.copy.as_ref().filter(|copy| {
             let fleet = &state.fleet;
             let is_usable = fleet.may_have_copy(now, copy) && fleet.has_slot(now, &copy.keeper);
-            is_usable && !(is_trial && avoided.contains(&copy.keeper))
+            let is_same = origin.is_none() || fleet.software(&copy.keeper) == origin;
+            is_usable && is_same && !(is_trial && avoided.contains(&copy.keeper))
         });
         if let Some(RunCopy { keeper: target, .. }) = usable_copy {
             let keeper = state
@@ -71,12 +79,10 @@
                 .select_keeper(now, &requirements, target, &mut state.rng);
             let target = target.clone();
             state.fleet.take_slot(now, &target);
-            let placement = Placement {
-                incarnation: state.fleet.incarnation(&target),
-                target,
-                keeper,
+            return match state.fleet.placement(target, keeper) {
+                Some(placement) => PlacementChoice::Send(placement, true),
+                None => PlacementChoice::NoTarget,
             };
-            return PlacementChoice::Send(placement, true);
         }
         let apart = self.place_apart(now, state, avoided);
         let placement = match apart {
@@ -145,11 +151,7 @@
                 .select_keeper(now, &requirements, target, &mut state.rng),
             false => None,
         };
-        Some(Placement {
-            incarnation: state.fleet.incarnation(target),
-            target: target.clone(),
-            keeper,
-        })
+        state.fleet.placement(target.clone(), keeper)
     }
 
     /// Returns the decision for a request that no target takes now. A request that could not be sent
@@ -247,6 +249,7 @@
             zone: &self.context.settings.zone,
             excluded,
             wants_copy: self.request.copies && self.exchange.wants_copy(),
+            software: self.exchange.origin(),
             reader: self.prompt_reader(now, state),
             peers_known: state.fleet.peer_count() > 0,
         }
@@ -280,6 +283,10 @@
             read_before = u64::from(reader.is_some()),
             read_there = u64::from(is_reader),
             after = self.request.events.last().unwrap_or_default(),
+            resumes = self.request.head.first_attempt.as_deref().unwrap_or("none"),
+            software = state.fleet.listing(&placement.target).map_or("none", |listing| {
+                listing.version.as_ref().map_or("unknown", SoftwareVersion::as_str)
+            }),
             load:? = load,
             found:? = self.backlog,
             peers = state.fleet.peer_count();
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -141,8 +141,9 @@
     /// Records that a target says that it is leaving.
     fn record_leaving(&self, placement: &Placement) {
         let (target, incarnation) = (&placement.target, placement.incarnation);
+        let now = self.context.now();
         let mut state = self.context.state();
-        if state.fleet.record_leaving(target, incarnation) {
+        if state.fleet.record_leaving(now, target, incarnation) {
             info!(
                 request = self.request.head.id.as_str(),
                 target_id = target.as_str();
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -76,6 +76,9 @@
             PlacementChoice::Wait(_) | PlacementChoice::NoTarget => {
                 return SendOutcome::Event(ExchangeEvent::NoTarget);
             }
+            PlacementChoice::VersionGone => {
+                return SendOutcome::Event(ExchangeEvent::VersionGone);
+            }
             PlacementChoice::Crowded(after) => {
                 self.retry_after = Some(after);
                 return SendOutcome::Event(ExchangeEvent::Crowded);
