Know what began a stream at the entry where its caller takes it up, or refuse

Callers that came back to another entry got events of another software version after those that they had. Cause: a request with a last event id was placed like a new one, since no entry knew what the others had begun.

The entry that passes on the first event of a stream tells the software that began it: at once to five entries by rendezvous hashing of the id of the attempt, which callers name, and to all others with the next regular message. One entry writes the streams of the last seconds to the store, in the value that it writes once a second anyway. An entry to which a caller comes back knows the stream, or the service has had one version for longer than any stream lives, or it asks the five and three more at the same time, 150 ms at most. Otherwise it refuses with 503, origin_unknown. Two records that contradict each other count as none. If no target of the version is left it refuses with 503, version_gone. A stream whose route is split goes on at the service that began it.

--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -98,18 +98,19 @@
             objective: route.objective,
             max_pause: route.max_pause,
         };
-        let service_config = config.service(&service);
-        let accepted = AcceptedRequest {
-            memory: service_config.and_then(|service| service.memory),
-            copies: service_config.is_some_and(|service| service.copies),
-            copy_lifetime: service_config.map_or(Duration::ZERO, |service| service.copy_lifetime),
+        let mut accepted = AcceptedRequest {
+            memory: None,
+            copies: false,
+            copy_lifetime: Duration::ZERO,
             events: EventStream::after(head.last_event),
             parts,
             body,
             head,
             admitted,
-            service,
+            service: service.clone(),
+            config,
         };
+        accepted.set_service(service);
         let context = Arc::clone(&self.context);
         Ok(ExchangeDriver::new(context, accepted, Exchange::new(plan)))
     }
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -241,7 +241,10 @@
         let mut state = self.context.state();
         match self.topic {
             Topic::Config => state.config_revision = Some(revision),
-            Topic::Targets => state.directory_log.record_known(revision.0),
+            Topic::Targets => {
+                state.directory_log.record_known(revision.0);
+                state.fleet.confirm_targets(as_of);
+            }
         }
         state.freshness(self.topic).confirm(as_of);
     }
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -11,6 +11,7 @@
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::ExchangeStep;
 use cw_policy::forward::Fault;
+use cw_policy::forward::ForwardConfig;
 use cw_policy::forward::Resume;
 use cw_policy::forward::Standing;
 use cw_policy::forward::SuspectKeys;
@@ -21,6 +22,7 @@
 use cw_wire::Fingerprint;
 use cw_wire::PartHash;
 use cw_wire::PromptHash;
+use cw_wire::StreamHash;
 use dropshot::Body;
 use http::Response;
 use http::request;
@@ -34,6 +36,7 @@
 use super::refusal_response::refusal_response;
 use super::response::BufferedResponse;
 use super::send_outcome::SendOutcome;
+use super::stream_take_up::TakeUp;
 use super::trial_guard::SuspectAdmission;
 use super::trial_guard::begin_trial;
 
@@ -56,6 +59,8 @@
     pub(super) head: RequestHead,
     pub(super) admitted: Admitted,
     pub(super) service: ServiceName,
+    /// The configuration that admitted the request.
+    pub(super) config: Arc<ForwardConfig>,
     /// The cache memory of one engine in tokens, `None` for a service without engines.
     pub(super) memory: Option<u64>,
     /// Whether engines keep copies of each other's runs.
@@ -67,6 +72,15 @@
 }
 
 impl AcceptedRequest {
+    /// Sets the service that answers the request, and the settings that follow from it.
+    pub(super) fn set_service(&mut self, service: ServiceName) {
+        let settings = self.config.service(&service);
+        self.memory = settings.and_then(|settings| settings.memory);
+        self.copies = settings.is_some_and(|settings| settings.copies);
+        self.copy_lifetime = settings.map_or(Duration::ZERO, |settings| settings.copy_lifetime);
+        self.service = service;
+    }
+
     /// Returns what the request has in common with other attempts and other requests.
     fn suspect_keys(&self) -> SuspectKeys {
         let parts = self.head.shared_parts.iter();
@@ -106,6 +120,8 @@
     pub(super) keys: SuspectKeys,
     /// The hash that identifies the prompt.
     pub(super) prompt_hash: Option<PromptHash>,
+    /// The stream of the request over all tries of its caller.
+    pub(super) stream: StreamHash,
     /// The time of the last send.
     pub(super) sent_at: Time,
     /// The backlog of the target at the last send.
@@ -137,6 +153,8 @@
             state.fleet.record_demand(now, &request.service);
         }
         let prompt_hash = request.head.prompt_key.as_deref().map(PromptHash::of);
+        let first_attempt = request.head.first_attempt.as_ref();
+        let stream = StreamHash::of_attempt(first_attempt.unwrap_or(&request.head.id));
         Self {
             fingerprint: request.fingerprint(),
             keys: request.suspect_keys(),
@@ -146,6 +164,7 @@
             weights: None,
             error_response: None,
             prompt_hash,
+            stream,
             sent_at: now,
             backlog: Backlog::default(),
             loss_checks: Vec::new(),
@@ -159,7 +178,10 @@
 
     /// Returns the response. The body of a stream is sent by a task of its own.
     pub(super) async fn run(mut self) -> Response<Body> {
-        let mut step = ExchangeStep::Send(Resume::default());
+        let mut step = match self.take_up_stream().await {
+            TakeUp::Ready => ExchangeStep::Send(Resume::default()),
+            TakeUp::Refused(event) => self.next_step(event),
+        };
         loop {
             step = match step {
                 ExchangeStep::Send(resume) => match self.send(&resume).await {
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -24,6 +24,7 @@
 use cw_policy::forward::PromptLocations;
 use cw_policy::forward::RunTimes;
 use cw_policy::forward::StandingQueues;
+use cw_policy::forward::StreamOrigins;
 use cw_policy::forward::Topic;
 use cw_store::Dialect;
 use cw_store::HttpClient;
@@ -31,6 +32,7 @@
 use cw_types::HostId;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::StreamHash;
 use log::info;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -49,9 +51,12 @@
 /// deployments, 4 and 23.
 const ENTRIES_ASSUMED: u32 = 8;
 
-/// The timeout of a question for a trial. Entries are milliseconds apart, and another one is asked next.
+/// The timeout of a question that a request waits for. Entries are milliseconds apart, and another one is asked next.
 const KEEPER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The number of entries that are asked what began a stream beside those that were told at once.
+const MORE_ORIGIN_SOURCES: usize = 3;
+
 /// The mutable state of a forwarding entry.
 #[derive(Debug)]
 pub(super) struct ForwardState {
@@ -77,6 +82,10 @@
     pub(super) own_prompts: PromptLocations,
     /// The targets that have read the prompts of other entries, or those from before a restart.
     pub(super) peer_prompts: PromptLocations,
+    /// The software that began each stream.
+    pub(super) origins: StreamOrigins,
+    /// The streams that began since the last message to other entries.
+    pub(super) begun_streams: Vec<StreamHash>,
     /// The durations of prompts and runs.
     pub(super) run_times: RunTimes,
     /// The share of requests that have to wait for others.
@@ -125,13 +134,14 @@
     pub(super) pool: ConnectionPool,
     /// Triggers a message to the other entries.
     pub(super) peer_update: Notify,
-    /// Triggers a message to the entries near the targets that were sent prompts.
+    /// Triggers a message to the entries near the targets that were sent prompts, and to those that are told of
+    /// streams at once.
     pub(super) prompt_update: Notify,
     /// Signals that there is new evidence against requests that crash targets.
     pub(super) crashes_changed: Notify,
     /// Signals that another entry has newer directory data.
     pub(super) directory_behind: Notify,
-    /// The client for trials that other entries count.
+    /// The client for questions that requests wait for: trials, and what began a stream.
     pub(super) keepers: HttpClient,
     state: Mutex<ForwardState>,
 }
@@ -164,6 +174,8 @@
             directory_source: None,
             own_prompts: PromptLocations::new(PromptLocationLimits::default()),
             peer_prompts: PromptLocations::new(PromptLocationLimits::default()),
+            origins: StreamOrigins::default(),
+            begun_streams: Vec::new(),
             run_times: RunTimes::default(),
             standing_queues: StandingQueues::default(),
             crashes: CrashTracker::default(),
@@ -242,6 +254,24 @@
         sources.sample(&mut state.rng, count)
     }
 
+    /// Returns the entries that may know which software began a stream, with their addresses: those that were told
+    /// at once, and some others, which heard of it later or know that there was one version only.
+    pub(super) fn origin_sources(&self, stream: StreamHash) -> Vec<(HostId, SocketAddr)> {
+        let others = self.sample_entries(MORE_ORIGIN_SOURCES);
+        let now = self.now();
+        let state = self.state();
+        let mut addresses = state.entry_list.others(now);
+        let keepers = state.fleet.stream_keepers(stream).into_iter();
+        let keepers = keepers.filter_map(|host| addresses.remove_entry(host));
+        let mut sources: Vec<_> = keepers.collect();
+        sources.extend(
+            others
+                .into_iter()
+                .filter(|(host, _)| addresses.contains_key(host)),
+        );
+        sources
+    }
+
     pub(super) fn config(&self) -> Option<Arc<ForwardConfig>> {
         self.state().config.clone()
     }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -30,7 +30,7 @@
 use super::operator_api::OperatorApi;
 use super::peer_api::PeerApi;
 use super::peer_exchange::PeerExchange;
-use super::prompt_location_state::PromptLocationState;
+use super::recent_run_state::RecentRunState;
 use super::state_store::SharedState;
 use super::state_store::StateStore;
 use super::target_records::set_target_count;
@@ -189,7 +189,7 @@
         let (context, store) = (Arc::clone(context), Arc::clone(store));
         supervisor.supervise(name, move || {
             let state: Box<dyn SharedState> = match name {
-                "ledger" => Box::<PromptLocationState>::default(),
+                "ledger" => Box::<RecentRunState>::default(),
                 _ => Box::<CrashEvidenceState>::default(),
             };
             let store = StateStore {
@@ -280,6 +280,7 @@
         state.crashes.expire(now);
         state.own_prompts.expire(now);
         state.peer_prompts.expire(now);
+        state.origins.expire(now);
         let ForwardState {
             fleet, listings, ..
         } = &mut *state;
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -10,7 +10,7 @@
 //! - `EntryRegistry` finds the other entries, and `PeerExchange` exchanges load and directory
 //!   changes with them.
 //! - `StateStore` persists state that the entries share, in case all of them fail together: the
-//!   targets that have read recent prompts (`PromptLocationState`), and the evidence against requests
+//!   targets that have read recent prompts (`RecentRunState`), and the evidence against requests
 //!   that crash targets (`CrashEvidenceState`).
 //! - `DirectorySync` keeps the configuration and the targets in sync with the key-value service.
 
@@ -32,14 +32,15 @@
 mod peer_api;
 mod peer_exchange;
 mod placement_choice;
-mod prompt_location_state;
 mod receiving;
+mod recent_run_state;
 mod refusal_response;
 mod response;
 mod send_deadline;
 mod send_outcome;
 mod sending;
 mod state_store;
+mod stream_take_up;
 mod streaming;
 mod target_connection;
 mod target_records;
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
+use cw_wire::OriginCall;
 use cw_wire::TrialCall;
 use dropshot::Body;
 use futures::FutureExt;
@@ -15,10 +16,13 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use log::warn;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::stream_server::Handler;
 
 use super::forward_context::ForwardContext;
+use super::stream_take_up::answer_origin;
 use super::trial_guard::answer_trial;
 
 /// The path of the directory changes. The query is the revision after which they begin.
@@ -33,12 +37,15 @@
 /// The path of questions for trials of requests that may crash their targets.
 pub(super) const TRIAL_PATH: &str = "/trial";
 
-/// The maximum size of such a question. It names one request and one host.
-const MAX_TRIAL_BYTES: usize = 4096;
+/// The path of questions for the software that began a stream.
+pub(super) const ORIGIN_PATH: &str = "/origin";
 
 /// The path of the known targets.
 pub(super) const TARGETS_PATH: &str = "/targets";
 
+/// The maximum size of a question. It names one request, and a host or some services.
+const MAX_QUESTION_BYTES: usize = 4096;
+
 /// Serves the other entries.
 pub(super) struct PeerApi {
     pub(super) context: Arc<ForwardContext>,
@@ -53,7 +60,14 @@
 impl PeerApi {
     async fn respond(&self, request: Request<Body>) -> Response<Body> {
         let body = match request.uri().path() {
-            TRIAL_PATH => self.answer_trial(request.into_body()).await,
+            TRIAL_PATH => {
+                let answer = |call: &TrialCall| answer_trial(&self.context, call);
+                answer_question(request.into_body(), answer).await
+            }
+            ORIGIN_PATH => {
+                let answer = |call: &OriginCall| answer_origin(&self.context, call);
+                answer_question(request.into_body(), answer).await
+            }
             CHANGES_PATH => self.changes(request.uri().query()),
             CONFIG_PATH => self.context.state().config_bytes.clone(),
             CRASHES_PATH => self.crash_evidence(),
@@ -68,32 +82,6 @@
         response
     }
 
-    /// Answers an entry that asks for the trial of a request, `None` if it cannot be understood.
-    async fn answer_trial(&self, body: Body) -> Option<Bytes> {
-        let body = Limited::new(body, MAX_TRIAL_BYTES).collect().await;
-        let call = match body {
-            Ok(body) => cw_wire::decode::<TrialCall>(&body.to_bytes()),
-            Err(error) => {
-                warn!("failed to read a question for a trial: {error}");
-                return None;
-            }
-        };
-        let answer = match call {
-            Ok(call) => answer_trial(&self.context, &call),
-            Err(error) => {
-                warn!("failed to decode a question for a trial: {error}");
-                return None;
-            }
-        };
-        match cw_wire::encode(&answer) {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                warn!("failed to encode the answer to a question for a trial: {error}");
-                None
-            }
-        }
-    }
-
     /// Returns the evidence against requests that crash targets in encoded form, `None` if there is
     /// none.
     fn crash_evidence(&self) -> Option<Bytes> {
@@ -159,3 +147,31 @@
         }
     }
 }
+
+/// Answers the question of another entry, `None` if it cannot be understood.
+async fn answer_question<Q: DeserializeOwned, A: Serialize>(
+    body: Body,
+    answer: impl FnOnce(&Q) -> A,
+) -> Option<Bytes> {
+    let body = match Limited::new(body, MAX_QUESTION_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            warn!("failed to read the question of another entry: {error}");
+            return None;
+        }
+    };
+    let question = match cw_wire::decode::<Q>(&body) {
+        Ok(question) => question,
+        Err(error) => {
+            warn!("failed to decode the question of another entry: {error}");
+            return None;
+        }
+    };
+    match cw_wire::encode(&answer(&question)) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            warn!("failed to encode the answer to another entry: {error}");
+            None
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -40,6 +40,9 @@
 /// The maximum number of targets in a message, which must fit into one datagram.
 const MAX_SHARES: usize = 1000;
 
+/// The maximum number of streams in a message, which must fit into one datagram.
+const MAX_ORIGINS: usize = 1000;
+
 /// The maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
@@ -48,8 +51,9 @@
 enum Audience {
     /// All other entries.
     All,
-    /// Those near the targets that this entry has just sent prompts to. They choose these targets as
-    /// readily as this one; the others hear of it with the next regular message.
+    /// Those near the targets that this entry has just sent prompts to, which choose these targets as readily as
+    /// this one, and the keepers of the streams that have just begun. The others hear of both with the next
+    /// regular message.
     Near,
 }
 
@@ -114,13 +118,14 @@
         let now = self.context.now();
         let mut state = self.context.state();
         let prompted = std::mem::take(&mut state.prompted_targets);
+        let begun = std::mem::take(&mut state.begun_streams);
         let others = state.entry_list.others(now);
         if audience == Audience::All {
             return others.into_values().collect();
         }
-        let near: BTreeSet<&HostId> = (prompted.iter())
-            .flat_map(|target| state.fleet.entries_near(target))
-            .collect();
+        let near = (prompted.iter()).flat_map(|target| state.fleet.entries_near(target));
+        let keepers = (begun.iter()).flat_map(|stream| state.fleet.stream_keepers(*stream));
+        let near: BTreeSet<&HostId> = near.chain(keepers).collect();
         let known = others.iter().filter(|(host, _)| near.contains(host));
         known.map(|(_, address)| *address).collect()
     }
@@ -161,7 +166,9 @@
             config,
             directory,
             prompts: state.own_prompts.recorded_since(last_to_all),
-            origins: Vec::new(),
+            origins: (state.origins.own_since(last_to_all))
+                .take(MAX_ORIGINS)
+                .collect(),
             lost: state.fleet.lost_since(last_to_all),
             // Each announcement is made a few times, to all.
             crashes: match audience {
@@ -234,6 +241,7 @@
         if let Some(as_of) = state.fleet.confirmation(host, Topic::Targets) {
             state.directory_log.record_known(update.known);
             state.freshness(Topic::Targets).confirm_told(as_of);
+            state.fleet.confirm_targets(as_of);
         }
     }
 
@@ -267,6 +275,9 @@
             for prompt in &message.prompts {
                 state.peer_prompts.record(now, *prompt);
             }
+            for origin in &message.origins {
+                state.origins.record_told(now, *origin);
+            }
             self.receive_crashes(now, &mut state, message);
             if state.is_config_behind() {
                 self.context.directory_behind.notify_waiters();
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -250,6 +250,7 @@
                 Ok(first) if first.is_empty() => {}
                 Ok(first) => {
                     self.exchange.record_start();
+                    self.record_origin();
                     active.guard.mark_begun();
                     self.record_prompt_time(resumed);
                     return SendOutcome::Stream(Box::new(TargetStream {
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -0,0 +1,103 @@
+//! What is known of recent runs, as it is persisted: which targets have read their prompts, and which software
+//! began their streams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cw_macro::data;
+use cw_wire::CachedPrompt;
+use cw_wire::StreamOrigin;
+use cw_wire::WireError;
+use cw_wire::decode;
+use cw_wire::encode;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use log::info;
+
+use super::forward_context::ForwardContext;
+use super::state_store::SharedState;
+
+/// The key of the prompt locations.
+const PROMPTS_KEY: &str = "cyclamenwharf/prompts";
+
+/// The maximum number of prompts and of streams in the value, which keeps it far below the size limit of the
+/// service.
+const MAX_RUNS: usize = 4096;
+
+/// The maximum age of a run in the value, which is the duration of a long stream.
+const MAX_AGE: Duration = Duration::from_secs(12);
+
+/// The runs of the last seconds.
+#[data(Default)]
+struct RecentRuns {
+    prompts: Vec<CachedPrompt>,
+    origins: Vec<StreamOrigin>,
+}
+
+/// The runs that were read and written last.
+#[derive(Debug, Default)]
+pub(super) struct RecentRunState {
+    offered: RecentRuns,
+    written: RecentRuns,
+}
+
+impl SharedState for RecentRunState {
+    fn key(&self) -> &'static str {
+        PROMPTS_KEY
+    }
+
+    fn changed_value(&mut self, context: &ForwardContext) -> Result<Option<Bytes>, WireError> {
+        self.offered = recent_runs(context);
+        match self.offered == self.written {
+            true => Ok(None),
+            false => encode(&self.offered).map(Some),
+        }
+    }
+
+    fn record_written(&mut self) {
+        self.written.clone_from(&self.offered);
+    }
+
+    fn is_restored_at_start(&self) -> bool {
+        true
+    }
+
+    fn urgent_change<'a>(&'a self, _context: &'a ForwardContext) -> BoxFuture<'a, ()> {
+        std::future::pending().boxed()
+    }
+
+    fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
+        let runs = match decode::<RecentRuns>(value) {
+            Ok(runs) => runs,
+            // Entries of an earlier version write the prompts alone.
+            Err(_) => RecentRuns {
+                prompts: decode(value)?,
+                origins: Vec::new(),
+            },
+        };
+        info!(
+            prompts = runs.prompts.len(),
+            streams = runs.origins.len();
+            "restored the recent runs"
+        );
+        let now = context.now();
+        let mut state = context.state();
+        for prompt in runs.prompts {
+            state.peer_prompts.record(now, prompt);
+        }
+        for origin in runs.origins {
+            state.origins.record_told(now, origin);
+        }
+        Ok(())
+    }
+}
+
+fn recent_runs(context: &ForwardContext) -> RecentRuns {
+    let since = context.now().before(MAX_AGE);
+    let state = context.state();
+    let mut prompts = state.own_prompts.recorded_since(since);
+    prompts.extend(state.peer_prompts.recorded_since(since));
+    prompts.truncate(MAX_RUNS);
+    let origins = state.origins.all_since(since).take(MAX_RUNS).collect();
+    RecentRuns { prompts, origins }
+}
