--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_types::Incarnation;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -68,6 +69,9 @@
 /// request.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
+    /// The incarnation that has told at this connection what it is. A connection ends with its target, so later
+    /// answers on it are of the same incarnation.
+    pub(super) verified: Option<Incarnation>,
     sender: http1::SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
 }
@@ -94,6 +98,7 @@
             }
         });
         Ok(Self {
+            verified: None,
             sender,
             _driver: AbortOnDropHandle::new(driver),
         })
@@ -104,6 +109,15 @@
         self.sender.is_ready()
     }
 
+    /// Waits until a request can be sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub(super) async fn ready(&mut self) -> Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+
     /// Sends a request.
     ///
     /// # Errors
