--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -18,4 +18,5 @@
 mod prompts;
 mod several_crashing_requests;
 mod start_estimate;
+mod stream_origins;
 mod target_limits;
