Repeat the evidence of a crash in time with any number of entries

The evidence of a crash is announced three times within 450 ms, but the second and third went out with the next regular message. With 103 entries these are 1.2 s apart and with 410 entries 4.3 s, so a crash whose first announcement was lost could be known later than 3 s after it. The next message is now due when the next announcement is. The steps until a crash is known (two connection attempts, the announcements, the messages) add up to less than a second, which a test checks.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -326,6 +326,26 @@
         news
     }
 
+    /// Returns when the next announcement is due, `None` if nothing has to be told. A message goes out then,
+    /// however seldom the regular ones are.
+    pub fn next_announcement(&self) -> Option<Time> {
+        let crashes = self.announcements.iter();
+        let crashes = crashes.filter(|(id, _)| self.ledger.crash(id).is_some());
+        let cleared = self.cleared.values();
+        crashes
+            .map(|(_, announcement)| announcement)
+            .chain(cleared.map(|(_, announcement)| announcement))
+            .chain(&self.full_announcement)
+            .filter(|announcement| !announcement.is_over())
+            .map(|announcement| announcement.next_at)
+            .min()
+    }
+
+    /// Returns the time from a crash being found until it has been told for the last time.
+    pub fn announcement_time() -> Duration {
+        ANNOUNCEMENT_DELAYS.iter().sum()
+    }
+
     /// Records that another entry has appeared, which may know nothing.
     pub fn record_new_entry(&mut self, now: Time) {
         self.full_announcement = Some(Announcement::new(now));
--- a/crates/cw_policy/tests/forward/crash_tracker.rs
+++ b/crates/cw_policy/tests/forward/crash_tracker.rs
@@ -122,6 +122,28 @@
     assert_eq!(announced, 3);
 }
 
+/// Guards against evidence that is repeated with the regular messages only: with hundreds of entries these are
+/// seconds apart, and a crash whose first announcement was lost was known too late.
+#[test]
+fn a_crash_is_told_in_time_however_seldom_the_regular_messages_are() {
+    // Finding a crash takes two connection attempts of 250 ms and two delays of 20 ms at most, a message 5 ms, and
+    // the platform's rules count from three seconds after a crash.
+    let found = Duration::from_millis(2 * 250 + 2 * 20);
+    let message = Duration::from_millis(5);
+    let mut tracker = CrashTracker::default();
+    crash(&mut tracker, at(0), 0, 0, &[1]);
+
+    let mut told = Vec::new();
+    while let Some(due) = tracker.next_announcement() {
+        told.push(due);
+        assert!(!tracker.news(due).is_empty(), "{told:?}");
+    }
+
+    assert_eq!(told, [0, 150, 450].map(at));
+    let sum = found + CrashTracker::announcement_time() + 3 * message;
+    assert!(sum < Duration::from_secs(3), "{sum:?}");
+}
+
 /// Guards against refusing requests whose connection broke while their target went on.
 #[rstest]
 fn a_request_lost_at_a_target_that_runs_is_not_suspected() {
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -92,9 +92,11 @@
     /// Waits until a message is due, and returns to whom.
     async fn next_audience(&self, last_to_all: Time) -> Audience {
         let now = self.context.now();
-        let (is_watcher, count) = {
+        let (is_watcher, count, announcement) = {
             let state = self.context.state();
-            (state.fleet.is_any_watcher(now), state.entry_list.len())
+            let is_watcher = state.fleet.is_any_watcher(now);
+            let announcement = state.crashes.next_announcement();
+            (is_watcher, state.entry_list.len(), announcement)
         };
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         // Watchers keep the short interval for any number of entries, so that none of them is
@@ -103,7 +105,9 @@
             true => MAX_SEND_INTERVAL,
             false => MAX_SEND_INTERVAL + INTERVAL_PER_ENTRY.saturating_mul(count),
         };
-        let due = self.context.clock.instant(last_to_all + interval);
+        let due = last_to_all + interval;
+        let due = announcement.map_or(due, |at| due.min(at));
+        let due = self.context.clock.instant(due);
         tokio::select! {
             biased;
             () = self.context.peer_update.notified() => Audience::All,
