Start without the store as soon as another entry answers, and log late knowledge

An entry that started while the store was silent waited for the time-out of its calls before it asked the others again: the questions of the start now end after 300 ms together, and while a read is under way the others are asked as soon as they announce newer data. What keeps an entry's knowledge from being up to date is logged with the topic, the failures so far and the result, and so is the end of it; nothing told a check of the configuration that failed.

--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -34,14 +34,13 @@
 /// The number of these queries, after which the entry reads the service itself.
 const START_QUERIES: u32 = 25;
 
+/// How often an entry that waits for the service looks whether another entry has announced newer data.
+const ANNOUNCEMENT_POLL_PERIOD: Duration = Duration::from_millis(50);
+
 /// How often an entry that has just started looks whether it knows the others. Reading the registry takes some
 /// milliseconds, and no request is served meanwhile.
 const REGISTRY_POLL_PERIOD: Duration = Duration::from_millis(10);
 
-/// How long an entry that has just started looks for others with a newer configuration than the service has.
-/// It refuses all requests meanwhile, and some of the others may not answer.
-const CONFIG_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The same number for an entry that watches the service if none has the targets.
 const WATCHER_START_QUERIES: u32 = 3;
 
@@ -165,21 +164,27 @@
 
     /// Queries some other entries at the same time, before this one has any configuration.
     pub(super) async fn query_at_start(&self) {
-        let queries = async {
-            while !self.context.state().entry_list.is_registry_read() {
-                tokio::time::sleep(REGISTRY_POLL_PERIOD).await;
+        while !self.context.state().entry_list.is_registry_read() {
+            tokio::time::sleep(REGISTRY_POLL_PERIOD).await;
+        }
+        let entries = self.context.sample_entries(MAX_QUERIES);
+        let queries = entries
+            .iter()
+            .map(|(entry, address)| self.query_entry(entry.as_str(), *address));
+        futures::future::join_all(queries).await;
+    }
+
+    /// Queries the other entries as soon as they announce data that this one lacks, until it has that.
+    pub(super) async fn query_peers_until_current(&self) {
+        while !self.is_missing_updates() {
+            tokio::time::sleep(ANNOUNCEMENT_POLL_PERIOD).await;
+        }
+        loop {
+            self.query_peers().await;
+            if !self.is_missing_updates() {
+                return;
             }
-            let entries = self.context.sample_entries(MAX_QUERIES);
-            let queries = entries
-                .iter()
-                .map(|(entry, address)| self.query_entry(entry.as_str(), *address));
-            futures::future::join_all(queries).await;
-        };
-        if tokio::time::timeout(CONFIG_QUERY_TIMEOUT, queries)
-            .await
-            .is_err()
-        {
-            info!("some entries did not answer a query for the configuration in time");
+            tokio::time::sleep(ANNOUNCEMENT_POLL_PERIOD).await;
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -24,6 +24,7 @@
 use super::crash_evidence_state::CRASHES_KEY;
 use super::crash_evidence_state::restore_evidence;
 use super::directory_query::CHANGES_TIMEOUT;
+use super::exchange_driver::millis;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::target_records::apply_directory_change;
@@ -45,6 +46,9 @@
 /// within milliseconds.
 const PEER_DELAY: Duration = Duration::from_millis(150);
 
+/// How long an entry that has just started asks the service for the evidence of crashes, and other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long an entry that has taken the targets from another one waits for the word of a watching entry. Each
 /// sends one several times a second.
 const FIRST_WORD_DELAY: Duration = Duration::from_millis(400);
@@ -175,15 +179,19 @@
         tokio::pin!(read);
         let result = match tokio::time::timeout(PEER_DELAY, read.as_mut()).await {
             Ok(result) => result,
-            Err(_) => futures::future::join(read, self.query_peers()).await.0,
+            Err(_) => tokio::select! {
+                result = read.as_mut() => result,
+                () = self.query_peers_until_current() => Err(StoreError::OutcomeUnknown {
+                    message: "another entry answered sooner".to_owned(),
+                }),
+            },
         };
         match &result {
             Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
                 self.record_older_read();
             }
             Ok(()) => {
-                let mut state = self.context.state();
-                state.freshness(self.topic).record_success();
+                self.record_current();
                 return;
             }
             Err(error) => self.record_failure(error),
@@ -194,9 +202,31 @@
         let state = &mut *state;
         let failures = state.freshness(self.topic).failures();
         let pause = BACKOFF.delay(failures, &mut state.rng);
+        info!(
+            topic:? = self.topic,
+            failures = failures + 1,
+            pause_ms = millis(pause),
+            result:? = result;
+            "failed to bring the knowledge of the key-value service up to date"
+        );
         state.freshness(self.topic).record_failure(now, pause);
     }
 
+    /// Records that the knowledge of this entry is up to date.
+    fn record_current(&self) {
+        let mut state = self.context.state();
+        let freshness = state.freshness(self.topic);
+        let failures = freshness.failures();
+        freshness.record_success();
+        if failures > 0 {
+            info!(
+                topic:? = self.topic,
+                failures = failures;
+                "the knowledge of the key-value service is up to date again"
+            );
+        }
+    }
+
     /// Returns whether there is time to ask another entry for missing changes before the service.
     fn may_ask_for_changes(&self) -> bool {
         let now = self.context.now();
@@ -223,9 +253,14 @@
             read.unwrap_or_else(|_| Err(timed_out()))
         };
         let others = async {
-            if is_first {
-                // The service may have come back from an older copy, which the others know better.
-                futures::future::join(self.restore_crash_evidence(), self.query_at_start()).await;
+            if !is_first {
+                return;
+            }
+            // The service may have come back from an older copy, which the others know better.
+            let queries =
+                futures::future::join(self.restore_crash_evidence(), self.query_at_start());
+            if tokio::time::timeout(START_TIMEOUT, queries).await.is_err() {
+                info!("what is asked for before the first configuration did not all come in time");
             }
         };
         let (read, ()) = futures::future::join(read, others).await;
