Refuse no stream because its entry has just started and knows nothing yet

Cause: an entry without any target took the version of a stream for gone, and the streams of the last seconds were read from the store beside the first requests, not before them.

A version is gone only for an entry that knows the targets; until then the request waits for a target as others do. The streams are read with the evidence of crashes before the first configuration lets requests in, for 300 ms at most.

--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -27,6 +27,8 @@
 use super::exchange_driver::millis;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
+use super::recent_run_state::RUNS_KEY;
+use super::recent_run_state::restore_runs;
 use super::target_records::apply_directory_change;
 use super::target_records::apply_listing;
 use super::target_records::set_target_count;
@@ -46,7 +48,8 @@
 /// within milliseconds.
 const PEER_DELAY: Duration = Duration::from_millis(150);
 
-/// How long an entry that has just started asks the service for the evidence of crashes, and other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
+/// How long an entry that has just started asks the service for the evidence of crashes and for recent runs, and
+/// other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long an entry that has taken the targets from another one waits for the word of a watching entry. Each
@@ -257,8 +260,11 @@
                 return;
             }
             // The service may have come back from an older copy, which the others know better.
-            let queries =
-                futures::future::join(self.restore_crash_evidence(), self.query_at_start());
+            let queries = futures::future::join3(
+                self.restore_crash_evidence(),
+                self.restore_recent_runs(),
+                self.query_at_start(),
+            );
             if tokio::time::timeout(START_TIMEOUT, queries).await.is_err() {
                 info!("what is asked for before the first configuration did not all come in time");
             }
@@ -299,6 +305,20 @@
         }
     }
 
+    /// Reads which software began the streams that callers may take up at once, before the first configuration
+    /// lets requests in.
+    async fn restore_recent_runs(&self) {
+        match self.store.get(RUNS_KEY).await {
+            Ok(None) => {}
+            Ok(Some(item)) => {
+                if let Err(error) = restore_runs(&self.context, &item.value) {
+                    warn!("failed to decode the recent runs: {error}");
+                }
+            }
+            Err(error) => info!("failed to read the recent runs: {error}"),
+        }
+    }
+
     pub(super) fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
         if let Err(error) = restore_evidence(&self.context, value) {
             warn!(
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -32,6 +32,7 @@
 use cw_types::HostId;
 use cw_types::TargetId;
 use cw_types::Time;
+use cw_wire::SoftwareHash;
 use cw_wire::StreamHash;
 use log::info;
 use rand::SeedableRng;
@@ -113,6 +114,12 @@
         }
     }
 
+    /// Returns whether no target with this software takes requests. An entry that has just started does not know
+    /// the targets yet.
+    pub(super) fn is_version_gone(&self, software: SoftwareHash) -> bool {
+        self.directory_log.newest() > 0 && self.fleet.service_with(software).is_none()
+    }
+
     /// Returns whether another entry has a newer configuration in force than this one.
     pub(super) fn is_config_behind(&self) -> bool {
         self.config_version() < self.fleet.newest_config()
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -52,7 +52,7 @@
         let mut state = context.state();
         let state = &mut *state;
         let origin = self.exchange.origin();
-        if origin.is_some_and(|origin| state.fleet.service_with(origin).is_none()) {
+        if origin.is_some_and(|origin| state.is_version_gone(origin)) {
             return PlacementChoice::VersionGone;
         }
         let avoided = state.crashes.targets_to_avoid(self.keys.clone());
--- a/crates/cyclamenwharf/src/forward/recent_run_state.rs
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -18,7 +18,7 @@
 use super::state_store::SharedState;
 
 /// The key of the prompt locations.
-const PROMPTS_KEY: &str = "cyclamenwharf/prompts";
+pub(super) const RUNS_KEY: &str = "cyclamenwharf/prompts";
 
 /// The maximum number of prompts and of streams in the value, which keeps it far below the size limit of the
 /// service.
@@ -43,7 +43,7 @@
 
 impl SharedState for RecentRunState {
     fn key(&self) -> &'static str {
-        PROMPTS_KEY
+        RUNS_KEY
     }
 
     fn changed_value(&mut self, context: &ForwardContext) -> Result<Option<Bytes>, WireError> {
@@ -58,8 +58,9 @@
         self.written.clone_from(&self.offered);
     }
 
+    /// The runs are read before the first configuration lets requests in.
     fn is_restored_at_start(&self) -> bool {
-        true
+        false
     }
 
     fn urgent_change<'a>(&'a self, _context: &'a ForwardContext) -> BoxFuture<'a, ()> {
@@ -67,29 +68,38 @@
     }
 
     fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
-        let runs = match decode::<RecentRuns>(value) {
-            Ok(runs) => runs,
-            // Entries of an earlier version write the prompts alone.
-            Err(_) => RecentRuns {
-                prompts: decode(value)?,
-                origins: Vec::new(),
-            },
-        };
-        info!(
-            prompts = runs.prompts.len(),
-            streams = runs.origins.len();
-            "restored the recent runs"
-        );
-        let now = context.now();
-        let mut state = context.state();
-        for prompt in runs.prompts {
-            state.peer_prompts.record(now, prompt);
-        }
-        for origin in runs.origins {
-            state.origins.record_told(now, origin);
-        }
-        Ok(())
+        restore_runs(context, value)
+    }
+}
+
+/// Adds the runs that entries before a restart have written.
+///
+/// # Errors
+///
+/// Fails if the value cannot be decoded.
+pub(super) fn restore_runs(context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
+    let runs = match decode::<RecentRuns>(value) {
+        Ok(runs) => runs,
+        // Entries of an earlier version write the prompts alone.
+        Err(_) => RecentRuns {
+            prompts: decode(value)?,
+            origins: Vec::new(),
+        },
+    };
+    info!(
+        prompts = runs.prompts.len(),
+        streams = runs.origins.len();
+        "restored the recent runs"
+    );
+    let now = context.now();
+    let mut state = context.state();
+    for prompt in runs.prompts {
+        state.peer_prompts.record(now, prompt);
+    }
+    for origin in runs.origins {
+        state.origins.record_told(now, origin);
     }
+    Ok(())
 }
 
 fn recent_runs(context: &ForwardContext) -> RecentRuns {
--- a/crates/cyclamenwharf/src/forward/stream_take_up.rs
+++ b/crates/cyclamenwharf/src/forward/stream_take_up.rs
@@ -50,23 +50,21 @@
             return TakeUp::Refused(ExchangeEvent::OriginUnknown);
         };
         self.exchange.take_up(software);
-        let service = {
+        let (service, is_gone) = {
             let state = self.context.state();
-            state.fleet.service_with(software).cloned()
+            let service = state.fleet.service_with(software).cloned();
+            (service, state.is_version_gone(software))
         };
-        match service.filter(|service| call.services.contains(service)) {
-            Some(service) => {
-                if service != self.request.service {
-                    self.request.set_service(service);
-                }
-                self.record_take_up(source);
-                TakeUp::Ready
-            }
-            None => {
-                self.record_take_up("no target with this version");
-                TakeUp::Refused(ExchangeEvent::VersionGone)
-            }
+        let is_routed = |service: &ServiceName| call.services.contains(service);
+        if is_gone || !service.as_ref().is_none_or(is_routed) {
+            self.record_take_up("no target with this version");
+            return TakeUp::Refused(ExchangeEvent::VersionGone);
+        }
+        if let Some(service) = service.filter(|service| *service != self.request.service) {
+            self.request.set_service(service);
         }
+        self.record_take_up(source);
+        TakeUp::Ready
     }
 
     fn record_take_up(&self, source: &str) {
