Keep the role of watching the store where it is, and ask the store before taking it

Three causes were found: an entry that started again with the smallest host id heard from the others that its knowledge was recent, so it had no word of its own and did not watch, but it wrote the shared state beside the entry that watched; the word of a watching entry lasted no longer than what entries go by themselves, so the role changed whenever a message was late; and an entry that started waited for the slowest of four answers, after its own registration.

The role lasts 2 s after the last word, and an entry that is to watch asks the store first if it has no recent word. An entry that starts reads the records of the others before it registers, and one answer suffices. Of the bound of 2 s a check takes 0.35 s and the age of what is known 1.5 s, so that late messages cause fewer checks.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -16,7 +16,6 @@
 
 use super::Demand;
 use super::Fault;
-use super::FreshnessLimits;
 use super::Listing;
 use super::ReportedLoad;
 use super::entry_ranking::EntryRanking;
@@ -48,8 +47,6 @@
     pub relist_grace: Duration,
     /// How long the directory still lists a target that has stopped.
     pub record_ttl: Duration,
-    /// How recent the word of the directory must be for an entry that watches it.
-    pub max_age: Duration,
 }
 
 impl Default for FleetLimits {
@@ -57,7 +54,6 @@
         Self {
             relist_grace: Duration::from_secs(2),
             record_ttl: Duration::from_secs(4),
-            max_age: FreshnessLimits::default().max_age,
         }
     }
 }
@@ -87,7 +83,7 @@
 /// The targets that the directory lists, with their state as seen by this entry.
 #[derive(Clone, Debug)]
 pub struct Fleet {
-    pub(super) limits: FleetLimits,
+    limits: FleetLimits,
     directory: Directory,
     pub(super) members: BTreeMap<TargetId, Member>,
     /// The targets by the hash that messages between entries name them by.
--- a/crates/cw_policy/src/forward/freshness.rs
+++ b/crates/cw_policy/src/forward/freshness.rs
@@ -11,7 +11,7 @@
 use cw_types::Time;
 
 /// The share of the time until a change must be in force that a question to the service may take.
-const CHECK_SHARE: f64 = 0.25;
+const CHECK_SHARE: f64 = 0.175;
 
 /// The share of that time for late timers, busy processors and the change itself.
 const RESERVE_SHARE: f64 = 0.075;
@@ -119,7 +119,8 @@
         self.failures = 0;
     }
 
-    /// Records that a watch of the service has failed, so that the knowledge is checked at once.
+    /// Forgets all confirmations, so that the service is asked at once: a watch of it has failed, or this entry is
+    /// to watch it for the others and has no word of its own.
     pub fn expire(&mut self) {
         self.own_at = None;
         self.confirmed_at = None;
--- a/crates/cw_policy/src/forward/peers.rs
+++ b/crates/cw_policy/src/forward/peers.rs
@@ -41,6 +41,10 @@
 /// The maximum number of these delays.
 const MAX_TAKEOVER_RANK: u32 = 20;
 
+/// How long the word of the directory lasts for an entry that watches it. It is longer than what entries go by
+/// themselves, as the role only saves calls and each change of it costs some.
+const WATCH_TTL: Duration = Duration::from_millis(2000);
+
 /// How long the messages of other entries are valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLimits {
@@ -186,6 +190,30 @@
     i64::try_from(now.0).ok()?.checked_sub(sent)
 }
 
+/// Returns what an update of another entry, which was under way for `delay`, says of its own knowledge.
+fn told_watches(now: Time, delay: Duration, update: &DirectoryUpdate) -> BTreeMap<Topic, Watch> {
+    let ages = [
+        (Topic::Config, update.config_age),
+        (Topic::Targets, update.targets_age),
+    ];
+    // Entries of an earlier version tell only whether the directory answers them.
+    let is_earlier = update.up && update.known == 0 && ages.iter().all(|(_, age)| age.is_none());
+    let watch = |age: Option<Duration>| {
+        let confirmed_at = age.map(|age| now.before(delay + age));
+        let until = confirmed_at.map(|at| at + WATCH_TTL);
+        Watch {
+            confirmed_at,
+            until: match is_earlier {
+                true => now + WATCHER_TIMEOUT,
+                false => until.unwrap_or(now).min(now + WATCHER_TIMEOUT),
+            },
+        }
+    };
+    ages.into_iter()
+        .map(|(topic, age)| (topic, watch(age)))
+        .collect()
+}
+
 /// Returns the watches of an entry that has just told nothing of the directory.
 fn ended_watches(now: Time, peer: &Peer) -> BTreeMap<Topic, Watch> {
     let ended = |watch: &Watch| Watch {
@@ -216,7 +244,7 @@
         let clock_offset = clock_offset(now, message, before);
         let delay = message_delay(now, message, clock_offset);
         let watches = match &message.directory {
-            Some(update) => self.told_watches(now, delay, update),
+            Some(update) => told_watches(now, delay, update),
             None => before
                 .map(|peer| ended_watches(now, peer))
                 .unwrap_or_default(),
@@ -279,36 +307,6 @@
         gone
     }
 
-    /// Returns what an update of another entry, which was under way for `delay`, says of its own knowledge.
-    fn told_watches(
-        &self,
-        now: Time,
-        delay: Duration,
-        update: &DirectoryUpdate,
-    ) -> BTreeMap<Topic, Watch> {
-        let ages = [
-            (Topic::Config, update.config_age),
-            (Topic::Targets, update.targets_age),
-        ];
-        // Entries of an earlier version tell only whether the directory answers them.
-        let is_earlier =
-            update.up && update.known == 0 && ages.iter().all(|(_, age)| age.is_none());
-        let watch = |age: Option<Duration>| {
-            let confirmed_at = age.map(|age| now.before(delay + age));
-            let until = confirmed_at.map(|at| at + self.limits.max_age);
-            Watch {
-                confirmed_at,
-                until: match is_earlier {
-                    true => now + WATCHER_TIMEOUT,
-                    false => until.unwrap_or(now).min(now + WATCHER_TIMEOUT),
-                },
-            }
-        };
-        ages.into_iter()
-            .map(|(topic, age)| (topic, watch(age)))
-            .collect()
-    }
-
     /// Returns as of when another entry knew all changes of a part of the directory, by its last message.
     pub fn confirmation(&self, host: &HostId, topic: Topic) -> Option<Time> {
         self.peers
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -7,6 +7,8 @@
 use cw_policy::forward::Topic;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::Method;
 use http::StatusCode;
 use log::info;
@@ -168,10 +170,16 @@
             tokio::time::sleep(REGISTRY_POLL_PERIOD).await;
         }
         let entries = self.context.sample_entries(MAX_QUERIES);
-        let queries = entries
+        let mut queries: FuturesUnordered<_> = entries
             .iter()
-            .map(|(entry, address)| self.query_entry(entry.as_str(), *address));
-        futures::future::join_all(queries).await;
+            .map(|(entry, address)| self.query_entry(entry.as_str(), *address))
+            .collect();
+        // One answer suffices: each of the others has had the newest configuration for a while.
+        while let Some(is_answered) = queries.next().await {
+            if is_answered {
+                return;
+            }
+        }
     }
 
     /// Queries the other entries as soon as they announce data that this one lacks, until it has that.
@@ -188,8 +196,8 @@
         }
     }
 
-    /// Queries one other entry for the data of the topic, and applies it.
-    async fn query_entry(&self, entry: &str, address: SocketAddr) {
+    /// Queries one other entry for the data of the topic, and applies it. Returns whether it has any.
+    async fn query_entry(&self, entry: &str, address: SocketAddr) -> bool {
         let path = match self.topic {
             Topic::Config => CONFIG_PATH,
             Topic::Targets => TARGETS_PATH,
@@ -199,10 +207,13 @@
         }
         let call = self.entries.call(Method::GET, address, path, Bytes::new());
         match call.await {
-            Ok(answer) if answer.status == StatusCode::OK => match self.topic {
-                Topic::Config => self.activate_config(&answer.body, entry),
-                Topic::Targets => self.apply_peer_snapshot(entry, &answer.body),
-            },
+            Ok(answer) if answer.status == StatusCode::OK => {
+                match self.topic {
+                    Topic::Config => self.activate_config(&answer.body, entry),
+                    Topic::Targets => self.apply_peer_snapshot(entry, &answer.body),
+                }
+                return true;
+            }
             // The other entry has just started too.
             Ok(answer) if answer.status == StatusCode::NOT_FOUND => {}
             Ok(answer) => info!(
@@ -211,6 +222,7 @@
             ),
             Err(error) => info!(entry = entry; "failed to query an entry: {error}"),
         }
+        false
     }
 
     /// Asks another entry for the evidence against requests that crash targets, before its
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -101,14 +101,18 @@
     }
 
     /// Returns the revision after which this entry has to watch the service, `None` if it has not to, or if
-    /// the service does not answer it.
+    /// the service has not answered it recently. In the second case it asks the service first.
     fn watch_start(&self) -> Option<StoreRevision> {
         let now = self.context.now();
         let mut state = self.context.state();
-        state.freshness(self.topic).own_age(now)?;
         if !state.fleet.is_watcher(now, self.topic) {
             return None;
         }
+        if state.freshness(self.topic).own_age(now).is_none() {
+            state.freshness(self.topic).expire();
+            self.context.directory_behind.notify_waiters();
+            return None;
+        }
         match self.topic {
             Topic::Config => state.config_revision,
             Topic::Targets => Some(StoreRevision(state.directory_log.newest())),
--- a/crates/cyclamenwharf/src/forward/entry_registry.rs
+++ b/crates/cyclamenwharf/src/forward/entry_registry.rs
@@ -64,6 +64,10 @@
     pub(super) async fn run(self) {
         let mut registration = None;
         let mut failures: u32 = 0;
+        // An entry that starts asks others for a newer configuration, before its own registration.
+        if let Err(error) = self.read_records().await {
+            info!("failed to read the records of the other entries: {error}");
+        }
         loop {
             let period = match self.run_round(&mut registration).await {
                 Ok(()) => CHECK_PERIOD,
@@ -97,6 +101,7 @@
                     lease,
                     renewed_at: now,
                 });
+                self.read_records().await?;
             }
             if let Some(known) = registration {
                 known.renewed_at = now;
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -174,7 +174,6 @@
             listings: BTreeMap::new(),
             fleet: Fleet::new(FleetLimits {
                 record_ttl: settings.lapse,
-                max_age: freshness.max_age,
                 ..FleetLimits::default()
             }),
             directory_log: DirectoryLog::default(),
