Ask for the first configuration with a pause until there is one

An entry without a configuration counted as behind, and being behind asks at once.

It is behind only if another entry has a newer version; otherwise the age of what is known decides, and the watching entries see the first version at once.

--- a/crates/cw_policy/tests/forward/freshness.rs
+++ b/crates/cw_policy/tests/forward/freshness.rs
@@ -35,7 +35,7 @@
 const WATCH_TIMEOUT: u64 = 1350;
 
 /// The longest time that the store takes for an answer, in milliseconds.
-const CHECK_TIME: u64 = 500;
+const CHECK_TIME: u64 = 350;
 
 /// The time between two messages of an entry, in milliseconds.
 const MESSAGE_PERIOD: u64 = 200;
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -162,7 +162,7 @@
         let now = self.context.now();
         let mut state = self.context.state();
         let (is_behind, behind_at) = match self.topic {
-            Topic::Config => (state.config.is_none() || state.is_config_behind(), None),
+            Topic::Config => (state.is_config_behind(), None),
             Topic::Targets => (
                 state.directory_log.is_behind(now),
                 state.directory_log.behind_at(),
