--- a/crates/cw_policy/src/forward/forward_config.rs
+++ b/crates/cw_policy/src/forward/forward_config.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// A service: a group of interchangeable targets.
+/// A service: a group of targets, any of which may begin a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardService {
     /// The maximum number of connections to one target, summed over all entries.
--- a/crates/cw_policy/src/forward/software_history.rs
+++ b/crates/cw_policy/src/forward/software_history.rs
@@ -7,9 +7,12 @@
 use std::time::Duration;
 
 use cw_types::ServiceName;
+use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::SoftwareHash;
 
+use super::Fleet;
+
 /// The longest time without a confirmation of the targets in which no version can have come and gone unseen. The
 /// record of a target that stops lasts for longer.
 const MAX_GAP: Duration = Duration::from_secs(3);
@@ -124,3 +127,49 @@
         self.services.get(service)?.only(now, longest)
     }
 }
+
+impl Fleet {
+    /// Records the software of the targets of a service after a change of one of them.
+    pub(super) fn record_software(&mut self, now: Time, service: &ServiceName) {
+        let members = self.members.values();
+        let members = members.filter(|member| member.listing.service == *service);
+        let mut sizes: BTreeMap<SoftwareHash, SoftwareSize> = BTreeMap::new();
+        for member in members {
+            let size = sizes.entry(member.software).or_default();
+            match member.listing.leaving {
+                true => size.leaving += 1,
+                false => size.active += 1,
+            }
+        }
+        self.software.record(now, service, sizes);
+    }
+
+    /// Records that all changes of the targets before a time are known.
+    pub fn confirm_targets(&mut self, as_of: Time) {
+        self.software.confirm(as_of);
+    }
+
+    /// Returns the software that has begun all streams of a service that are no older than `longest`, `None` if
+    /// several versions have, or if that is not certain.
+    pub fn only_software(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        longest: Duration,
+    ) -> Option<SoftwareHash> {
+        self.software.only(now, service, longest)
+    }
+
+    /// Returns the software of a target that the directory lists.
+    pub fn software(&self, id: &TargetId) -> Option<SoftwareHash> {
+        self.members.get(id).map(|member| member.software)
+    }
+
+    /// Returns the service whose targets have this software and take requests, `None` if there are none.
+    pub fn service_with(&self, software: SoftwareHash) -> Option<&ServiceName> {
+        let mut members = self.members.values();
+        let member =
+            members.find(|member| member.software == software && !member.listing.leaving)?;
+        Some(&member.listing.service)
+    }
+}
--- /dev/null
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -0,0 +1,225 @@
+//! Asks the key-value service whenever what this entry knows of it is too old, or older than what another entry
+//! has announced.
+
+use std::time::Duration;
+
+use cw_policy::budget::Backoff;
+use cw_policy::forward::FreshnessStep;
+use cw_policy::forward::Topic;
+use cw_store::StoreError;
+use log::info;
+use log::warn;
+
+use super::crash_evidence_state::CRASHES_KEY;
+use super::crash_evidence_state::restore_evidence;
+use super::directory_query::CHANGES_TIMEOUT;
+use super::directory_sync::DirectorySync;
+use super::exchange_driver::millis;
+use super::recent_run_state::RUNS_KEY;
+use super::recent_run_state::restore_runs;
+
+/// The delay after failed calls. The service charges for failed calls too, and its data must be
+/// applied within seconds of its recovery.
+const BACKOFF: Backoff = Backoff {
+    base: Duration::from_millis(100),
+    max: Duration::from_millis(800),
+};
+
+/// How long a check waits for the service before it asks the other entries as well. The service usually answers
+/// within milliseconds.
+const PEER_DELAY: Duration = Duration::from_millis(150);
+
+/// How long an entry that has just started asks the service for the evidence of crashes and for recent runs, and
+/// other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl DirectorySync {
+    /// Asks the service whenever the knowledge of this entry is too old, or older than that of another one.
+    pub(super) async fn keep_fresh(&self) {
+        loop {
+            let behind = self.context.directory_behind.notified();
+            tokio::pin!(behind);
+            behind.as_mut().enable();
+            match self.next_step() {
+                FreshnessStep::Rest(until) => {
+                    let until = self.context.clock.instant(until);
+                    // A timeout continues as well: the next step is due.
+                    let _ = tokio::time::timeout_at(until, behind).await;
+                }
+                FreshnessStep::Check => self.check().await,
+            }
+        }
+    }
+
+    fn next_step(&self) -> FreshnessStep {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let (is_behind, behind_at) = match self.topic {
+            Topic::Config => (state.is_config_behind(), None),
+            Topic::Targets => (
+                state.directory_log.is_behind(now),
+                state.directory_log.behind_at(),
+            ),
+        };
+        match state.freshness(self.topic).next_step(now, is_behind) {
+            FreshnessStep::Rest(until) => {
+                let behind_at = behind_at.filter(|at| *at > now);
+                FreshnessStep::Rest(behind_at.map_or(until, |at| at.min(until)))
+            }
+            FreshnessStep::Check => FreshnessStep::Check,
+        }
+    }
+
+    /// Asks the service, and the other entries if it does not answer soon or does not have what they know.
+    async fn check(&self) {
+        if self.may_ask_for_changes() && self.query_missing_changes().await {
+            return;
+        }
+        let read = self.read_service();
+        tokio::pin!(read);
+        let result = match tokio::time::timeout(PEER_DELAY, read.as_mut()).await {
+            Ok(result) => result,
+            Err(_) => tokio::select! {
+                result = read.as_mut() => result,
+                () = self.query_peers_until_current() => Err(StoreError::OutcomeUnknown {
+                    message: "another entry answered sooner".to_owned(),
+                }),
+            },
+        };
+        match &result {
+            Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
+                self.record_older_read();
+            }
+            Ok(()) => {
+                self.record_current();
+                return;
+            }
+            Err(error) => self.record_failure(error),
+        }
+        self.query_peers().await;
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let state = &mut *state;
+        let failures = state.freshness(self.topic).failures();
+        let pause = BACKOFF.delay(failures, &mut state.rng);
+        info!(
+            topic:? = self.topic,
+            failures = failures + 1,
+            pause_ms = millis(pause),
+            result:? = result;
+            "failed to bring the knowledge of the key-value service up to date"
+        );
+        state.freshness(self.topic).record_failure(now, pause);
+    }
+
+    /// Records that the knowledge of this entry is up to date.
+    fn record_current(&self) {
+        let mut state = self.context.state();
+        let freshness = state.freshness(self.topic);
+        let failures = freshness.failures();
+        freshness.record_success();
+        if failures > 0 {
+            info!(
+                topic:? = self.topic,
+                failures = failures;
+                "the knowledge of the key-value service is up to date again"
+            );
+        }
+    }
+
+    /// Returns whether there is time to ask another entry for missing changes before the service.
+    fn may_ask_for_changes(&self) -> bool {
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let time_left = state.freshness(self.topic).time_left(now);
+        self.topic == Topic::Targets && time_left >= CHANGES_TIMEOUT
+    }
+
+    /// Reads all data of the topic. A watch may stand still without an error, so the changes that one reports do
+    /// not suffice.
+    async fn read_service(&self) -> Result<(), StoreError> {
+        let started = self.context.now();
+        let (timeout, is_first) = {
+            let mut state = self.context.state();
+            let is_first = self.topic == Topic::Config && state.config.is_none();
+            (state.freshness(self.topic).check_timeout(), is_first)
+        };
+        let read = async {
+            let read = self.store.fresh_snapshot(self.prefix());
+            let timed_out = || StoreError::OutcomeUnknown {
+                message: format!("no answer within {timeout:?}"),
+            };
+            let read = tokio::time::timeout(timeout, read).await;
+            read.unwrap_or_else(|_| Err(timed_out()))
+        };
+        let others = async {
+            if !is_first {
+                return;
+            }
+            // The service may have come back from an older copy, which the others know better.
+            let queries = futures::future::join3(
+                self.restore_crash_evidence(),
+                self.restore_recent_runs(),
+                self.query_at_start(),
+            );
+            if tokio::time::timeout(START_TIMEOUT, queries).await.is_err() {
+                info!("what is asked for before the first configuration did not all come in time");
+            }
+        };
+        let (read, ()) = futures::future::join(read, others).await;
+        let (items, revision) = read?;
+        self.record_success();
+        self.apply_snapshot(&items, revision);
+        self.confirm(started, revision);
+        Ok(())
+    }
+
+    /// Reads the evidence against requests that crash targets, before the first configuration lets
+    /// requests in. If that fails, requests are served all the same, and the evidence follows.
+    async fn restore_crash_evidence(&self) {
+        let found = match self.store.get(CRASHES_KEY).await {
+            Ok(found) => found,
+            Err(error) => {
+                info!("failed to read the evidence of requests that crash targets: {error}");
+                return;
+            }
+        };
+        if let Some(item) = found {
+            self.apply_crash_evidence("the key-value service", &item.value);
+        }
+    }
+
+    /// Reads which software began the streams that callers may take up at once, before the first configuration
+    /// lets requests in.
+    async fn restore_recent_runs(&self) {
+        match self.store.get(RUNS_KEY).await {
+            Ok(None) => {}
+            Ok(Some(item)) => {
+                if let Err(error) = restore_runs(&self.context, &item.value) {
+                    warn!("failed to decode the recent runs: {error}");
+                }
+            }
+            Err(error) => info!("failed to read the recent runs: {error}"),
+        }
+    }
+
+    pub(super) fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
+        if let Err(error) = restore_evidence(&self.context, value) {
+            warn!(
+                source = source;
+                "failed to decode the evidence of requests that crash targets: {error}"
+            );
+        }
+    }
+
+    /// Logs that the service has an older configuration than another entry, since it has come back from an
+    /// older copy or does not have the newest change yet.
+    fn record_older_read(&self) {
+        let state = self.context.state();
+        info!(
+            version = state.config_version(),
+            announced = state.fleet.newest_config();
+            "the key-value service has an older configuration than another entry"
+        );
+    }
+}
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -12,12 +12,14 @@
 //! - `StateStore` persists state that the entries share, in case all of them fail together: the
 //!   targets that have read recent prompts (`RecentRunState`), and the evidence against requests
 //!   that crash targets (`CrashEvidenceState`).
-//! - `DirectorySync` keeps the configuration and the targets in sync with the key-value service.
+//! - `DirectorySync` keeps the configuration and the targets in sync with the key-value service: it watches the
+//!   service in turn with other entries, and checks it (`directory_check`) whenever its knowledge is too old.
 
 mod caller_api;
 mod connection_pool;
 mod copy_renewal;
 mod crash_evidence_state;
+mod directory_check;
 mod directory_query;
 mod directory_sync;
 mod entry_registry;
@@ -43,6 +45,7 @@
 mod stream_take_up;
 mod streaming;
 mod target_connection;
+mod target_identity;
 mod target_records;
 mod trial_guard;
 
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -1,7 +1,6 @@
 //! Performs one send of a request, from the choice of the target to the outcome.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cw_policy::forward::CopyName;
@@ -11,15 +10,12 @@
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
 use cw_store::TargetRequestHead;
-use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::CachedPrompt;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use log::info;
 
@@ -36,12 +32,6 @@
 use super::trial_guard::SuspectAdmission;
 use super::trial_guard::TrialGuard;
 
-/// The timeout of the question what a target is. It is answered without waiting for other requests.
-const IDENTITY_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// The maximum size of the answer, which lists the runs of the target.
-const MAX_IDENTITY_BYTES: usize = 256 << 10;
-
 /// The target of a send, with the copy that it resumes from and the time limit.
 pub(super) struct Destination {
     pub(super) placement: Placement,
@@ -52,16 +42,6 @@
     pub(super) give_up_at: Option<Time>,
 }
 
-/// Whether a connection leads to the incarnation of the target that was selected.
-enum Verification {
-    /// It does, or the target does not tell.
-    Expected,
-    /// It leads to another incarnation.
-    Other,
-    /// The target did not answer.
-    Failed,
-}
-
 /// The action after a connection breaks before the answer.
 enum AfterBreak {
     /// Send the request to the same target on a new connection, since no part of it was sent.
@@ -179,31 +159,13 @@
         let keeper = destination.placement.keeper.as_ref();
         let copy_guard = keeper.map(|keeper| CopyGuard::acquire(&self.context, keeper, demand));
         let pooled = self.context.pool.take(now, id, destination.address).await;
+        let pooled = pooled.map_err(|error| self.on_unreachable(id, &error))?;
+        let mut may_have_run = false;
         let PooledConnection {
             mut connection,
             mut reused,
-        } = pooled.map_err(|error| self.on_unreachable(id, &error))?;
-        let mut may_have_run = false;
-        let mut has_reconnected = false;
+        } = self.verified(destination, pooled, may_have_run).await?;
         loop {
-            match self.verify_incarnation(destination, &mut connection).await {
-                Verification::Expected => {}
-                Verification::Other => {
-                    let event = ExchangeEvent::NotRun(Fault::Replaced);
-                    return Err(event.after_earlier_run(may_have_run));
-                }
-                // The connection may have been idle for too long, or have ended with the answer.
-                Verification::Failed if !has_reconnected => {
-                    has_reconnected = true;
-                    connection = self.reconnect(destination, may_have_run).await?;
-                    reused = false;
-                    continue;
-                }
-                Verification::Failed => {
-                    let event = ExchangeEvent::NotRun(Fault::Unreachable);
-                    return Err(event.after_earlier_run(may_have_run));
-                }
-            }
             guard.mark_sent(destination.placement.incarnation, &self.keys);
             let request = self.build_request(now, destination);
             let error = match self
@@ -233,88 +195,30 @@
                     return Err(event);
                 }
             }
-            connection = self.reconnect(destination, may_have_run).await?;
-            reused = false;
+            let fresh = self.reconnect(destination, may_have_run).await?;
+            PooledConnection { connection, reused } =
+                self.verified(destination, fresh, may_have_run).await?;
         }
     }
 
-    /// Asks the target what it is before it runs a stream, unless it has told at this connection. It may have
-    /// started again under its id with another software version while its record still names the one before.
-    async fn verify_incarnation(
-        &self,
-        destination: &Destination,
-        connection: &mut TargetConnection,
-    ) -> Verification {
-        let Placement {
-            target,
-            incarnation,
-            ..
-        } = &destination.placement;
-        let is_stream = self.exchange.plan().repeat == Repeat::Resume;
-        // A record without a start time tells nothing that could be compared.
-        let is_unknown = *incarnation == Incarnation::default();
-        if !is_stream || is_unknown || connection.verified == Some(*incarnation) {
-            return Verification::Expected;
-        }
-        let found = tokio::time::timeout(IDENTITY_TIMEOUT, self.ask_identity(connection)).await;
-        let found = found.unwrap_or_else(|_| Err(format!("no answer within {IDENTITY_TIMEOUT:?}")));
-        match found {
-            Ok(None) => {}
-            Ok(Some(found)) if found == *incarnation => {}
-            Ok(Some(found)) => {
-                info!(
-                    request = self.request.head.id.as_str(),
-                    target_id = target.as_str(),
-                    expected = incarnation.0,
-                    found = found.0;
-                    "a target has started again, and its record does not say so yet"
-                );
-                self.context.pool.close(target);
-                return Verification::Other;
-            }
-            Err(error) => {
-                info!(
-                    request = self.request.head.id.as_str(),
-                    target_id = target.as_str();
-                    "failed to ask a target what it is: {error}"
-                );
-                return Verification::Failed;
-            }
-        }
-        connection.verified = Some(*incarnation);
-        Verification::Expected
-    }
-
-    /// Returns the incarnation that a target tells, `None` if it tells none.
-    async fn ask_identity(
-        &self,
-        connection: &mut TargetConnection,
-    ) -> Result<Option<Incarnation>, String> {
-        let call = self.context.dialect.identity_request();
-        let answer = connection.send(call.map(Full::new)).await;
-        let answer = answer.map_err(|error| error.to_string())?;
-        let body = Limited::new(answer.into_body(), MAX_IDENTITY_BYTES).collect();
-        let body = body.await.map_err(|error| error.to_string())?.to_bytes();
-        connection
-            .ready()
-            .await
-            .map_err(|error| error.to_string())?;
-        Ok(self.context.dialect.parse_identity(&body))
-    }
-
     /// Connects to the target again after a connection has broken.
-    async fn reconnect(
+    pub(super) async fn reconnect(
         &self,
         destination: &Destination,
         may_have_run: bool,
-    ) -> Result<TargetConnection, ExchangeEvent> {
+    ) -> Result<PooledConnection, ExchangeEvent> {
         let id = &destination.placement.target;
         self.context.pool.close(id);
-        let connected = TargetConnection::connect(destination.address).await;
-        connected.map_err(|error| {
-            let event = self.on_unreachable(id, &error);
-            event.after_earlier_run(may_have_run)
-        })
+        match TargetConnection::connect(destination.address).await {
+            Ok(connection) => Ok(PooledConnection {
+                connection,
+                reused: false,
+            }),
+            Err(error) => {
+                let event = self.on_unreachable(id, &error);
+                Err(event.after_earlier_run(may_have_run))
+            }
+        }
     }
 
     /// Charges the budget for a repeat at the same target. Returns whether the budget and the limit of
