Pause before another read of targets that do not bring what was announced

A read of the targets that succeeds and does not bring what another entry has announced left the entry behind, and it read again without a pause. Such a read counts as one that has not brought the knowledge up to date, as it does for the configuration, and the line of the log tells the topic.

--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -51,15 +51,23 @@
         }
     }
 
+    /// Returns whether another entry has announced newer data than this one has.
+    fn is_behind(&self) -> bool {
+        let now = self.context.now();
+        let state = self.context.state();
+        match self.topic {
+            Topic::Config => state.is_config_behind(),
+            Topic::Targets => state.directory_log.is_behind(now),
+        }
+    }
+
     fn next_step(&self) -> FreshnessStep {
+        let is_behind = self.is_behind();
         let now = self.context.now();
         let mut state = self.context.state();
-        let (is_behind, behind_at) = match self.topic {
-            Topic::Config => (state.is_config_behind(), None),
-            Topic::Targets => (
-                state.directory_log.is_behind(now),
-                state.directory_log.behind_at(),
-            ),
+        let behind_at = match self.topic {
+            Topic::Config => None,
+            Topic::Targets => state.directory_log.behind_at(),
         };
         match state.freshness(self.topic).next_step(now, is_behind) {
             FreshnessStep::Rest(until) => {
@@ -87,9 +95,7 @@
             },
         };
         match &result {
-            Ok(()) if self.topic == Topic::Config && self.is_missing_updates() => {
-                self.record_older_read();
-            }
+            Ok(()) if self.is_behind() => self.record_older_read(),
             Ok(()) => {
                 self.record_current();
                 return;
@@ -212,14 +218,16 @@
         }
     }
 
-    /// Logs that the service has an older configuration than another entry, since it has come back from an
-    /// older copy or does not have the newest change yet.
+    /// Logs that the service has older data than another entry, since it has come back from an older copy or does
+    /// not have the newest change yet.
     fn record_older_read(&self) {
         let state = self.context.state();
         info!(
+            topic:? = self.topic,
             version = state.config_version(),
-            announced = state.fleet.newest_config();
-            "the key-value service has an older configuration than another entry"
+            announced = state.fleet.newest_config(),
+            revision = state.directory_log.newest();
+            "the key-value service has older data than another entry"
         );
     }
 }
