Log what clears a suspect, and crashes that count against nobody

The hypotheses on the request that was sent on after three crashes could not be told apart: nothing was logged when a request was cleared of its crashes, when the crash of a target could not be recorded, and when a check found a target that had not answered alive or could not decide.

Each has a line now, with what was seen: the status of an answer, the end of a stream, or its events. No decision changes. The lines come once for each suspect with crashes, so their volume is bounded by that of crashes.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -145,16 +145,17 @@
     }
 
     /// Records that a request has run at a target past the moment at which a request that crashes its target
-    /// ends it. Neither the crashes so far nor a later one of this target count against it.
+    /// ends it. Neither the crashes so far nor a later one of this target count against it. Returns the suspects
+    /// that are cleared by that, each with the number of its crashes.
     pub fn record_run_on(
         &mut self,
         now: Time,
         target: &TargetId,
         id: SendId,
         keys: impl Into<SuspectKeys>,
-    ) {
+    ) -> Vec<(Suspect, usize)> {
         self.sends.record_run_on(target, id);
-        self.record_completion(now, keys);
+        self.record_completion(now, keys)
     }
 
     /// Records that an incarnation of a target has crashed. Returns the requests that may be the
@@ -179,16 +180,25 @@
         suspects
     }
 
-    /// Records that a request has completed, so that the crashes so far do not count against it.
-    pub fn record_completion(&mut self, now: Time, keys: impl Into<SuspectKeys>) {
+    /// Records that a request has completed, so that the crashes so far do not count against it. Returns the suspects
+    /// that are cleared by that, each with the number of its crashes.
+    pub fn record_completion(
+        &mut self,
+        now: Time,
+        keys: impl Into<SuspectKeys>,
+    ) -> Vec<(Suspect, usize)> {
+        let mut cleared = Vec::new();
         for suspect in keys.into().iter() {
+            let crashes = self.ledger.crash_count(suspect);
             if self.ledger.clear(suspect) {
                 self.trials.clear(suspect);
                 let announcement = Announcement::new(now);
                 self.cleared
                     .insert(suspect, (ledger_time(now), announcement));
+                cleared.push((suspect, crashes));
             }
         }
+        cleared
     }
 
     // ---- The decision ----
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -9,6 +9,7 @@
 use cw_types::Incarnation;
 use cw_types::TargetId;
 use cw_wire::TrialEnd;
+use log::info;
 
 use super::forward_context::ForwardContext;
 use super::trial_guard::TrialGuard;
@@ -77,15 +78,26 @@
         self.set_trial_end(TrialEnd::NotRun);
     }
 
-    /// Records that the request has run past the moment at which one that crashes its target ends it.
-    pub(super) fn mark_run_on(&mut self, keys: &SuspectKeys) {
+    /// Records that the request has run past the moment at which one that crashes its target ends it. `evidence`
+    /// says in the log how that was seen.
+    pub(super) fn mark_run_on(&mut self, keys: &SuspectKeys, evidence: &str) {
         self.set_trial_end(TrialEnd::RanOn);
         self.trial = None;
-        if let Some(send) = self.send {
-            let now = self.context.now();
-            let mut state = self.context.state();
-            let crashes = &mut state.crashes;
-            crashes.record_run_on(now, &self.target, send, keys.clone());
+        let Some(send) = self.send else {
+            return;
+        };
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let crashes = &mut state.crashes;
+        let cleared = crashes.record_run_on(now, &self.target, send, keys.clone());
+        for (suspect, crashes) in cleared {
+            info!(
+                suspect = suspect.to_string(),
+                target_id = self.target.as_str(),
+                crashes = crashes,
+                evidence = evidence;
+                "a suspect has run on and is cleared of its crashes"
+            );
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/loss_check.rs
+++ b/crates/cyclamenwharf/src/forward/loss_check.rs
@@ -65,7 +65,11 @@
         match self.find().await {
             Finding::Alive => self.context.state().crashes.record_alive(&self.target),
             Finding::Crashed => record_crash(&self.context, &self.target, "the connection check"),
-            Finding::Unknown => {}
+            Finding::Unknown => info!(
+                target_id = self.target.as_str(),
+                fault:? = self.fault;
+                "it is not known whether a target that did not answer has crashed"
+            ),
         }
         self.context.state().checked_targets.remove(&self.target);
     }
@@ -83,6 +87,10 @@
                     if connection.is_ready() {
                         let now = self.context.now();
                         self.context.pool.put(now, &self.target, connection, None);
+                        info!(
+                            target_id = self.target.as_str();
+                            "a target that did not answer accepts connections"
+                        );
                         return Finding::Alive;
                     }
                 }
@@ -127,6 +135,11 @@
         .listing(target)
         .filter(|listing| !listing.leaving)
     else {
+        info!(
+            target_id = target.as_str(),
+            found_by = found_by;
+            "the crash of a target that is leaving or not listed counts against no request"
+        );
         return;
     };
     let (incarnation, zone): (_, ZoneId) = (listing.incarnation(), listing.zone.clone());
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -190,7 +190,8 @@
             Err(event) => return SendOutcome::Event(event),
         };
         active.guard.mark_begun();
-        self.record_completion(&mut active);
+        let evidence = format!("an answer with status {}", head.status.as_u16());
+        self.record_completion(&mut active, &evidence);
         self.release_connection(active, reuse);
         let answer = BufferedResponse { body, ..head };
         self.record_rollout_part();
@@ -204,10 +205,10 @@
         }
     }
 
-    /// Records that a target has run the request to its end.
-    pub(super) fn record_completion(&self, active: &mut ActiveSend) {
+    /// Records that a target has run the request to its end. `evidence` says in the log how that was seen.
+    pub(super) fn record_completion(&self, active: &mut ActiveSend, evidence: &str) {
         active.guard.mark_answered();
-        active.guard.mark_run_on(&self.keys);
+        active.guard.mark_run_on(&self.keys, evidence);
     }
 
     /// Returns the connection of a completed request to the pool, if the target keeps it open.
@@ -242,7 +243,7 @@
                 // The caller already has the last event, and nothing follows it.
                 Ok(None) if self.request.events.may_end() => {
                     active.guard.mark_begun();
-                    self.record_completion(&mut active);
+                    self.record_completion(&mut active, "the end of its stream");
                     self.release_connection(active, reuse);
                     self.record_rollout_end(RunEnd::Answered);
                     return SendOutcome::StreamEnd(head);
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -98,7 +98,7 @@
                 TargetStreamEnd::Complete => {
                     self.record_run();
                     self.record_rollout_end(RunEnd::Answered);
-                    self.record_completion(&mut stream.active);
+                    self.record_completion(&mut stream.active, "the end of its stream");
                     self.drop_copy();
                     self.release_connection(stream.active, stream.reuse);
                     return Ok("answered");
@@ -175,7 +175,8 @@
             }
             if !has_run_on && self.has_run_on(last_received) {
                 has_run_on = true;
-                stream.active.guard.mark_run_on(&self.keys);
+                let guard = &mut stream.active.guard;
+                guard.mark_run_on(&self.keys, "its events");
             }
             if self.has_run_long_enough(last_received) {
                 self.maintain_copy(last_received, &mut renewal);
