Add failing tests of requests that targets answer with errors between crashes

A target that answers an error within milliseconds has not run past the moment at which a crashing request ends its target, but the request is cleared of all its crashes at all entries.

The fixture of the random loads does what the driver does today with an error response. Engines may start under new ids, and an entry that starts may find no evidence in the store; it is not in touch for 3 s then.

--- a/crates/cw_policy/tests/forward/bounded_sends.rs
+++ b/crates/cw_policy/tests/forward/bounded_sends.rs
@@ -47,6 +47,43 @@
     assert!(most <= Some(&MAX_LATE_SENDS), "{outcome:?}");
 }
 
+/// Guards against an error response that passes for a run to the end: the request was cleared of all its crashes, and
+/// was sent again as any other.
+#[rstest]
+fn sends_are_bounded_while_targets_answer_with_errors(
+    #[values(0.1, 0.5)] failures: f64,
+    #[values(1, 3)] crashing: u64,
+    #[values(false, true)] store_away: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let load = CrashingLoad {
+        seed,
+        entries: 4,
+        zones: 3,
+        engines: 1,
+        down: 3000,
+        found_after: 20,
+        crashing,
+        gap: 400,
+        failures,
+        new_ids: true,
+        queue: 100,
+        innocent: 6,
+        faults: EntryFaults {
+            restart_period: 7000,
+            store_away,
+            ..EntryFaults::default()
+        },
+        duration: 60_000,
+        ..CrashingLoad::default()
+    };
+
+    let outcome = load.play();
+
+    let most = outcome.late_sends.values().max();
+    assert!(most <= Some(&MAX_LATE_SENDS), "{outcome:?}");
+}
+
 /// The number of random loads. Other seeds are chosen by `CW_LOAD_SEED` and `CW_LOAD_COUNT`.
 const RANDOM_LOADS: u64 = 12;
 
@@ -65,6 +102,8 @@
         copies: size(pick(&[1, 1, 2, 5])),
         gap: pick(&[20, 50, 150, 500]),
         pause: pick(&[0, 400, 2000]),
+        failures: 0.0,
+        new_ids: false,
         queue: pick(&[0, 100, 900]),
         innocent: size(pick(&[6, 24, 48])),
         losses: ZoneLosses {
@@ -76,6 +115,7 @@
             message_loss: pick(&[0, 0, 10, 30]) as f64 / 100.0,
             call_loss: pick(&[0, 0, 20]) as f64 / 100.0,
             restart_period: pick(&[0, 0, 3000, 7000]),
+            store_away: false,
         },
         duration: 20_000,
     }
--- a/crates/cw_policy/tests/forward/crashing_load.rs
+++ b/crates/cw_policy/tests/forward/crashing_load.rs
@@ -9,6 +9,7 @@
 use cw_policy::forward::SendId;
 use cw_policy::forward::Standing;
 use cw_types::Incarnation;
+use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::Fingerprint;
 use cw_wire::Suspect;
@@ -66,6 +67,8 @@
     pub(crate) call_loss: f64,
     /// The time after which one of them is killed and starts again, in milliseconds; 0 for never.
     pub(crate) restart_period: u64,
+    /// Whether the store is away for an entry that starts, which then knows only what the others tell it.
+    pub(crate) store_away: bool,
 }
 
 /// A load of crashing and of innocent requests.
@@ -89,6 +92,11 @@
     pub(crate) gap: u64,
     /// The pause after each of them has been sent once, in milliseconds.
     pub(crate) pause: u64,
+    /// The share of the sends that their engine answers with an error at once, of crashing and of innocent
+    /// requests.
+    pub(crate) failures: f64,
+    /// Whether an engine starts under a new id after a crash.
+    pub(crate) new_ids: bool,
     /// The longest time from the send of a crashing request until it begins to run, in milliseconds.
     /// Requests that are sent to the same engine meanwhile are in flight beside it.
     pub(crate) queue: u64,
@@ -113,6 +121,8 @@
             copies: 1,
             gap: 40,
             pause: 0,
+            failures: 0.0,
+            new_ids: false,
             queue: 0,
             innocent: 24,
             losses: ZoneLosses::default(),
@@ -181,6 +191,7 @@
 struct QueuedCrash {
     request: u64,
     entry: usize,
+    send: SendId,
     engine: (usize, usize),
     incarnation: u64,
     runs_at: u64,
@@ -203,6 +214,8 @@
     rng: SmallRng,
     now: u64,
     entries: Vec<CrashTracker>,
+    /// When each entry started.
+    started_at: Vec<u64>,
     engines: BTreeMap<(usize, usize), Engine>,
     runs: Vec<InnocentRun>,
     /// The innocent requests that are sent again, and when.
@@ -226,6 +239,7 @@
             rng: SmallRng::seed_from_u64(self.seed),
             now: 1000,
             entries: vec![CrashTracker::default(); self.entries],
+            started_at: vec![0; self.entries],
             engines: engines.map(|engine| (engine, first)).collect(),
             runs: Vec::new(),
             waiting: Vec::new(),
@@ -298,7 +312,7 @@
         let up: Vec<(usize, usize)> = up.map(|(id, _)| *id).collect();
         let tracker = &self.entries[entry];
         let avoided = tracker.targets_to_avoid(Fingerprint(request));
-        let is_apart = |id: &(usize, usize)| !avoided.contains(&engine(id.0, id.1));
+        let is_apart = |id: &(usize, usize)| !avoided.contains(&self.current_target(*id));
         let apart: Vec<(usize, usize)> = up.iter().copied().filter(is_apart).collect();
         let is_trial = tracker.standing(Fingerprint(request)) == Standing::Probation;
         let choice = match apart.is_empty() && !is_trial {
@@ -359,7 +373,13 @@
         let now = self.time();
         let evidence = self.entries[(entry + 1) % self.entries.len()].evidence(now);
         self.entries[entry] = CrashTracker::default();
-        self.entries[entry].receive(now, &evidence);
+        self.started_at[entry] = self.now;
+        match self.load.faults.store_away {
+            true => (self.entries.iter_mut()).for_each(|other| other.record_new_entry(now)),
+            false => {
+                self.entries[entry].receive(now, &evidence);
+            }
+        }
         self.runs.retain(|run| run.entry != entry);
     }
 
@@ -367,10 +387,32 @@
         let incarnation = Incarnation(self.engines[&id].incarnation);
         // No two requests are sent at the same moment.
         let now = at(self.now).before(Duration::from_micros(self.rng.random_range(0..5000)));
-        let target = engine(id.0, id.1);
+        let target = self.target(id, incarnation.0);
         self.entries[entry].record_send(now, &target, incarnation, Fingerprint(request))
     }
 
+    /// Returns the id of an engine.
+    fn target(&self, (zone, number): (usize, usize), incarnation: u64) -> TargetId {
+        match self.load.new_ids {
+            true => name(&format!("e{zone}-{number}-{incarnation}")),
+            false => engine(zone, number),
+        }
+    }
+
+    fn current_target(&self, id: (usize, usize)) -> TargetId {
+        self.target(id, self.engines[&id].incarnation)
+    }
+
+    /// Records that an engine has answered a request with an error.
+    fn fail(&mut self, entry: usize, id: (usize, usize), send: SendId, request: u64) {
+        let now = self.time();
+        let target = self.current_target(id);
+        let tracker = &mut self.entries[entry];
+        tracker.record_run_on(now, &target, send, Fingerprint(request));
+        tracker.record_end(now, &target, send, SendEnd::Answered);
+        self.call_keeper(entry, request, TrialAction::End(TrialEnd::RanOn));
+    }
+
     /// Sends the attempts of a crashing request, unless its callers still wait for the last answers.
     fn send_crashing(&mut self, request: u64) {
         if self.queued.iter().any(|crash| crash.request == request) {
@@ -387,12 +429,15 @@
             return;
         };
         if self.admit(entry, request) == TrialAnswer::Granted {
-            self.send(entry, engine, request);
-            self.outcome.record_send(self.now, request);
+            let send = self.send(entry, engine, request);
+            if self.started_at[entry] + GRACE <= self.now {
+                self.outcome.record_send(self.now, request);
+            }
             let delay = self.rng.random_range(0..=self.load.queue);
             self.queued.push(QueuedCrash {
                 request,
                 entry,
+                send,
                 engine,
                 incarnation: self.engines[&engine].incarnation,
                 runs_at: self.now + delay,
@@ -405,10 +450,15 @@
         let (due, queued): (Vec<QueuedCrash>, _) =
             self.queued.iter().partition(|run| run.runs_at <= now);
         for run in due {
-            if self.engines[&run.engine].incarnation == run.incarnation {
-                self.outcome.record_crash(now, run.request);
-                self.crash(run.engine);
+            if self.engines[&run.engine].incarnation != run.incarnation {
+                continue;
             }
+            if self.is_lost(self.load.failures) {
+                self.fail(run.entry, run.engine, run.send, run.request);
+                continue;
+            }
+            self.outcome.record_crash(now, run.request);
+            self.crash(run.engine);
         }
         self.queued = queued;
     }
@@ -449,6 +499,10 @@
             }
         }
         let send = self.send(entry, engine, request);
+        if self.is_lost(self.load.failures) {
+            self.fail(entry, engine, send, request);
+            return;
+        }
         self.runs.push(InnocentRun {
             request,
             entry,
@@ -468,7 +522,7 @@
                 continue;
             }
             run.ran_on = true;
-            let target = engine(run.engine.0, run.engine.1);
+            let target = self.current_target(run.engine);
             let request = Fingerprint(run.request);
             self.entries[run.entry].record_run_on(now, &target, run.send, request);
             self.call_keeper(run.entry, run.request, TrialAction::End(TrialEnd::RanOn));
@@ -485,7 +539,7 @@
         self.runs = running;
         let ended: Vec<InnocentRun> = ended;
         for run in ended {
-            let target = engine(run.engine.0, run.engine.1);
+            let target = self.current_target(run.engine);
             let tracker = &mut self.entries[run.entry];
             tracker.record_completion(at(now), Fingerprint(run.request));
             tracker.record_end(at(now), &target, run.send, SendEnd::Answered);
@@ -525,8 +579,8 @@
         self.hidden = hidden;
         let found: Vec<HiddenCrash> = found;
         for crash in found {
-            let (zone, number) = crash.engine;
-            let target = engine(zone, number);
+            let (zone, _) = crash.engine;
+            let target = self.target(crash.engine, crash.incarnation.0);
             for run in crash.lost {
                 self.entries[run.entry].record_end(at(now), &target, run.send, SendEnd::Unanswered);
                 self.waiting.push((run.request, now + RESEND_DELAY));
