Clear a request of its crashes only when a target has run it to a complete answer

Callers saw 502 from a request that had ended three targets and was sent on: each answer of a target passed for a run to the end, also an error that the target gives within milliseconds, long before the moment at which the request would have crashed it. The request was cleared at all entries, was sent freely again, and its trials started from zero.

What an answer shows is decided in cw_policy now (AnswerKind): only a complete answer clears a suspect. An error or a refusal shows nothing. It uses up a trial from the third crash on, from which the platform's rules count the sends; before that it does not, so that a sound request whose targets answer with errors is not refused for them.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -25,6 +25,7 @@
 use cw_wire::TrialAction;
 use cw_wire::TrialAnswer;
 use cw_wire::TrialCall;
+use cw_wire::TrialEnd;
 
 use super::suspect_keys::SuspectKeys;
 use super::suspect_ledger::Standing;
@@ -61,6 +62,21 @@
 /// within this time, and the request is not suspected again by it.
 const CLEARED_TTL: Duration = Duration::from_secs(10);
 
+/// The number of crashes of a request after which the platform's rules count each send of it, whatever becomes of
+/// that send.
+const COUNTED_CRASHES: usize = 3;
+
+/// What the answer of a target says about a request that may crash its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// The target has run the request to its end.
+    Complete,
+    /// The target reports an error, perhaps before the moment at which the request would have crashed it.
+    Failure,
+    /// The target has turned the request away without running it.
+    Refusal,
+}
+
 /// The remaining announcements of something.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
@@ -158,6 +174,20 @@
         self.record_completion(now, keys)
     }
 
+    /// Returns how a trial ends whose target has answered. Only a complete answer shows that the request does not crash
+    /// its targets. Any other one says nothing about that, and uses up a trial once the rules count the sends.
+    pub fn trial_end(&self, suspect: Suspect, answer: AnswerKind) -> TrialEnd {
+        match answer {
+            AnswerKind::Complete => TrialEnd::RanOn,
+            AnswerKind::Failure | AnswerKind::Refusal => {
+                match self.ledger.crash_count(suspect) < COUNTED_CRASHES {
+                    true => TrialEnd::NotRun,
+                    false => TrialEnd::Lost,
+                }
+            }
+        }
+    }
+
     /// Records that an incarnation of a target has crashed. Returns the requests that may be the
     /// cause, as far as this entry has sent them.
     pub fn record_crash(
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -63,6 +63,7 @@
 pub use config_check::ConfigCheck;
 pub use config_check::Finding;
 pub use config_check::Severity;
+pub use crash_tracker::AnswerKind;
 pub use crash_tracker::CrashTracker;
 pub use directory_log::DirectoryLog;
 pub use directory_log::DirectoryUpdateStep;
--- a/crates/cw_policy/tests/forward/bounded_sends.rs
+++ b/crates/cw_policy/tests/forward/bounded_sends.rs
@@ -91,7 +91,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut pick = |values: &[u64]| values[rng.random_range(0..values.len())];
     let size = |number: u64| usize::try_from(number).unwrap();
-    CrashingLoad {
+    let load = CrashingLoad {
         seed,
         entries: size(pick(&[1, 4, 4, 103])),
         zones: size(pick(&[1, 2, 3, 3])),
@@ -118,6 +118,16 @@
             store_away: false,
         },
         duration: 20_000,
+    };
+    // These are drawn last, so that a seed has the load that it had before there were any.
+    CrashingLoad {
+        failures: pick(&[0, 0, 10, 50]) as f64 / 100.0,
+        new_ids: pick(&[0, 1]) == 1,
+        faults: EntryFaults {
+            store_away: pick(&[0, 1]) == 1,
+            ..load.faults
+        },
+        ..load
     }
 }
 
--- a/crates/cw_policy/tests/forward/crashing_load.rs
+++ b/crates/cw_policy/tests/forward/crashing_load.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use cw_policy::forward::AnswerKind;
 use cw_policy::forward::CrashTracker;
 use cw_policy::forward::SendEnd;
 use cw_policy::forward::SendId;
@@ -408,9 +409,10 @@
         let now = self.time();
         let target = self.current_target(id);
         let tracker = &mut self.entries[entry];
-        tracker.record_run_on(now, &target, send, Fingerprint(request));
+        let suspect = Suspect::Request(Fingerprint(request));
+        let end = tracker.trial_end(suspect, AnswerKind::Failure);
         tracker.record_end(now, &target, send, SendEnd::Answered);
-        self.call_keeper(entry, request, TrialAction::End(TrialEnd::RanOn));
+        self.call_keeper(entry, request, TrialAction::End(end));
     }
 
     /// Sends the attempts of a crashing request, unless its callers still wait for the last answers.
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cw_policy::forward::AnswerKind;
 use cw_policy::forward::Demand;
 use cw_policy::forward::SendEnd;
 use cw_policy::forward::SendId;
@@ -72,10 +73,13 @@
         self.send = Some(send);
     }
 
-    /// Records that the target has completed its answer, or has refused the request.
-    pub(super) fn mark_answered(&mut self) {
+    /// Records that the target has answered, so that it has not crashed under the request.
+    pub(super) fn mark_answered(&mut self, answer: AnswerKind) {
         self.end = SendEnd::Answered;
-        self.set_trial_end(TrialEnd::NotRun);
+        if let Some(trial) = &mut self.trial {
+            let state = self.context.state();
+            trial.end = state.crashes.trial_end(trial.suspect, answer);
+        }
     }
 
     /// Records that the request has run past the moment at which one that crashes its target ends it. `evidence`
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_policy::forward::AnswerKind;
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Fault;
 use cw_policy::forward::Placement;
@@ -54,7 +55,7 @@
                 self.record_rollout_end(RunEnd::Failed);
             }
             if !matches!(event, ExchangeEvent::Lost(_)) {
-                active.guard.mark_answered();
+                active.guard.mark_answered(AnswerKind::Refusal);
             }
             return SendOutcome::Event(event.after_earlier_run(active.may_have_run));
         }
@@ -190,8 +191,11 @@
             Err(event) => return SendOutcome::Event(event),
         };
         active.guard.mark_begun();
-        let evidence = format!("an answer with status {}", head.status.as_u16());
-        self.record_completion(&mut active, &evidence);
+        match head.status.is_success() {
+            true => self.record_completion(&mut active, "a complete answer"),
+            // A target may answer with an error long before the moment at which the request would crash it.
+            false => active.guard.mark_answered(AnswerKind::Failure),
+        }
         self.release_connection(active, reuse);
         let answer = BufferedResponse { body, ..head };
         self.record_rollout_part();
@@ -207,7 +211,7 @@
 
     /// Records that a target has run the request to its end. `evidence` says in the log how that was seen.
     pub(super) fn record_completion(&self, active: &mut ActiveSend, evidence: &str) {
-        active.guard.mark_answered();
+        active.guard.mark_answered(AnswerKind::Complete);
         active.guard.mark_run_on(&self.keys, evidence);
     }
 
--- a/crates/cyclamenwharf/src/forward/trial_guard.rs
+++ b/crates/cyclamenwharf/src/forward/trial_guard.rs
@@ -56,7 +56,7 @@
 pub(super) struct TrialGuard {
     context: Arc<ForwardContext>,
     keeper: Keeper,
-    suspect: Suspect,
+    pub(super) suspect: Suspect,
     /// How the trial has ended, if it ended now.
     pub(super) end: TrialEnd,
 }
