Add failing tests of a large configuration at entries with narrow links

An entry gives up a read of the configuration after a fixed time, although its bytes still come, and begins again; beside it, it asks up to four other entries for the same document over the same links.

--- a/crates/cw_policy/tests/forward/freshness.rs
+++ b/crates/cw_policy/tests/forward/freshness.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rstest::rstest;
 
 use crate::fixtures::at;
 use crate::fixtures::name;
@@ -37,6 +38,9 @@
 /// The longest time that the store takes for an answer, in milliseconds.
 const CHECK_TIME: u64 = 350;
 
+/// The longest time until the first byte of an answer at a narrow link, whose transfer takes longer, in milliseconds.
+const SMALL_CHECK_TIME: u64 = 100;
+
 /// The time between two messages of an entry, in milliseconds.
 const MESSAGE_PERIOD: u64 = 200;
 
@@ -105,7 +109,12 @@
 #[derive(Clone, Copy, Debug)]
 enum Call {
     /// A question that has been answered at the end of its time, or is given up then.
-    Check { sent: u64, ends: u64 },
+    Check {
+        sent: u64,
+        ends: u64,
+        /// The version in the answer, `None` if there is none in time.
+        version: Option<u64>,
+    },
     /// A watch.
     Watch { sent: u64, ends: u64 },
 }
@@ -131,10 +140,13 @@
     delay: u64,
     /// Since when the store answers it and the process runs.
     sound_since: u64,
+    /// How long its link takes for the configuration.
+    transfer: u64,
 }
 
-fn new_entry(now: u64, number: usize, count: usize, incarnation: u64) -> Entry {
-    let limits = FreshnessLimits::default();
+fn new_entry(number: usize, incarnation: u64, sim: &Setting) -> Entry {
+    let (now, count) = (sim.now, sim.count);
+    let limits = FreshnessLimits::within(Duration::from_millis(sim.bound));
     let mut fleet = Fleet::new(FleetLimits::default());
     let host: HostId = name(&format!("entry-{number:03}"));
     let others = (0..count).filter(|other| *other != number);
@@ -155,6 +167,8 @@
         paused_until: 0,
         delay: 1,
         sound_since: now,
+        // A third of the links are wide.
+        transfer: if number % 3 == 2 { 0 } else { sim.transfer },
     }
 }
 
@@ -165,9 +179,32 @@
     message: OutstandingWork,
 }
 
+/// What the entries of a simulation have in common.
+#[derive(Clone, Copy, Debug)]
+struct Setting {
+    now: u64,
+    count: usize,
+    /// The time within which a change must be in force.
+    bound: u64,
+    /// How long narrow links take for the configuration.
+    transfer: u64,
+}
+
+impl Default for Setting {
+    fn default() -> Self {
+        Self {
+            now: 0,
+            count: 4,
+            bound: BOUND,
+            transfer: 0,
+        }
+    }
+}
+
 /// A store, entries that keep up with its configuration, and what goes wrong with them.
 struct Simulation {
     rng: SmallRng,
+    setting: Setting,
     entries: Vec<Entry>,
     datagrams: Vec<Datagram>,
     /// The version of the store, and when it was acknowledged.
@@ -190,11 +227,19 @@
 
 impl Simulation {
     fn new(seed: u64, count: usize, message_loss: f64) -> Self {
+        let setting = Setting {
+            count,
+            ..Setting::default()
+        };
+        Self::of_setting(seed, setting, message_loss)
+    }
+
+    fn of_setting(seed: u64, setting: Setting, message_loss: f64) -> Self {
+        let entries = (0..setting.count).map(|number| new_entry(number, 1, &setting));
         Self {
             rng: SmallRng::seed_from_u64(seed),
-            entries: (0..count)
-                .map(|number| new_entry(0, number, count, 1))
-                .collect(),
+            setting,
+            entries: entries.collect(),
             datagrams: Vec::new(),
             versions: vec![(1, 0)],
             stored: 1,
@@ -245,7 +290,11 @@
             2 => entry.paused_until = until,
             3 => {
                 let incarnation = entry.incarnation + 1;
-                *entry = new_entry(now, number, count, incarnation);
+                let setting = Setting {
+                    now,
+                    ..self.setting
+                };
+                *entry = new_entry(number, incarnation, &setting);
             }
             _ => entry.delay = self.rng.random_range(1..900),
         }
@@ -288,11 +337,16 @@
             self.calls += 1;
             let timeout = u64::try_from(entry.freshness.check_timeout().as_millis()).unwrap();
             // The store takes its time, up to the timeout of the first check.
-            let ends = match is_cut {
-                true => now + timeout,
-                false => now + self.rng.random_range(STEP..CHECK_TIME),
+            let time = match entry.transfer {
+                0 => self.rng.random_range(STEP..CHECK_TIME),
+                transfer => transfer + self.rng.random_range(STEP..SMALL_CHECK_TIME),
             };
-            entry.check = Some(Call::Check { sent: now, ends });
+            let is_answered = !is_cut && time <= timeout;
+            entry.check = Some(Call::Check {
+                sent: now,
+                ends: now + if is_answered { time } else { timeout },
+                version: is_answered.then_some(self.stored),
+            });
         }
         let is_watcher = entry.fleet.is_watcher(at(now), Topic::Config);
         let is_fresh = entry.freshness.own_age(at(now)).is_some();
@@ -313,20 +367,23 @@
         let stored = self.stored;
         let entry = &mut self.entries[number];
         let is_cut = entry.cut_until > now;
-        if let Some(Call::Check { sent, ends }) = entry.check
+        if let Some(Call::Check {
+            sent,
+            ends,
+            version,
+        }) = entry.check
             && now >= ends
         {
             entry.check = None;
-            entry.version = if is_cut {
-                entry.version
-            } else {
-                entry.version.max(stored)
-            };
-            match is_cut {
-                true => entry
+            // An answer that takes long tells what the store had when it began.
+            let version = version.filter(|_| !is_cut);
+            let version = version.map(|sent| if entry.transfer == 0 { stored } else { sent });
+            entry.version = entry.version.max(version.unwrap_or_default());
+            match version {
+                None => entry
                     .freshness
                     .record_failure(at(now), Duration::from_millis(RETRY_PAUSE)),
-                false => {
+                Some(_) => {
                     entry.freshness.record_success();
                     entry.confirmed_at = sent;
                     entry.freshness.confirm(at(sent));
@@ -336,7 +393,9 @@
         let Some(Call::Watch { sent, ends }) = entry.watch else {
             return;
         };
-        if !is_cut && entry.version < stored {
+        // The change comes with the whole configuration, for which the watch has the time that it adds to its wait.
+        let has_arrived = entry.transfer <= WATCH_TIMEOUT - WATCH_WAIT;
+        if !is_cut && entry.version < stored && has_arrived {
             entry.version = stored;
             entry.watch = None;
             entry.confirmed_at = sent;
@@ -440,6 +499,28 @@
     assert!(longest > 0, "the histories hold changes");
 }
 
+/// Guards against reads that are given up while their bytes still come, and begun again: a large configuration arrived
+/// late, or never, over narrow links.
+#[rstest]
+fn a_large_configuration_is_in_force_in_time_in_random_histories(
+    #[values(300, 600, 1100)] transfer: u64,
+    #[values(4, 30)] count: usize,
+    #[values(0.0, 0.03)] message_loss: f64,
+) {
+    let setting = Setting {
+        count,
+        bound: 3000,
+        transfer,
+        ..Setting::default()
+    };
+    for seed in 1..=10 {
+        let outcome = Simulation::of_setting(seed, setting, message_loss).play(3000, 0.02);
+
+        assert!(outcome.longest <= setting.bound, "seed {seed}: {outcome:?}");
+        assert!(outcome.longest >= transfer, "the histories hold changes");
+    }
+}
+
 /// Guards against entries that all call the store although some of them watch it for all.
 #[test]
 fn few_entries_call_the_store_in_a_sound_deployment() {
