Keep reading a large configuration while its bytes come

Callers at entries with links of 10 Mbit/s were handled by an older configuration for up to 15 s after a newer one was acknowledged. An entry gave up a read after a fixed time (525 ms, 1.05 s, 1.5 s) although the answer was on its way, threw the bytes away and asked again, and queried up to four other entries for the same document over the same links, which slowed all of them down.

A read ends by silence now, not by its length (ReadPatience, in cw_policy), other entries are asked only while the service is silent, and an entry whose reads take long asks earlier, so that the sum of the steps stays within the bound (Freshness::max_age). A version that is announced while an answer is on its way is read next and is no failure. The client of the store and of other entries has limits on silence and on the whole transfer; all other calls keep their timeout.

--- a/crates/cw_policy/src/forward/freshness.rs
+++ b/crates/cw_policy/src/forward/freshness.rs
@@ -16,6 +16,16 @@
 /// The share of that time for late timers, busy processors and the change itself.
 const RESERVE_SHARE: f64 = 0.075;
 
+/// The age of the knowledge at which the entry asks the service at the earliest, however long a read takes. What a watching entry
+/// tells in a sound deployment is up to 1.2 s old: 1 s of a watch, and 0.2 s between two messages.
+const MIN_MAX_AGE: Duration = Duration::from_millis(1300);
+
+/// What is reserved for a read, as a multiple of the time that the last ones took.
+const READ_MARGIN: f64 = 1.2;
+
+/// The share of the time of earlier reads that is kept if the last one was quicker.
+const READ_TIME_DECAY: f64 = 0.5;
+
 /// The number of times that the timeout of a check doubles while checks fail, as a service that is slow answers
 /// none otherwise.
 const MAX_DOUBLINGS: u32 = 2;
@@ -34,7 +44,7 @@
 pub struct FreshnessLimits {
     /// The age of the knowledge at which the entry asks the service.
     pub max_age: Duration,
-    /// How long the service may take to answer.
+    /// How long the service may take to answer, or leave a read without any byte if its answer takes longer.
     pub check_timeout: Duration,
     /// The time for late timers, busy processors and the change itself.
     pub reserve: Duration,
@@ -84,6 +94,8 @@
     /// No check begins before this time.
     rest_until: Time,
     failures: u32,
+    /// How long reads of the service take, which depends on the size of the data and on the link.
+    read_time: Duration,
 }
 
 impl Freshness {
@@ -114,6 +126,20 @@
         self.rest_until = now + pause;
     }
 
+    /// Records how long a read of the service took.
+    pub fn record_read_time(&mut self, time: Duration) {
+        self.read_time = time.max(self.read_time.mul_f64(READ_TIME_DECAY));
+    }
+
+    /// Returns the age of the knowledge at which the entry asks the service. A read that takes longer than a
+    /// check may begins earlier by that.
+    pub fn max_age(&self) -> Duration {
+        let read = self.read_time.mul_f64(READ_MARGIN);
+        let excess = read.saturating_sub(self.limits.check_timeout);
+        let least = MIN_MAX_AGE.min(self.limits.max_age);
+        self.limits.max_age.saturating_sub(excess).max(least)
+    }
+
     /// Records a check that has brought the knowledge up to date.
     pub fn record_success(&mut self) {
         self.failures = 0;
@@ -136,7 +162,7 @@
         self.failures
     }
 
-    /// Returns how long the service may take to answer the next check.
+    /// Returns how long the service may leave the next check without any byte of an answer.
     pub fn check_timeout(&self) -> Duration {
         self.limits.check_timeout * 2_u32.pow(self.failures.min(MAX_DOUBLINGS))
     }
@@ -149,7 +175,7 @@
 
     /// Returns how long the knowledge is still recent enough.
     pub fn time_left(&self, now: Time) -> Duration {
-        let due = self.confirmed_at.map(|at| at + self.limits.max_age);
+        let due = self.confirmed_at.map(|at| at + self.max_age());
         due.map_or(Duration::ZERO, |due| now.until(due))
     }
 
@@ -158,7 +184,7 @@
         if now < self.rest_until {
             return FreshnessStep::Rest(self.rest_until);
         }
-        match self.confirmed_at.map(|at| at + self.limits.max_age) {
+        match self.confirmed_at.map(|at| at + self.max_age()) {
             Some(due) if now < due && !is_behind => FreshnessStep::Rest(due),
             _ => FreshnessStep::Check,
         }
--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -20,6 +21,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::StoreError;
+use crate::TransferProgress;
 
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,6 +49,17 @@
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     timeout: Duration,
+    /// How long a body may take while its bytes come, `None` if the timeout is for the whole call.
+    transfer: Option<TransferLimits>,
+}
+
+/// How long the body of a response may take.
+#[derive(Clone, Copy, Debug)]
+struct TransferLimits {
+    /// The longest time without any byte.
+    silence: Duration,
+    /// The longest time in all.
+    total: Duration,
 }
 
 impl Default for HttpClient {
@@ -63,6 +76,7 @@
         Self {
             client: builder.build(connector),
             timeout: DEFAULT_TIMEOUT,
+            transfer: None,
         }
     }
 
@@ -78,8 +92,18 @@
     #[must_use]
     pub fn with_timeout(&self, timeout: Duration) -> Self {
         Self {
-            client: self.client.clone(),
             timeout,
+            ..self.clone()
+        }
+    }
+
+    /// Returns a client that uses the same connection pool and whose timeout ends with the headers of a response. The
+    /// body may take longer while its bytes come: at most `silence` between two parts of it, and `total` in all.
+    #[must_use]
+    pub fn with_transfer(&self, silence: Duration, total: Duration) -> Self {
+        Self {
+            transfer: Some(TransferLimits { silence, total }),
+            ..self.clone()
         }
     }
 
@@ -117,21 +141,34 @@
         path: &str,
         body: Bytes,
     ) -> Result<HttpResponse, StoreError> {
-        let call = async {
-            let response = self.send(method, address, path, body).await?;
-            let status = response.status();
-            let headers = response.headers().clone();
-            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-                .collect()
-                .await
-                .map_err(outcome_unknown)?;
-            Ok(HttpResponse {
-                status,
-                headers,
-                body: body.to_bytes(),
-            })
+        let progress = TransferProgress::default();
+        self.call_with_progress(method, address, path, body, &progress)
+            .await
+    }
+
+    /// Sends a request and reads the complete response, and records how much of its body has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::call`].
+    pub async fn call_with_progress(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        progress: &TransferProgress,
+    ) -> Result<HttpResponse, StoreError> {
+        let head = self.send(method, address, path, body);
+        let Some(limits) = self.transfer else {
+            let call = async { read_response(head.await?, None, progress).await };
+            return self.with_deadline(address, call).await;
         };
-        self.with_deadline(address, call).await
+        let response = self.with_deadline(address, head).await?;
+        let body = read_response(response, Some(limits.silence), progress);
+        tokio::time::timeout(limits.total, body)
+            .await
+            .unwrap_or_else(|_| Err(incomplete(limits.total)))
     }
 
     /// Sends a `POST` request and returns once the response headers arrive, with the body unread.
@@ -188,6 +225,45 @@
     }
 }
 
+/// Reads a response to its end. `silence` is the longest time between two parts of its body.
+async fn read_response(
+    response: Response<Incoming>,
+    silence: Option<Duration>,
+    progress: &TransferProgress,
+) -> Result<HttpResponse, StoreError> {
+    let (head, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut read = BytesMut::new();
+    loop {
+        let frame = body.frame();
+        let frame = match silence {
+            Some(silence) => tokio::time::timeout(silence, frame)
+                .await
+                .map_err(|_| incomplete(silence))?,
+            None => frame.await,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
+        // Trailers are not part of the body.
+        if let Ok(data) = frame.map_err(outcome_unknown)?.into_data() {
+            progress.add(data.len());
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(HttpResponse {
+        status: head.status,
+        headers: head.headers,
+        body: read.freeze(),
+    })
+}
+
+fn incomplete(limit: Duration) -> StoreError {
+    StoreError::OutcomeUnknown {
+        message: format!("the response is not complete after {limit:?}"),
+    }
+}
+
 fn outcome_unknown(error: impl std::fmt::Display) -> StoreError {
     StoreError::OutcomeUnknown {
         message: error.to_string(),
--- a/crates/cw_store/src/key_value_store.rs
+++ b/crates/cw_store/src/key_value_store.rs
@@ -9,6 +9,8 @@
 use futures::stream::BoxStream;
 use snafu::Snafu;
 
+use crate::TransferProgress;
+
 /// A revision of the key-value service, which increases with each change.
 #[data(Copy, Default, Eq, Hash, PartialOrd, Ord)]
 #[serde(transparent)]
@@ -133,10 +135,12 @@
     }
 
     /// Returns the same as [`Self::snapshot`], over connections that are opened for it if the service supports
-    /// that: those that are open may have gone silent.
+    /// that: those that are open may have gone silent. Records in the progress how much has arrived, if the service
+    /// supports that.
     fn fresh_snapshot<'a>(
         &'a self,
         prefix: &'a str,
+        _progress: &'a TransferProgress,
     ) -> BoxFuture<'a, Result<(Vec<Versioned>, StoreRevision), StoreError>> {
         self.snapshot(prefix)
     }
--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -15,6 +15,7 @@
 mod http_host_list;
 mod http_weight_store;
 mod key_value_store;
+mod transfer_progress;
 mod weight_store;
 
 pub use dialect::Dialect;
@@ -38,5 +39,6 @@
 pub use key_value_store::Swap;
 pub use key_value_store::Versioned;
 pub use key_value_store::WatchEvent;
+pub use transfer_progress::TransferProgress;
 pub use weight_store::WeightInfo;
 pub use weight_store::WeightStore;
--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -6,8 +6,11 @@
 use cw_policy::budget::Backoff;
 use cw_policy::forward::EarlierSoftware;
 use cw_policy::forward::FreshnessStep;
+use cw_policy::forward::ReadPatience;
+use cw_policy::forward::ReadStep;
 use cw_policy::forward::Topic;
 use cw_store::StoreError;
+use cw_store::TransferProgress;
 use log::info;
 use log::warn;
 
@@ -30,6 +33,9 @@
 /// within milliseconds.
 const PEER_DELAY: Duration = Duration::from_millis(150);
 
+/// How often an entry looks whether more of the answer to a read has come.
+const PROGRESS_POLL_PERIOD: Duration = Duration::from_millis(50);
+
 /// How long an entry that has just started asks the service for the evidence of crashes and for recent runs, and
 /// other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
@@ -84,19 +90,22 @@
         if self.may_ask_for_changes() && self.query_missing_changes().await {
             return;
         }
-        let read = self.read_service();
+        let announced = self.context.state().fleet.newest_config();
+        let progress = TransferProgress::default();
+        let read = self.read_service(&progress);
         tokio::pin!(read);
         let result = match tokio::time::timeout(PEER_DELAY, read.as_mut()).await {
             Ok(result) => result,
             Err(_) => tokio::select! {
                 result = read.as_mut() => result,
-                () = self.query_peers_until_current() => Err(StoreError::OutcomeUnknown {
+                () = self.query_peers_while_silent(&progress) => Err(StoreError::OutcomeUnknown {
                     message: "another entry answered sooner".to_owned(),
                 }),
             },
         };
         match &result {
-            Ok(()) if self.is_behind() => self.record_older_read(),
+            // What was announced while a long answer came is read next.
+            Ok(()) if self.is_older_than(announced) => self.record_older_read(),
             Ok(()) => {
                 self.record_current();
                 return;
@@ -119,6 +128,14 @@
         state.freshness(self.topic).record_failure(now, pause);
     }
 
+    /// Returns whether this entry lacks what other entries had announced when it asked the service.
+    fn is_older_than(&self, announced: u64) -> bool {
+        match self.topic {
+            Topic::Config => self.context.state().config_version() < announced,
+            Topic::Targets => self.is_behind(),
+        }
+    }
+
     /// Records that the knowledge of this entry is up to date.
     fn record_current(&self) {
         let mut state = self.context.state();
@@ -144,7 +161,7 @@
 
     /// Reads all data of the topic. A watch may stand still without an error, so the changes that one reports do
     /// not suffice.
-    async fn read_service(&self) -> Result<(), StoreError> {
+    async fn read_service(&self, progress: &TransferProgress) -> Result<(), StoreError> {
         let started = self.context.now();
         let (timeout, is_first) = {
             let mut state = self.context.state();
@@ -152,12 +169,17 @@
             (state.freshness(self.topic).check_timeout(), is_first)
         };
         let read = async {
-            let read = self.store.fresh_snapshot(self.prefix());
-            let timed_out = || StoreError::OutcomeUnknown {
-                message: format!("no answer within {timeout:?}"),
+            let read = self.store.fresh_snapshot(self.prefix(), progress);
+            let read = tokio::select! {
+                read = read => read,
+                () = self.wait_for_silence(timeout, progress) => Err(StoreError::OutcomeUnknown {
+                    message: format!(
+                        "no answer after {} bytes within {timeout:?}",
+                        progress.bytes()
+                    ),
+                }),
             };
-            let read = tokio::time::timeout(timeout, read).await;
-            read.unwrap_or_else(|_| Err(timed_out()))
+            (read, self.context.now())
         };
         let others = async {
             if !is_first {
@@ -173,7 +195,7 @@
                 info!("what is asked for before the first configuration did not all come in time");
             }
         };
-        let (read, ()) = futures::future::join(read, others).await;
+        let ((read, ended), ()) = futures::future::join(read, others).await;
         let (items, revision) = read?;
         self.record_success();
         if is_first {
@@ -184,9 +206,26 @@
         }
         self.apply_snapshot(&items, revision);
         self.confirm(started, revision);
+        let mut state = self.context.state();
+        let freshness = state.freshness(self.topic);
+        freshness.record_read_time(ended.since(started));
         Ok(())
     }
 
+    /// Returns when a read has been silent for so long that it is given up.
+    async fn wait_for_silence(&self, max_silence: Duration, progress: &TransferProgress) {
+        let mut patience = ReadPatience::new(self.context.now(), max_silence);
+        loop {
+            let now = self.context.now();
+            patience.record_bytes(now, progress.bytes());
+            let ReadStep::Wait(until) = patience.next_step(now) else {
+                return;
+            };
+            let pause = now.until(until).min(PROGRESS_POLL_PERIOD);
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Reads the evidence against requests that crash targets, before the first configuration lets
     /// requests in. If that fails, requests are served all the same, and the evidence follows.
     async fn restore_crash_evidence(&self) {
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::Topic;
+use cw_store::TransferProgress;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
 use futures::StreamExt;
@@ -183,15 +184,18 @@
         }
     }
 
-    /// Queries the other entries as soon as they announce data that this one lacks, until it has that.
-    pub(super) async fn query_peers_until_current(&self) {
-        while !self.is_missing_updates() {
-            tokio::time::sleep(ANNOUNCEMENT_POLL_PERIOD).await;
-        }
+    /// Queries the other entries as soon as they announce data that this one lacks, until it has that. While the answer of
+    /// the service arrives, nobody is asked: it would come over the same link.
+    pub(super) async fn query_peers_while_silent(&self, progress: &TransferProgress) {
+        let mut bytes = 0;
         loop {
-            self.query_peers().await;
-            if !self.is_missing_updates() {
-                return;
+            let arrived = progress.bytes();
+            let is_silent = std::mem::replace(&mut bytes, arrived) == arrived;
+            if is_silent && self.is_missing_updates() {
+                self.query_peers().await;
+                if !self.is_missing_updates() {
+                    return;
+                }
             }
             tokio::time::sleep(ANNOUNCEMENT_POLL_PERIOD).await;
         }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -49,6 +49,10 @@
 /// queried instead.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The longest time that the answer to such a query may take while its bytes come. A configuration of the largest size
+/// takes one second over a link of 10 Mbit/s that carries nothing else.
+const PEER_TRANSFER_TIME: Duration = Duration::from_secs(5);
+
 /// The maximum time that a caller's connection may be idle, and that the head of a request may
 /// take. Callers reuse connections for the time in the configuration, which is far shorter, so this
 /// only closes abandoned connections.
@@ -174,7 +178,9 @@
                 context: Arc::clone(&context),
                 store: Arc::clone(&store),
                 topic,
-                entries: HttpClient::default().with_timeout(PEER_TIMEOUT),
+                entries: HttpClient::default()
+                    .with_timeout(PEER_TIMEOUT)
+                    .with_transfer(PEER_TIMEOUT, PEER_TRANSFER_TIME),
             };
             directory.run()
         });
