--- a/crates/cw_policy/src/suspicion/suspicion_table.rs
+++ b/crates/cw_policy/src/suspicion/suspicion_table.rs
@@ -151,6 +151,12 @@
         true
     }
 
+    /// Records the HTTP status with which a service has answered a request. An error says nothing about whether the
+    /// request crashes its targets: a service may give it before it begins the work.
+    pub fn record_answer(&mut self, request: Fingerprint, status: u16) -> bool {
+        (200..300).contains(&status) && self.record_completion(request)
+    }
+
     /// Returns the crashes that count as evidence against a request, those in a mass failure left
     /// out.
     fn evidence(&self, request: Fingerprint) -> Vec<&Crash> {
--- a/crates/cw_policy/tests/suspicion.rs
+++ b/crates/cw_policy/tests/suspicion.rs
@@ -240,6 +240,21 @@
     assert_eq!(table.assess(Fingerprint(1)), expected);
 }
 
+/// Guards against an error response that passes for a run to the end and clears the request of its crashes.
+#[rstest]
+#[case(200, false)]
+#[case(500, true)]
+#[case(503, true)]
+fn a_request_is_cleared_only_by_a_complete_answer(#[case] status: u16, #[case] suspected: bool) {
+    let mut table = table_after(&[(1, 0, vec![0, 1]), (9, 1, vec![0, 2])]);
+
+    let is_cleared = table.record_answer(POISON, status);
+
+    assert_eq!(is_cleared, !suspected);
+    let is_suspected = table.assess(POISON) != CrashSuspicion::Unsuspected;
+    assert_eq!(is_suspected, suspected);
+}
+
 #[rstest]
 fn a_request_that_ran_to_its_end_is_cleared() {
     let mut table = table_after(&[(1, 0, vec![0, 1]), (9, 1, vec![0, 2])]);
--- a/crates/cyclamenwharf/src/entry/delivery.rs
+++ b/crates/cyclamenwharf/src/entry/delivery.rs
@@ -122,9 +122,8 @@
     }
 
     async fn answer(&mut self, now: Time, answer: ServiceAnswer) {
-        self.context
-            .suspicion
-            .record_completion(self.job.fingerprint);
+        let suspicion = &self.context.suspicion;
+        suspicion.record_answer(self.job.fingerprint, answer.status);
         self.record_end("answered");
         self.context.slo.record_completion(&self.class, true);
         if let Some(KeyUse::Claimed(claim)) = &self.job.key {
--- a/crates/cyclamenwharf/src/entry/suspicion_tracker.rs
+++ b/crates/cyclamenwharf/src/entry/suspicion_tracker.rs
@@ -78,6 +78,11 @@
         self.lock().table.record_completion(request);
     }
 
+    /// Records the HTTP status with which a service has answered a request.
+    pub(crate) fn record_answer(&self, request: Fingerprint, status: u16) {
+        self.lock().table.record_answer(request, status);
+    }
+
     /// Records that a suspect request was sent to a target.
     pub(crate) fn add_suspect(&self, target: &TargetId) {
         self.lock().table.add_suspect(target);
