--- a/crates/cw_policy/tests/forward/freshness.rs
+++ b/crates/cw_policy/tests/forward/freshness.rs
@@ -8,6 +8,8 @@
 use cw_policy::forward::Freshness;
 use cw_policy::forward::FreshnessLimits;
 use cw_policy::forward::FreshnessStep;
+use cw_policy::forward::ReadPatience;
+use cw_policy::forward::ReadStep;
 use cw_policy::forward::Topic;
 use cw_types::HostId;
 use cw_types::Incarnation;
@@ -105,6 +107,31 @@
     assert_eq!(freshness.own_age(at(100)), None);
 }
 
+/// Guards against a read that is given up although its bytes come, and against one whose bytes never end.
+#[test]
+fn a_read_ends_by_silence_and_at_the_latest_after_a_while() {
+    let silence = Duration::from_millis(500);
+    let mut patience = ReadPatience::new(at(0), silence);
+    let mut bytes = 0;
+
+    let first = patience.next_step(at(0));
+    let mut last = 0;
+    while patience.next_step(at(last)) != ReadStep::GiveUp && last < 60_000 {
+        last += 400;
+        bytes += 1;
+        patience.record_bytes(at(last), bytes);
+    }
+    let mut silent = ReadPatience::new(at(0), silence);
+    silent.record_bytes(at(400), 1);
+    let is_more = silent.record_bytes(at(800), 1);
+
+    assert_eq!(first, ReadStep::Wait(at(500)));
+    assert_eq!(last, 10_000, "a read takes no longer");
+    assert!(!is_more);
+    assert_eq!(silent.next_step(at(899)), ReadStep::Wait(at(900)));
+    assert_eq!(silent.next_step(at(900)), ReadStep::GiveUp);
+}
+
 /// What an entry has asked the store.
 #[derive(Clone, Copy, Debug)]
 enum Call {
