--- a/crates/cw_policy/src/forward/freshness.rs
+++ b/crates/cw_policy/src/forward/freshness.rs
@@ -16,8 +16,8 @@
 /// The share of that time for late timers, busy processors and the change itself.
 const RESERVE_SHARE: f64 = 0.075;
 
-/// The age of the knowledge at which the entry asks the service at the earliest, however long a read takes. What a watching entry
-/// tells in a sound deployment is up to 1.2 s old: 1 s of a watch, and 0.2 s between two messages.
+/// The least age of the knowledge at which the entry asks the service, however long a read takes. What a watching
+/// entry tells in a sound deployment is up to 1.2 s old: 1 s of a watch, and 0.2 s between two messages.
 const MIN_MAX_AGE: Duration = Duration::from_millis(1300);
 
 /// What is reserved for a read, as a multiple of the time that the last ones took.
@@ -131,8 +131,8 @@
         self.read_time = time.max(self.read_time.mul_f64(READ_TIME_DECAY));
     }
 
-    /// Returns the age of the knowledge at which the entry asks the service. A read that takes longer than a
-    /// check may begins earlier by that.
+    /// Returns the age of the knowledge at which the entry asks the service. If its reads take longer than the
+    /// timeout of a check, it asks earlier by the difference.
     pub fn max_age(&self) -> Duration {
         let read = self.read_time.mul_f64(READ_MARGIN);
         let excess = read.saturating_sub(self.limits.check_timeout);
