--- a/crates/cw_policy/tests/forward/freshness.rs
+++ b/crates/cw_policy/tests/forward/freshness.rs
@@ -534,7 +534,7 @@
 }
 
 /// The number of histories with each size of a large configuration.
-const LARGE_SEEDS: u64 = 5;
+const LARGE_SEEDS: u64 = 10;
 
 /// Guards against reads that are given up while their bytes still come, and begun again: a large configuration arrived
 /// late, or never, over narrow links.
