Log what tells apart why a request reaches a target that is leaving

The hypotheses of the incident differ in what the sending entry knew: targets that count as complete and are not, a removal that was not trusted, or knowledge that was too old. The log had none of this at a send.

`sending a request` has the age and the revision of the knowledge of the targets now, the targets of another entry the number of known ones that it lacks, and a message that cannot hold all changes of the directory says so. No decision is changed.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -121,6 +121,12 @@
         update
     }
 
+    /// Returns the number of changes that no message has included yet.
+    pub fn unsent(&self) -> usize {
+        let known = self.history.iter();
+        known.filter(|known| known.sends == 0).count()
+    }
+
     /// Returns the message for the other entries without any changes.
     pub fn digest(&self, now: Time, fleet: &Fleet, config: u64) -> DirectoryUpdate {
         DirectoryUpdate {
--- a/crates/cw_policy/src/forward/freshness.rs
+++ b/crates/cw_policy/src/forward/freshness.rs
@@ -173,6 +173,11 @@
         (age < self.limits.max_age).then_some(age)
     }
 
+    /// Returns how old the knowledge is at most, `None` if there is none.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
     /// Returns how long the knowledge is still recent enough.
     pub fn time_left(&self, now: Time) -> Duration {
         let due = self.confirmed_at.map(|at| at + self.max_age());
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -288,9 +288,12 @@
             );
             return;
         }
+        let known = state.listings.keys();
+        let absent = known.filter(|id| !snapshot.targets.contains_key(*id));
         info!(
             entry = entry,
             targets = snapshot.targets.len(),
+            absent = absent.count(),
             revision = snapshot.newest;
             "applied the targets of another entry"
         );
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -159,6 +159,14 @@
                 ..update
             }
         });
+        let unsent = state.directory_log.unsent();
+        if sends_changes && unsent > 0 {
+            info!(
+                unsent = unsent,
+                newest = state.directory_log.newest();
+                "some directory changes do not fit into a message"
+            );
+        }
         let mut shares = state.fleet.shares();
         shares.truncate(MAX_SHARES);
         OutstandingWork {
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -12,6 +12,7 @@
 use cw_policy::forward::Slot;
 use cw_policy::forward::SoftwareFilter;
 use cw_policy::forward::StartEstimate;
+use cw_policy::forward::Topic;
 use cw_types::SoftwareVersion;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -304,7 +305,8 @@
     /// Records the backlog at the selected target, and logs the inputs of the decision.
     pub(super) fn record_send(&mut self, now: Time, placement: &Placement, resumed: bool) {
         let context = Arc::clone(&self.context);
-        let state = context.state();
+        let mut state = context.state();
+        let targets_age = state.freshness(Topic::Targets).age(now);
         let load = state.fleet.load(now, &placement.target);
         let requirements = self.requirements(now, &state, self.exchange.excluded());
         let reader = requirements.reader;
@@ -334,7 +336,9 @@
             found:? = self.backlog,
             in_pace = u64::from(in_pace),
             slowness = state.fleet.slowness(now, &placement.target),
-            peers = state.fleet.peer_count();
+            peers = state.fleet.peer_count(),
+            targets_age_ms = targets_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
+            targets_revision = state.directory_log.newest();
             "sending a request"
         );
     }
