--- a/crates/cw_policy/tests/forward/directory_log.rs
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -268,3 +268,56 @@
     assert!(recovered.up && !recovered.trusted);
     assert!(later.up && later.trusted);
 }
+
+/// Guards against an entry that takes a part of a watching entry's read for all of it: the differences of a read bear one
+/// revision, and more of them than a message holds looked complete, so a target that was leaving stayed in use.
+#[test]
+fn any_number_of_differences_leads_to_the_same_state() {
+    for seed in 0..100 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut expected: BTreeMap<String, Bytes> = BTreeMap::new();
+        let mut actual: BTreeMap<String, Bytes> = BTreeMap::new();
+        let (mut watcher, mut other) = (DirectoryLog::default(), DirectoryLog::default());
+        let mut revision = 1;
+        for step in 0..60 {
+            let now = at(step * 100);
+            let changed = rng.random_range(1..300_usize);
+            let differences: Vec<_> = (0..changed)
+                .map(|_| {
+                    revision += 1;
+                    let key = format!("k{}", rng.random_range(0..294));
+                    let is_written = rng.random_bool(0.7);
+                    (key, is_written.then(|| Bytes::from(format!("{revision}"))))
+                })
+                .collect::<BTreeMap<_, _>>()
+                .into_iter()
+                .collect();
+            for (key, new) in &differences {
+                match new {
+                    Some(new) => expected.insert(key.clone(), new.clone()),
+                    None => expected.remove(key),
+                };
+            }
+            watcher.record_differences(revision, differences);
+            if rng.random_bool(0.3) {
+                continue;
+            }
+            let known = match rng.random_bool(0.5) {
+                true => watcher.update(now, &answering_fleet(), 1),
+                false => DirectoryUpdate {
+                    changes: watcher.changes_since(other.newest()).unwrap_or_default(),
+                    ..watcher.digest(now, &answering_fleet(), 1)
+                },
+            };
+            match other.receive(now, &known) {
+                DirectoryUpdateStep::Nothing => {}
+                DirectoryUpdateStep::Missing => {
+                    actual = expected.clone();
+                    other.record_read(revision, revision);
+                }
+                DirectoryUpdateStep::Apply(changes) => apply(&mut actual, changes),
+            }
+            assert!(actual == expected, "seed {seed}, step {step}");
+        }
+    }
+}
