Show that one failed call makes an entry keep a removed target, in a failing test

A second test plays outages of 4 s and more, in which live targets lose their records; it passes and guards what the delay is for.

--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -12,6 +12,9 @@
 use crate::fixtures::fleet;
 use crate::fixtures::listing;
 use cw_types::Incarnation;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rstest::rstest;
 
 #[test]
@@ -86,6 +89,60 @@
     assert_eq!(fleet.usability(at(10), &engine(0, 0)), Usability::Unlisted);
 }
 
+/// Guards against a target that stays in use for seconds after the directory has dropped it, because a single call of this
+/// entry had failed while the directory answered everybody else.
+#[test]
+fn a_removed_target_is_dropped_at_once_although_calls_fail_now_and_then() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = fleet(1, 2);
+        let mut now = 0;
+        fleet.record_directory_answer(at(now));
+        while now < 10_000 {
+            now += rng.random_range(10..1300);
+            if rng.random_bool(0.4) {
+                fleet.record_directory_failure();
+                now += rng.random_range(10..400);
+            }
+            fleet.record_directory_answer(at(now));
+        }
+
+        fleet.record_removal(at(now), &engine(0, 0));
+
+        assert!(!fleet.is_usable(at(now), &engine(0, 0)), "seed {seed}");
+    }
+}
+
+/// Guards against the loss of running targets in an outage that covers the life of a record, whatever answers come before
+/// and after it.
+#[test]
+fn targets_whose_records_expire_in_an_outage_stay_in_use() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = fleet(1, 2);
+        let mut now = 0;
+        while now < 5000 {
+            fleet.record_directory_answer(at(now));
+            now += rng.random_range(10..1300);
+        }
+        fleet.record_directory_failure();
+        now += rng.random_range(4000..9000);
+
+        fleet.record_directory_answer(at(now));
+        fleet.record_removal(at(now), &engine(0, 0));
+        let relisted = now + rng.random_range(1..2000);
+        while now < relisted {
+            assert!(fleet.expire(at(now)).is_empty(), "seed {seed}");
+            assert!(fleet.is_usable(at(now), &engine(0, 0)), "seed {seed}");
+            now += rng.random_range(10..500);
+            if rng.random_bool(0.2) {
+                fleet.record_directory_failure();
+            }
+            fleet.record_directory_answer(at(now));
+        }
+    }
+}
+
 fn leaving() -> Listing {
     Listing {
         leaving: true,
