Trust a removed record unless an outage of the directory can explain it

Callers' requests reached targets that had left, for 2 s to 2.5 s after a single failed call of an entry: the grace for records that expire in an outage began anew with each failed call, also with one that was given up because another entry answered sooner. A watching entry passed that on.

A record expires only in an outage that covers two renewals. `RecordTrust` keeps the moments at which the directory is known to have answered any entry, and grants the grace only after a gap of half a record's lifetime. What another entry tells counts by the moment as of which it knew it, so a message from before an outage does not refute it.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -21,6 +21,7 @@
 use super::limit_shares;
 use super::member::Member;
 use super::peers::Peers;
+use super::record_trust::RecordTrust;
 use super::software_history::SoftwareHistories;
 use crate::CurrentIncarnation;
 use crate::IncarnationOrder;
@@ -58,15 +59,6 @@
     }
 }
 
-/// The state of the directory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Directory {
-    /// The directory has answered since this time.
-    Up(Time),
-    /// The last call to the directory failed.
-    Down,
-}
-
 /// Whether a request may be sent to a target, or why not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Usability {
@@ -84,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     limits: FleetLimits,
-    directory: Directory,
+    record_trust: RecordTrust,
     pub(super) members: BTreeMap<TargetId, Member>,
     /// The targets by the hash that messages between entries name them by.
     pub(super) by_hash: BTreeMap<TargetHash, TargetId>,
@@ -113,7 +105,7 @@
     pub fn new(limits: FleetLimits) -> Self {
         Self {
             limits,
-            directory: Directory::Up(Time::default()),
+            record_trust: RecordTrust::new(limits.record_ttl, limits.relist_grace),
             members: BTreeMap::new(),
             by_hash: BTreeMap::new(),
             service_sizes: BTreeMap::new(),
@@ -248,40 +240,34 @@
 
     /// Records that a call to the directory failed. Returns whether the call before had succeeded.
     pub fn record_directory_failure(&mut self) -> bool {
-        let was_up = self.directory != Directory::Down;
-        self.directory = Directory::Down;
-        was_up
+        self.record_trust.record_failure()
     }
 
     /// Records that the directory answered a call. Returns whether the call before had failed.
     pub fn record_directory_answer(&mut self, now: Time) -> bool {
-        let was_down = self.directory == Directory::Down;
-        if was_down {
-            self.directory = Directory::Up(now);
-        }
-        was_down
+        self.record_trust.record_answer(now)
     }
 
-    /// Returns whether a target without a record in the directory counts as gone: the directory has
-    /// answered for longer than targets need to register again.
+    /// Records that the directory answered another entry at `as_of`, and whether that entry counts targets without a
+    /// record as gone.
+    pub fn record_directory_told(&mut self, as_of: Time, trusted: bool) {
+        self.record_trust.record_told(as_of, trusted);
+    }
+
+    /// Returns whether a target without a record in the directory counts as gone: the directory has not been away
+    /// for so long that records expire, or targets have had time to register again since.
     pub fn is_trusted(&self, now: Time) -> bool {
-        match self.directory {
-            Directory::Up(since) => now.since(since) >= self.limits.relist_grace,
-            Directory::Down => false,
-        }
+        self.record_trust.is_trusted(now)
     }
 
     /// Returns whether the last call to the directory succeeded.
     pub fn is_directory_up(&self) -> bool {
-        self.directory != Directory::Down
+        self.record_trust.is_up()
     }
 
     /// Drops the targets that did not register again in time, and returns their ids.
     pub fn expire(&mut self, now: Time) -> Vec<TargetId> {
-        let Directory::Up(since) = self.directory else {
-            return Vec::new();
-        };
-        if now.since(since) < self.limits.relist_grace {
+        if !self.is_trusted(now) {
             return Vec::new();
         }
         let gone: Vec<TargetId> = self
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -47,6 +47,7 @@
 mod rank;
 mod rank_demand;
 mod read_patience;
+mod record_trust;
 mod run_copy;
 mod run_times;
 mod slowness;
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -280,3 +280,27 @@
     assert!(is_new);
     assert_eq!(fleet.is_usable(at(100), &target), is_usable);
 }
+
+/// Guards against an entry that keeps removed targets because its own host was cut off, although another entry has had answers of
+/// the directory all the while; and against the word of an entry from before an outage.
+#[test]
+fn another_entry_that_got_answers_tells_whether_records_may_have_expired() {
+    let returned = || {
+        let mut fleet = fleet(1, 2);
+        fleet.record_directory_answer(at(0));
+        fleet.record_directory_told(at(0), true);
+        fleet.record_directory_failure();
+        fleet.record_directory_answer(at(10_000));
+        fleet
+    };
+    let [mut told, mut late] = [returned(), returned()];
+
+    told.record_directory_told(at(10_100), true);
+    late.record_directory_told(at(9_900), true);
+    let mut untrusted = returned();
+    untrusted.record_directory_told(at(10_100), false);
+
+    assert!(told.is_trusted(at(10_200)));
+    assert!(!late.is_trusted(at(10_200)));
+    assert!(!untrusted.is_trusted(at(10_200)));
+}
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -236,6 +236,10 @@
         {
             state.freshness(Topic::Config).confirm_told(as_of);
         }
+        let targets_at = state.fleet.confirmation(host, Topic::Targets);
+        if let Some(as_of) = targets_at {
+            state.fleet.record_directory_told(as_of, update.trusted);
+        }
         let is_watcher = state.fleet.is_watcher(now, Topic::Targets);
         let is_up = state.fleet.is_directory_up();
         // An entry that cannot reach the directory has no valid data, and a watcher that can reach
@@ -243,15 +247,12 @@
         if !update.up || (is_watcher && is_up) {
             return;
         }
-        if !is_watcher {
-            state.fleet.record_directory_answer(now);
-        }
         if apply_directory_update(&self.context, now, state, update) == AppliedUpdate::Missing {
             state.directory_source = Some(from);
             self.context.directory_behind.notify_waiters();
             return;
         }
-        if let Some(as_of) = state.fleet.confirmation(host, Topic::Targets) {
+        if let Some(as_of) = targets_at {
             state.directory_log.record_known(update.known);
             state.freshness(Topic::Targets).confirm_told(as_of);
             state.fleet.confirm_targets(as_of);
--- a/crates/cyclamenwharf/src/forward/target_records.rs
+++ b/crates/cyclamenwharf/src/forward/target_records.rs
@@ -123,8 +123,10 @@
         DirectoryUpdateStep::Nothing => AppliedUpdate::Complete,
         DirectoryUpdateStep::Missing => AppliedUpdate::Missing,
         DirectoryUpdateStep::Apply(changes) => {
+            // The other entry knew that these targets had left when it sent the changes, or this one knows it.
+            let trusted = update.trusted || state.fleet.is_trusted(now);
             for change in &changes {
-                apply_directory_change(context, now, state, change, update.trusted);
+                apply_directory_change(context, now, state, change, trusted);
             }
             AppliedUpdate::Complete
         }
