Tell the directory changes of one revision together or not at all

An entry took a part of the changes of one revision for all of them. What a watching entry finds when it reads the directory again (after a compaction, an outage, or as it takes over) bears the revision of the read, and a message holds 128 changes. With more, the message began within the revision: it followed what the receiver knew and ended with the newest change, so that the receiver counted as complete. A target that was draining or gone stayed in use, others were unknown, until the entry was restarted. Deployments with up to 128 targets never had that many.

A message begins with the first change of a revision, and so does the history from which missing changes are told. Where the changes of a revision do not fit, the receiver sees that some are missing and asks for them.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -18,7 +18,8 @@
 /// The number of messages that include a change. An entry that loses all of them asks for the change.
 const MAX_SENDS: u32 = 2;
 
-/// The maximum number of changes in one message, which must fit into a datagram.
+/// The maximum number of changes in one message, which must fit into a datagram. Of more changes at one revision, none
+/// is sent, and the other entries ask for them.
 const MAX_CHANGES: usize = 128;
 
 /// The maximum number of changes that are kept for entries that miss some.
@@ -57,6 +58,7 @@
     history: VecDeque<KnownChange>,
     /// Since when changes are missing.
     behind_since: Option<Time>,
+    left_out: usize,
 }
 
 impl DirectoryLog {
@@ -113,18 +115,21 @@
         let mut update = self.digest(now, fleet, config);
         let unsent = self.history.iter().rev();
         let unsent = unsent.take_while(|known| known.sends < MAX_SENDS).count();
-        let first = self.history.len() - unsent.min(MAX_CHANGES);
-        for known in self.history.iter_mut().skip(first) {
+        let due = self.history.len() - unsent;
+        let first = self.next_revision_start(self.history.len() - unsent.min(MAX_CHANGES));
+        for (index, known) in self.history.iter_mut().enumerate().skip(due) {
             known.sends += 1;
-            update.changes.push(known.change.clone());
+            if index >= first {
+                update.changes.push(known.change.clone());
+            }
         }
+        self.left_out = first - due;
         update
     }
 
-    /// Returns the number of changes that no message has included yet.
-    pub fn unsent(&self) -> usize {
-        let known = self.history.iter();
-        known.filter(|known| known.sends == 0).count()
+    /// Returns the number of changes that the last message had no room for.
+    pub fn left_out(&self) -> usize {
+        self.left_out
     }
 
     /// Returns the message for the other entries without any changes.
@@ -192,10 +197,21 @@
         DirectoryUpdateStep::Apply(new)
     }
 
+    /// Returns the position at or after `index` at which the changes of a revision begin. Changes of one revision are told
+    /// together, since an entry that knows some of them counts as knowing all.
+    fn next_revision_start(&self, index: usize) -> usize {
+        let revision_at = |index: usize| self.history.get(index).map(|known| known.change.revision);
+        let before = index.checked_sub(1).and_then(revision_at);
+        let is_same = |index: &usize| before.is_some() && revision_at(*index) == before;
+        index + (index..self.history.len()).take_while(is_same).count()
+    }
+
     fn keep(&mut self, known: KnownChange) {
         self.history.push_back(known);
-        while self.history.len() > MAX_HISTORY {
-            self.history.pop_front();
+        let excess = self.history.len().saturating_sub(MAX_HISTORY);
+        if excess > 0 {
+            let first = self.next_revision_start(excess);
+            self.history.drain(..first);
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -159,10 +159,10 @@
                 ..update
             }
         });
-        let unsent = state.directory_log.unsent();
-        if sends_changes && unsent > 0 {
+        let left_out = state.directory_log.left_out();
+        if sends_changes && left_out > 0 {
             info!(
-                unsent = unsent,
+                left_out = left_out,
                 newest = state.directory_log.newest();
                 "some directory changes do not fit into a message"
             );
