Bound the time from a target's departure to the last request by a sum of steps

Callers' requests could reach a target after its time to drain although each step kept its own time: the knowledge of targets had the bound of the configuration, which is all of the time to drain on the deployments (2 s of 2 s, 4 s of 4 s). After it came a second in which a chosen target is connected to and asked what it is, twice if that fails, and the transfer.

`DrainLimits` divides the time to drain, a setting of its own, into the steps of the knowledge and the transfer. The way from the choice to the send is no step: the state of the target is looked at again right before the bytes go. The knowledge is never as old as an outage in which records expire, so that the grace for these is no step either. The sum is logged at the start.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -98,8 +98,8 @@
     TrialInProgress,
     /// The target provably has not run the request and will not run it.
     NotRun(Fault),
-    /// No part of the request reached the target: its host refused the connection or did not answer, or another
-    /// incarnation has taken its place.
+    /// No part of the request reached the target: its host refused the connection or did not answer, another
+    /// incarnation has taken its place, or it has begun to leave.
     NotSent(Fault),
     /// The other entries were asked for a part of the budget.
     BudgetAsked,
--- a/crates/cw_policy/src/forward/freshness.rs
+++ b/crates/cw_policy/src/forward/freshness.rs
@@ -18,7 +18,7 @@
 
 /// The least age of the knowledge at which the entry asks the service, however long a read takes. What a watching
 /// entry tells in a sound deployment is up to 1.2 s old: 1 s of a watch, and 0.2 s between two messages.
-const MIN_MAX_AGE: Duration = Duration::from_millis(1300);
+pub(super) const MIN_MAX_AGE: Duration = Duration::from_millis(1300);
 
 /// What is reserved for a read, as a multiple of the time that the last ones took.
 const READ_MARGIN: f64 = 1.2;
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -62,6 +62,8 @@
     Full,
     /// Another target now listens at the address.
     Replaced,
+    /// The target has begun to leave since it was chosen.
+    Leaving,
 }
 
 impl Fault {
@@ -71,6 +73,7 @@
             Fault::Unreachable | Fault::Silent | Fault::Replaced => 2.0,
             Fault::Broken => 1.0,
             Fault::Failed | Fault::Full => 0.5,
+            Fault::Leaving => 0.0,
         }
     }
 
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -21,6 +21,7 @@
 //!   other ranks ([`RankDemand`]).
 //! - [`DirectoryLog`]: the directory changes that the watching entries send to all others.
 //! - [`Freshness`]: how recent the knowledge of the key-value service is, and when to ask it.
+//! - [`DrainLimits`]: how long requests may still reach a target that is leaving.
 //! - [`CrashTracker`]: the requests that may crash the targets that run them, and whether they may be sent
 //!   ([`Standing`]).
 //! - [`Exchange`]: the state machine of one request.
@@ -29,6 +30,7 @@
 mod config_check;
 mod crash_tracker;
 mod directory_log;
+mod drain_limits;
 mod entry_list;
 mod entry_ranking;
 mod event_stream;
@@ -69,6 +71,7 @@
 pub use crash_tracker::CrashTracker;
 pub use directory_log::DirectoryLog;
 pub use directory_log::DirectoryUpdateStep;
+pub use drain_limits::DrainLimits;
 pub use entry_list::EntryList;
 pub use event_stream::EventStream;
 pub use event_stream::StreamError;
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -144,6 +144,15 @@
         self.placement(target, keeper)
     }
 
+    /// Returns whether a request may still be sent to the target of a placement: the directory lists the same incarnation, and
+    /// it has not begun to leave.
+    pub fn is_still_open(&self, placement: &Placement) -> bool {
+        let member = self.members.get(&placement.target);
+        member.is_some_and(|member| {
+            !member.listing.leaving && member.listing.incarnation() == placement.incarnation
+        })
+    }
+
     /// Returns the placement of a request at a target that the directory lists, as it is now.
     pub fn placement(&self, target: TargetId, keeper: Option<TargetId>) -> Option<Placement> {
         let member = self.members.get(&target)?;
--- a/crates/cw_policy/src/forward/record_trust.rs
+++ b/crates/cw_policy/src/forward/record_trust.rs
@@ -11,7 +11,12 @@
 
 /// The share of the lifetime of a record that an outage must last for the record to expire in it. Targets renew their records
 /// three times in that time, and one renewal may be late by half a period.
-pub(super) const OUTAGE_SHARE: f64 = 0.5;
+const OUTAGE_SHARE: f64 = 0.5;
+
+/// Returns the length of the shortest outage in which a record may expire.
+pub(super) fn shortest_outage(record_ttl: Duration) -> Duration {
+    record_ttl.mul_f64(OUTAGE_SHARE)
+}
 
 /// When the directory has answered, as far as that tells whether records may have expired in an outage.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +36,7 @@
 impl RecordTrust {
     pub(super) fn new(record_ttl: Duration, relist_grace: Duration) -> Self {
         Self {
-            min_outage: record_ttl.mul_f64(OUTAGE_SHARE),
+            min_outage: shortest_outage(record_ttl),
             relist_grace,
             is_failing: false,
             answered_at: None,
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod crashing_load;
 mod crashing_parts;
 mod directory_log;
+mod drain;
 mod event_stream;
 mod exchange;
 mod fixtures;
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -406,5 +406,6 @@
         Fault::Failed => "failed",
         Fault::Full => "full",
         Fault::Replaced => "replaced",
+        Fault::Leaving => "leaving",
     }
 }
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -14,6 +14,7 @@
 use cw_policy::budget::SharedBudget;
 use cw_policy::forward::CrashTracker;
 use cw_policy::forward::DirectoryLog;
+use cw_policy::forward::DrainLimits;
 use cw_policy::forward::EntryList;
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
@@ -195,14 +196,15 @@
             slack: settings.rollout.slack,
             rollback: settings.rollout.rollback,
         };
-        let freshness = FreshnessLimits::within(settings.in_force);
+        let config_limits = FreshnessLimits::within(settings.in_force);
+        let drain_limits = drain_limits(&settings);
         let state = ForwardState {
             config: None,
             config_bytes: None,
             software_changes: 0,
             config_revision: None,
-            config_freshness: Freshness::new(freshness),
-            targets_freshness: Freshness::new(freshness),
+            config_freshness: Freshness::new(config_limits),
+            targets_freshness: Freshness::new(drain_limits.knowledge),
             listings: BTreeMap::new(),
             fleet: Fleet::new(FleetLimits {
                 record_ttl: settings.lapse,
@@ -249,6 +251,11 @@
         }
     }
 
+    /// Returns the steps until the last request reaches a target that is leaving.
+    pub(super) fn drain_limits(&self) -> DrainLimits {
+        drain_limits(&self.settings)
+    }
+
     pub(super) fn now(&self) -> Time {
         self.clock.now()
     }
@@ -329,3 +336,7 @@
         self.state().config.clone()
     }
 }
+
+fn drain_limits(settings: &ForwardSettings) -> DrainLimits {
+    DrainLimits::within(settings.drain, settings.lapse)
+}
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -30,10 +30,14 @@
     /// How long the directory still lists a target that has stopped.
     #[serde_as(as = "DurationText")]
     pub lapse: Duration,
-    /// The time within which a change that the key-value service has acknowledged is in force.
+    /// The time within which a change of the configuration that the key-value service has acknowledged is in force.
     #[serde_as(as = "DurationText")]
     #[serde(default = "default_in_force")]
     pub in_force: Duration,
+    /// The time for which a target still takes requests after the key-value service has acknowledged that it is leaving.
+    #[serde_as(as = "DurationText")]
+    #[serde(default = "default_drain")]
+    pub drain: Duration,
     /// The maximum duration of a graceful shutdown.
     #[serde_as(as = "DurationText")]
     pub grace: Duration,
@@ -112,6 +116,11 @@
     Duration::from_secs(2)
 }
 
+/// The time for which targets usually go on after they have said that they are leaving.
+fn default_drain() -> Duration {
+    Duration::from_secs(2)
+}
+
 impl ForwardSettings {
     /// Reads and validates the settings.
     ///
@@ -145,6 +154,9 @@
         if settings.in_force.is_zero() {
             return Err(value("in_force", "a duration above zero"));
         }
+        if settings.drain.is_zero() {
+            return Err(value("drain", "a duration above zero"));
+        }
         if settings.grace.is_zero() {
             return Err(value("grace", "a duration above zero"));
         }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -10,6 +10,7 @@
 use cw_store::HttpClient;
 use cw_store::KeyValueStore;
 use log::info;
+use log::warn;
 use prometheus::Registry;
 use tokio::net::UdpSocket;
 
@@ -24,6 +25,7 @@
 use super::caller_api::CallerApi;
 use super::crash_evidence_state::CrashEvidenceState;
 use super::directory_sync::DirectorySync;
+use super::exchange_driver::millis;
 use super::forward_context::ForwardContext;
 use super::forward_context::ForwardState;
 use super::forward_metrics::ForwardMetrics;
@@ -110,6 +112,17 @@
         let metrics = ForwardMetrics::new(&registry).map_err(StartError::new)?;
         let listen = settings.listen.clone();
         let context = Arc::new(ForwardContext::new(settings, parts.dialect, metrics));
+        let drain_limits = context.drain_limits();
+        info!(
+            last_send_ms = millis(drain_limits.last_send_time()),
+            drain_ms = millis(context.settings.drain);
+            "requests reach a leaving target no later than this"
+        );
+        if drain_limits.is_tight() {
+            warn!(
+                "the time to drain is so short that each entry asks the key-value service itself"
+            );
+        }
         let supervisor = Supervisor::new("forward");
         start_directory_tasks(&supervisor, &context, &parts.store);
         start_peer_exchange(&supervisor, &context, listen.peers)?;
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -167,6 +167,10 @@
             mut reused,
         } = self.verified(destination, pooled, may_have_run).await?;
         loop {
+            if !self.is_still_open(destination) {
+                let event = ExchangeEvent::NotSent(Fault::Leaving);
+                return Err(event.after_earlier_run(may_have_run));
+            }
             guard.mark_sent(destination.placement.incarnation, &self.keys);
             self.record_rollout_transmission();
             let request = self.build_request(now, destination);
@@ -203,6 +207,12 @@
         }
     }
 
+    /// Returns whether the target still takes requests, which may have changed while it was connected to.
+    fn is_still_open(&self, destination: &Destination) -> bool {
+        let state = self.context.state();
+        state.fleet.is_still_open(&destination.placement)
+    }
+
     /// Connects to the target again after a connection has broken.
     pub(super) async fn reconnect(
         &self,
