Remember that a target is leaving after its record is removed

A target that has said that it is leaving, in its record or in an answer, took requests again when its record came back: from an older copy of the store, an older message, or with another value of the record (the flag was kept for the same values only). The rule of the platform binds an entry by an answer that it has passed on, also while the store is in disruption.

A target that starts again is usable.

a_record_that_comes_back_does_not_make_a_leaving_target_usable: three of its four cases failed before, the fourth (a new start) passes before and after.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -17,6 +17,7 @@
 use super::Fault;
 use super::Listing;
 use super::ReportedLoad;
+use super::departures::Departures;
 use super::entry_ranking::EntryRanking;
 use super::limit_shares;
 use super::member::Member;
@@ -78,6 +79,7 @@
     limits: FleetLimits,
     record_trust: RecordTrust,
     pub(super) members: BTreeMap<TargetId, Member>,
+    departures: Departures,
     /// The targets by the hash that messages between entries name them by.
     pub(super) by_hash: BTreeMap<TargetHash, TargetId>,
     /// The number of targets of each service.
@@ -107,6 +109,7 @@
             limits,
             record_trust: RecordTrust::new(limits.record_ttl, limits.relist_grace),
             members: BTreeMap::new(),
+            departures: Departures::default(),
             by_hash: BTreeMap::new(),
             service_sizes: BTreeMap::new(),
             software: SoftwareHistories::default(),
@@ -133,13 +136,15 @@
         is_change
     }
 
-    fn apply_listing(&mut self, now: Time, listing: Listing) -> bool {
+    fn apply_listing(&mut self, now: Time, mut listing: Listing) -> bool {
+        // A target never stops leaving, so a record that says otherwise is outdated.
+        let known = self.members.get(&listing.id).map(|member| &member.listing);
+        let is_leaving = |known: &Listing| known.leaving && known.is_same_start(&listing);
+        listing.leaving |= known.is_some_and(is_leaving) || self.departures.contains(&listing);
         match self.members.get_mut(&listing.id) {
             Some(member) if member.listing == listing && member.missing_since.is_none() => false,
             Some(member) if member.listing.is_same_instance(&listing) => {
-                // A target never stops leaving, so a record that says otherwise is outdated.
-                let leaving = member.listing.leaving || listing.leaving;
-                member.listing = Listing { leaving, ..listing };
+                member.listing = listing;
                 member.missing_since = None;
                 true
             }
@@ -194,6 +199,9 @@
         };
         self.by_hash.remove(&member.hash);
         self.limited.remove(id);
+        if member.listing.leaving {
+            self.departures.record(now, member.listing.clone());
+        }
         if let Some(size) = self.service_sizes.get_mut(&member.listing.service) {
             *size = size.saturating_sub(1);
         }
@@ -267,6 +275,7 @@
 
     /// Drops the targets that did not register again in time, and returns their ids.
     pub fn expire(&mut self, now: Time) -> Vec<TargetId> {
+        self.departures.expire(now);
         if !self.is_trusted(now) {
             return Vec::new();
         }
--- a/crates/cw_policy/src/forward/listing.rs
+++ b/crates/cw_policy/src/forward/listing.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Returns whether `other` describes the same start of the same target, if both tell when that was, whatever else
+    /// has changed in the record.
+    pub fn is_same_start(&self, other: &Listing) -> bool {
+        match (self.started, other.started) {
+            (Some(own), Some(other)) => own == other,
+            _ => self.is_same_instance(other),
+        }
+    }
+
     /// Returns whether `other` describes the same instance of the same target, without a restart.
     pub fn is_same_instance(&self, other: &Listing) -> bool {
         self.started == other.started
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -29,6 +29,7 @@
 
 mod config_check;
 mod crash_tracker;
+mod departures;
 mod directory_log;
 mod drain_limits;
 mod entry_list;
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -11,6 +11,7 @@
 use crate::fixtures::engine;
 use crate::fixtures::fleet;
 use crate::fixtures::listing;
+use crate::fixtures::name;
 use cw_types::Incarnation;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -160,6 +161,29 @@
     assert_eq!(fleet.usability(at(3), &engine(0, 0)), Usability::Leaving);
 }
 
+/// Guards against a leaving target that takes requests again: its record was removed and came back as it was before, from an
+/// older copy of the directory or an older message, or another value of it had changed.
+#[rstest]
+#[case::removed(true, listing(0, 0), Usability::Leaving)]
+#[case::another_version(false, Listing { version: Some(name("v2")), ..listing(0, 0) }, Usability::Leaving)]
+#[case::both(true, Listing { version: Some(name("v2")), ..listing(0, 0) }, Usability::Leaving)]
+#[case::started_again(true, Listing { started: Some(2), ..listing(0, 0) }, Usability::Usable)]
+fn a_record_that_comes_back_does_not_make_a_leaving_target_usable(
+    #[case] is_removed: bool,
+    #[case] later: Listing,
+    #[case] expected: Usability,
+) {
+    let mut fleet = fleet(1, 2);
+    fleet.record_leaving(at(1), &engine(0, 0), Incarnation(1));
+    if is_removed {
+        fleet.record_removal(at(2), &engine(0, 0));
+    }
+
+    fleet.record_listing(at(3), later);
+
+    assert_eq!(fleet.usability(at(4), &engine(0, 0)), expected);
+}
+
 #[test]
 fn a_restart_under_the_same_id_resets_the_state() {
     let mut fleet = fleet(1, 2);
