Ignore a watched change that a read of all targets has shown before

A watch and a read of all targets run beside each other. If the answer of the watch was under way while a newer read was applied, its older record was applied over it: a target that the read no longer has became usable again, until the next answer of the watch removed it, or for good where that answer was lost and another entry confirmed what was known.

`DirectoryLog::record_change` tells whether a change is new; it did not log an older one, but the caller applied it all the same. Found by reading; the test did not compile before, as the log did not tell. The tests of directory_log pass.

--- a/crates/cw_policy/src/forward/directory_log.rs
+++ b/crates/cw_policy/src/forward/directory_log.rs
@@ -88,13 +88,14 @@
         self.behind_since = None;
     }
 
-    /// Records a change that this entry's own watch delivered.
-    pub fn record_change(&mut self, key: &str, value: Option<bytes::Bytes>, revision: i64) {
+    /// Records a change that this entry's own watch delivered. Returns whether it is new: a read of the whole directory may have
+    /// shown it before, together with what has followed.
+    pub fn record_change(&mut self, key: &str, value: Option<bytes::Bytes>, revision: i64) -> bool {
         let last = self.history.back().map(|known| &known.change);
         // One transaction of the key-value service may change several keys at the same revision.
         let previous = match last {
             Some(last) if last.revision == revision => last.previous,
-            _ if revision <= self.newest => return,
+            _ if revision <= self.newest => return false,
             _ => self.last_change,
         };
         self.newest = revision;
@@ -108,6 +109,7 @@
             },
             sends: 0,
         });
+        true
     }
 
     /// Returns the message for the other entries, with the changes that have not been sent often enough.
--- a/crates/cw_policy/tests/forward/directory_log.rs
+++ b/crates/cw_policy/tests/forward/directory_log.rs
@@ -321,3 +321,18 @@
         }
     }
 }
+
+/// Guards against a watch whose answer was under way while the whole directory was read: an older record of a target that the
+/// read no longer has made it usable again.
+#[test]
+fn a_change_that_a_read_has_shown_before_is_not_new() {
+    let mut log = DirectoryLog::default();
+    log.record_read(10, 10);
+    log.record_differences(20, vec![("a".to_owned(), None)]);
+
+    let older = log.record_change("a", value("1"), 15);
+    let newer = ["a", "b"].map(|key| log.record_change(key, value("2"), 25));
+
+    assert!(!older);
+    assert_eq!(newer, [true, true], "one revision may change several keys");
+}
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -292,9 +292,16 @@
     fn apply_change(&self, key: &str, value: Option<Bytes>, revision: StoreRevision) {
         let now = self.context.now();
         let mut state = self.context.state();
-        state
-            .directory_log
-            .record_change(key, value.clone(), revision.0);
+        let log = &mut state.directory_log;
+        if !log.record_change(key, value.clone(), revision.0) {
+            info!(
+                key = key,
+                revision = revision.0,
+                newest = log.newest();
+                "ignored a change that a read of all targets has shown before"
+            );
+            return;
+        }
         let change = DirectoryChange {
             previous: 0,
             revision: revision.0,
