Show requests that real processes end without an answer, in failing tests

- Twenty connections at rest and twenty new ones send a request to a process that stands still for 0.6 s as it closes connections at rest, 2.5 s after SIGTERM. 40 of 40 end without an answer.
- A request that waits for a target is dropped 7.7 s after SIGTERM, without an answer or a line `request finished`.
- A request that is refused (401, 404) before its body has come: the connection is reset, and the caller fails at writing (broken pipe).

--- /dev/null
+++ b/crates/cyclamenwharf/tests/real_process/main.rs
@@ -0,0 +1,23 @@
+//! Tests of the real program as a process of its own, judged by what callers and targets see.
+//!
+//! The store and the engines are the fakes of the tests of the users' platform.
+
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/caller.rs"]
+mod caller;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/deployment.rs"]
+mod deployment;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/fake_engine.rs"]
+mod fake_engine;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/fake_store.rs"]
+mod fake_store;
+#[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/serve.rs"]
+mod serve;
+
+mod connection;
+mod process;
+mod shutdown;
