Answer what has come on a connection before a process that ends closes it

Callers' requests ended without an answer as a process closed its connections at rest, 2.5 s after SIGTERM: what lay in a socket and was not read yet, a part of a head, and the connections that waited to be accepted were reset. A host that is busy, or a process that stood still, has many of these.

The port's waiting connections are accepted before it is closed. A connection is closed once nothing has come for 50 ms that belongs to no request, and after a second in any case (`ConnectionClose`); `CallerSocket` looks into the socket and counts what was read and has not become a request.

--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -22,12 +22,14 @@
 //! - [`DirectoryLog`]: the directory changes that the watching entries send to all others.
 //! - [`Freshness`]: how recent the knowledge of the key-value service is, and when to ask it.
 //! - [`DrainLimits`]: how long requests may still reach a target that is leaving.
+//! - [`ConnectionClose`]: when a process that ends closes a caller's connection.
 //! - [`CrashTracker`]: the requests that may crash the targets that run them, and whether they may be sent
 //!   ([`Standing`]).
 //! - [`Exchange`]: the state machine of one request.
 //! - [`EventStream`]: splits a target's bytes into events and keeps them in order.
 
 mod config_check;
+mod connection_close;
 mod crash_tracker;
 mod departures;
 mod directory_log;
@@ -68,6 +70,8 @@
 pub use config_check::ConfigCheck;
 pub use config_check::Finding;
 pub use config_check::Severity;
+pub use connection_close::CloseStep;
+pub use connection_close::ConnectionClose;
 pub use crash_tracker::AnswerKind;
 pub use crash_tracker::CrashTracker;
 pub use directory_log::DirectoryLog;
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod config;
 mod config_check;
+mod connection_close;
 mod crash_tracker;
 mod crashing_load;
 mod crashing_parts;
--- a/crates/cyclamenwharf/src/lib.rs
+++ b/crates/cyclamenwharf/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`Clock`] is the only source of the current time; policy code gets the time as an argument.
 
 mod agent;
+mod caller_socket;
 mod clock;
 mod config_command;
 mod control;
--- a/crates/cyclamenwharf/src/stream_server.rs
+++ b/crates/cyclamenwharf/src/stream_server.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cw_policy::forward::CloseStep;
+use cw_policy::forward::ConnectionClose;
 use dropshot::Body;
 use futures::future::BoxFuture;
 use http::Request;
@@ -21,12 +23,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::Clock;
+use crate::caller_socket::CallerSocket;
+
 /// The size of the read buffer in bytes, which also limits the head of a request.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
@@ -121,12 +128,12 @@
     async fn run(self, listener: TcpListener) {
         tokio::select! {
             () = self.abort.cancelled() => {}
-            () = self.shutdown.cancelled() => {}
-            () = self.accept(listener) => {}
+            () = self.shutdown.cancelled() => self.accept_waiting(listener),
+            () = self.accept(&listener) => {}
         }
     }
 
-    async fn accept(&self, listener: TcpListener) {
+    async fn accept(&self, listener: &TcpListener) {
         let permits = Arc::new(Semaphore::new(self.limits.max_connections));
         loop {
             let permit = Arc::clone(&permits).acquire_owned().await;
@@ -134,22 +141,45 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let connection = serve_connection(
-                socket,
-                self.limits.header_timeout,
-                Arc::clone(&self.handler),
-                self.shutdown.clone(),
-            );
-            let abort = self.abort.clone();
-            self.tasks.spawn(async move {
-                tokio::select! {
-                    () = abort.cancelled() => {}
-                    () = connection => {}
-                }
-                drop(permit);
-            });
+            self.serve(socket, permit.ok());
+        }
+    }
+
+    /// Accepts the connections that wait, and closes the port. They would be reset otherwise, with requests in them.
+    fn accept_waiting(&self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                warn!("failed to accept the last connections: {error}");
+                return;
+            }
+        };
+        // The listener does not block, so the first error is that none waits any more.
+        while let Ok((socket, _)) = listener.accept() {
+            let socket = socket.set_nonblocking(true).map(|()| socket);
+            match socket.and_then(TcpStream::from_std) {
+                Ok(socket) => self.serve(socket, None),
+                Err(error) => warn!("failed to accept one of the last connections: {error}"),
+            }
         }
     }
+
+    fn serve(&self, socket: TcpStream, permit: Option<OwnedSemaphorePermit>) {
+        let connection = serve_connection(
+            socket,
+            self.limits.header_timeout,
+            Arc::clone(&self.handler),
+            self.shutdown.clone(),
+        );
+        let abort = self.abort.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = abort.cancelled() => {}
+                () = connection => {}
+            }
+            drop(permit);
+        });
+    }
 }
 
 async fn serve_connection(
@@ -160,22 +190,40 @@
 ) {
     // Tokens are small and must be sent without delay. An error is ignored: the socket still works.
     let _ = socket.set_nodelay(true);
+    let socket = CallerSocket::new(socket);
+    let served = socket.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        served.assign_bytes();
         let response = Arc::clone(&handler).handle(request.map(Body::wrap));
-        async move { Ok::<_, Infallible>(response.await) }
+        let served = served.clone();
+        async move {
+            let response = response.await;
+            served.assign_bytes();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
         .max_buf_size(MAX_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     let mut connection = pin!(connection);
     // Connection errors are ignored: the client sees them itself.
     tokio::select! {
-        _ = connection.as_mut() => {}
-        () = shutdown.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        biased;
+        _ = connection.as_mut() => return,
+        () = shutdown.cancelled() => {}
+    }
+    let clock = Clock::default();
+    let mut close = ConnectionClose::new(clock.now());
+    while let CloseStep::Serve(pause) = close.next_step(clock.now(), socket.has_bytes()) {
+        if tokio::time::timeout(pause, connection.as_mut())
+            .await
+            .is_ok()
+        {
+            return;
         }
     }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
