Refuse the requests without an answer before the grace period ends

Callers' requests that no target worked on, which waited for a target, a slot, a trial or the rest of their body, ended without an answer 7.7 s after SIGTERM, and without a line in the log: at the end of the grace period everything was dropped.

0.2 s before that, each request without an answer gets the event `Stopping`: what no target has got is refused with 503 (not run, another entry serves it at once), what may have run gets 502. A stream that has begun goes on to the end, as before. A process that has stood still until then still has these 0.2 s.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -111,6 +111,8 @@
     Failed,
     /// The deadline has passed.
     Expired,
+    /// The process is about to end.
+    Stopping,
 }
 
 impl ExchangeEvent {
@@ -353,6 +355,7 @@
             ExchangeEvent::Lost(fault) => self.on_lost(now, fault, spend),
             ExchangeEvent::Failed => self.on_failed(now, spend),
             ExchangeEvent::Expired => self.end(ErrorKind::Expired),
+            ExchangeEvent::Stopping => self.end(ErrorKind::NotReady),
         }
     }
 
@@ -544,8 +547,12 @@
         let kind = match kind {
             ErrorKind::Expired if self.runs > 0 => ErrorKind::TargetFailed,
             ErrorKind::Quarantined if self.runs > 0 => ErrorKind::CrashesTargets,
-            ErrorKind::NoTarget | ErrorKind::Overloaded if !proven => ErrorKind::OutcomeUnknown,
-            ErrorKind::NoTarget | ErrorKind::Overloaded if self.runs > 0 => ErrorKind::TargetFailed,
+            ErrorKind::NoTarget | ErrorKind::Overloaded | ErrorKind::NotReady if !proven => {
+                ErrorKind::OutcomeUnknown
+            }
+            ErrorKind::NoTarget | ErrorKind::Overloaded | ErrorKind::NotReady if self.runs > 0 => {
+                ErrorKind::TargetFailed
+            }
             kind => kind,
         };
         ExchangeStep::Refuse(kind)
--- a/crates/cw_policy/tests/forward/exchange.rs
+++ b/crates/cw_policy/tests/forward/exchange.rs
@@ -356,3 +356,24 @@
 
     assert_eq!(exchange.start_deadline(at(0), false, None), None);
 }
+
+/// Guards against a request that a process drops as it ends: what no target has got is refused as not run, and nothing else is.
+#[rstest]
+#[case(Repeat::Never, ErrorKind::OutcomeUnknown)]
+#[case(Repeat::Whole, ErrorKind::TargetFailed)]
+#[case(Repeat::Resume, ErrorKind::TargetFailed)]
+fn a_process_that_ends_refuses_what_has_no_answer(
+    #[case] repeat: Repeat,
+    #[case] after_send: ErrorKind,
+) {
+    let mut waiting = Exchange::new(plan(repeat));
+    let mut begun = sent(repeat);
+    begun.record_start();
+
+    let steps = [&mut waiting, &mut sent(repeat), &mut begun]
+        .map(|exchange| exchange.on_event(at(10), ExchangeEvent::Stopping, allowed));
+
+    assert_eq!(steps[0], ExchangeStep::Refuse(ErrorKind::NotReady));
+    assert_eq!(steps[1], ExchangeStep::Refuse(after_send));
+    assert!(matches!(steps[2], ExchangeStep::Break(_)));
+}
--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -174,7 +174,11 @@
         timeout: Duration,
     ) -> Result<Bytes, RefusalReason> {
         let body = Limited::new(body, max_bytes).collect();
-        let kind = match tokio::time::timeout(timeout, body).await {
+        let body = tokio::select! {
+            body = tokio::time::timeout(timeout, body) => body,
+            () = self.context.stopping.cancelled() => return Err(ErrorKind::NotReady.into()),
+        };
+        let kind = match body {
             Ok(Ok(body)) => return Ok(body.to_bytes()),
             Ok(Err(error)) if error.is::<LengthLimitError>() => ErrorKind::TooLarge,
             Ok(Err(error)) => {
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -37,6 +37,7 @@
 use super::response::BufferedResponse;
 use super::rollout_record::RolloutRun;
 use super::send_outcome::SendOutcome;
+use super::send_outcome::TargetStream;
 use super::stream_take_up::TakeUp;
 use super::trial_guard::SuspectAdmission;
 use super::trial_guard::begin_trial;
@@ -107,6 +108,16 @@
     }
 }
 
+/// How the search for an answer to a request ends.
+enum ExchangeEnd {
+    /// The whole answer of a target is there.
+    Answered(BufferedResponse),
+    /// A stream has begun.
+    Begun(Box<TargetStream>),
+    /// The request is refused.
+    Refused(ErrorKind),
+}
+
 /// Drives one request by the decisions of its [`Exchange`].
 pub(super) struct ExchangeDriver {
     pub(super) context: Arc<ForwardContext>,
@@ -182,6 +193,24 @@
 
     /// Returns the response. The body of a stream is sent by a task of its own.
     pub(super) async fn run(mut self) -> Response<Body> {
+        let stopping = self.context.stopping.clone();
+        let end = tokio::select! {
+            biased;
+            end = self.find_answer() => end,
+            () = stopping.cancelled() => match self.next_step(ExchangeEvent::Stopping) {
+                ExchangeStep::Refuse(kind) => ExchangeEnd::Refused(kind),
+                _ => ExchangeEnd::Refused(ErrorKind::OutcomeUnknown),
+            },
+        };
+        match end {
+            ExchangeEnd::Answered(response) => self.respond(response),
+            ExchangeEnd::Begun(stream) => self.start_stream(*stream),
+            ExchangeEnd::Refused(kind) => self.refuse(kind),
+        }
+    }
+
+    /// Sends the request until its answer has come or begun, or it is refused.
+    async fn find_answer(&mut self) -> ExchangeEnd {
         let mut step = match self.take_up_stream().await {
             TakeUp::Ready => ExchangeStep::Send(Resume::default()),
             TakeUp::Refused(event) => self.next_step(event),
@@ -190,9 +219,9 @@
             step = match step {
                 ExchangeStep::Send(resume) => match self.send(&resume).await {
                     SendOutcome::Response(response) | SendOutcome::StreamEnd(response) => {
-                        return self.respond(response);
+                        return ExchangeEnd::Answered(response);
                     }
-                    SendOutcome::Stream(stream) => return self.start_stream(*stream),
+                    SendOutcome::Stream(stream) => return ExchangeEnd::Begun(stream),
                     SendOutcome::ErrorResponse(response) => {
                         self.error_response = Some(response);
                         self.next_step(ExchangeEvent::Failed)
@@ -205,11 +234,11 @@
                 }
                 ExchangeStep::AskBudget(pause) => self.ask_budget(pause).await,
                 ExchangeStep::PassOn => match self.error_response.take() {
-                    Some(response) => return self.respond(response),
+                    Some(response) => return ExchangeEnd::Answered(response),
                     None => ExchangeStep::Refuse(ErrorKind::TargetFailed),
                 },
                 ExchangeStep::Refuse(kind) | ExchangeStep::Break(kind) => {
-                    return self.refuse(kind);
+                    return ExchangeEnd::Refused(kind);
                 }
             };
         }
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -46,6 +46,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::Clock;
 use crate::Health;
@@ -173,6 +174,8 @@
     pub(super) rollout_write: Notify,
     /// Signals that the set of software versions has changed, or that a request has streams of two versions.
     pub(super) software_changed: Notify,
+    /// Cancelled when the process is about to end, so that requests without an answer are refused.
+    pub(super) stopping: CancellationToken,
     /// Signals that another entry has newer directory data.
     pub(super) directory_behind: Notify,
     /// The client for questions that requests wait for: trials, and what began a stream.
@@ -245,6 +248,7 @@
             rollouts_changed: Notify::new(),
             rollout_write: Notify::new(),
             software_changed: Notify::new(),
+            stopping: CancellationToken::new(),
             directory_behind: Notify::new(),
             keepers: HttpClient::default().with_timeout(KEEPER_TIMEOUT),
             state: Mutex::new(state),
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -74,6 +74,10 @@
 /// The part of the grace period that is reserved for the exit of the process, with a margin.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
+/// The part of the grace period in which requests without an answer are refused. It follows the rest also in a process that has
+/// stood still until then, since the refusals must reach the callers.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+
 /// The external parts of a forwarding entry.
 pub struct ForwardParts {
     /// The message formats of callers, targets and the directory.
@@ -246,7 +250,14 @@
             tokio::time::sleep(BALANCER_DELAY.min(grace)).await;
             self.server.close().await;
         };
-        match tokio::time::timeout(grace, work).await {
+        let graceful = grace.saturating_sub(REFUSAL_TIME);
+        if tokio::time::timeout(graceful, work).await.is_ok() {
+            info!("all requests in progress have ended");
+            return;
+        }
+        info!("the grace period is nearly over; refusing the requests without an answer");
+        self.context.stopping.cancel();
+        match tokio::time::timeout(REFUSAL_TIME, self.server.close()).await {
             Ok(()) => info!("all requests in progress have ended"),
             Err(_) => info!(
                 streams = self.context.metrics.streams.get();
--- a/crates/cyclamenwharf/src/forward/refusal_response.rs
+++ b/crates/cyclamenwharf/src/forward/refusal_response.rs
@@ -36,6 +36,8 @@
         match kind {
             // Nothing that the caller does serves the request before the delay is over.
             ErrorKind::Quarantined => soonest,
+            // Another entry serves the request at once.
+            ErrorKind::NotReady if context.health.is_draining() => Duration::ZERO,
             _ => soonest
                 .max(time_left.mul_f64(share))
                 .min(time_left.mul_f64(max_share)),
