Read the rest of a refused request's body, so that the refusal arrives

A request that is refused by its head (401, 404, 503 of an entry that has no configuration yet) or by the size of its body was answered before the body had come, and its connection closed with bytes unread. The kernel resets such a connection: a caller that still writes fails, and may never read the refusal.

The refusal is sent at once, as before, and the rest of the body is read and discarded meanwhile, 8 MiB and 2 s at most, so that the connection ends in order or is used again.

a_refusal_is_read_although_the_body_comes_later failed before in both cases (broken pipe) and passes.

--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -22,6 +22,7 @@
 use http::Request;
 use http::Response;
 use http::request;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -39,6 +40,12 @@
 /// The timeout of a request whose caller states none. The limit of the route is usually shorter.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long the body of a refused request is read. Callers send theirs within a second or two.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The maximum number of bytes of such a body, the largest body that a configuration usually allows.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+
 /// Serves the callers of a forwarding entry.
 pub(super) struct CallerApi {
     pub(super) context: Arc<ForwardContext>,
@@ -79,20 +86,28 @@
     /// Reads a request, and selects its route and service.
     async fn accept(&self, request: Request<Body>) -> Result<ExchangeDriver, Refusal> {
         let arrived = self.context.now();
-        let (parts, body) = request.into_parts();
-        let head = self.context.dialect.parse_request(&parts);
-        let head = head.map_err(Refusal::from_head_error)?;
-        let refuse = |reason| Refusal::new(reason, &head);
-        let (config, admitted, service) = self
-            .admit(&parts, &head)
-            .map_err(|kind| refuse(kind.into()))?;
+        let (parts, mut body) = request.into_parts();
+        let admission = self.admit(&parts);
+        let (head, config, admitted, service) = match admission {
+            Ok(admission) => admission,
+            Err(refusal) => {
+                discard_body(body);
+                return Err(refusal);
+            }
+        };
         let route = &admitted.route;
         let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let timeout = timeout.min(route.timeout);
-        let body = self
-            .read_body(body, config.limits().max_body, timeout)
+        let read = self
+            .read_body(&mut body, config.limits().max_body, timeout)
             .await;
-        let body = body.map_err(refuse)?;
+        let body = match read {
+            Ok(read) => read,
+            Err(reason) => {
+                discard_body(body);
+                return Err(Refusal::new(reason, &head));
+            }
+        };
         let precedence = self.precedence(arrived, &config, &admitted, &service, &head);
         let plan = ExchangePlan {
             repeat: route.repeat,
@@ -123,10 +138,23 @@
         Ok(ExchangeDriver::new(context, accepted, exchange))
     }
 
-    /// Selects the route and the service of a request.
+    /// Reads the head of a request, and selects its route and service.
     fn admit(
         &self,
         parts: &request::Parts,
+    ) -> Result<(RequestHead, Arc<ForwardConfig>, Admitted, ServiceName), Refusal> {
+        let head = self.context.dialect.parse_request(parts);
+        let head = head.map_err(Refusal::from_head_error)?;
+        match self.select_service(parts, &head) {
+            Ok((config, admitted, service)) => Ok((head, config, admitted, service)),
+            Err(kind) => Err(Refusal::new(kind.into(), &head)),
+        }
+    }
+
+    /// Selects the route and the service of a request.
+    fn select_service(
+        &self,
+        parts: &request::Parts,
         head: &RequestHead,
     ) -> Result<(Arc<ForwardConfig>, Admitted, ServiceName), ErrorKind> {
         let config = self.context.config().ok_or(ErrorKind::NotReady)?;
@@ -169,7 +197,7 @@
 
     async fn read_body(
         &self,
-        body: Body,
+        body: &mut Body,
         max_bytes: usize,
         timeout: Duration,
     ) -> Result<Bytes, RefusalReason> {
@@ -214,6 +242,27 @@
     }
 }
 
+/// Reads the rest of the body of a refused request while the refusal is sent. If the connection were closed with bytes unread,
+/// it would be reset, and a caller that still writes would not read the refusal.
+fn discard_body(mut body: Body) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::spawn(async move {
+        let read = async {
+            let mut discarded = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                discarded += frame.data_ref().map_or(0, Bytes::len);
+                if discarded > MAX_DISCARDED_BYTES {
+                    return;
+                }
+            }
+        };
+        // A caller that sends for longer finds the connection closed.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+    });
+}
+
 impl Refusal {
     fn new(reason: RefusalReason, head: &RequestHead) -> Self {
         Self {
