Add a soak of real processes, judged by what callers and engines see

Three entries run as processes beside the fake store and six fake engines. Callers use open connections until the process is gone, some write a request in two parts, and a balancer takes an entry out after two misses. Each request must get one whole answer or a refusal; what may run once runs once, and a refusal that says "not run" is true.

Two faults of the harness were mended on the way: a process that was held still for 6 s by a lock, and requests written to connections that had ended.

--- a/crates/cyclamenwharf/tests/real_process/connection.rs
+++ b/crates/cyclamenwharf/tests/real_process/connection.rs
@@ -34,7 +34,7 @@
     /// When the last byte of a request was written.
     pub(crate) sent_at: Instant,
     /// Whether the last answer allows another request.
-    pub(crate) is_open: bool,
+    is_open: bool,
 }
 
 /// Returns a request for a path of the fake deployment.
@@ -60,6 +60,13 @@
         })
     }
 
+    /// Returns whether another request may be sent: the last answer allows it, and the entry has not closed the connection.
+    pub(crate) fn is_usable(&self) -> bool {
+        let end = self.socket.try_read(&mut [0]);
+        let is_waiting = end.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        self.is_open && is_waiting
+    }
+
     /// Writes a part of a request.
     ///
     /// # Errors
--- a/crates/cyclamenwharf/tests/real_process/main.rs
+++ b/crates/cyclamenwharf/tests/real_process/main.rs
@@ -21,3 +21,4 @@
 mod connection;
 mod process;
 mod shutdown;
+mod soak;
--- a/crates/cyclamenwharf/tests/real_process/process.rs
+++ b/crates/cyclamenwharf/tests/real_process/process.rs
@@ -10,20 +10,22 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::Method;
 use tempfile::TempDir;
 
-use crate::caller::call;
+use crate::connection::Connection;
 use crate::deployment::wait_until;
 
 /// The ports of an entry at its own loopback address.
 const CALLERS_PORT: u16 = 8000;
-const HEALTH_PORT: u16 = 8001;
+pub(crate) const HEALTH_PORT: u16 = 8001;
 const PEERS_PORT: u16 = 8002;
 
 /// The maximum duration of a graceful shutdown.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
+/// How long an entry may take to tell whether it is ready.
+const READY_PATIENCE: Duration = Duration::from_secs(1);
+
 /// The time between two looks at a process that ends.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -106,19 +108,9 @@
         (self.address, CALLERS_PORT).into()
     }
 
-    /// Returns whether the entry answers that it is ready.
-    pub(crate) async fn is_ready(&self) -> bool {
-        let health = (self.address, HEALTH_PORT).into();
-        // The port is closed while the process starts.
-        if tokio::net::TcpStream::connect(health).await.is_err() {
-            return false;
-        }
-        let response = call(health, Method::GET, "/readyz", &[], "").await;
-        response.status.is_success()
-    }
-
     pub(crate) async fn wait_until_ready(&self) {
-        wait_until("the entry is ready", async || self.is_ready().await).await;
+        let health = (self.address, HEALTH_PORT).into();
+        wait_until("the entry is ready", async || is_ready(health).await).await;
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
@@ -146,6 +138,19 @@
     }
 }
 
+/// Returns whether the entry with this address for readiness checks answers that it is ready.
+pub(crate) async fn is_ready(health: SocketAddr) -> bool {
+    let mut connection = match Connection::open(health).await {
+        Ok(connection) => connection,
+        Err(_) => return false,
+    };
+    let question = format!("GET /readyz HTTP/1.1\r\nhost: {health}\r\n\r\n");
+    if connection.write(&question).await.is_err() {
+        return false;
+    }
+    connection.read_answer(READY_PATIENCE).await.status() == Some(200)
+}
+
 impl Drop for EntryProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -159,7 +164,9 @@
         .append(true)
         .open(directory.path().join("log"))
         .expect("a writable directory");
-    Command::new(env!("CARGO_BIN_EXE_cyclamenwharf"))
+    let program = std::env::var("CW_SOAK_PROGRAM");
+    let program = program.unwrap_or_else(|_| env!("CARGO_BIN_EXE_cyclamenwharf").to_owned());
+    Command::new(program)
         .args(["forward", "--settings"])
         .arg(directory.path().join("settings.toml"))
         .stdin(Stdio::null())
