Keep the platform's words out of the tests of real processes

The whole script failed on: names.rs finds the platform's header names and keys in the new tests, which stand beside the program that they start. What they say in these words is in platform/tests/path now, beside the fakes that they use already.

--- a/crates/cyclamenwharf/tests/real_process/connection.rs
+++ b/crates/cyclamenwharf/tests/real_process/connection.rs
@@ -37,15 +37,6 @@
     is_open: bool,
 }
 
-/// Returns a request for a path of the fake deployment.
-pub(crate) fn request(path: &str, id: &str, key: &str, more: &str, body: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nauthorization: Token {key}\r\n{more}\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 impl Connection {
     /// # Errors
     ///
--- a/crates/cyclamenwharf/tests/real_process/main.rs
+++ b/crates/cyclamenwharf/tests/real_process/main.rs
@@ -14,6 +14,8 @@
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "../../../../platform/tests/path/fake_store.rs"]
 mod fake_store;
+#[path = "../../../../platform/tests/path/process_requests.rs"]
+mod process_requests;
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "../../../../platform/tests/path/serve.rs"]
 mod serve;
--- a/crates/cyclamenwharf/tests/real_process/shutdown.rs
+++ b/crates/cyclamenwharf/tests/real_process/shutdown.rs
@@ -3,13 +3,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use serde_json::Value;
-use serde_json::json;
 
 use crate::connection::Answer;
 use crate::connection::Connection;
-use crate::connection::request;
-use crate::deployment::config;
 use crate::deployment::register_engine;
 use crate::fake_engine::FakeEngine;
 use crate::fake_engine::Runs;
@@ -17,6 +13,11 @@
 use crate::process::EntryProcess;
 use crate::process::GRACE;
 use crate::process::Signal;
+use crate::process_requests::put_config;
+use crate::process_requests::request;
+
+/// The deadline of a request, in milliseconds.
+const DEADLINE: u64 = 60_000;
 
 /// How long a caller waits for the next byte of an answer.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -37,13 +38,8 @@
     async fn start(objective: Duration) -> Self {
         let store = FakeStore::start().await;
         let runs = Runs::default();
-        let mut document: Value = serde_json::from_str(&config(3, "key-a")).expect("a document");
-        document["limits"]["maxBodyBytes"] = json!(1 << 20);
-        for route in document["routes"].as_array_mut().expect("a list") {
-            route["latencyTargetMs"] = json!(objective.as_millis());
-            route["timeoutMs"] = json!(60_000);
-        }
-        store.put("op/config", &document.to_string());
+        let objective = u64::try_from(objective.as_millis()).expect("a short time");
+        put_config(&store, 3, objective, DEADLINE);
         let mut engines = Vec::new();
         for number in 0..2 {
             let engine = FakeEngine::start(&format!("p-{number}"), &runs).await;
@@ -67,7 +63,7 @@
         for number in 0..100 {
             let mut connection = self.connect().await;
             let id = format!("first-{number}");
-            let text = request("/again/x", &id, "key-a", "", "question");
+            let text = request("/again/x", &id, "key-a", DEADLINE, "question");
             connection.write(&text).await.expect("an open connection");
             if connection.read_answer(PATIENCE).await.status() == Some(200) {
                 return;
@@ -90,7 +86,13 @@
     let mut connections = Vec::new();
     for number in 0..20 {
         let mut connection = deployment.connect().await;
-        let text = request("/once/x", &format!("a-{number}"), "key-a", "", "question");
+        let text = request(
+            "/once/x",
+            &format!("a-{number}"),
+            "key-a",
+            DEADLINE,
+            "question",
+        );
         connection.write(&text).await.expect("an open connection");
         assert_eq!(connection.read_answer(PATIENCE).await.status(), Some(200));
         connections.push(connection);
@@ -103,7 +105,13 @@
         connections.push(deployment.connect().await);
     }
     for (number, connection) in connections.iter_mut().enumerate() {
-        let text = request("/once/x", &format!("b-{number}"), "key-a", "", "question");
+        let text = request(
+            "/once/x",
+            &format!("b-{number}"),
+            "key-a",
+            DEADLINE,
+            "question",
+        );
         connection.write(&text).await.expect("an open connection");
     }
     tokio::time::sleep(Duration::from_millis(600)).await;
@@ -126,7 +134,7 @@
     deployment.entry.signal(Signal::Terminate);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let mut connection = deployment.connect().await;
-    let text = request("/s/x", "waits", "key-a", "", "question");
+    let text = request("/s/x", "waits", "key-a", DEADLINE, "question");
 
     connection.write(&text).await.expect("an open connection");
     let answer = connection.read_answer(GRACE).await;
@@ -153,7 +161,7 @@
     let deployment = Deployment::start(Duration::from_secs(4)).await;
     for number in 0..5 {
         let body = "x".repeat(200_000);
-        let text = request(path, &format!("a-{number}"), key, "", &body);
+        let text = request(path, &format!("a-{number}"), key, DEADLINE, &body);
         let (head, body) = text.split_at(text.len() - body.len());
         let mut connection = deployment.connect().await;
 
--- a/crates/cyclamenwharf/tests/real_process/soak.rs
+++ b/crates/cyclamenwharf/tests/real_process/soak.rs
@@ -11,15 +11,11 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde_json::Value;
-use serde_json::json;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
 use crate::connection::Answer;
 use crate::connection::Connection;
-use crate::connection::request;
-use crate::deployment::config;
 use crate::deployment::register_engine;
 use crate::fake_engine::EngineBehavior;
 use crate::fake_engine::FakeEngine;
@@ -31,6 +27,9 @@
 use crate::process::EntryProcess;
 use crate::process::GRACE;
 use crate::process::Signal;
+use crate::process_requests::put_config;
+use crate::process_requests::request;
+use crate::process_requests::request_id;
 
 /// The number of entries.
 const ENTRIES: usize = 3;
@@ -44,6 +43,10 @@
 /// How long things go wrong in a run.
 const PLAY_TIME: Duration = Duration::from_secs(14);
 
+/// The objective and the timeout of all routes, in milliseconds.
+const OBJECTIVE: u64 = 4500;
+const TIMEOUT: u64 = 15_000;
+
 /// The deadline of a request, in milliseconds.
 const DEADLINE: u64 = 5000;
 
@@ -119,7 +122,7 @@
     async fn start(seed: u64) -> Self {
         let store = FakeStore::start().await;
         let runs = Runs::default();
-        put_config(&store, 3);
+        put_config(&store, 3, OBJECTIVE, TIMEOUT);
         let mut engines = Vec::new();
         for (service, kind) in [("llm", "m"), ("api", "p")] {
             for number in 0..ENGINES {
@@ -217,13 +220,8 @@
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number}");
         let path = ["/s/x", "/once/x", "/again/x"][rng.random_range(0..3)];
-        let prompt = match path {
-            "/s/x" => "x-token-usage: 100,40\r\nx-prefix-hash: aa:50,bb:50\r\n",
-            _ => "",
-        };
-        let more = format!("x-deadline-ms: {DEADLINE}\r\n{prompt}");
         let body = "x".repeat([10, 900, 30_000][rng.random_range(0..3)]);
-        let text = request(path, &id, "key-a", &more, &body);
+        let text = request(path, &id, "key-a", DEADLINE, &body);
         let split = match rng.random_bool(0.3) {
             true => rng.random_range(1..text.len()),
             false => text.len(),
@@ -297,7 +295,7 @@
                 tokio::time::sleep(pause).await;
                 process.signal(Signal::Continue);
             }
-            5 => put_config(&self.store, version),
+            5 => put_config(&self.store, version, OBJECTIVE, TIMEOUT),
             6 => {
                 let faults = [StoreFault::Busy, StoreFault::Silent, StoreFault::Lost];
                 self.store.set_fault(faults[rng.random_range(0..3)]);
@@ -382,8 +380,7 @@
         let runs = self.runs.lock().expect("a lock").clone();
         let mut by_id = BTreeMap::<&str, Vec<&Run>>::new();
         for run in &runs {
-            let id = run.header("x-attempt-id").unwrap_or_default();
-            by_id.entry(id).or_default().push(run);
+            by_id.entry(request_id(run)).or_default().push(run);
         }
         let seen = std::mem::take(&mut *self.seen.lock().expect("a lock"));
         let mut findings = Vec::new();
@@ -478,12 +475,6 @@
     }
 }
 
-fn put_config(store: &FakeStore, version: u64) {
-    let mut document: Value = serde_json::from_str(&config(version, "key-a")).expect("a document");
-    document["limits"]["maxBodyBytes"] = json!(1 << 20);
-    store.put("op/config", &document.to_string());
-}
-
 /// Guards against requests that real processes lose: by a signal, a restart, a process that stands still, or a fault beside.
 ///
 /// `CW_SOAK_SEED` and `CW_SOAK_COUNT` choose other runs, and `CW_SOAK_PROGRAM` another program.
