Move the drain limits to the settings, and split the troubles of the soak

A lapse of zero is refused in the settings, since half of it bounds the age of the knowledge of targets now. No decision is changed.

--- a/crates/cyclamenwharf/src/caller_socket.rs
+++ b/crates/cyclamenwharf/src/caller_socket.rs
@@ -54,6 +54,21 @@
         let found = SockRef::from(&*self.socket).peek(&mut byte);
         found.is_ok_and(|length| length > 0)
     }
+
+    /// Writes once the socket takes bytes.
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match write(&self.socket) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
 }
 
 impl AsyncRead for CallerSocket {
@@ -77,23 +92,6 @@
     }
 }
 
-impl CallerSocket {
-    /// Writes once the socket takes bytes.
-    fn poll_write_with(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.socket.poll_write_ready(cx))?;
-            match write(&self.socket) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-}
-
 impl AsyncWrite for CallerSocket {
     fn poll_write(
         self: Pin<&mut Self>,
--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -43,7 +43,7 @@
 /// How long the body of a refused request is read. Callers send theirs within a second or two.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The maximum number of bytes of such a body, the largest body that a configuration usually allows.
+/// The maximum number of bytes of such a body that are read. The connection of a larger one is closed.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
 /// Serves the callers of a forwarding entry.
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -199,6 +199,7 @@
             end = self.find_answer() => end,
             () = stopping.cancelled() => match self.next_step(ExchangeEvent::Stopping) {
                 ExchangeStep::Refuse(kind) => ExchangeEnd::Refused(kind),
+                // There is no time for any other step.
                 _ => ExchangeEnd::Refused(ErrorKind::OutcomeUnknown),
             },
         };
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -14,7 +14,6 @@
 use cw_policy::budget::SharedBudget;
 use cw_policy::forward::CrashTracker;
 use cw_policy::forward::DirectoryLog;
-use cw_policy::forward::DrainLimits;
 use cw_policy::forward::EntryList;
 use cw_policy::forward::Fleet;
 use cw_policy::forward::FleetLimits;
@@ -200,14 +199,14 @@
             rollback: settings.rollout.rollback,
         };
         let config_limits = FreshnessLimits::within(settings.in_force);
-        let drain_limits = drain_limits(&settings);
+        let target_limits = settings.drain_limits().knowledge;
         let state = ForwardState {
             config: None,
             config_bytes: None,
             software_changes: 0,
             config_revision: None,
             config_freshness: Freshness::new(config_limits),
-            targets_freshness: Freshness::new(drain_limits.knowledge),
+            targets_freshness: Freshness::new(target_limits),
             listings: BTreeMap::new(),
             fleet: Fleet::new(FleetLimits {
                 record_ttl: settings.lapse,
@@ -255,11 +254,6 @@
         }
     }
 
-    /// Returns the steps until the last request reaches a target that is leaving.
-    pub(super) fn drain_limits(&self) -> DrainLimits {
-        drain_limits(&self.settings)
-    }
-
     pub(super) fn now(&self) -> Time {
         self.clock.now()
     }
@@ -340,7 +334,3 @@
         self.state().config.clone()
     }
 }
-
-fn drain_limits(settings: &ForwardSettings) -> DrainLimits {
-    DrainLimits::within(settings.drain, settings.lapse)
-}
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cw_macro::data;
+use cw_policy::forward::DrainLimits;
 use cw_types::DurationText;
 use cw_types::HostId;
 use cw_types::ZoneId;
@@ -154,6 +155,9 @@
         if settings.in_force.is_zero() {
             return Err(value("in_force", "a duration above zero"));
         }
+        if settings.lapse.is_zero() {
+            return Err(value("lapse", "a duration above zero"));
+        }
         if settings.drain.is_zero() {
             return Err(value("drain", "a duration above zero"));
         }
@@ -162,4 +166,9 @@
         }
         Ok(settings)
     }
+
+    /// Returns the steps until the last request reaches a target that is leaving.
+    pub fn drain_limits(&self) -> DrainLimits {
+        DrainLimits::within(self.drain, self.lapse)
+    }
 }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -116,7 +116,7 @@
         let metrics = ForwardMetrics::new(&registry).map_err(StartError::new)?;
         let listen = settings.listen.clone();
         let context = Arc::new(ForwardContext::new(settings, parts.dialect, metrics));
-        let drain_limits = context.drain_limits();
+        let drain_limits = context.settings.drain_limits();
         info!(
             last_send_ms = millis(drain_limits.last_send_time()),
             drain_ms = millis(context.settings.drain);
--- a/crates/cyclamenwharf/tests/real_process/soak.rs
+++ b/crates/cyclamenwharf/tests/real_process/soak.rs
@@ -287,14 +287,7 @@
                 entry.record(Signal::Hangup);
                 process.signal(Signal::Hangup);
             }
-            3 | 4 => {
-                // Nobody else may hold the process, or it would stand still for as long.
-                let process = entry.process.lock().await;
-                entry.record(Signal::Stop);
-                process.signal(Signal::Stop);
-                tokio::time::sleep(pause).await;
-                process.signal(Signal::Continue);
-            }
+            3 | 4 => hold_still(entry, pause).await,
             5 => put_config(&self.store, version, OBJECTIVE, TIMEOUT),
             6 => {
                 let faults = [StoreFault::Busy, StoreFault::Silent, StoreFault::Lost];
@@ -302,40 +295,35 @@
                 tokio::time::sleep(pause).await;
                 self.store.set_fault(StoreFault::None);
             }
-            7 => {
-                let mut process = entry.process.lock().await;
-                entry.record(Signal::Kill);
-                process.signal(Signal::Kill);
-                process.wait_for_end().await;
-                process.restart();
-            }
-            8 | 9 => {
-                let engine = &self.engines[rng.random_range(0..2 * ENGINES)];
-                self.record_fault();
-                engine.server.stop();
-                tokio::time::sleep(pause).await;
-                if engine.server.is_stopped() {
-                    engine.server.restart();
-                }
-                self.record_fault();
-            }
-            _ => {
-                let behaviors = [
-                    EngineBehavior::DisconnectAfter(3),
-                    EngineBehavior::HangAfter(2),
-                    EngineBehavior::RunAndClose,
-                    EngineBehavior::Shed,
-                    EngineBehavior::Fail,
-                    EngineBehavior::TruncateBody,
-                ];
-                let engine = &self.engines[rng.random_range(0..2 * ENGINES)];
-                self.record_fault();
-                engine.set_behavior(behaviors[rng.random_range(0..behaviors.len())]);
-                tokio::time::sleep(pause).await;
-                engine.set_behavior(EngineBehavior::Respond);
-                self.record_fault();
+            7 => kill_and_start(entry).await,
+            kind => self.fail_engine(kind, pause, &mut rng).await,
+        }
+    }
+
+    /// Lets an engine crash, or fail in another way, for some time.
+    async fn fail_engine(&self, kind: usize, pause: Duration, rng: &mut SmallRng) {
+        let behaviors = [
+            EngineBehavior::DisconnectAfter(3),
+            EngineBehavior::HangAfter(2),
+            EngineBehavior::RunAndClose,
+            EngineBehavior::Shed,
+            EngineBehavior::Fail,
+            EngineBehavior::TruncateBody,
+        ];
+        let engine = &self.engines[rng.random_range(0..2 * ENGINES)];
+        self.record_fault();
+        if kind < 10 {
+            engine.server.stop();
+            tokio::time::sleep(pause).await;
+            if engine.server.is_stopped() {
+                engine.server.restart();
             }
+        } else {
+            engine.set_behavior(behaviors[rng.random_range(0..behaviors.len())]);
+            tokio::time::sleep(pause).await;
+            engine.set_behavior(EngineBehavior::Respond);
         }
+        self.record_fault();
     }
 
     /// Ends a process as the platform does, and starts it again.
@@ -478,6 +466,23 @@
     }
 }
 
+/// Lets a process stand still for some time. Nobody else may signal it meanwhile, or it would stand still for as long.
+async fn hold_still(entry: &Entry, pause: Duration) {
+    let process = entry.process.lock().await;
+    entry.record(Signal::Stop);
+    process.signal(Signal::Stop);
+    tokio::time::sleep(pause).await;
+    process.signal(Signal::Continue);
+}
+
+async fn kill_and_start(entry: &Entry) {
+    let mut process = entry.process.lock().await;
+    entry.record(Signal::Kill);
+    process.signal(Signal::Kill);
+    process.wait_for_end().await;
+    process.restart();
+}
+
 /// Guards against requests that real processes lose: by a signal, a restart, a process that stands still, or a fault beside.
 ///
 /// `CW_SOAK_SEED` and `CW_SOAK_COUNT` choose other runs, and `CW_SOAK_PROGRAM` another program.
