Handle signals before the port for callers opens

A SIGHUP or SIGTERM that came after the port was bound and before its handler was registered ended the process at once, with the connections that the kernel had accepted. The window is short on an idle host and as long as the process waits for its processor on a busy one.

The handlers are registered first, for entries, agents and forwarding entries.

a_process_that_serves_callers_handles_signals looks at the signals that a process handles at its first accepted connection.

--- a/crates/cyclamenwharf/src/main.rs
+++ b/crates/cyclamenwharf/src/main.rs
@@ -27,6 +27,7 @@
 use log::error;
 use log::info;
 use tokio::runtime::Runtime;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -122,9 +123,10 @@
         Err(error) => return exit_with_error(&error),
     };
     run_on_runtime(Runtime::new(), settings.log.level.into(), async {
+        let mut end = EndSignals::register();
         let entry = Entry::start(settings).await.map_err(|e| e.to_string())?;
         info!(callers = entry.callers.to_string(); "the entry has started");
-        wait_for_signal().await;
+        end.recv().await;
         info!("the entry is draining");
         entry.drain().await;
         Ok(())
@@ -137,9 +139,10 @@
         Err(error) => return exit_with_error(&error),
     };
     run_on_runtime(Runtime::new(), settings.log.level.into(), async {
+        let mut end = EndSignals::register();
         let agent = Agent::start(settings).await.map_err(|e| e.to_string())?;
         info!(peers = agent.peers.to_string(); "the agent has started");
-        wait_for_signal().await;
+        end.recv().await;
         info!("the agent is draining");
         agent.drain().await;
         Ok(())
@@ -158,14 +161,16 @@
         .enable_all()
         .build();
     run_on_runtime(runtime, settings.log.level.into(), async {
+        // A signal that comes before its handler ends the process, and with it the connections that it has.
+        let mut end = EndSignals::register();
+        check_settings_on_hangup(file.clone());
         let parts = ForwardParts {
             dialect: Arc::new(PlatformDialect),
             store: Arc::new(PlatformStore::new(settings.store)),
         };
         let entry = Forwarder::start(settings, parts).map_err(|e| e.to_string())?;
         info!(callers = entry.callers.to_string(); "the forwarding entry has started");
-        check_settings_on_hangup(file.clone());
-        wait_for_signal().await;
+        end.recv().await;
         info!("the forwarding entry is draining");
         entry.drain().await;
         Ok(())
@@ -237,11 +242,26 @@
     code
 }
 
-async fn wait_for_signal() {
-    let mut terminate = signal(SignalKind::terminate()).expect("the runtime handles signals");
-    let mut interrupt = signal(SignalKind::interrupt()).expect("the runtime handles signals");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that end a process in order.
+struct EndSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl EndSignals {
+    /// Handles the signals from now on.
+    fn register() -> Self {
+        Self {
+            terminate: signal(SignalKind::terminate()).expect("the runtime handles signals"),
+            interrupt: signal(SignalKind::interrupt()).expect("the runtime handles signals"),
+        }
+    }
+
+    /// Waits for a signal that came since the registration.
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
--- a/crates/cyclamenwharf/tests/real_process/process.rs
+++ b/crates/cyclamenwharf/tests/real_process/process.rs
@@ -57,6 +57,19 @@
     }
 }
 
+impl Signal {
+    /// Returns the number of the signal, which is the same on all machines.
+    fn number(self) -> u32 {
+        match self {
+            Signal::Hangup => 1,
+            Signal::Kill => 9,
+            Signal::Terminate => 15,
+            Signal::Continue => 18,
+            Signal::Stop => 19,
+        }
+    }
+}
+
 /// An entry that runs as a process of its own. Dropping it kills the process.
 pub(crate) struct EntryProcess {
     child: Child,
@@ -119,6 +132,18 @@
         assert!(status.is_ok(), "a shell sends signals");
     }
 
+    /// Returns which signals the process handles itself.
+    pub(crate) fn handled_signals(&self) -> Vec<Signal> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        let mask = mask.unwrap_or_default();
+        let signals = [Signal::Terminate, Signal::Hangup];
+        let is_handled = |signal: &Signal| mask >> (signal.number() - 1) & 1 == 1;
+        signals.into_iter().filter(is_handled).collect()
+    }
+
     /// Returns whether the process has ended.
     pub(crate) fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
--- a/crates/cyclamenwharf/tests/real_process/shutdown.rs
+++ b/crates/cyclamenwharf/tests/real_process/shutdown.rs
@@ -180,3 +180,25 @@
         assert_eq!(answer.status(), Some(status));
     }
 }
+
+/// Guards against a process that ends by a signal of planned work because it serves callers before it handles signals.
+#[tokio::test]
+async fn a_process_that_serves_callers_handles_signals() {
+    let store = FakeStore::start().await;
+    for number in 0..20 {
+        let entry = EntryProcess::start(store.server.address);
+
+        // The address is known to nobody else, so that the first connection shows when the port opens.
+        while std::net::TcpStream::connect(entry.callers()).is_err() {}
+        let handled = entry.handled_signals();
+
+        assert!(
+            handled.contains(&Signal::Hangup),
+            "start {number}: {handled:?}"
+        );
+        assert!(
+            handled.contains(&Signal::Terminate),
+            "start {number}: {handled:?}"
+        );
+    }
+}
