Let engines leave in the soak, and judge how late a request reaches them

An engine leaves, announced or not, serves on for 3.5 s and starts again under another id. A request that reaches it later than 2 s after the store's word, from an entry that was sound beside a sound store, is a finding. As entries are rarely undisturbed for long in the other runs, every fifth run has only such departures, changes of the configuration, SIGHUP and engines that fail.

--- a/crates/cyclamenwharf/tests/real_process/soak.rs
+++ b/crates/cyclamenwharf/tests/real_process/soak.rs
@@ -28,6 +28,7 @@
 use crate::process::GRACE;
 use crate::process::Signal;
 use crate::process_requests::put_config;
+use crate::process_requests::put_record;
 use crate::process_requests::request;
 use crate::process_requests::request_id;
 
@@ -59,6 +60,15 @@
 /// The time in which a request may cross the close of its connection, by the platform's rules.
 const CROSSING_TIME: Duration = Duration::from_millis(200);
 
+/// How long requests may still reach an engine that leaves, the default of the setting.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// How long an entry and the store must have been sound for that to hold, by the platform's rules.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// The longest time for which a process stands still, or the store fails.
+const MAX_PAUSE: Duration = Duration::from_millis(1500);
+
 /// The time between a signal and its log, in which a request may have been hit by it.
 const SIGNAL_TIME: Duration = Duration::from_millis(100);
 
@@ -95,6 +105,12 @@
     answer: Answer,
 }
 
+/// An engine that has left, and when the store acknowledged it.
+struct Departure {
+    engine: String,
+    acked: Instant,
+}
+
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Troubles {
@@ -102,6 +118,18 @@
     Planned,
     /// These, and engines that crash, hang or fail, and processes that are killed.
     All,
+    /// Engines that leave while processes run undisturbed, so that the time until their last request counts.
+    Departures,
+}
+
+impl Troubles {
+    fn of_seed(seed: u64) -> Self {
+        match (seed % 5, seed % 2) {
+            (0, _) => Self::Departures,
+            (_, 0) => Self::Planned,
+            _ => Self::All,
+        }
+    }
 }
 
 /// A deployment of real processes.
@@ -113,6 +141,11 @@
     runs: Runs,
     /// When an engine failed.
     faults: std::sync::Mutex<Vec<Instant>>,
+    /// When the store began to fail.
+    store_faults: std::sync::Mutex<Vec<Instant>>,
+    departures: std::sync::Mutex<Vec<Departure>>,
+    /// Held while an engine leaves, so that others serve.
+    leaving: Mutex<()>,
     seen: std::sync::Mutex<Vec<Seen>>,
     requests: AtomicUsize,
     is_over: AtomicBool,
@@ -145,13 +178,15 @@
             entry.process.lock().await.wait_until_ready().await;
         }
         Self {
-            troubles: [Troubles::Planned, Troubles::All]
-                [usize::try_from(seed % 2).expect("0 or 1")],
+            troubles: Troubles::of_seed(seed),
             store,
             entries,
             engines,
             runs,
             faults: std::sync::Mutex::default(),
+            store_faults: std::sync::Mutex::default(),
+            departures: std::sync::Mutex::default(),
+            leaving: Mutex::default(),
             seen: std::sync::Mutex::default(),
             requests: AtomicUsize::new(0),
             is_over: AtomicBool::new(false),
@@ -275,12 +310,13 @@
     async fn trouble(self: Arc<Self>, seed: u64, version: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let entry = &self.entries[rng.random_range(0..ENTRIES)];
-        let pause = Duration::from_millis(rng.random_range(100..1500));
-        let kinds = match self.troubles {
-            Troubles::Planned => 7,
-            Troubles::All => 12,
+        let pause = rng.random_range(Duration::from_millis(100)..MAX_PAUSE);
+        let kind = match self.troubles {
+            Troubles::Planned => rng.random_range(0..9),
+            Troubles::All => rng.random_range(0..14),
+            Troubles::Departures => [2, 5, 7, 8, 12][rng.random_range(0..5)],
         };
-        match rng.random_range(0..kinds) {
+        match kind {
             0 | 1 => self.stop_and_start(entry, &mut rng).await,
             2 => {
                 let process = entry.process.lock().await;
@@ -291,15 +327,40 @@
             5 => put_config(&self.store, version, OBJECTIVE, TIMEOUT),
             6 => {
                 let faults = [StoreFault::Busy, StoreFault::Silent, StoreFault::Lost];
+                self.record_store_fault();
                 self.store.set_fault(faults[rng.random_range(0..3)]);
                 tokio::time::sleep(pause).await;
                 self.store.set_fault(StoreFault::None);
             }
-            7 => kill_and_start(entry).await,
+            7 | 8 => self.leave(&mut rng).await,
+            9 => kill_and_start(entry).await,
             kind => self.fail_engine(kind, pause, &mut rng).await,
         }
     }
 
+    /// Lets an engine leave, which goes on serving for longer than it has to, and start again under another id.
+    async fn leave(&self, rng: &mut SmallRng) {
+        let Ok(_leaving) = self.leaving.try_lock() else {
+            return;
+        };
+        let number = rng.random_range(0..2 * ENGINES);
+        let engine = &self.engines[number];
+        let service = if number < ENGINES { "llm" } else { "api" };
+        let id = engine.current_id();
+        // Some engines never say that they are leaving.
+        let state = rng.random_bool(0.5).then_some("draining");
+        put_record(&self.store, engine, service, state);
+        let departure = Departure {
+            engine: id.clone(),
+            acked: Instant::now(),
+        };
+        self.departures.lock().expect("a lock").push(departure);
+        tokio::time::sleep(DRAIN_TIME + MAX_PAUSE).await;
+        put_record(&self.store, engine, service, None);
+        engine.set_current_id(&format!("{id}x"));
+        put_record(&self.store, engine, service, Some("ready"));
+    }
+
     /// Lets an engine crash, or fail in another way, for some time.
     async fn fail_engine(&self, kind: usize, pause: Duration, rng: &mut SmallRng) {
         let behaviors = [
@@ -312,7 +373,7 @@
         ];
         let engine = &self.engines[rng.random_range(0..2 * ENGINES)];
         self.record_fault();
-        if kind < 10 {
+        if kind < 12 {
             engine.server.stop();
             tokio::time::sleep(pause).await;
             if engine.server.is_stopped() {
@@ -355,6 +416,12 @@
             process.wait_for_end().await;
         }
         process.restart();
+        entry.record(Signal::Continue);
+    }
+
+    fn record_store_fault(&self) {
+        let mut faults = self.store_faults.lock().expect("a lock");
+        faults.push(Instant::now());
     }
 
     fn record_fault(&self) {
@@ -384,6 +451,12 @@
                 findings.push(format!("{text}\n{}\n{log}", self.describe(seen)));
             }
         }
+        for run in &runs {
+            let found = seen.iter().find(|seen| seen.id == request_id(run));
+            if let Some(text) = found.and_then(|seen| self.late_send(seen, run)) {
+                findings.push(text);
+            }
+        }
         let served = seen.iter().filter(|seen| seen.answer.status() == Some(200));
         println!("{} of {} requests served", served.count(), seen.len());
         findings
@@ -418,6 +491,27 @@
         }
     }
 
+    /// Returns how a request has reached an engine that had left, from an entry that was sound beside a sound store.
+    fn late_send(&self, seen: &Seen, run: &Run) -> Option<String> {
+        let at = Instant::from_std(run.at);
+        let departures = self.departures.lock().expect("a lock");
+        let left = departures.iter().find(|left| left.engine == run.engine)?;
+        let late = at.checked_duration_since(left.acked + DRAIN_TIME)?;
+        let description = self.describe(seen);
+        let since = |from: Instant| from.checked_sub(STABLE_TIME + MAX_PAUSE);
+        let store_faults = self.store_faults.lock().expect("a lock");
+        let mut store_faults = store_faults.iter();
+        let signals = self.entries[seen.entry].signals.lock().expect("a lock");
+        let mut signals = signals.iter().filter(|(kind, _)| *kind != Signal::Hangup);
+        let is_excused = store_faults
+            .any(|fault| Some(*fault) >= since(left.acked) && *fault <= at)
+            || signals.any(|(_, signal)| Some(*signal) >= since(at) && *signal <= at);
+        (!is_excused).then(|| {
+            let (id, engine) = (&seen.id, &run.engine);
+            format!("{id} reached {engine} {late:?} after its time to drain; {description}")
+        })
+    }
+
     fn was_killed(&self, seen: &Seen) -> bool {
         let killed = self.entries[seen.entry].last(Signal::Kill, seen.ended_at + SIGNAL_TIME);
         killed.is_some_and(|at| at + SIGNAL_TIME >= seen.sent_at)
@@ -473,6 +567,7 @@
     process.signal(Signal::Stop);
     tokio::time::sleep(pause).await;
     process.signal(Signal::Continue);
+    entry.record(Signal::Continue);
 }
 
 async fn kill_and_start(entry: &Entry) {
@@ -481,6 +576,7 @@
     process.signal(Signal::Kill);
     process.wait_for_end().await;
     process.restart();
+    entry.record(Signal::Continue);
 }
 
 /// Guards against requests that real processes lose: by a signal, a restart, a process that stands still, or a fault beside.
