--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod http;
 mod json;
+mod platform;
 mod store;
 mod world;
 
