--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -127,12 +128,19 @@
     std::env::temp_dir().join(name)
 }
 
+/// Returns the loopback address of the entries, which other cases that are played at the same time do not use.
+fn entry_ip() -> Ipv4Addr {
+    let id = std::process::id();
+    let part = |divisor: u32| u8::try_from(id / divisor % 250).unwrap_or(0) + 1;
+    Ipv4Addr::new(127, 1 + part(250 * 250) % 100, part(250), part(1))
+}
+
 /// Returns a free port for TCP and UDP.
 fn free_port() -> u16 {
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let tcp = TcpListener::bind((entry_ip(), 0)).expect("a free port");
         let port = tcp.local_addr().expect("a bound port").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        if UdpSocket::bind((entry_ip(), port)).is_ok() {
             return port;
         }
     }
@@ -152,9 +160,9 @@
         ("bounds.retryRatio", "0.8".to_owned()),
         ("bounds.retrySlack", "150".to_owned()),
         ("bounds.retryWindowS", "10".to_owned()),
-        ("listen.front", format!("127.0.0.1:{}", ports[0])),
-        ("listen.ready", format!("127.0.0.1:{}", ports[1])),
-        ("ip", "127.0.0.1".to_owned()),
+        ("listen.front", format!("{}:{}", entry_ip(), ports[0])),
+        ("listen.ready", format!("{}:{}", entry_ip(), ports[1])),
+        ("ip", entry_ip().to_string()),
         ("internalPorts.0", ports[2].to_string()),
         ("internalPorts.1", ports[3].to_string()),
     ];
@@ -187,8 +195,8 @@
             let zone = format!("z{}", number % 3);
             fs::write(&file, settings(&name, &zone, store, ports)).expect("a settings file");
             entries.addresses.push(EntryAddresses {
-                front: SocketAddr::from(([127, 0, 0, 1], ports[0])),
-                ready: SocketAddr::from(([127, 0, 0, 1], ports[1])),
+                front: SocketAddr::from((entry_ip(), ports[0])),
+                ready: SocketAddr::from((entry_ip(), ports[1])),
             });
             entries.processes.lock().unwrap().push(Process {
                 child: None,
