--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -240,6 +240,7 @@
         for (name, value) in headers {
             text += &format!("{name}: {value}\r\n");
         }
+        let body = if method == "GET" { b"" } else { body };
         if method != "GET" {
             text += &format!("Content-Length: {}\r\n", body.len());
         }
