Review case: streams of two versions are joined after a store drill and the loss of all entries

The store comes back from a copy that is older than a service's second version while all entries start anew. The persisted word that one version has begun all streams is trusted until the targets of the second have registered again, and streams that the second began go on at the first.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_drill;
 mod case_endless_moves;
 mod case_revoked_keys;
 mod case_second_answer;
@@ -67,6 +68,17 @@
 
     /// Starts model engines, one of each version in turn.
     pub fn model_engines(&self, count: usize, versions: &[&'static str], step: Duration) -> io::Result<Vec<Engine>> {
+        self.more_model_engines(0, count, versions, step)
+    }
+
+    /// Starts model engines with the numbers from `first`.
+    pub fn more_model_engines(
+        &self,
+        first: usize,
+        count: usize,
+        versions: &[&'static str],
+        step: Duration,
+    ) -> io::Result<Vec<Engine>> {
         let start = |number: usize| {
             let plan = Plan {
                 id: format!("i-llm{number}"),
@@ -79,7 +91,7 @@
             };
             Engine::start(&self.record, &self.store, &self.memory, plan)
         };
-        (0..count).map(start).collect()
+        (first..first + count).map(start).collect()
     }
 
     /// Starts entries, and waits until they are ready and have found each other.
@@ -134,6 +146,7 @@
                 "second-answer" => case_second_answer::play(&case),
                 "revoked-keys" => case_revoked_keys::play(&case),
                 "endless-moves" => case_endless_moves::play(&case),
+                "drill" => case_drill::play(&case),
                 "take-up" => case_take_up::play(&case),
                 _ => Err(format!("no case {name}")),
             };
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -33,6 +33,18 @@
     /// The end of each lease and its length.
     leases: BTreeMap<i64, (Instant, Duration)>,
     last_lease: i64,
+    /// How often the store has come back from an older copy.
+    era: i64,
+    /// History up to this revision is not available.
+    compacted: i64,
+    /// Whether the store answers with 503.
+    is_away: bool,
+}
+
+/// What the store holds at one moment.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: i64,
 }
 
 /// The store. Clones share it.
@@ -55,8 +67,13 @@
     }
 
     /// Writes a key as the operator or an engine does.
+    ///
+    /// While the store is away nothing is written.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
+        if state.is_away {
+            return;
+        }
         state.write(key, value.as_bytes().to_vec(), 0);
         self.changed.notify_all();
     }
@@ -67,10 +84,46 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().unwrap();
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Goes away: all calls are answered with 503.
+    pub fn go_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from an older copy, in which no lease is known.
+    pub fn come_back(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.items = copy.items.clone();
+        state.revision = copy.revision;
+        state.compacted = copy.revision;
+        state.history.clear();
+        state.leases.clear();
+        let leased = state.items.iter().filter(|(_, item)| item.lease != 0);
+        let leased: Vec<String> = leased.map(|(key, _)| key.clone()).collect();
+        for key in leased {
+            state.remove(&key);
+        }
+        state.era += 1;
+        state.is_away = false;
+        self.changed.notify_all();
+    }
+
     fn handle(&self, request: &Request, socket: &mut TcpStream) -> io::Result<bool> {
         let text = |name: &str| request.query(name).unwrap_or_default();
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let path = request.path().to_owned();
+        if self.state.lock().unwrap().is_away {
+            return http::answer(socket, "503 Service Unavailable", &[], b"{}");
+        }
         let (status, body) = match (request.method.as_str(), path.as_str()) {
             ("GET", "/kv-key") => self.state.lock().unwrap().key(&text("key")),
             ("GET", "/kv-range") => self.state.lock().unwrap().range(&text("pathPrefix")),
@@ -98,15 +151,23 @@
             }
             _ => ("404 Not Found", "{}".to_owned()),
         };
-        let headers = [("Content-Type", "application/json"), ("Store-Era", "0")];
+        let era = self.state.lock().unwrap().era.to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
         http::answer(socket, status, &headers, body.as_bytes())
     }
 
     fn watch(&self, prefix: &str, after: i64, wait: Duration) -> (&'static str, String) {
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
+        let era = state.era;
         loop {
             state.expire();
+            if state.is_away {
+                return ("503 Service Unavailable", "{}".to_owned());
+            }
+            if state.era != era || after < state.compacted || after > state.revision {
+                return ("410 Gone", "{}".to_owned());
+            }
             let news = state.history.iter();
             let events: Vec<String> = news
                 .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
