--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -99,6 +99,7 @@
         let entries = Entries::start(&self.record, self.store_address, count);
         *STARTED.lock().unwrap() = Some(entries.clone());
         if !entries.wait_ready() {
+            entries.record_logs(&self.record);
             return Err("the entries did not become ready".to_owned());
         }
         thread::sleep(Duration::from_secs(4));
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -135,13 +135,16 @@
     Ipv4Addr::new(127, 1 + part(250 * 250) % 100, part(250), part(1))
 }
 
-/// Returns a free port for TCP and UDP.
-fn free_port() -> u16 {
+/// The first port that is tried for an entry. It lies below those that the system gives to connections.
+const FIRST_PORT: u16 = 20_000;
+
+/// Returns a port that is free for TCP and UDP and comes after `last`.
+fn free_port(last: &mut u16) -> u16 {
     loop {
-        let tcp = TcpListener::bind((entry_ip(), 0)).expect("a free port");
-        let port = tcp.local_addr().expect("a bound port").port();
-        if UdpSocket::bind((entry_ip(), port)).is_ok() {
-            return port;
+        *last += 1;
+        let address = (entry_ip(), *last);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return *last;
         }
     }
 }
@@ -188,9 +191,10 @@
             processes: Arc::default(),
             addresses: Vec::new(),
         };
+        let mut last = FIRST_PORT;
         for number in 0..count {
             let name = format!("edge-{number}");
-            let ports = [free_port(), free_port(), free_port(), free_port()];
+            let ports = [(); 4].map(|()| free_port(&mut last));
             let file = folder.join(format!("{name}.toml"));
             let zone = format!("z{}", number % 3);
             fs::write(&file, settings(&name, &zone, store, ports)).expect("a settings file");
@@ -271,6 +275,17 @@
         check().is_ok_and(|status| status == 200)
     }
 
+    /// Records the last lines that each entry has logged.
+    pub fn record_logs(&self, record: &Record) {
+        for process in self.processes.lock().unwrap().iter() {
+            let log = fs::read_to_string(&process.log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            for line in lines.iter().rev().take(20).rev() {
+                record.line(&format!("log      {line}"));
+            }
+        }
+    }
+
     /// Waits until all entries are ready.
     pub fn wait_ready(&self) -> bool {
         let deadline = Instant::now() + START_TIMEOUT;
