--- a/review/play.sh
+++ b/review/play.sh
@@ -8,7 +8,10 @@
 fi
 target/review/standins "$1" "$2/record.txt" &
 group=$!
-end_group() { kill -KILL -- "-$group" 2>/dev/null; }
+end_group() {
+  kill -KILL -- "-$group" 2>/dev/null
+  rm -rf "${TMPDIR:-/tmp}/review-standins-$group"
+}
 trap end_group EXIT
 trap 'exit 2' INT TERM
 wait "$group"
