--- a/crates/cw_policy/src/forward/event_stream.rs
+++ b/crates/cw_policy/src/forward/event_stream.rs
@@ -56,6 +56,11 @@
         self.repeated
     }
 
+    /// Returns the number of bytes received of an incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the bytes received so far end within an event.
     pub fn ends_mid_event(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -119,6 +119,8 @@
     pub(super) missing_since: Option<Time>,
     /// The end of the backoff. Until then, the target is used only if there is no other.
     pub(super) backoff_until: Time,
+    /// The target gets no calls about copies until then.
+    pub(super) copy_calls_from: Time,
     /// The number of consecutive losses.
     losses: u32,
     /// The penalty as of `penalized_at`.
@@ -167,6 +169,7 @@
             tokens: 0,
             missing_since: None,
             backoff_until: Time::default(),
+            copy_calls_from: Time::default(),
             losses: 0,
             penalty: 0.0,
             penalized_at: Time::default(),
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -328,3 +328,16 @@
     assert!(!late.is_trusted(at(10_200)));
     assert!(!untrusted.is_trusted(at(10_200)));
 }
+
+/// Guards against bytes without end that fill the link of an entry because each stream of a target asks it for a copy again.
+#[test]
+fn a_target_that_gives_no_complete_answer_gets_no_calls_about_copies_for_a_while() {
+    let mut fleet = fleet(1, 2);
+    assert!(fleet.takes_copy_calls(at(10_000), &engine(0, 0)));
+
+    fleet.record_copy_failure(at(10_000), &engine(0, 0));
+
+    assert!(!fleet.takes_copy_calls(at(11_900), &engine(0, 0)));
+    assert!(fleet.takes_copy_calls(at(10_000), &engine(0, 1)));
+    assert!(fleet.takes_copy_calls(at(12_000), &engine(0, 0)));
+}
--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -13,13 +12,14 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 
+use crate::BodyBuffer;
+use crate::BodyMemory;
 use crate::StoreError;
 use crate::TransferProgress;
 
@@ -51,6 +51,8 @@
     timeout: Duration,
     /// How long a body may take while its bytes come, `None` if the timeout is for the whole call.
     transfer: Option<TransferLimits>,
+    /// The memory that the bodies of concurrent responses may take.
+    memory: BodyMemory,
 }
 
 /// How long the body of a response may take.
@@ -77,6 +79,7 @@
             client: builder.build(connector),
             timeout: DEFAULT_TIMEOUT,
             transfer: None,
+            memory: BodyMemory::new(MAX_BODY_BYTES),
         }
     }
 
@@ -107,6 +110,16 @@
         }
     }
 
+    /// Returns a client that uses the same connection pool and whose responses count towards `memory`. By default,
+    /// the concurrent responses to one client and its clones may take as much as the longest one.
+    #[must_use]
+    pub fn with_memory(&self, memory: &BodyMemory) -> Self {
+        Self {
+            memory: memory.clone(),
+            ..self.clone()
+        }
+    }
+
     /// Sends a `GET` request and parses the JSON body of a response with status 200.
     ///
     /// # Errors
@@ -161,11 +174,11 @@
     ) -> Result<HttpResponse, StoreError> {
         let head = self.send(method, address, path, body);
         let Some(limits) = self.transfer else {
-            let call = async { read_response(head.await?, None, progress).await };
+            let call = async { self.read_response(head.await?, None, progress).await };
             return self.with_deadline(address, call).await;
         };
         let response = self.with_deadline(address, head).await?;
-        let body = read_response(response, Some(limits.silence), progress);
+        let body = self.read_response(response, Some(limits.silence), progress);
         tokio::time::timeout(limits.total, body)
             .await
             .unwrap_or_else(|_| Err(incomplete(limits.total)))
@@ -223,39 +236,39 @@
             outcome_unknown(error)
         })
     }
-}
 
-/// Reads a response to its end. `silence` is the longest time between two parts of its body.
-async fn read_response(
-    response: Response<Incoming>,
-    silence: Option<Duration>,
-    progress: &TransferProgress,
-) -> Result<HttpResponse, StoreError> {
-    let (head, body) = response.into_parts();
-    let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut read = BytesMut::new();
-    loop {
-        let frame = body.frame();
-        let frame = match silence {
-            Some(silence) => tokio::time::timeout(silence, frame)
-                .await
-                .map_err(|_| incomplete(silence))?,
-            None => frame.await,
-        };
-        let Some(frame) = frame else {
-            break;
-        };
-        // Trailers are not part of the body.
-        if let Ok(data) = frame.map_err(outcome_unknown)?.into_data() {
-            progress.add(data.len());
-            read.extend_from_slice(&data);
+    /// Reads a response to its end. `silence` is the longest time between two parts of its body.
+    async fn read_response(
+        &self,
+        response: Response<Incoming>,
+        silence: Option<Duration>,
+        progress: &TransferProgress,
+    ) -> Result<HttpResponse, StoreError> {
+        let (head, mut body) = response.into_parts();
+        let mut read = BodyBuffer::new(MAX_BODY_BYTES, &self.memory);
+        loop {
+            let frame = body.frame();
+            let frame = match silence {
+                Some(silence) => tokio::time::timeout(silence, frame)
+                    .await
+                    .map_err(|_| incomplete(silence))?,
+                None => frame.await,
+            };
+            let Some(frame) = frame else {
+                break;
+            };
+            // Trailers are not part of the body.
+            if let Ok(data) = frame.map_err(outcome_unknown)?.into_data() {
+                progress.add(data.len());
+                read.push(&data).map_err(outcome_unknown)?;
+            }
         }
+        Ok(HttpResponse {
+            status: head.status,
+            headers: head.headers,
+            body: read.into_bytes(),
+        })
     }
-    Ok(HttpResponse {
-        status: head.status,
-        headers: head.headers,
-        body: read.freeze(),
-    })
 }
 
 fn incomplete(limit: Duration) -> StoreError {
--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -5,9 +5,14 @@
 //! - [`WeightStore`]: how large model weights are and how fast they can be read.
 //! - [`Dialect`]: the messages of callers, targets and the directory to a forwarding entry.
 //!
+//! What comes from elsewhere may have no end. [`BodyBuffer`] reads each body that is collected, up to a limit of its
+//! own, and [`BodyMemory`] limits what all of them take together.
+//!
 //! Each service is a trait, so that a deployment with other services only adds implementations.
 //! [`EtcdGateway`], [`HttpHostList`] and [`HttpWeightStore`] are the clients in this crate.
 
+mod body_buffer;
+mod body_memory;
 mod dialect;
 mod etcd;
 mod host_list;
@@ -18,6 +23,11 @@
 mod transfer_progress;
 mod weight_store;
 
+pub use body_buffer::BodyBuffer;
+pub use body_buffer::BodyError;
+pub use body_memory::BodyMemory;
+pub use body_memory::HeldMemory;
+pub use body_memory::OutOfMemory;
 pub use dialect::Dialect;
 pub use dialect::RequestHead;
 pub use dialect::TargetRequestHead;
--- a/crates/cw_testkit/src/lib.rs
+++ b/crates/cw_testkit/src/lib.rs
@@ -8,6 +8,11 @@
 //! - [`Caller`] is an HTTP client that requests generations and reads their streams.
 //! - [`experiment`] measures a deployment.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 mod caller;
 mod deployment;
 mod etcd;
--- a/crates/cw_types/src/lib.rs
+++ b/crates/cw_types/src/lib.rs
@@ -26,6 +26,7 @@
 mod time;
 
 pub use byte_size::ByteSize;
+pub use byte_size::ByteSizeError;
 pub use config::Config;
 pub use config::ConfigError;
 pub use duration_text::DurationText;
--- a/crates/cyclamenwharf/examples/version_change.rs
+++ b/crates/cyclamenwharf/examples/version_change.rs
@@ -4,6 +4,11 @@
 //! during and after the change. `cargo run --release --example version_change` writes it as JSON to
 //! standard output.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/cyclamenwharf/src/agent/agent_state.rs
+++ b/crates/cyclamenwharf/src/agent/agent_state.rs
@@ -11,6 +11,7 @@
 use cw_policy::AttemptStep;
 use cw_policy::AttemptTable;
 use cw_policy::OrderGuard;
+use cw_store::BodyMemory;
 use cw_store::EtcdGateway;
 use cw_store::KeyValueStore;
 use cw_types::AttemptId;
@@ -20,6 +21,7 @@
 use super::agent_metrics::AgentMetrics;
 use super::attempt_signals::AttemptSignals;
 use super::leaving_state::LeavingState;
+use super::peer_api::MAX_BODIES_BYTES;
 use super::target_client::TargetClient;
 use crate::AgentSettings;
 use crate::Clock;
@@ -32,6 +34,8 @@
     pub(super) supervisor: Supervisor,
     pub(super) target_client: TargetClient,
     pub(super) metrics: AgentMetrics,
+    /// The memory that the messages of entries may take while they are read.
+    pub(super) message_memory: BodyMemory,
     /// Requests an immediate reading of the target by the monitor.
     pub(super) check_target: Notify,
     /// Requests an immediate report by the reporter.
@@ -61,6 +65,7 @@
         metrics: AgentMetrics,
     ) -> Self {
         Self {
+            message_memory: BodyMemory::new(MAX_BODIES_BYTES),
             target_client: TargetClient::new(settings.target.address),
             store: Box::new(EtcdGateway::new(settings.platform.key_value.clone())),
             lease_read: AtomicBool::new(false),
--- a/crates/cyclamenwharf/src/agent/peer_api.rs
+++ b/crates/cyclamenwharf/src/agent/peer_api.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use cw_policy::AttemptAnswer;
+use cw_store::BodyBuffer;
+use cw_store::BodyError;
 use cw_types::TargetKind;
 use cw_wire::Ack;
 use cw_wire::Attach;
@@ -20,8 +22,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -34,6 +34,9 @@
 /// The largest message from a peer, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// The memory that concurrent messages may take, in bytes: some of the longest.
+pub(super) const MAX_BODIES_BYTES: usize = 4 * MAX_BODY_BYTES;
+
 /// A response, or the status of a refused request.
 type HandlerResult = Result<Response<Body>, StatusCode>;
 
@@ -71,8 +74,11 @@
     if parts.method != Method::POST {
         return Err(StatusCode::METHOD_NOT_ALLOWED);
     }
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let bytes = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
+    let body = BodyBuffer::new(MAX_BODY_BYTES, &state.message_memory).read(body);
+    let bytes = body.await.map_err(|error| match error {
+        BodyError::Memory { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::TooLong { .. } | BodyError::Broken { .. } => StatusCode::BAD_REQUEST,
+    })?;
     match parts.uri.path() {
         path::ATTEMPTS => attempts(state, decode(&bytes)?),
         path::ATTACH => attach(state, &decode(&bytes)?),
--- a/crates/cyclamenwharf/src/agent/target_client.rs
+++ b/crates/cyclamenwharf/src/agent/target_client.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cw_types::AttemptId;
 use http::HeaderMap;
 use http::Method;
@@ -11,9 +13,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -26,6 +26,9 @@
 /// The largest response to a control call, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// The memory that concurrent responses may take, in bytes: some of the longest.
+const MAX_RESPONSES_BYTES: usize = 4 * MAX_RESPONSE_BYTES;
+
 /// An error of a call to the target.
 #[derive(Debug, Snafu)]
 pub(super) enum TargetClientError {
@@ -60,6 +63,8 @@
 pub(super) struct TargetClient {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
+    /// The memory that the responses to concurrent control calls may take.
+    memory: BodyMemory,
 }
 
 impl TargetClientError {
@@ -82,7 +87,11 @@
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, address }
+        Self {
+            client,
+            address,
+            memory: BodyMemory::new(MAX_RESPONSES_BYTES),
+        }
     }
 
     /// Sends a call and returns the response, whose body is still to be read.
@@ -150,13 +159,11 @@
                 None => self.get(path).await?,
             };
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|error| TargetClientError::Broken {
-                    message: error.to_string(),
-                })?;
-            Ok((status, body.to_bytes()))
+            let body = BodyBuffer::new(MAX_RESPONSE_BYTES, &self.memory).read(response.into_body());
+            let body = body.await.map_err(|error| TargetClientError::Broken {
+                message: error.to_string(),
+            })?;
+            Ok((status, body))
         };
         tokio::time::timeout(timeout, work)
             .await
--- a/crates/cyclamenwharf/src/entry/completions.rs
+++ b/crates/cyclamenwharf/src/entry/completions.rs
@@ -7,6 +7,8 @@
 use chrono::Utc;
 use cw_policy::GenerationPlan;
 use cw_policy::View;
+use cw_store::BodyBuffer;
+use cw_store::BodyError;
 use cw_types::AdapterName;
 use cw_types::ByteSize;
 use cw_types::ErrorKind;
@@ -28,9 +30,6 @@
 use http::Response;
 use http::header::CACHE_CONTROL;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer_format::AnswerFormat;
@@ -95,18 +94,19 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::TooLarge`] for a body over the limit, and [`ErrorKind::BadRequest`] for one
-/// that takes too long or breaks off.
+/// Returns [`ErrorKind::TooLarge`] for a body over the limit, [`ErrorKind::Overloaded`] if the bodies of other
+/// requests take all memory for them, and [`ErrorKind::BadRequest`] for one that takes too long or breaks off.
 pub(crate) async fn read_body(context: &EntryContext, body: Body) -> Result<Bytes, ApiError> {
     let limit = context.settings.limits.body.as_usize();
-    let read = Limited::new(body, limit).collect();
+    let read = BodyBuffer::new(limit, &context.request_memory).read(body);
     let Ok(read) = tokio::time::timeout(context.settings.limits.request, read).await else {
         return Err(ApiError::bad_request("the body took too long"));
     };
     match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ApiError::new(ErrorKind::TooLarge)),
-        Err(error) => Err(ApiError::bad_request(error)),
+        Ok(body) => Ok(body),
+        Err(BodyError::TooLong { .. }) => Err(ApiError::new(ErrorKind::TooLarge)),
+        Err(BodyError::Memory { .. }) => Err(ApiError::new(ErrorKind::Overloaded)),
+        Err(error @ BodyError::Broken { .. }) => Err(ApiError::bad_request(error)),
     }
 }
 
--- a/crates/cyclamenwharf/src/entry/entry_context.rs
+++ b/crates/cyclamenwharf/src/entry/entry_context.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use cw_policy::budget::Budgets;
+use cw_store::BodyMemory;
 use cw_types::AttemptId;
 use cw_types::ErrorKind;
 use cw_types::Ran;
@@ -64,6 +65,8 @@
     pub(crate) budgets: Mutex<Budgets>,
     /// The quotas of workspaces.
     pub(crate) quotas: SharedQuotas,
+    /// The memory that the bodies of requests may take.
+    pub(crate) request_memory: BodyMemory,
     /// The queue of requests that wait for a target.
     pub(crate) queue: SharedQueue,
     /// Metrics of the service-level objectives.
--- a/crates/cyclamenwharf/src/entry/entry_handle.rs
+++ b/crates/cyclamenwharf/src/entry/entry_handle.rs
@@ -9,6 +9,7 @@
 
 use cw_policy::Liveness;
 use cw_policy::TargetView;
+use cw_store::BodyMemory;
 use cw_store::EtcdGateway;
 use cw_store::KeyValueStore;
 use cw_types::TargetId;
@@ -43,6 +44,9 @@
 use super::shared_quotas::SharedQuotas;
 use super::suspicion_tracker::SuspicionTracker;
 
+/// The memory that the bodies of all requests may take, in bytes: some dozens of the longest ones by default.
+const REQUEST_MEMORY: usize = 256 << 20;
+
 /// The components from which the server for callers is built.
 pub struct EntryParts {
     /// The entry's settings.
@@ -155,6 +159,7 @@
         suspicion: SuspicionTracker::new(parts.settings.host.clone()),
         budgets: Mutex::default(),
         quotas: SharedQuotas::new(parts.settings.host.clone(), parts.demands),
+        request_memory: BodyMemory::new(REQUEST_MEMORY),
         queue: SharedQueue::new(&parts.settings.limits),
         token_gap: objectives.token_gap,
         slo,
--- a/crates/cyclamenwharf/src/forward/caller_api.rs
+++ b/crates/cyclamenwharf/src/forward/caller_api.rs
@@ -12,6 +12,8 @@
 use cw_policy::forward::Precedence;
 use cw_policy::forward::Rank;
 use cw_policy::forward::RankPlace;
+use cw_store::BodyBuffer;
+use cw_store::BodyError;
 use cw_store::RequestHead;
 use cw_types::ErrorKind;
 use cw_types::ServiceName;
@@ -24,8 +26,6 @@
 use http::request;
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use log::info;
 use rand::RngExt;
 
@@ -201,15 +201,21 @@
         max_bytes: usize,
         timeout: Duration,
     ) -> Result<Bytes, RefusalReason> {
-        let body = Limited::new(body, max_bytes).collect();
+        let body = BodyBuffer::new(max_bytes, &self.context.caller_memory).read(body);
         let body = tokio::select! {
             body = tokio::time::timeout(timeout, body) => body,
             () = self.context.stopping.cancelled() => return Err(ErrorKind::NotReady.into()),
         };
         let kind = match body {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => ErrorKind::TooLarge,
-            Ok(Err(error)) => {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyError::TooLong { .. })) => ErrorKind::TooLarge,
+            Ok(Err(error @ BodyError::Memory { .. })) => {
+                return Err(RefusalReason {
+                    kind: ErrorKind::Overloaded,
+                    text: error.to_string(),
+                });
+            }
+            Ok(Err(error @ BodyError::Broken { .. })) => {
                 return Err(RefusalReason {
                     kind: ErrorKind::BadRequest,
                     text: format!("failed to read the request body: {error}"),
--- a/crates/cyclamenwharf/src/forward/connection_pool.rs
+++ b/crates/cyclamenwharf/src/forward/connection_pool.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use cw_store::BodyMemory;
 use cw_types::TargetId;
 use cw_types::Time;
 
@@ -25,6 +26,10 @@
 /// its previous request would arrive within milliseconds.
 const REUSE_DELAY: Duration = Duration::from_millis(5);
 
+/// The part of the memory for all answers that those of one target may take is one half, so that a target in trouble
+/// leaves the other half to the others.
+const TARGET_MEMORY_DIVISOR: usize = 2;
+
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
@@ -33,10 +38,12 @@
     until: Time,
 }
 
-/// The idle connections by target.
-#[derive(Debug, Default)]
+/// The idle connections by target, and the memory that the answers of each target may take.
+#[derive(Debug)]
 pub(super) struct ConnectionPool {
     idle: Mutex<BTreeMap<TargetId, VecDeque<IdleConnection>>>,
+    memory: BodyMemory,
+    shares: Mutex<BTreeMap<TargetId, BodyMemory>>,
 }
 
 /// A connection, and whether it has carried a request before.
@@ -47,6 +54,25 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool. The answers of all targets together may take `memory`.
+    pub(super) fn new(memory: BodyMemory) -> Self {
+        Self {
+            idle: Mutex::default(),
+            memory,
+            shares: Mutex::default(),
+        }
+    }
+
+    /// Returns the memory that the answers of one target may take.
+    pub(super) fn memory(&self, id: &TargetId) -> BodyMemory {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let share = shares.entry(id.clone()).or_insert_with(|| {
+            let limit = self.memory.limit() / TARGET_MEMORY_DIVISOR;
+            self.memory.share(limit)
+        });
+        share.clone()
+    }
+
     /// Returns the connection to a target that has been idle the longest, or a new one.
     pub(super) async fn take(
         &self,
@@ -93,6 +119,8 @@
             connections.retain(|idle| now < idle.until && idle.connection.is_ready());
         }
         idle.retain(|id, connections| keep(id) && !connections.is_empty());
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        shares.retain(|id, share| keep(id) || share.used() > 0);
     }
 
     /// Returns whether an idle connection to a target is still open.
--- a/crates/cyclamenwharf/src/forward/copy_renewal.rs
+++ b/crates/cyclamenwharf/src/forward/copy_renewal.rs
@@ -10,12 +10,12 @@
 use bytes::Bytes;
 use cw_policy::forward::CopyName;
 use cw_policy::forward::RunCopy;
+use cw_store::BodyBuffer;
 use cw_types::TargetId;
 use cw_types::Time;
 use futures::FutureExt;
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use log::error;
 use log::info;
@@ -36,6 +36,9 @@
 /// The delay after a copy could not be made. Engines have free memory again when a run ends.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// The maximum size of the answer to a call that makes or drops a copy, in bytes. It holds the name of a copy.
+const MAX_ANSWER_BYTES: usize = 16 << 10;
+
 /// The state of the copies that are made on request while a stream comes from one target.
 #[derive(Default)]
 pub(super) struct CopyRenewal {
@@ -127,13 +130,9 @@
         let call = self.context.dialect.drop_copy_request(&name.name);
         let context = Arc::clone(&self.context);
         tokio::spawn(async move {
-            let dropped = call_target(&context, &source, name.address, call);
-            match tokio::time::timeout(COPY_TIMEOUT, dropped).await {
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => {
-                    info!(target_id = source.as_str(); "failed to drop a copy: {error}");
-                }
-                Err(_) => info!(target_id = source.as_str(); "timed out while dropping a copy"),
+            let dropped = call_target(&context, &source, name.address, call).await;
+            if let Err(error) = dropped {
+                info!(target_id = source.as_str(); "failed to drop a copy: {error}");
             }
         });
     }
@@ -141,7 +140,8 @@
     /// Uses a slot for a call of the entry itself. Returns whether the target takes it now.
     fn take_own_slot(&self, now: Time, target: &TargetId) -> bool {
         let mut state = self.context.state();
-        let has_slot = state.fleet.has_slot(now, target);
+        let has_slot =
+            state.fleet.takes_copy_calls(now, target) && state.fleet.has_slot(now, target);
         if has_slot {
             state.fleet.take_slot(now, target);
         }
@@ -166,14 +166,7 @@
         let context = Arc::clone(&self.context);
         let request = self.request.head.id.clone();
         let task = tokio::spawn(async move {
-            let copying = tokio::time::timeout(
-                COPY_TIMEOUT,
-                make_copy(&context, &source, source_address, call),
-            );
-            let result = copying
-                .await
-                .unwrap_or_else(|_| Err(format!("no answer within {COPY_TIMEOUT:?}")));
-            match result {
+            match make_copy(&context, &source, source_address, call).await {
                 Ok(name) => Some(RunCopy {
                     keeper,
                     since: now,
@@ -208,12 +201,28 @@
     context.dialect.parse_copy_response(status, &body)
 }
 
-/// Sends a call of the entry itself to a target.
+/// Sends a call of the entry itself to a target. A target that gives no complete answer gets none for a while.
 async fn call_target(
     context: &ForwardContext,
     target: &TargetId,
     address: SocketAddr,
     call: Request<Bytes>,
+) -> Result<(StatusCode, Bytes), String> {
+    let answer = exchange_call(context, target, address, call);
+    let answer = tokio::time::timeout(COPY_TIMEOUT, answer).await;
+    let answer = answer.unwrap_or_else(|_| Err(format!("no answer within {COPY_TIMEOUT:?}")));
+    if answer.is_err() {
+        let now = context.now();
+        context.state().fleet.record_copy_failure(now, target);
+    }
+    answer
+}
+
+async fn exchange_call(
+    context: &ForwardContext,
+    target: &TargetId,
+    address: SocketAddr,
+    call: Request<Bytes>,
 ) -> Result<(StatusCode, Bytes), String> {
     let pooled = context.pool.take(context.now(), target, address).await;
     let mut connection: TargetConnection = pooled.map_err(|error| error.to_string())?.connection;
@@ -222,12 +231,14 @@
         .await
         .map_err(|error| error.to_string())?;
     let (head, body) = answer.into_parts();
-    let body = body.collect().await.map_err(|error| error.to_string())?;
+    let memory = context.pool.memory(target);
+    let body = BodyBuffer::new(MAX_ANSWER_BYTES, &memory).read(body).await;
+    let body = body.map_err(|error| error.to_string())?;
     let answer = context.dialect.parse_response(&head);
     if !answer.close {
         context
             .pool
             .put(context.now(), target, connection, answer.idle_timeout);
     }
-    Ok((head.status, body.to_bytes()))
+    Ok((head.status, body))
 }
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -30,6 +30,7 @@
 use cw_policy::rollout::ExposureLimits;
 use cw_policy::rollout::Rollouts;
 use cw_policy::rollout::RunLength;
+use cw_store::BodyMemory;
 use cw_store::Dialect;
 use cw_store::HttpClient;
 use cw_store::StoreRevision;
@@ -51,6 +52,7 @@
 use crate::Health;
 
 use super::ForwardSettings;
+use super::body_shares::BodyShares;
 use super::connection_pool::ConnectionPool;
 use super::forward_metrics::ForwardMetrics;
 
@@ -160,6 +162,10 @@
     pub(super) health: Health,
     pub(super) metrics: ForwardMetrics,
     pub(super) pool: ConnectionPool,
+    /// The memory that the bodies of all requests of callers may take.
+    pub(super) caller_memory: BodyMemory,
+    /// The memory that what other entries send may take.
+    pub(super) peer_memory: BodyMemory,
     /// Triggers a message to the other entries.
     pub(super) peer_update: Notify,
     /// Triggers a message to the entries near the targets that were sent prompts, and to those that are told of
@@ -234,13 +240,16 @@
             entry_list: EntryList::default(),
             rng: SmallRng::seed_from_u64(rand::random()),
         };
+        let memory = BodyShares::of(settings.memory);
+        let peer_memory = BodyMemory::new(memory.peers);
         Self {
             settings,
             clock: Clock::default(),
             dialect,
             health: Health::default(),
             metrics,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(BodyMemory::new(memory.targets)),
+            caller_memory: BodyMemory::new(memory.callers),
             peer_update: Notify::new(),
             prompt_update: Notify::new(),
             crashes_changed: Notify::new(),
@@ -249,7 +258,10 @@
             software_changed: Notify::new(),
             stopping: CancellationToken::new(),
             directory_behind: Notify::new(),
-            keepers: HttpClient::default().with_timeout(KEEPER_TIMEOUT),
+            keepers: HttpClient::default()
+                .with_timeout(KEEPER_TIMEOUT)
+                .with_memory(&peer_memory),
+            peer_memory,
             state: Mutex::new(state),
         }
     }
--- a/crates/cyclamenwharf/src/forward/forward_settings.rs
+++ b/crates/cyclamenwharf/src/forward/forward_settings.rs
@@ -6,6 +6,7 @@
 
 use cw_macro::data;
 use cw_policy::forward::DrainLimits;
+use cw_types::ByteSize;
 use cw_types::DurationText;
 use cw_types::HostId;
 use cw_types::ZoneId;
@@ -42,6 +43,9 @@
     /// The maximum duration of a graceful shutdown.
     #[serde_as(as = "DurationText")]
     pub grace: Duration,
+    /// The memory that the process may use. Bodies of requests and answers take parts of it.
+    #[serde(default = "default_memory")]
+    pub memory: ByteSize,
     /// The budget for repeated sends.
     pub budget: BudgetSettings,
     /// Whether requests go to a target that has just started or was lost at the pace that its answers show, and to all
@@ -122,7 +126,15 @@
     Duration::from_secs(2)
 }
 
+/// The memory of small hosts.
+fn default_memory() -> ByteSize {
+    ByteSize::mib(96)
+}
+
 impl ForwardSettings {
+    /// The smallest memory of a process, twice what an idle one uses.
+    pub const MIN_MEMORY: ByteSize = ByteSize::mib(32);
+
     /// Reads and validates the settings.
     ///
     /// # Errors
@@ -152,6 +164,9 @@
         if settings.rollout.rollback.is_zero() {
             return Err(value("rollout.rollback", "a duration above zero"));
         }
+        if settings.memory < Self::MIN_MEMORY {
+            return Err(value("memory", "a size of 32MiB or more"));
+        }
         if settings.in_force.is_zero() {
             return Err(value("in_force", "a duration above zero"));
         }
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -196,6 +196,7 @@
                 store: Arc::clone(&store),
                 topic,
                 entries: HttpClient::default()
+                    .with_memory(&context.peer_memory)
                     .with_timeout(PEER_TIMEOUT)
                     .with_transfer(PEER_TIMEOUT, PEER_TRANSFER_TIME),
             };
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -18,6 +18,7 @@
 //!   the decisions of [`cw_policy::rollout::Rollouts`] on what the runs tell (`rollout_record`). `RolloutWriter` writes
 //!   them to the key-value service.
 
+mod body_shares;
 mod budget_loans;
 mod caller_api;
 mod connection_pool;
--- a/crates/cyclamenwharf/src/forward/peer_api.rs
+++ b/crates/cyclamenwharf/src/forward/peer_api.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
 use cw_wire::LoanCall;
@@ -15,8 +17,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use log::warn;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -73,18 +73,19 @@
     async fn respond(&self, request: Request<Body>) -> Response<Body> {
         let tells_rollouts =
             request.uri().path() == CONFIG_PATH && !self.context.state().rollouts.is_empty();
+        let memory = &self.context.peer_memory;
         let body = match request.uri().path() {
             TRIAL_PATH => {
                 let answer = |call: &TrialCall| answer_trial(&self.context, call);
-                answer_question(request.into_body(), answer).await
+                answer_question(request.into_body(), memory, answer).await
             }
             ORIGIN_PATH => {
                 let answer = |call: &OriginCall| answer_origin(&self.context, call);
-                answer_question(request.into_body(), answer).await
+                answer_question(request.into_body(), memory, answer).await
             }
             LOAN_PATH => {
                 let answer = |call: &LoanCall| answer_loan(&self.context, call);
-                answer_question(request.into_body(), answer).await
+                answer_question(request.into_body(), memory, answer).await
             }
             CHANGES_PATH => self.changes(request.uri().query()),
             CONFIG_PATH => self.context.state().config_bytes.clone(),
@@ -187,10 +188,11 @@
 /// Answers the question of another entry, `None` if it cannot be understood.
 async fn answer_question<Q: DeserializeOwned, A: Serialize>(
     body: Body,
+    memory: &BodyMemory,
     answer: impl FnOnce(&Q) -> A,
 ) -> Option<Bytes> {
-    let body = match Limited::new(body, MAX_QUESTION_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match BodyBuffer::new(MAX_QUESTION_BYTES, memory).read(body).await {
+        Ok(body) => body,
         Err(error) => {
             warn!("failed to read the question of another entry: {error}");
             return None;
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -8,12 +8,13 @@
 use cw_policy::forward::Fault;
 use cw_policy::forward::Placement;
 use cw_policy::rollout::RunEnd;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cw_store::TargetResponseHead;
 use cw_types::Rate;
 use cw_types::Time;
 use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use log::info;
 
@@ -21,6 +22,7 @@
 use super::exchange_driver::millis;
 use super::response::BufferedResponse;
 use super::send_outcome::ActiveSend;
+use super::send_outcome::EventMemory;
 use super::send_outcome::Reuse;
 use super::send_outcome::SendOutcome;
 use super::send_outcome::TargetStream;
@@ -36,6 +38,7 @@
     body: Incoming,
     reuse: Reuse,
     active: ActiveSend,
+    memory: BodyMemory,
 }
 
 impl ExchangeDriver {
@@ -73,6 +76,7 @@
             body,
             reuse,
             active,
+            memory: self.context.pool.memory(&destination.placement.target),
         };
         if parts.status.is_success() && self.exchange.plan().streaming {
             if self.weights.is_none() {
@@ -180,12 +184,13 @@
             body,
             reuse,
             mut active,
+            memory,
         } = start;
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = BodyBuffer::new(MAX_ANSWER_BYTES, &memory).read(body);
         let body = match self.in_time(give_up_at, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                self.log_incomplete(error.as_ref());
+                self.log_incomplete(&error);
                 return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
             }
             Err(event) => return SendOutcome::Event(event),
@@ -239,8 +244,10 @@
             mut body,
             reuse,
             mut active,
+            memory,
         } = start;
         self.request.events.restart();
+        let mut memory = EventMemory::new(memory);
         loop {
             let data = match self.next_data(&mut body, give_up_at).await {
                 Ok(Some(data)) => data,
@@ -262,7 +269,7 @@
                 }
                 Err(event) => return SendOutcome::Event(event),
             };
-            match self.request.events.push(&data) {
+            match self.push_events(&data, &mut memory) {
                 Ok(first) if first.is_empty() => {}
                 Ok(first) => {
                     self.exchange.record_start();
@@ -274,22 +281,46 @@
                         head,
                         first,
                         body,
+                        memory,
                         reuse,
                         active,
                     }));
                 }
-                Err(error) => {
-                    info!(
-                        request = self.request.head.id.as_str();
-                        "the stream contains an invalid event: {error}"
-                    );
-                    self.record_rollout_end(RunEnd::Failed);
-                    return SendOutcome::Event(ExchangeEvent::Lost(Fault::Broken));
-                }
+                Err(event) => return SendOutcome::Event(event),
             }
         }
     }
 
+    /// Adds data of a stream, and returns the complete new events.
+    pub(super) fn push_events(
+        &mut self,
+        data: &Bytes,
+        memory: &mut EventMemory,
+    ) -> Result<Bytes, ExchangeEvent> {
+        let lost = ExchangeEvent::Lost(Fault::Broken);
+        let events = &mut self.request.events;
+        let complete = match events.push(data) {
+            Ok(complete) => complete,
+            Err(error) => {
+                info!(
+                    request = self.request.head.id.as_str();
+                    "the stream contains an invalid event: {error}"
+                );
+                self.record_rollout_end(RunEnd::Failed);
+                return Err(lost);
+            }
+        };
+        let kept = memory.keep(complete, events.partial_len());
+        kept.map_err(|error| {
+            info!(
+                request = self.request.head.id.as_str();
+                "there is no memory for the events of the stream: {error}"
+            );
+            self.record_rollout_end(RunEnd::Failed);
+            lost
+        })
+    }
+
     /// Returns the next data of a response, which is empty for trailers, or `None` at its end.
     async fn next_data(
         &self,
--- a/crates/cyclamenwharf/src/forward/send_outcome.rs
+++ b/crates/cyclamenwharf/src/forward/send_outcome.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 use cw_policy::forward::ExchangeEvent;
+use cw_store::BodyMemory;
+use cw_store::HeldMemory;
+use cw_store::OutOfMemory;
 use hyper::body::Incoming;
 
 use super::guards::CopyGuard;
@@ -31,11 +34,36 @@
     pub(super) first: Bytes,
     /// The remaining body.
     pub(super) body: Incoming,
+    pub(super) memory: EventMemory,
     /// Whether the connection can be reused after the stream.
     pub(super) reuse: Reuse,
     pub(super) active: ActiveSend,
 }
 
+/// The memory of a stream: an incomplete event, and the events that wait for a slow caller.
+pub(super) struct EventMemory {
+    memory: BodyMemory,
+    partial: HeldMemory,
+}
+
+impl EventMemory {
+    /// Creates the memory of a stream, which counts towards `memory`.
+    pub(super) fn new(memory: BodyMemory) -> Self {
+        let partial = memory.hold();
+        Self { memory, partial }
+    }
+
+    /// Counts complete events until they are dropped, and `partial` bytes of an incomplete one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no memory is left.
+    pub(super) fn keep(&mut self, complete: Bytes, partial: usize) -> Result<Bytes, OutOfMemory> {
+        self.partial.resize(BodyMemory::counted(partial))?;
+        self.memory.keep(complete)
+    }
+}
+
 /// Whether a connection can carry another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reuse {
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -24,11 +24,12 @@
 use super::exchange_driver::ExchangeDriver;
 use super::response::BufferedResponse;
 use super::response::EventBody;
+use super::send_outcome::EventMemory;
 use super::send_outcome::SendOutcome;
 use super::send_outcome::TargetStream;
 
-/// The maximum number of writes that are pending for a slow caller, some kilobytes in total. When
-/// it is reached, reading from the target pauses.
+/// The maximum number of writes that are pending for a slow caller, some kilobytes in total for usual events. When
+/// it is reached, reading from the target pauses. Long events count towards the memory of the target's answers.
 const MAX_PENDING_WRITES: usize = 16;
 
 /// The time after its first event from which a run is certain to have a copy. Engines send memory
@@ -190,7 +191,7 @@
                 () = events.closed() => return TargetStreamEnd::CallerGone,
                 () = timer.as_mut() => return self.timeout_end(deadline),
             };
-            let complete = match self.complete_events(frame) {
+            let complete = match self.complete_events(frame, &mut stream.memory) {
                 Ok(complete) => complete,
                 Err(end) => return end,
             };
@@ -205,6 +206,7 @@
     fn complete_events(
         &mut self,
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        memory: &mut EventMemory,
     ) -> Result<Bytes, TargetStreamEnd> {
         let broken = || TargetStreamEnd::Event(ExchangeEvent::Lost(Fault::Broken));
         let frame = match frame {
@@ -222,15 +224,8 @@
         };
         // Trailers contain no events.
         let data = frame.into_data().unwrap_or_default();
-        let complete = self.request.events.push(&data);
-        complete.map_err(|error| {
-            info!(
-                request = self.request.head.id.as_str();
-                "the stream contains an invalid event: {error}"
-            );
-            self.record_rollout_end(RunEnd::Failed);
-            broken()
-        })
+        self.push_events(&data, memory)
+            .map_err(TargetStreamEnd::Event)
     }
 
     /// Returns whether the run has been long enough at its target for a copy to exist.
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -34,6 +34,10 @@
 /// The maximum time that sent bytes may remain unacknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The size of the read buffer in bytes, which also limits the head of an answer. A target in trouble can fill the
+/// buffers of all its connections, and what one turn of a connection parses.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// A failure to connect.
 #[derive(Debug, Snafu)]
 pub(super) enum ConnectError {
@@ -84,7 +88,9 @@
             .map_err(|_| ConnectError::Timeout)?
             .context(ConnectSnafu)?;
         set_options(&socket).context(ConnectSnafu)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(socket))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
             .await
             .context(HandshakeSnafu)?;
         let driver = tokio::spawn(async move {
--- a/crates/cyclamenwharf/src/forward/target_identity.rs
+++ b/crates/cyclamenwharf/src/forward/target_identity.rs
@@ -6,10 +6,10 @@
 use cw_policy::forward::Fault;
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cw_types::Incarnation;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use log::info;
 
 use super::connection_pool::PooledConnection;
@@ -75,7 +75,9 @@
         if !is_stream || is_unknown || connection.verified == Some(*incarnation) {
             return Verification::Expected;
         }
-        let found = tokio::time::timeout(IDENTITY_TIMEOUT, self.ask_identity(connection)).await;
+        let memory = self.context.pool.memory(target);
+        let asking = self.ask_identity(connection, &memory);
+        let found = tokio::time::timeout(IDENTITY_TIMEOUT, asking).await;
         let found = found.unwrap_or_else(|_| Err(format!("no answer within {IDENTITY_TIMEOUT:?}")));
         match found {
             Ok(None) => {}
@@ -108,12 +110,13 @@
     async fn ask_identity(
         &self,
         connection: &mut TargetConnection,
+        memory: &BodyMemory,
     ) -> Result<Option<Incarnation>, String> {
         let call = self.context.dialect.identity_request();
         let answer = connection.send(call.map(Full::new)).await;
         let answer = answer.map_err(|error| error.to_string())?;
-        let body = Limited::new(answer.into_body(), MAX_IDENTITY_BYTES).collect();
-        let body = body.await.map_err(|error| error.to_string())?.to_bytes();
+        let body = BodyBuffer::new(MAX_IDENTITY_BYTES, memory).read(answer.into_body());
+        let body = body.await.map_err(|error| error.to_string())?;
         connection
             .ready()
             .await
--- a/crates/cyclamenwharf/src/main.rs
+++ b/crates/cyclamenwharf/src/main.rs
@@ -13,6 +13,8 @@
 use clap::value_parser;
 use cw_platform::PlatformDialect;
 use cw_platform::PlatformStore;
+use cw_types::ByteSize;
+use cw_types::ByteSizeError;
 use cyclamenwharf::Agent;
 use cyclamenwharf::AgentSettings;
 use cyclamenwharf::Entry;
@@ -41,6 +43,13 @@
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("The TOML file with the settings");
+    let memory = Arg::new("memory")
+        .long("memory")
+        .value_name("SIZE")
+        .value_parser(parse_memory)
+        .help(
+            "The memory that the process may use, such as 110MiB, instead of that in the settings",
+        );
     Command::new("cyclamenwharf")
         .about("Serves long generations on engines that fail")
         .version(env!("CARGO_PKG_VERSION"))
@@ -58,7 +67,7 @@
         .subcommand(
             Command::new("forward")
                 .about("Passes opaque requests through to the targets of a service")
-                .arg(settings),
+                .args([settings, memory]),
         )
         .subcommand(
             Command::new("config")
@@ -68,6 +77,16 @@
         )
 }
 
+fn parse_memory(text: &str) -> Result<ByteSize, String> {
+    let memory: ByteSize = text
+        .parse()
+        .map_err(|error: ByteSizeError| error.to_string())?;
+    match memory < ForwardSettings::MIN_MEMORY {
+        true => Err(format!("less than {}", ForwardSettings::MIN_MEMORY)),
+        false => Ok(memory),
+    }
+}
+
 fn config_check_command() -> Command {
     let file = Arg::new("file")
         .value_name("FILE")
@@ -151,10 +170,13 @@
 
 fn run_forward(args: &ArgMatches) -> ExitCode {
     let file = settings_file(args);
-    let settings = match ForwardSettings::read(file) {
+    let mut settings = match ForwardSettings::read(file) {
         Ok(settings) => settings,
         Err(error) => return exit_with_error(&error),
     };
+    if let Some(memory) = args.get_one("memory") {
+        settings.memory = *memory;
+    }
     // A single thread suffices: a forwarding entry mostly waits for I/O, and its hosts have one
     // core.
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/cyclamenwharf/src/peer_client.rs
+++ b/crates/cyclamenwharf/src/peer_client.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cw_wire::Frame;
 use cw_wire::FrameCodec;
 use cw_wire::WireError;
@@ -30,6 +32,12 @@
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The maximum size of the body of a response, which is the limit of messages between processes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// The memory that the bodies of concurrent responses may take, in bytes: two of the longest.
+const MAX_BODIES_BYTES: usize = 2 * MAX_BODY_BYTES;
+
 /// An error of a call to a peer.
 #[derive(Debug, Snafu)]
 pub enum PeerError {
@@ -78,6 +86,8 @@
 pub struct PeerClient {
     client: Client<HttpConnector, Full<Bytes>>,
     secret: String,
+    /// The memory that the bodies of concurrent responses may take.
+    memory: BodyMemory,
 }
 
 impl PeerClient {
@@ -89,6 +99,7 @@
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
             secret: secret.to_owned(),
+            memory: BodyMemory::new(MAX_BODIES_BYTES),
         }
     }
 
@@ -97,7 +108,10 @@
     /// This helps when a pooled connection has stopped delivering data while new connections work.
     #[must_use]
     pub fn with_new_pool(&self) -> Self {
-        Self::new(&self.secret)
+        Self {
+            memory: self.memory.clone(),
+            ..Self::new(&self.secret)
+        }
     }
 
     /// Sends a message and reads the response.
@@ -118,11 +132,12 @@
     {
         let work = async {
             let response = self.post(peer, path, message).await?;
-            let body = response.into_body().collect().await.map_err(|error| {
+            let body = BodyBuffer::new(MAX_BODY_BYTES, &self.memory).read(response.into_body());
+            let body = body.await.map_err(|error| {
                 let message = error.to_string();
                 PeerError::Broken { peer, message }
             })?;
-            cw_wire::decode(&body.to_bytes()).context(WireSnafu)
+            cw_wire::decode(&body).context(WireSnafu)
         };
         tokio::time::timeout(timeout, work)
             .await
--- a/crates/cyclamenwharf/tests/control/main.rs
+++ b/crates/cyclamenwharf/tests/control/main.rs
@@ -1,5 +1,10 @@
 //! Tests of the control plane of entries on the loopback interface, with fakes of the platform.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 mod admin_client;
 mod control_state;
 mod openapi;
--- a/crates/cyclamenwharf/tests/entry.rs
+++ b/crates/cyclamenwharf/tests/entry.rs
@@ -1,5 +1,10 @@
 //! Tests that callers get complete answers through an entry when engines and connections fail.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 mod entry_kit;
 
 use std::time::Duration;
--- a/crates/cyclamenwharf/tests/entry_claims.rs
+++ b/crates/cyclamenwharf/tests/entry_claims.rs
@@ -1,6 +1,11 @@
 //! Tests that work that is not idempotent runs at most once, through any entry and when answers of
 //! the key-value service are lost.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 mod entry_kit;
 
 use cw_types::Ran;
--- a/crates/cyclamenwharf/tests/real_process/main.rs
+++ b/crates/cyclamenwharf/tests/real_process/main.rs
@@ -2,6 +2,11 @@
 //!
 //! The store and the engines are the fakes of the tests of the users' platform.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "what the programs under test send has an end"
+)]
+
 #[expect(dead_code, reason = "other tests use the rest")]
 #[path = "../../../../platform/tests/path/caller.rs"]
 mod caller;
@@ -9,6 +14,9 @@
 #[path = "../../../../platform/tests/path/deployment.rs"]
 mod deployment;
 #[expect(dead_code, reason = "other tests use the rest")]
+#[path = "../../../../platform/tests/path/endless_server.rs"]
+mod endless_server;
+#[expect(dead_code, reason = "other tests use the rest")]
 #[path = "../../../../platform/tests/path/fake_engine.rs"]
 mod fake_engine;
 #[expect(dead_code, reason = "other tests use the rest")]
@@ -16,11 +24,11 @@
 mod fake_store;
 #[path = "../../../../platform/tests/path/process_requests.rs"]
 mod process_requests;
-#[expect(dead_code, reason = "other tests use the rest")]
 #[path = "../../../../platform/tests/path/serve.rs"]
 mod serve;
 
 mod connection;
+mod memory;
 mod process;
 mod shutdown;
 mod soak;
--- a/crates/cyclamenwharf/tests/real_process/process.rs
+++ b/crates/cyclamenwharf/tests/real_process/process.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cw_types::ByteSize;
 use tempfile::TempDir;
 
 use crate::connection::Connection;
@@ -23,6 +24,9 @@
 /// The maximum duration of a graceful shutdown.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
+/// The memory that an entry may use.
+pub(crate) const MEMORY: ByteSize = ByteSize::mib(96);
+
 /// How long an entry may take to tell whether it is ready.
 const READY_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -92,6 +96,7 @@
             store = "{store}"
             lapse = "3600ms"
             grace = "{}s"
+            memory = "{MEMORY}"
             [listen]
             callers = "{address}:{CALLERS_PORT}"
             health = "{address}:{HEALTH_PORT}"
@@ -144,6 +149,15 @@
         signals.into_iter().filter(is_handled).collect()
     }
 
+    /// Returns the most memory that the process has used.
+    pub(crate) fn peak_memory(&self) -> ByteSize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB")?.parse().ok());
+        ByteSize::kib(peak.expect("the peak of a running process"))
+    }
+
     /// Returns whether the process has ended.
     pub(crate) fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
--- a/crates/cyclamenwharfctl/src/admin_client.rs
+++ b/crates/cyclamenwharfctl/src/admin_client.rs
@@ -9,6 +9,8 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::value_parser;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cyclamenwharf::admin::AdminErrorKind;
 use cyclamenwharf::admin::ErrorMessage;
 use http::Method;
@@ -16,7 +18,6 @@
 use http::Response;
 use http::header::AUTHORIZATION;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -35,6 +36,9 @@
 /// The timeout of one call to an entry.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The maximum size of a response, in bytes. The records of a large deployment have some megabytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// How often each entry is tried; every call is safe to repeat, even if its outcome is unknown.
 const ATTEMPTS_PER_ENTRY: usize = 3;
 
@@ -164,8 +168,9 @@
     response: Response<hyper::body::Incoming>,
 ) -> Result<R, CommandError> {
     let status = response.status();
-    let body = response.into_body().collect().await.map_err(unreachable)?;
-    let bytes = body.to_bytes();
+    let body = BodyBuffer::new(MAX_RESPONSE_BYTES, &BodyMemory::new(MAX_RESPONSE_BYTES));
+    let read = body.read(response.into_body()).await;
+    let bytes = read.map_err(unreachable)?;
     if status.is_success() {
         let parsed = serde_json::from_slice(&bytes);
         return parsed.map_err(|source| CommandError::InvalidResponse { entry, source });
--- a/crates/cyclamenwharfctl/src/slo/entry_metrics.rs
+++ b/crates/cyclamenwharfctl/src/slo/entry_metrics.rs
@@ -9,8 +9,9 @@
 use cw_policy::slo::Counts;
 use cw_policy::slo::Objective;
 use cw_policy::slo::Window;
+use cw_store::BodyBuffer;
+use cw_store::BodyMemory;
 use cyclamenwharf::SloMetrics;
-use http_body_util::BodyExt;
 use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
@@ -22,6 +23,9 @@
 /// The timeout for reading the metrics of one entry.
 const SCRAPE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum size of the metrics of one entry, in bytes. They have some hundred kilobytes.
+const MAX_METRICS_BYTES: usize = 16 << 20;
+
 /// The error of reading an entry's metrics.
 #[derive(Debug, Snafu)]
 #[snafu(display("{entry}: {message}"))]
@@ -64,12 +68,10 @@
     if !response.status().is_success() {
         return Err(format!("returned status {}", response.status()));
     }
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|e| e.to_string())?;
-    String::from_utf8(body.to_bytes().into()).map_err(|e| e.to_string())
+    let body = BodyBuffer::new(MAX_METRICS_BYTES, &BodyMemory::new(MAX_METRICS_BYTES));
+    let read = body.read(response.into_body()).await;
+    let bytes = read.map_err(|e| e.to_string())?;
+    String::from_utf8(bytes.into()).map_err(|e| e.to_string())
 }
 
 impl EntryMetrics {
