Require a key as long as the configuration contains workspaces

Cause: an empty map of keys stood for "no key is asked for". The adapter flattened tenants without keys, an empty list of them and an absent list into the same map. Evidence: the requests ran without a tenant, so the new configuration was in force; with the old one the unknown keys would have got 401.

`config check` names routes that nobody may use, and says when keys are not required any more. The same cause elsewhere: a route whose services all have the weight 0 sent all requests to the last one, now there is no target; a change that empties the list of workspaces of a route of entries with agents opened it, now it is not accepted.

--- a/crates/cw_policy/src/configuration/dry_run.rs
+++ b/crates/cw_policy/src/configuration/dry_run.rs
@@ -5,6 +5,8 @@
 use cw_macro::data;
 use cw_types::Config;
 use cw_types::ConfigError;
+use cw_types::RecordKey;
+use cw_types::RecordKind;
 use cw_types::Route;
 use cw_types::RouteName;
 use cw_types::RouteTarget;
@@ -49,6 +51,11 @@
         /// The workspace that has no record.
         workspace: WorkspaceId,
     },
+    /// The last workspace of a route would be taken away, and the empty list would allow all workspaces.
+    OpenToAll {
+        /// The route whose list of workspaces would be empty.
+        route: RouteName,
+    },
     /// A workspace's quota would admit no request.
     NoQuota {
         /// The workspace whose limit on concurrency, requests or tokens would be zero.
@@ -85,6 +92,10 @@
                     "route {route} names workspace {workspace}, which does not exist"
                 )
             }
+            Breakage::OpenToAll { route } => write!(
+                f,
+                "route {route} would be open to all workspaces: its list is empty; leave the list out to open it, or remove the route"
+            ),
             Breakage::NoQuota { workspace } => {
                 write!(f, "workspace {workspace} would have no quota")
             }
@@ -105,9 +116,35 @@
     let before = find_breakages(present);
     let mut after = find_breakages(next);
     after.retain(|breakage| !before.contains(breakage));
+    after.extend(find_opened(present, next));
     after
 }
 
+/// Finds the routes whose last workspace `next` takes away. A list that is left out allows all on purpose.
+fn find_opened(present: &Snapshot, next: &Snapshot) -> Vec<Breakage> {
+    let (before, _) = Config::from_snapshot(present);
+    let (after, _) = Config::from_snapshot(next);
+    let has_list = |name: &RouteName| {
+        let key = RecordKey {
+            kind: RecordKind::Route,
+            name: name.as_str().to_owned(),
+        };
+        let record = next.records.get(&key);
+        record.is_some_and(|(_, record)| record.body.get("workspaces").is_some())
+    };
+    let was_limited = |name: &RouteName| {
+        let route = before.routes.get(name);
+        route.is_some_and(|route| !route.workspaces.is_empty())
+    };
+    let routes = after.routes.iter();
+    routes
+        .filter(|(name, route)| route.workspaces.is_empty() && was_limited(name) && has_list(name))
+        .map(|(name, _)| Breakage::OpenToAll {
+            route: name.clone(),
+        })
+        .collect()
+}
+
 fn find_breakages(snapshot: &Snapshot) -> Vec<Breakage> {
     let (config, errors) = Config::from_snapshot(snapshot);
     let mut found: Vec<_> = errors.into_iter().map(malformed).collect();
--- a/crates/cw_policy/src/forward/config_check.rs
+++ b/crates/cw_policy/src/forward/config_check.rs
@@ -59,6 +59,7 @@
     /// Checks a configuration by itself.
     pub fn of(config: &ForwardConfig) -> Self {
         let mut check = Self::default();
+        check.check_keys(config);
         for routes in config.routes.values() {
             check.check_matches(routes.iter().map(AsRef::as_ref));
             for route in routes {
@@ -91,6 +92,10 @@
         self.compare("service", &old, &new, service_changes);
         let (old, new) = (keys_by_workspace(in_force), keys_by_workspace(config));
         self.compare("workspace", &old, &new, key_changes);
+        if in_force.keys.are_required() && !config.keys.are_required() {
+            let text = "no request needs one any more: every caller may use every route".to_owned();
+            self.warn("keys".to_owned(), text);
+        }
         if config.limits != in_force.limits {
             let text = format!("{:?} becomes {:?}", in_force.limits, config.limits);
             self.add(Severity::Difference, "limits".to_owned(), text);
@@ -127,6 +132,17 @@
         self.add(Severity::Warning, place, text);
     }
 
+    /// Finds the routes that nobody may use, since they require a key and there is none.
+    fn check_keys(&mut self, config: &ForwardConfig) {
+        if !config.keys.are_required() || config.keys.iter().next().is_some() {
+            return;
+        }
+        for route in config.routes.values().flatten().filter(|route| !route.open) {
+            let text = "all its requests are refused, since no workspace has a key".to_owned();
+            self.error(place(route), text);
+        }
+    }
+
     /// Finds the routes of one host that an equal prefix hides.
     fn check_matches<'a>(&mut self, routes: impl Iterator<Item = &'a ForwardRoute>) {
         let mut first: BTreeMap<&str, &ForwardRoute> = BTreeMap::new();
@@ -261,7 +277,7 @@
 /// Returns the keys of each workspace, as hashes: a key itself must not be printed.
 fn keys_by_workspace(config: &ForwardConfig) -> BTreeMap<String, (Option<u8>, BTreeSet<KeyHash>)> {
     let mut found: BTreeMap<String, (Option<u8>, BTreeSet<KeyHash>)> = BTreeMap::new();
-    for (key, holder) in &config.keys {
+    for (key, holder) in config.keys.iter() {
         let KeyHolder {
             workspace,
             priority,
--- a/crates/cw_policy/src/forward/forward_config.rs
+++ b/crates/cw_policy/src/forward/forward_config.rs
@@ -55,17 +55,20 @@
 }
 
 impl ForwardRoute {
-    /// Returns the service for a random `draw` in `0.0..1.0`, in proportion to the weights.
+    /// Returns the service for a random `draw` in `0.0..1.0`, in proportion to the weights. A service without a weight
+    /// gets no requests, so there is none if no service has a weight.
     pub fn service(&self, draw: f64) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut left = draw * f64::from(total);
-        for (name, weight) in &self.services {
+        let weights = self.services.iter().map(|(_, weight)| f64::from(*weight));
+        let mut left = draw * weights.sum::<f64>();
+        let weighted = || self.services.iter().filter(|(_, weight)| *weight > 0);
+        for (name, weight) in weighted() {
             left -= f64::from(*weight);
             if left < 0.0 {
                 return Some(name);
             }
         }
-        self.services.last().map(|(name, _)| name)
+        // The sum of the weights may have been rounded.
+        weighted().last().map(|(name, _)| name)
     }
 }
 
@@ -100,6 +103,42 @@
     pub priority: Option<u8>,
 }
 
+/// Which keys requests need.
+///
+/// A configuration without keys and one whose keys have all been taken away are different: the first admits
+/// everybody, the second nobody.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum CallerKeys {
+    /// Every caller may use every route.
+    #[default]
+    NotRequired,
+    /// A request of a route that is not open requires one of these keys. There may be none.
+    Required(BTreeMap<KeyHash, KeyHolder>),
+}
+
+impl CallerKeys {
+    /// Returns whether requests of routes that are not open require a key.
+    pub fn are_required(&self) -> bool {
+        matches!(self, CallerKeys::Required(_))
+    }
+
+    /// Returns the keys and their holders.
+    pub fn iter(&self) -> impl Iterator<Item = (&KeyHash, &KeyHolder)> {
+        let keys = match self {
+            CallerKeys::NotRequired => None,
+            CallerKeys::Required(keys) => Some(keys),
+        };
+        keys.into_iter().flatten()
+    }
+
+    fn holder(&self, key: &str) -> Option<&KeyHolder> {
+        match self {
+            CallerKeys::NotRequired => None,
+            CallerKeys::Required(keys) => keys.get(&KeyHash::of(key)),
+        }
+    }
+}
+
 /// A request that matches a route and presents the key that the route requires.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Admitted {
@@ -118,14 +157,14 @@
     /// The routes by host, sorted by descending length of the prefix.
     pub(super) routes: BTreeMap<String, Vec<Arc<ForwardRoute>>>,
     pub(super) services: BTreeMap<ServiceName, ForwardService>,
-    pub(super) keys: BTreeMap<KeyHash, KeyHolder>,
+    pub(super) keys: CallerKeys,
     /// The ranks of each service's routes.
     ranks: BTreeMap<ServiceName, BTreeSet<Rank>>,
     pub(super) limits: CallerLimits,
 }
 
 impl ForwardConfig {
-    /// Creates a configuration without keys, in which every caller may use every route.
+    /// Creates a configuration that requires no keys: every caller may use every route.
     pub fn new(
         version: u64,
         routes: Vec<ForwardRoute>,
@@ -151,17 +190,24 @@
             version,
             routes: by_host,
             services,
-            keys: BTreeMap::new(),
+            keys: CallerKeys::NotRequired,
             ranks,
             limits,
         }
     }
 
-    /// Returns the configuration with `keys`. Unless `keys` is empty, a route that is not open then
-    /// requires one.
+    /// Returns the configuration with `keys`. A route that is not open then requires one, also if there are none.
     #[must_use]
     pub fn with_keys(self, keys: BTreeMap<KeyHash, KeyHolder>) -> Self {
-        Self { keys, ..self }
+        Self {
+            keys: CallerKeys::Required(keys),
+            ..self
+        }
+    }
+
+    /// Returns which keys requests need.
+    pub fn keys(&self) -> &CallerKeys {
+        &self.keys
     }
 
     /// Returns the version, which increases with each change.
@@ -192,8 +238,8 @@
         if RankPlace::among(rank, self.ranks(service)) == RankPlace::Only {
             return rank.priority;
         }
-        let holders = self.keys.values();
-        let priorities: BTreeSet<u8> = holders.filter_map(|holder| holder.priority).collect();
+        let holders = self.keys.iter();
+        let priorities: BTreeSet<u8> = holders.filter_map(|(_, holder)| holder.priority).collect();
         let mut before: BTreeSet<Rank> = BTreeSet::new();
         for route in self.ranks(service) {
             let held = priorities
@@ -228,8 +274,8 @@
             .iter()
             .find(|route| path.starts_with(&route.prefix))
             .ok_or(ErrorKind::UnknownModel)?;
-        let holder = key.and_then(|key| self.keys.get(&KeyHash::of(key)));
-        if holder.is_none() && !route.open && !self.keys.is_empty() {
+        let holder = key.and_then(|key| self.keys.holder(key));
+        if holder.is_none() && !route.open && self.keys.are_required() {
             return Err(ErrorKind::Unauthorized);
         }
         let priority = holder.and_then(|holder| holder.priority);
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -89,6 +89,7 @@
 pub use fleet::FleetLimits;
 pub use fleet::Usability;
 pub use forward_config::Admitted;
+pub use forward_config::CallerKeys;
 pub use forward_config::CallerLimits;
 pub use forward_config::ForwardConfig;
 pub use forward_config::ForwardRoute;
--- a/crates/cw_policy/tests/configuration.rs
+++ b/crates/cw_policy/tests/configuration.rs
@@ -332,6 +332,36 @@
     );
 }
 
+/// Guards against a route that the removal of its last workspace opens to all.
+#[rstest]
+#[case(Some(json!([])), true)]
+#[case(None, false)]
+fn the_last_workspace_of_a_route_is_not_taken_away(
+    #[case] workspaces: Option<Value>,
+    #[case] is_refused: bool,
+) {
+    let workspace = record(RecordKind::Workspace, "w1", 1, json!({ "keys": [] }));
+    let current = accepted(&with_route(), "c1", vec![put(workspace)]);
+    let route = |workspaces: Option<Value>| {
+        let mut route = json!({
+            "to": { "model": { "model": "m", "version": "v1" } },
+            "priority": "normal",
+        });
+        if let Some(workspaces) = workspaces {
+            route["workspaces"] = workspaces;
+        }
+        put(record(RecordKind::Route, "r1", 1, route))
+    };
+    let limited = accepted(&current, "c2", vec![route(Some(json!(["w1"])))]);
+    let proposal = propose(&limited, "c3", vec![route(workspaces)]);
+
+    let decision = decide(&limited, &proposal, "bob", false);
+
+    let opened = vec![Breakage::OpenToAll { route: name("r1") }];
+    let refusal = AcceptDecision::Refused(Refusal::Breaks { breakages: opened });
+    assert_eq!(decision == refusal, is_refused, "{decision:?}");
+}
+
 #[test]
 fn applied_delta_gives_the_same_snapshot() {
     let one = accepted(&Snapshot::default(), "c1", vec![put(priority("p", 1))]);
--- a/crates/cw_policy/tests/forward/config.rs
+++ b/crates/cw_policy/tests/forward/config.rs
@@ -91,6 +91,44 @@
     assert_eq!(admitted.priority, 2);
 }
 
+/// Guards against the removal of the last key that opens all routes.
+#[rstest]
+#[case(None)]
+#[case(Some("secret"))]
+fn a_configuration_without_any_key_admits_nobody(#[case] key: Option<&str>) {
+    let config = config().with_keys(BTreeMap::new());
+
+    let admitted = config.admit("a.example", "/a/x", key);
+
+    assert_eq!(admitted, Err(ErrorKind::Unauthorized));
+    assert!(config.admit("a.example", "/open/x", key).is_ok());
+}
+
+#[test]
+fn a_configuration_that_requires_no_keys_admits_everybody() {
+    let config = ForwardConfig::new(
+        7,
+        vec![route("outer", "/a/")],
+        BTreeMap::new(),
+        config().limits(),
+    );
+
+    let admitted = config.admit("a.example", "/a/x", None).unwrap();
+
+    assert_eq!(admitted.workspace, None);
+}
+
+/// Guards against a route whose services all have lost their weight, and whose requests all go to the last of them.
+#[rstest]
+#[case(0.0)]
+#[case(0.999)]
+fn services_without_a_weight_get_no_requests(#[case] draw: f64) {
+    let mut route = route("outer", "/a/");
+    route.services = vec![(name("heavy"), 0), (name("light"), 0)];
+
+    assert_eq!(route.service(draw), None);
+}
+
 #[rstest]
 #[case(0.0, "heavy")]
 #[case(0.899, "heavy")]
--- a/crates/cw_policy/tests/forward/config_check.rs
+++ b/crates/cw_policy/tests/forward/config_check.rs
@@ -132,3 +132,38 @@
         ["version 7: it is not higher than 7, the one in force"]
     );
 }
+
+/// Guards against a configuration that shuts everybody out, of which the check said nothing.
+#[test]
+fn routes_that_nobody_may_use_are_errors() {
+    let mut open = route("b");
+    open.open = true;
+    let config = config(7, vec![route("a"), open], "secret").with_keys(BTreeMap::new());
+
+    let check = ConfigCheck::of(&config);
+
+    let errors = texts(&check, Severity::Error);
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].starts_with("route a: all its requests are refused"));
+}
+
+#[test]
+fn keys_that_are_not_required_any_more_are_a_warning() {
+    let in_force = config(7, vec![route("a")], "secret");
+    let open = ForwardConfig::new(
+        8,
+        vec![route("a")],
+        BTreeMap::from([(name("llm"), service())]),
+        in_force.limits(),
+    );
+
+    let check = ConfigCheck::of(&open).against(&open, &in_force);
+
+    let warnings = texts(&check, Severity::Warning);
+    assert!(
+        warnings
+            .iter()
+            .any(|text| text.starts_with("keys: no request needs one")),
+        "{warnings:?}"
+    );
+}
