Persist what began a stream for as long as its route allows it to last

Cause: what began the streams was persisted with the prompts, for 12 s, whatever the timeouts of the routes.

Change: `StreamLife` is the longest time for which a stream may be taken up. It follows the longest timeout of the routes, keeps a longer one until the streams that began under it have ended, and is persisted, since entries that start know only the configuration in force. Streams are persisted and remembered for that life, prompts for 12 s as before; the value has room for 16,384 streams, the log says when some are left out, and which version alone began all streams is decided by the same life. The store gets as many calls as before.

--- a/crates/cw_policy/src/forward/stream_origins.rs
+++ b/crates/cw_policy/src/forward/stream_origins.rs
@@ -17,10 +17,13 @@
 /// Limits on the recorded streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamOriginLimits {
-    /// How long a stream is kept after its last record, which is longer than a caller waits for it.
+    /// How long a stream is kept after its last record at least, which is longer than most callers wait for it.
     pub ttl: Duration,
     /// The maximum number of records. A hundred entries begin some hundred streams a second.
     pub capacity: usize,
+    /// The maximum number of records that are persisted. The largest known deployment runs fewer streams at a time. With
+    /// 28 bytes each they take less than half of what a value of the key-value service may have.
+    pub persisted: usize,
 }
 
 impl Default for StreamOriginLimits {
@@ -28,10 +31,20 @@
         Self {
             ttl: Duration::from_secs(60),
             capacity: 32_768,
+            persisted: 16_384,
         }
     }
 }
 
+/// The streams to persist, and what is left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PersistedOrigins {
+    /// The streams, newest first.
+    pub origins: Vec<StreamOrigin>,
+    /// The number of streams that may be in progress and are left out. They are the oldest, which are the most likely to have ended.
+    pub left_out: usize,
+}
+
 /// What is known of a stream or a request.
 #[derive(Clone, Copy, Debug)]
 struct Known {
@@ -48,6 +61,10 @@
     requests: BTreeMap<Fingerprint, Known>,
     /// The records in the order in which they were made, and whether this entry passes on the stream.
     order: VecDeque<(Time, StreamOrigin, bool)>,
+    /// The longest life of a stream.
+    life: Duration,
+    /// The number of records that were dropped before their time, since there were too many.
+    dropped: u64,
 }
 
 impl StreamOrigins {
@@ -59,6 +76,20 @@
         }
     }
 
+    /// Sets the longest time for which a caller may take up a stream. Records are kept for that long.
+    pub fn set_life(&mut self, life: Duration) {
+        self.life = life;
+    }
+
+    /// Returns how many records were dropped before their time, since there were too many.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn ttl(&self) -> Duration {
+        self.limits.ttl.max(self.life)
+    }
+
     /// Records which software began a stream that this entry passes on. Returns whether it is the first
     /// to contradict an earlier one.
     pub fn record_own(&mut self, now: Time, origin: StreamOrigin) -> bool {
@@ -76,6 +107,9 @@
             | merge(&mut self.requests, origin.request, origin.software, now);
         self.order.push_back((now, origin, is_own));
         while self.order.len() > self.limits.capacity {
+            let oldest = self.order.front().map(|(at, ..)| *at);
+            let may_live = oldest.is_some_and(|at| now.since(at) <= self.life);
+            self.dropped += u64::from(may_live);
             self.evict_oldest();
         }
         is_split
@@ -93,7 +127,7 @@
             Some(stream) => self.streams.get(&stream),
             None => self.requests.get(&request),
         };
-        let known = known.filter(|known| now.since(known.at) <= self.limits.ttl);
+        let known = known.filter(|known| now.since(known.at) <= self.ttl());
         known?.software
     }
 
@@ -103,7 +137,7 @@
             Some(stream) => self.streams.get(&stream),
             None => self.requests.get(&request),
         };
-        let known = known.filter(|known| now.since(known.at) <= self.limits.ttl);
+        let known = known.filter(|known| now.since(known.at) <= self.ttl());
         known.is_some_and(|known| known.software.is_none())
     }
 
@@ -115,9 +149,13 @@
             .map(|(origin, _)| origin)
     }
 
-    /// Returns all streams that were recorded after `since`, newest first.
-    pub fn all_since(&self, since: Time) -> impl Iterator<Item = StreamOrigin> {
-        self.recorded_since(since).map(|(origin, _)| origin)
+    /// Returns what to persist: the streams that may be in progress.
+    pub fn to_persist(&self, now: Time) -> PersistedOrigins {
+        let recent = self.recorded_since(now.before(self.life));
+        let mut origins: Vec<_> = recent.map(|(origin, _)| origin).collect();
+        let left_out = origins.len().saturating_sub(self.limits.persisted);
+        origins.truncate(self.limits.persisted);
+        PersistedOrigins { origins, left_out }
     }
 
     fn recorded_since(&self, since: Time) -> impl Iterator<Item = (StreamOrigin, bool)> {
@@ -130,7 +168,7 @@
     /// Drops expired records.
     pub fn expire(&mut self, now: Time) {
         while let Some((at, ..)) = self.order.front()
-            && now.since(*at) > self.limits.ttl
+            && now.since(*at) > self.ttl()
         {
             self.evict_oldest();
         }
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -25,5 +25,6 @@
 mod several_crashing_requests;
 mod software_history;
 mod start_estimate;
+mod stream_life;
 mod stream_origins;
 mod target_limits;
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -281,6 +281,12 @@
         state
             .standing_queues
             .retain(|service| services.contains(service));
+        let now = self.context.now();
+        state
+            .stream_life
+            .record_timeout(now, config.longest_timeout());
+        let life = state.stream_life.longest(now);
+        state.origins.set_life(life);
         state.config = Some(Arc::new(config));
         state.config_bytes = Some(document.clone());
         self.context.health.set_configured();
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -25,6 +25,7 @@
 use cw_policy::forward::RankDemand;
 use cw_policy::forward::RunTimes;
 use cw_policy::forward::StandingQueues;
+use cw_policy::forward::StreamLife;
 use cw_policy::forward::StreamOrigins;
 use cw_policy::forward::Topic;
 use cw_policy::rollout::ExposureLimits;
@@ -96,6 +97,8 @@
     pub(super) peer_prompts: PromptLocations,
     /// The software that began each stream.
     pub(super) origins: StreamOrigins,
+    /// How long callers may take up the streams that have begun.
+    pub(super) stream_life: StreamLife,
     /// The streams that began since the last message to other entries.
     pub(super) begun_streams: Vec<StreamHash>,
     /// The durations of prompts and runs.
@@ -224,6 +227,7 @@
             own_prompts: PromptLocations::new(PromptLocationLimits::default()),
             peer_prompts: PromptLocations::new(PromptLocationLimits::default()),
             origins: StreamOrigins::default(),
+            stream_life: StreamLife::default(),
             begun_streams: Vec::new(),
             run_times: RunTimes::default(),
             standing_queues: StandingQueues::default(),
--- a/crates/cyclamenwharf/src/forward/forwarder.rs
+++ b/crates/cyclamenwharf/src/forward/forwarder.rs
@@ -305,6 +305,7 @@
 }
 
 async fn expire_periodically(context: Arc<ForwardContext>) {
+    let mut dropped_origins = 0;
     loop {
         tokio::time::sleep(EXPIRY_PERIOD).await;
         let now = context.now();
@@ -322,6 +323,14 @@
         state.own_prompts.expire(now);
         state.peer_prompts.expire(now);
         state.origins.expire(now);
+        let dropped = state.origins.dropped();
+        if dropped > dropped_origins {
+            warn!(
+                dropped = dropped - dropped_origins;
+                "forgot what began streams that may be in progress, since there are too many"
+            );
+            dropped_origins = dropped;
+        }
         let ForwardState {
             fleet, listings, ..
         } = &mut *state;
--- a/crates/cyclamenwharf/src/forward/recent_run_state.rs
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cw_macro::data;
 use cw_policy::forward::EarlierSoftware;
+use cw_policy::forward::PersistedOrigins;
 use cw_wire::CachedPrompt;
 use cw_wire::SoftwareHash;
 use cw_wire::StreamOrigin;
@@ -16,22 +17,24 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use log::info;
+use log::warn;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 use super::forward_context::ForwardContext;
 use super::state_store::SharedState;
-use super::stream_take_up::longest_stream;
 
 /// The key of the prompt locations.
 pub(super) const RUNS_KEY: &str = "cyclamenwharf/prompts";
 
-/// The maximum number of prompts and of streams in the value, which keeps it far below the size limit of the
-/// service.
-const MAX_RUNS: usize = 4096;
+/// The maximum number of prompts in the value. They save time only, while a stream whose software is not known is refused.
+const MAX_PROMPTS: usize = 4096;
 
-/// The maximum age of a run in the value, which is the duration of a long stream.
-const MAX_AGE: Duration = Duration::from_secs(12);
+/// The maximum age of a prompt in the value. Targets need their cache memory for others later.
+const MAX_PROMPT_AGE: Duration = Duration::from_secs(12);
 
-/// The runs of the last seconds.
+/// The prompts of the last seconds, and the streams that may be in progress.
+#[serde_as]
 #[data(Default)]
 struct RecentRuns {
     prompts: Vec<CachedPrompt>,
@@ -40,6 +43,10 @@
     /// entries of an earlier version.
     #[serde(default)]
     only: Option<BTreeSet<SoftwareHash>>,
+    /// The longest life of the streams, `None` from entries of an earlier version.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    life: Option<Duration>,
 }
 
 /// The runs that were read and written last.
@@ -48,6 +55,24 @@
     offered: Option<RecentRuns>,
     /// `None` until this entry has written a value: another one may have left any.
     written: Option<RecentRuns>,
+    /// Whether streams were left out of the last value.
+    is_cut: bool,
+}
+
+impl RecentRunState {
+    /// Logs once that there are more streams than the value may have, and once that there are not any more.
+    fn log_cut(&mut self, streams: usize, left_out: usize) {
+        let was_cut = std::mem::replace(&mut self.is_cut, left_out > 0);
+        match (was_cut, self.is_cut) {
+            (false, true) => warn!(
+                streams = streams,
+                left_out = left_out;
+                "not all streams are persisted: after the loss of all entries the oldest ones are refused"
+            ),
+            (true, false) => info!(streams = streams; "all streams are persisted again"),
+            _ => {}
+        }
+    }
 }
 
 impl SharedState for RecentRunState {
@@ -56,7 +81,8 @@
     }
 
     fn changed_value(&mut self, context: &ForwardContext) -> Result<Option<Bytes>, WireError> {
-        let runs = recent_runs(context);
+        let (runs, left_out) = recent_runs(context);
+        self.log_cut(runs.origins.len(), left_out);
         self.offered = (runs.only.is_some()).then_some(runs);
         match &self.offered {
             Some(runs) if self.offered != self.written => encode(runs).map(Some),
@@ -100,11 +126,15 @@
     info!(
         prompts = runs.prompts.len(),
         streams = runs.origins.len(),
-        only:? = runs.only;
+        only:? = runs.only,
+        life:? = runs.life;
         "restored the recent runs"
     );
     let now = context.now();
     let mut state = context.state();
+    if let Some(life) = runs.life {
+        state.stream_life.record_earlier(now, life);
+    }
     if let Some(only) = runs.only {
         state
             .fleet
@@ -119,23 +149,27 @@
     Ok(())
 }
 
-fn recent_runs(context: &ForwardContext) -> RecentRuns {
+/// Returns the runs to persist, and the number of streams that are left out.
+fn recent_runs(context: &ForwardContext) -> (RecentRuns, usize) {
     let now = context.now();
-    let since = now.before(MAX_AGE);
-    let longest = longest_stream(context);
-    let state = context.state();
+    let since = now.before(MAX_PROMPT_AGE);
+    let mut state = context.state();
+    let life = state.stream_life.longest(now);
+    state.origins.set_life(life);
     let mut prompts = state.own_prompts.recorded_since(since);
     prompts.extend(state.peer_prompts.recorded_since(since));
-    prompts.truncate(MAX_RUNS);
-    let origins: Vec<_> = state.origins.all_since(since).take(MAX_RUNS).collect();
+    prompts.truncate(MAX_PROMPTS);
+    let PersistedOrigins { origins, left_out } = state.origins.to_persist(now);
     // As long as no stream has begun, the value that entries before this one have left, or its absence, says so.
     let has_begun = !(prompts.is_empty() && origins.is_empty());
     let is_mixed = state.fleet.is_any_mixed();
-    let only = state.fleet.only_versions(now, longest);
+    let only = state.fleet.only_versions(now, life);
     let only = (has_begun || is_mixed || !only.is_empty()).then_some(only);
-    RecentRuns {
+    let runs = RecentRuns {
         prompts,
         origins,
         only,
-    }
+        life: Some(life),
+    };
+    (runs, left_out)
 }
--- a/crates/cyclamenwharf/src/forward/stream_take_up.rs
+++ b/crates/cyclamenwharf/src/forward/stream_take_up.rs
@@ -1,7 +1,6 @@
 //! Finds out which software began a stream that its caller takes up again.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Repeat;
@@ -21,10 +20,6 @@
 use super::forward_context::ForwardContext;
 use super::peer_api::ORIGIN_PATH;
 
-/// The shortest time for which a service must have had one software version for all streams to be of that version.
-/// Callers wait no longer for a stream if their route allows less.
-const MIN_STREAM_LIFE: Duration = Duration::from_secs(30);
-
 /// Whether a stream can go on.
 pub(super) enum TakeUp {
     /// The request begins a stream, or what began its stream is known.
@@ -164,8 +159,8 @@
 /// Returns the software that began a stream, as far as this entry knows it.
 pub(super) fn answer_origin(context: &ForwardContext, call: &OriginCall) -> OriginAnswer {
     let now = context.now();
-    let longest = longest_stream(context);
     let state = context.state();
+    let longest = state.stream_life.longest(now);
     let only = |services: &[ServiceName]| match services {
         [service] => state.fleet.only_software(now, service, longest),
         // Either service may have begun the stream.
@@ -180,13 +175,6 @@
     }
 }
 
-/// Returns the longest time for which a caller may take up a stream.
-pub(super) fn longest_stream(context: &ForwardContext) -> Duration {
-    context.config().map_or(MIN_STREAM_LIFE, |config| {
-        config.longest_timeout().max(MIN_STREAM_LIFE)
-    })
-}
-
 /// Asks another entry, and returns `None` if it does not answer.
 async fn ask(
     context: &ForwardContext,
