Take no answer that names another request for a refusal

Cause: `mismatch_event` trusted 421 and X-Not-Executed before it asked whose answer it was. On a connection in use, the late refusal of an earlier request was taken for the answer to the next one, which the engine then ran.

Change: an answer that names another request means that the send is lost.

After: all of unary passed.

--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -92,6 +92,10 @@
     /// Returns the event for a response that does not answer this request, `None` for one that
     /// does.
     fn mismatch_event(&self, answer: &TargetResponseHead, resumed: bool) -> Option<ExchangeEvent> {
+        // A late answer to an earlier request on the connection says nothing of this one, which may run.
+        if self.is_foreign(answer) {
+            return Some(ExchangeEvent::Lost(Fault::Broken));
+        }
         if answer.wrong_target {
             return Some(ExchangeEvent::NotRun(Fault::Replaced));
         }
@@ -123,6 +127,12 @@
         }
     }
 
+    /// Returns whether the response names another request. Refusals may name none.
+    fn is_foreign(&self, answer: &TargetResponseHead) -> bool {
+        let id = answer.id.as_deref();
+        id.is_some_and(|id| id != self.request.head.id.as_str())
+    }
+
     /// Returns whether the target has responded to this request by running it.
     fn is_own(&self, answer: &TargetResponseHead) -> bool {
         let is_same_id = answer.id.as_deref() == Some(self.request.head.id.as_str());
