--- a/crates/cw_policy/src/forward/forward_config.rs
+++ b/crates/cw_policy/src/forward/forward_config.rs
@@ -68,7 +68,7 @@
             }
         }
         // The sum of the weights may have been rounded.
-        weighted().last().map(|(name, _)| name)
+        weighted().next_back().map(|(name, _)| name)
     }
 }
 
