End a connection on which no answer begins within 128 KiB

Seen: a target that sends interim responses without end keeps the entry parsing them until the deadline of the request, with the one thread that serves everybody. The same cause as the bytes without end in answers to copy calls: a read without a bound of its own.

Change: `HeadLimit` counts what a target sends from the request until the head of its answer has been read; reading fails beyond 128 KiB, four read buffers, and the send counts as lost like any connection that breaks. Endless trailers are new cases of the tests; they were bounded before, by the HTTP library.

--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -34,6 +34,7 @@
 mod forward_settings;
 mod forwarder;
 mod guards;
+mod head_limit;
 mod loss_check;
 mod operator_api;
 mod peer_api;
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -20,6 +20,9 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::head_limit::HeadLimit;
+use super::head_limit::LimitedSocket;
+
 /// The timeout for connecting. Targets are milliseconds away. A lost packet is resent only after a
 /// second, when another target is the better choice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -77,6 +80,7 @@
     /// answers on it are of the same incarnation.
     pub(super) verified: Option<Incarnation>,
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -88,6 +92,8 @@
             .map_err(|_| ConnectError::Timeout)?
             .context(ConnectSnafu)?;
         set_options(&socket).context(ConnectSnafu)?;
+        let head_limit = HeadLimit::default();
+        let socket = LimitedSocket::new(socket, head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
@@ -106,6 +112,7 @@
         Ok(Self {
             verified: None,
             sender,
+            head_limit,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -134,7 +141,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+        self.head_limit.start();
+        let answer = self.sender.send_request(request).await;
+        self.head_limit.lift();
+        answer
     }
 }
 
--- a/crates/cyclamenwharf/tests/real_process/memory.rs
+++ b/crates/cyclamenwharf/tests/real_process/memory.rs
@@ -60,6 +60,8 @@
 #[case::chunks(Endless::Chunks)]
 #[case::bytes(Endless::Body)]
 #[case::heads(Endless::Header)]
+#[case::trailers(Endless::Trailers)]
+#[case::interim(Endless::Interim)]
 #[tokio::test]
 async fn answers_without_end_to_many_requests_keep_to_the_memory(
     #[case] endless: Endless,
