--- /dev/null
+++ b/review/standins-2/case_spoiled_stream.rs
@@ -0,0 +1,86 @@
+//! Some engines write bytes that are no event right behind an event of some of their streams.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::client::Outcome;
+use crate::engine::Arrivals;
+use crate::engine::Engine;
+use crate::engine::Plan;
+use crate::generation_service::CONFIG;
+use crate::generation_service::engine_plan;
+use crate::generation_service::stream;
+use crate::world::Verdict;
+use crate::world::World;
+
+/// The number of engines, the first half of which spoil some of their streams.
+const ENGINES: usize = 4;
+
+/// The share of their streams that they spoil.
+const SPOILED: f64 = 0.05;
+
+pub fn run(world: &mut World, trouble: bool) -> Verdict {
+    world.store.put("op/config", CONFIG);
+    let arrivals = Arrivals::default();
+    let plan = |number: usize| Plan {
+        spoiled: match trouble && number <= ENGINES / 2 {
+            true => SPOILED,
+            false => 0.0,
+        },
+        ..engine_plan(number, None)
+    };
+    let engines: Vec<_> = (1..=ENGINES)
+        .map(|number| Engine::start(plan(number), &world.store, &world.recorder, &arrivals))
+        .collect();
+    world.start_entries(2);
+    for number in 0..160 {
+        world.send(number % 2, stream("/gen/", format!("s{number}"), "a11:200"));
+        thread::sleep(Duration::from_millis(125));
+    }
+    let outcomes = world.finish();
+    let events = engines[0].plan.events;
+    let mut with_gaps = 0;
+    for (_, outcome) in &outcomes {
+        let ids = event_ids(outcome);
+        let expected: Vec<u64> = (1..=ids.last().copied().unwrap_or(0)).collect();
+        if ids != expected {
+            with_gaps += 1;
+            let missing: Vec<_> = expected.iter().filter(|id| !ids.contains(id)).collect();
+            world.recorder.note_at(
+                outcome.ended_at,
+                &format!(
+                    "{} lacks the events {missing:?}: {}",
+                    outcome.id,
+                    outcome.describe()
+                ),
+            );
+        } else if outcome.is_served() && ids.len() as u64 != events {
+            with_gaps += 1;
+            let text = format!("{} ends as complete after event {}", outcome.id, ids.len());
+            world.recorder.note_at(outcome.ended_at, &text);
+        }
+    }
+    let served = outcomes
+        .iter()
+        .filter(|(_, outcome)| outcome.is_served())
+        .count();
+    let text = format!(
+        "{with_gaps} of {} streams lack events, {served} ended as complete",
+        outcomes.len()
+    );
+    world.recorder.note(&text);
+    match with_gaps > 0 {
+        true => Verdict::Broken(text),
+        false => Verdict::Held,
+    }
+}
+
+/// Returns the ids of the events that a caller got, in their order.
+fn event_ids(outcome: &Outcome) -> Vec<u64> {
+    let text = String::from_utf8_lossy(&outcome.body).into_owned();
+    let lines = text.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("id: "))
+        .filter_map(|id| id.parse().ok())
+        .collect()
+}
