--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,11 +1,13 @@
 //! The stand-ins of the second review: the store, the engines and the callers around the project's own entries.
 
+mod case_foreign_entry;
 mod case_spoiled_stream;
 mod client;
 mod engine;
 mod generation_service;
 mod http;
 mod json;
+mod plain_service;
 mod store;
 mod world;
 
@@ -26,6 +28,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run: fn(&mut World, bool) -> Verdict = match case.as_str() {
+        "foreign-entry" => case_foreign_entry::run,
         "spoiled-stream" => case_spoiled_stream::run,
         _ => {
             eprintln!("no such case: {case}");
