Review case 8: an older copy of the store makes a leaving engine usable

One of three engines leaves without a word but the removal of its entry, and says in its answers that it is leaving. Three seconds later the store comes back from a copy of four seconds ago. Both entries send the engine requests that can't be repeated until it ends.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of the second review: the store, the engines and the callers around the project's own entries.
 
 mod case_foreign_entry;
+mod case_silent_leaver;
 mod case_spoiled_stream;
 mod client;
 mod engine;
@@ -30,6 +31,7 @@
     let run: fn(&mut World, bool) -> Verdict = match case.as_str() {
         "foreign-entry" => case_foreign_entry::run,
         "spoiled-stream" => case_spoiled_stream::run,
+        "silent-leaver" => case_silent_leaver::run,
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
