Review case 7: streams of a version with a build tag can't go on

All engines have the version 1.4.2+cu121, and one of eight crashes. Its streams are broken off and refused when their callers take them up, since a version that is no name counts as one of its own for each engine.

--- a/review/standins-2/generation_service.rs
+++ b/review/standins-2/generation_service.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::client::Outcome;
 use crate::client::Request;
 use crate::engine::Plan;
 
@@ -39,3 +40,13 @@
         id,
     }
 }
+
+/// Returns the ids of the events that a caller got, in their order.
+pub fn event_ids(outcome: &Outcome) -> Vec<u64> {
+    let text = String::from_utf8_lossy(&outcome.body).into_owned();
+    let lines = text.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("id: "))
+        .filter_map(|id| id.parse().ok())
+        .collect()
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins of the second review: the store, the engines and the callers around the project's own entries.
 
+mod case_build_version;
 mod case_foreign_entry;
 mod case_silent_leaver;
 mod case_spoiled_stream;
@@ -29,6 +30,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run: fn(&mut World, bool) -> Verdict = match case.as_str() {
+        "build-version" => case_build_version::run,
         "foreign-entry" => case_foreign_entry::run,
         "spoiled-stream" => case_spoiled_stream::run,
         "silent-leaver" => case_silent_leaver::run,
