Review case 10: simultaneous crashes count once for a part of a prompt

Three groups of six requests with a part that crashes engines come at the same moment, 7 s apart. All crashes of a group count as one, so that the second group reaches engines like the first.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of the second review: the store, the engines and the callers around the project's own entries.
 
 mod case_build_version;
+mod case_crashing_part;
 mod case_foreign_entry;
 mod case_silent_leaver;
 mod case_spoiled_stream;
@@ -30,6 +31,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run: fn(&mut World, bool) -> Verdict = match case.as_str() {
+        "crashing-part" => case_crashing_part::run,
         "build-version" => case_build_version::run,
         "foreign-entry" => case_foreign_entry::run,
         "spoiled-stream" => case_spoiled_stream::run,
