--- a/review/standins-2/case_spoiled_stream.rs
+++ b/review/standins-2/case_spoiled_stream.rs
@@ -1,7 +1,9 @@
 //! Some engines write bytes that are no event right behind an event of some of their streams.
 
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::engine::Arrivals;
 use crate::engine::Engine;
@@ -16,26 +18,39 @@
 /// The number of engines, the first half of which spoil some of their streams.
 const ENGINES: usize = 4;
 
-/// The share of their streams that they spoil.
+/// The share of their streams that they spoil, and when.
 const SPOILED: f64 = 0.05;
+const SPOILED_TIMES: [Range<Duration>; 2] = [
+    Duration::from_secs(3)..Duration::from_secs(8),
+    Duration::from_secs(12)..Duration::from_secs(17),
+];
+
+/// The number of streams, and the time between two of them.
+const STREAMS: usize = 500;
+const STREAM_PAUSE: Duration = Duration::from_millis(40);
 
 pub fn run(world: &mut World, trouble: bool) -> Verdict {
     world.store.put("op/config", CONFIG);
     let arrivals = Arrivals::default();
-    let plan = |number: usize| Plan {
-        spoiled: match trouble && number <= ENGINES / 2 {
-            true => SPOILED,
-            false => 0.0,
-        },
-        ..engine_plan(number, None)
-    };
     let engines: Vec<_> = (1..=ENGINES)
-        .map(|number| Engine::start(plan(number), &world.store, &world.recorder, &arrivals))
+        .map(|number| {
+            let plan = Plan {
+                spoiled: SPOILED,
+                ..engine_plan(number, None)
+            };
+            Engine::start(plan, &world.store, &world.recorder, &arrivals)
+        })
         .collect();
     world.start_entries(2);
-    for number in 0..160 {
-        world.send(number % 2, stream("/gen/", format!("s{number}"), "a11:200"));
-        thread::sleep(Duration::from_millis(125));
+    let start = Instant::now();
+    for number in 0..STREAMS {
+        let now = start.elapsed();
+        let spoils = trouble && SPOILED_TIMES.iter().any(|time| time.contains(&now));
+        let faulty = engines.iter().take(ENGINES / 2);
+        faulty.for_each(|engine| engine.set_spoils(spoils));
+        let request = stream("/gen/", format!("s{number}"), "a11:200");
+        world.send(number % 2, request);
+        thread::sleep(STREAM_PAUSE);
     }
     let outcomes = world.finish();
     let events = engines[0].plan.events;
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -100,7 +100,9 @@
     waiting: AtomicUsize,
     next_socket: AtomicUsize,
     sequence: AtomicUsize,
-    /// The number of streams that have begun.
+    /// Whether it spoils a share of its streams now.
+    spoils: AtomicBool,
+    /// The number of streams that have begun while it does.
     streams: AtomicUsize,
     /// Says in all its answers that it is leaving.
     leaves: AtomicBool,
@@ -135,6 +137,7 @@
             waiting: AtomicUsize::new(0),
             next_socket: AtomicUsize::new(0),
             sequence: AtomicUsize::new(1),
+            spoils: AtomicBool::new(false),
             streams: AtomicUsize::new(0),
             leaves: AtomicBool::new(false),
             drains: AtomicBool::new(false),
@@ -211,6 +214,11 @@
         self.store.remove(&self.key());
     }
 
+    /// Begins or ends to spoil a share of its streams.
+    pub fn set_spoils(&self, spoils: bool) {
+        self.spoils.store(spoils, Ordering::SeqCst);
+    }
+
     /// Ends at once, with all connections.
     pub fn exit(&self) {
         let mut running = self.running.lock().expect("the engine");
@@ -448,8 +456,11 @@
         self.stream(socket, call, &headers, start)
     }
 
-    /// Returns whether the engine spoils this stream, evenly over all of them.
+    /// Returns whether the engine spoils this stream, evenly over all of the time in which it spoils some.
     fn is_spoiled(&self) -> bool {
+        if !self.spoils.load(Ordering::SeqCst) {
+            return false;
+        }
         let number = self.streams.fetch_add(1, Ordering::SeqCst) as f64;
         ((number + 1.0) * self.plan.spoiled).floor() > (number * self.plan.spoiled).floor()
     }
