--- a/review/standins-2/case_foreign_entry.rs
+++ b/review/standins-2/case_foreign_entry.rs
@@ -16,7 +16,7 @@
 pub fn run(world: &mut World, trouble: bool) -> Verdict {
     world.store.put("op/config", CONFIG);
     let arrivals = Arrivals::default();
-    let engines = ["i-a", "i-b", "i-c"]
+    let engines = ["i-a", "i-b", "i-c", "i-d"]
         .map(|id| Engine::start(plan(id), &world.store, &world.recorder, &arrivals));
     world.start_entries(2);
     let start = Instant::now();
@@ -24,7 +24,7 @@
     let mut has_left = false;
     let mut is_replaced = false;
     let mut has_ended = false;
-    for number in 0..400 {
+    for number in 0..800 {
         let now = start.elapsed();
         if now >= Duration::from_millis(4000) && !has_left {
             has_left = true;
@@ -48,7 +48,7 @@
                 .note("engine i-a ends, and its entry is removed");
         }
         world.send(number % 2, request(number));
-        thread::sleep(Duration::from_millis(25));
+        thread::sleep(Duration::from_millis(12));
     }
     let outcomes = world.finish();
     judge(world, &outcomes, &arrivals, leaver.id())
