--- a/review/standins-2/case_silent_leaver.rs
+++ b/review/standins-2/case_silent_leaver.rs
@@ -17,7 +17,7 @@
 pub fn run(world: &mut World, trouble: bool) -> Verdict {
     world.store.put("op/config", CONFIG);
     let arrivals = Arrivals::default();
-    let engines = ["i-a", "i-b", "i-c"]
+    let engines = ["i-a", "i-b", "i-c", "i-d"]
         .map(|id| Engine::start(plan(id), &world.store, &world.recorder, &arrivals));
     world.start_entries(2);
     let start = Instant::now();
@@ -28,7 +28,7 @@
     let mut is_back = false;
     let mut has_lapsed = false;
     let mut has_ended = false;
-    for number in 0..400 {
+    for number in 0..800 {
         let now = start.elapsed();
         if now >= Duration::from_millis(3000) && copy.is_none() {
             copy = Some(world.store.copy());
@@ -69,7 +69,7 @@
             world.recorder.note("engine i-a ends");
         }
         world.send(number % 2, request(number));
-        thread::sleep(Duration::from_millis(25));
+        thread::sleep(Duration::from_millis(12));
     }
     let outcomes = world.finish();
     judge(world, &outcomes, &arrivals, leaver.id())
