Count the events of a stream as passed on only once they are

Cause: EventStream::push moved the position of the stream, while its events could still be dropped: by an invalid event in the same read, or by the memory for them. The next engine was then asked to go on behind events that the caller never got. In the same function a repeated event moved the start of what is new behind both.

Change: push returns an EventBatch, which holds the new events, the position that the caller reaches with them, and the fault behind them. Only EventStream::pass_on gives out the bytes, and it moves the position in the same step, once the channel to the caller has room. A batch that is dropped leaves the position as it is. Valid events before an invalid one are passed on, so what a caller gets does not depend on how the bytes were split into reads. A comment alone does not begin a stream any more.

--- a/crates/cw_policy/src/forward/event_stream.rs
+++ b/crates/cw_policy/src/forward/event_stream.rs
@@ -1,9 +1,13 @@
 //! Splits the byte stream of a target into server-sent events and keeps them in order.
 
+use std::ops::Range;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use snafu::Snafu;
 
+use super::event_batch::EventBatch;
+
 /// The maximum size of one event. A target that exceeds it does not send server-sent events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -76,63 +80,128 @@
         self.partial.clear();
     }
 
-    /// Adds bytes, and returns the complete new events, in order and without duplicates.
+    /// Adds bytes of a target, and returns the complete events that are new to the caller.
     ///
-    /// # Errors
-    ///
-    /// Fails when an event is missing, has no numeric id or is too long. None of the bytes may then
-    /// be passed on.
-    pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, StreamError> {
-        if self.partial.is_empty()
-            && let Some(count) = self.complete_len(bytes)
-        {
-            return self.take_new(bytes.slice(..count), &bytes[count..]);
-        }
-        self.partial.extend_from_slice(bytes);
+    /// The batch ends before the first invalid event. It is passed on with [`EventStream::pass_on`] before more bytes
+    /// are added; the events of a batch that is dropped instead are still missing.
+    pub fn push(&mut self, bytes: &Bytes) -> EventBatch {
+        let complete = self.take_complete(bytes);
+        let mut batch = self.select_new(&complete);
         if self.partial.len() > MAX_EVENT_BYTES {
-            return Err(StreamError::TooLong);
+            batch.fault.get_or_insert(StreamError::TooLong);
         }
-        let count = self.complete_len(&self.partial).unwrap_or(0);
-        let complete = self.partial.split_to(count).freeze();
-        self.take_new(complete, &[])
+        batch
     }
 
-    /// Returns the length of `bytes` up to the end of the last complete event.
-    fn complete_len(&self, bytes: &[u8]) -> Option<usize> {
-        bytes
-            .windows(2)
-            .rposition(|pair| pair == b"\n\n")
-            .map(|at| at + 2)
+    /// Returns the bytes of a batch for the caller, and counts its events as passed on.
+    pub fn pass_on(&mut self, batch: EventBatch) -> Bytes {
+        self.last = batch.last.or(self.last);
+        batch.bytes
     }
 
-    /// Returns the events of `complete` that are new, and keeps `rest` as an incomplete event.
-    fn take_new(&mut self, complete: Bytes, rest: &[u8]) -> Result<Bytes, StreamError> {
+    /// Adds bytes, and removes all complete events.
+    fn take_complete(&mut self, bytes: &Bytes) -> Bytes {
+        if self.partial.is_empty() {
+            let count = complete_len(bytes);
+            self.partial.extend_from_slice(&bytes[count..]);
+            return bytes.slice(..count);
+        }
+        self.partial.extend_from_slice(bytes);
+        let count = complete_len(&self.partial);
+        self.partial.split_to(count).freeze()
+    }
+
+    /// Returns the events of `complete` that are new, up to the first invalid one.
+    fn select_new(&mut self, complete: &Bytes) -> EventBatch {
+        let mut last = self.last;
+        let mut fault = None;
+        let mut kept: Vec<Range<usize>> = Vec::new();
         let mut start = 0;
-        let mut at = 0;
-        while let Some(length) = event_length(&complete[at..]) {
-            let event = &complete[at..at + length];
-            if let Some(id) = event_id(event)? {
-                match self.last {
-                    Some(last) if id <= last => {
-                        self.repeated += 1;
-                        // Duplicates occur only at the beginning, so the new events are one slice.
-                        start = at + length;
-                    }
-                    Some(last) if id != last + 1 => {
-                        let expected = last + 1;
-                        let found = id;
-                        return Err(StreamError::Gap { expected, found });
+        while let Some(length) = event_length(&complete[start..]) {
+            let end = start + length;
+            match arrival(last, &complete[start..end]) {
+                Ok(Arrival::Repeated) => self.repeated += 1,
+                Ok(arrival) => {
+                    last = arrival.id().or(last);
+                    match kept.last_mut() {
+                        Some(range) if range.end == start => range.end = end,
+                        _ => kept.push(start..end),
                     }
-                    _ => self.last = Some(id),
                 }
+                Err(error) => {
+                    fault = Some(error);
+                    break;
+                }
+            }
+            start = end;
+        }
+        EventBatch {
+            bytes: join(complete, &kept),
+            last: last.filter(|_| last != self.last),
+            fault,
+        }
+    }
+}
+
+/// What an event is to the caller.
+enum Arrival {
+    /// The next event, with its id.
+    New(u64),
+    /// An event that the caller already has.
+    Repeated,
+    /// A comment, which has no id.
+    Comment,
+}
+
+impl Arrival {
+    /// Returns the position that the caller reaches with the event, if it is a new one.
+    fn id(&self) -> Option<u64> {
+        match self {
+            Arrival::New(id) => Some(*id),
+            Arrival::Repeated | Arrival::Comment => None,
+        }
+    }
+}
+
+/// Returns what an event is to a caller whose last event is `last`.
+fn arrival(last: Option<u64>, event: &[u8]) -> Result<Arrival, StreamError> {
+    if event.len() > MAX_EVENT_BYTES {
+        return Err(StreamError::TooLong);
+    }
+    let Some(found) = event_id(event)? else {
+        return Ok(Arrival::Comment);
+    };
+    match last {
+        Some(last) if found <= last => Ok(Arrival::Repeated),
+        Some(last) if found != last + 1 => {
+            let expected = last + 1;
+            Err(StreamError::Gap { expected, found })
+        }
+        _ => Ok(Arrival::New(found)),
+    }
+}
+
+/// Joins ranges of `bytes`, without a copy if there is only one.
+fn join(bytes: &Bytes, ranges: &[Range<usize>]) -> Bytes {
+    match ranges {
+        [] => Bytes::new(),
+        [range] => bytes.slice(range.clone()),
+        _ => {
+            let mut joined = BytesMut::new();
+            for range in ranges {
+                joined.extend_from_slice(&bytes[range.clone()]);
             }
-            at += length;
+            joined.freeze()
         }
-        self.partial.extend_from_slice(rest);
-        Ok(complete.slice(start..))
     }
 }
 
+/// Returns the length of `bytes` up to the end of the last complete event.
+fn complete_len(bytes: &[u8]) -> usize {
+    let end = bytes.windows(2).rposition(|pair| pair == b"\n\n");
+    end.map_or(0, |at| at + 2)
+}
+
 /// Returns the length of the first event, including the empty line that ends it.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     bytes
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -26,7 +26,8 @@
 //! - [`CrashTracker`]: the requests that may crash the targets that run them, and whether they may be sent
 //!   ([`Standing`]).
 //! - [`Exchange`]: the state machine of one request.
-//! - [`EventStream`]: splits a target's bytes into events and keeps them in order.
+//! - [`EventStream`]: splits a target's bytes into events and keeps them in order. It hands out an [`EventBatch`] and
+//!   counts its events when they are passed on.
 
 mod config_check;
 mod connection_close;
@@ -36,6 +37,7 @@
 mod drain_limits;
 mod entry_list;
 mod entry_ranking;
+mod event_batch;
 mod event_stream;
 mod exchange;
 mod fleet;
@@ -79,6 +81,7 @@
 pub use directory_log::DirectoryUpdateStep;
 pub use drain_limits::DrainLimits;
 pub use entry_list::EntryList;
+pub use event_batch::EventBatch;
 pub use event_stream::EventStream;
 pub use event_stream::StreamError;
 pub use exchange::Exchange;
--- a/crates/cw_policy/tests/forward/event_stream.rs
+++ b/crates/cw_policy/tests/forward/event_stream.rs
@@ -13,9 +13,18 @@
     ids.map(event).collect()
 }
 
+/// Adds a text and passes on what is new, unless the text contains something invalid.
 fn push(stream: &mut EventStream, text: &str) -> Result<String, StreamError> {
-    let whole = stream.push(&Bytes::copy_from_slice(text.as_bytes()))?;
-    Ok(String::from_utf8(whole.to_vec()).unwrap())
+    let (passed, fault) = push_some(stream, text);
+    fault.map_or(Ok(passed), Err)
+}
+
+/// Adds a text, and passes on what is new before something invalid.
+fn push_some(stream: &mut EventStream, text: &str) -> (String, Option<StreamError>) {
+    let batch = stream.push(&Bytes::copy_from_slice(text.as_bytes()));
+    let fault = batch.fault();
+    let passed = stream.pass_on(batch);
+    (String::from_utf8(passed.to_vec()).unwrap(), fault)
 }
 
 #[test]
@@ -104,3 +113,57 @@
 
     assert_eq!(push(&mut stream, text).unwrap(), text);
 }
+
+/// Guards against a stream that counts the events of a batch which was not passed on, as there was no memory for it.
+#[test]
+fn events_count_as_passed_on_only_once_they_are() {
+    let mut stream = EventStream::default();
+    push(&mut stream, &events(1..=2)).unwrap();
+
+    let dropped = stream.push(&Bytes::from(events(3..=4)));
+    drop(dropped);
+    let last = stream.last();
+    stream.restart();
+    let passed = push(&mut stream, &events(3..=5)).unwrap();
+
+    assert_eq!(last, Some(2));
+    assert_eq!(passed, events(3..=5));
+}
+
+/// Guards against valid events that are lost with the invalid one in the same read.
+#[rstest]
+#[case(events(3..=4) + "no event\n\n", StreamError::MissingId)]
+#[case(events(3..=4) + &event(6), StreamError::Gap { expected: 5, found: 6 })]
+#[case(event(2) + &events(3..=4) + &event(3) + "no event\n\n" + &event(5), StreamError::MissingId)]
+fn events_before_an_invalid_one_are_passed_on(#[case] text: String, #[case] fault: StreamError) {
+    let mut stream = EventStream::after(Some(2));
+
+    let passed = push_some(&mut stream, &text);
+
+    assert_eq!(passed, (events(3..=4), Some(fault)));
+    assert_eq!(stream.last(), Some(4));
+}
+
+/// Guards against complete events that are lost with an oversized one behind them.
+#[test]
+fn events_before_an_oversized_one_are_passed_on() {
+    let mut stream = EventStream::default();
+    let oversized = "x".repeat(2 << 20);
+
+    let passed = push_some(&mut stream, &(events(1..=2) + &oversized));
+
+    assert_eq!(passed, (events(1..=2), Some(StreamError::TooLong)));
+}
+
+/// Guards against a stream that begins with a comment alone: nothing of it has been passed on, and it may still be
+/// refused or tried elsewhere.
+#[test]
+fn a_comment_is_no_event() {
+    let mut stream = EventStream::default();
+
+    let batch = stream.push(&Bytes::from_static(b": busy\n\n"));
+
+    assert!(!batch.has_events());
+    assert_eq!(stream.pass_on(batch), ": busy\n\n");
+    assert_eq!(stream.last(), None);
+}
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -24,6 +24,7 @@
 mod rank;
 mod several_crashing_requests;
 mod software_history;
+mod spoiled_streams;
 mod start_estimate;
 mod stream_life;
 mod stream_origins;
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use cw_policy::forward::AnswerKind;
+use cw_policy::forward::EventBatch;
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::Fault;
 use cw_policy::forward::Placement;
+use cw_policy::forward::StreamError;
 use cw_policy::rollout::RunEnd;
 use cw_store::BodyBuffer;
 use cw_store::BodyMemory;
@@ -279,58 +281,64 @@
                 }
                 Err(event) => return SendOutcome::Event(event),
             };
-            match self.push_events(&data, &mut memory) {
-                Ok(first) if first.is_empty() => {}
-                Ok(first) => {
-                    self.exchange.record_start();
-                    self.record_rollout_part();
-                    self.record_origin();
-                    active.guard.mark_begun();
-                    self.record_prompt_time(resumed);
-                    return SendOutcome::Stream(Box::new(TargetStream {
-                        head,
-                        first,
-                        body,
-                        memory,
-                        reuse,
-                        active,
-                    }));
-                }
+            let first = match self.read_events(&data, &mut memory) {
+                Ok(first) => first,
                 Err(event) => return SendOutcome::Event(event),
+            };
+            if first.has_events() {
+                self.exchange.record_start();
+                self.record_rollout_part();
+                self.record_origin();
+                active.guard.mark_begun();
+                self.record_prompt_time(resumed);
+                return SendOutcome::Stream(Box::new(TargetStream {
+                    head,
+                    first,
+                    body,
+                    memory,
+                    reuse,
+                    active,
+                }));
+            }
+            if let Some(error) = first.fault() {
+                return SendOutcome::Event(self.record_invalid_event(error));
             }
         }
     }
 
-    /// Adds data of a stream, and returns the complete new events.
-    pub(super) fn push_events(
+    /// Adds data of a stream, and returns the events that are new to the caller. The memory that they take counts
+    /// towards `memory`.
+    pub(super) fn read_events(
         &mut self,
         data: &Bytes,
         memory: &mut EventMemory,
-    ) -> Result<Bytes, ExchangeEvent> {
-        let lost = ExchangeEvent::Lost(Fault::Broken);
+    ) -> Result<EventBatch, ExchangeEvent> {
         let events = &mut self.request.events;
-        let complete = match events.push(data) {
-            Ok(complete) => complete,
-            Err(error) => {
-                info!(
-                    request = self.request.head.id.as_str();
-                    "the stream contains an invalid event: {error}"
-                );
-                self.record_rollout_end(RunEnd::Failed);
-                return Err(lost);
-            }
-        };
-        let kept = memory.keep(complete, events.partial_len());
-        kept.map_err(|error| {
+        let batch = events.push(data);
+        memory.keep(batch, events.partial_len()).map_err(|error| {
             info!(
-                request = self.request.head.id.as_str();
+                request = self.request.head.id.as_str(),
+                last_event = self.request.events.last().unwrap_or_default();
                 "there is no memory for the events of the stream: {error}"
             );
             self.record_rollout_end(RunEnd::Failed);
-            lost
+            ExchangeEvent::Lost(Fault::Broken)
         })
     }
 
+    /// Records that an event behind those that were passed on is invalid, and returns the event for its stream.
+    pub(super) fn record_invalid_event(&mut self, error: StreamError) -> ExchangeEvent {
+        let target = self.exchange.placed().map(|placed| placed.target.as_str());
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = target.unwrap_or("none"),
+            last_event = self.request.events.last().unwrap_or_default();
+            "the stream contains an invalid event: {error}"
+        );
+        self.record_rollout_end(RunEnd::Failed);
+        ExchangeEvent::Lost(Fault::Broken)
+    }
+
     /// Returns the next data of a response, which is empty for trailers, or `None` at its end.
     async fn next_data(
         &self,
--- a/crates/cyclamenwharf/src/forward/send_outcome.rs
+++ b/crates/cyclamenwharf/src/forward/send_outcome.rs
@@ -1,6 +1,6 @@
 //! The outcome of one send of a request.
 
-use bytes::Bytes;
+use cw_policy::forward::EventBatch;
 use cw_policy::forward::ExchangeEvent;
 use cw_store::BodyMemory;
 use cw_store::HeldMemory;
@@ -30,8 +30,8 @@
 pub(super) struct TargetStream {
     /// The status and headers of the response. The body is in the other fields.
     pub(super) head: BufferedResponse,
-    /// The first events.
-    pub(super) first: Bytes,
+    /// The first events, which are not passed on yet.
+    pub(super) first: EventBatch,
     /// The remaining body.
     pub(super) body: Incoming,
     pub(super) memory: EventMemory,
@@ -53,14 +53,18 @@
         Self { memory, partial }
     }
 
-    /// Counts complete events until they are dropped, and `partial` bytes of an incomplete one.
+    /// Counts a batch of events until its bytes are dropped, and `partial` bytes of an incomplete event.
     ///
     /// # Errors
     ///
     /// Fails if no memory is left.
-    pub(super) fn keep(&mut self, complete: Bytes, partial: usize) -> Result<Bytes, OutOfMemory> {
+    pub(super) fn keep(
+        &mut self,
+        batch: EventBatch,
+        partial: usize,
+    ) -> Result<EventBatch, OutOfMemory> {
         self.partial.resize(BodyMemory::counted(partial))?;
-        self.memory.keep(complete)
+        batch.try_keep(|bytes| self.memory.keep(bytes))
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::CrashTracker;
+use cw_policy::forward::EventBatch;
 use cw_policy::forward::ExchangeEvent;
 use cw_policy::forward::ExchangeStep;
 use cw_policy::forward::Fault;
@@ -161,8 +162,8 @@
         let mut last_received = self.context.now();
         self.target_started_at = Some(last_received);
         let first = std::mem::take(&mut stream.first);
-        if !self.send_events(first, events).await {
-            return TargetStreamEnd::CallerGone;
+        if let Err(end) = self.pass_on(first, events).await {
+            return end;
         }
         let timer = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(timer);
@@ -191,23 +192,23 @@
                 () = events.closed() => return TargetStreamEnd::CallerGone,
                 () = timer.as_mut() => return self.timeout_end(deadline),
             };
-            let complete = match self.complete_events(frame, &mut stream.memory) {
-                Ok(complete) => complete,
+            let batch = match self.events_of(frame, &mut stream.memory) {
+                Ok(batch) => batch,
                 Err(end) => return end,
             };
-            if !complete.is_empty() && !self.send_events(complete, events).await {
-                return TargetStreamEnd::CallerGone;
+            if let Err(end) = self.pass_on(batch, events).await {
+                return end;
             }
             last_received = self.context.now();
         }
     }
 
-    /// Returns the complete events in a frame, or how the stream from the target ends.
-    fn complete_events(
+    /// Returns the new events in a frame, or how the stream from the target ends.
+    fn events_of(
         &mut self,
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
         memory: &mut EventMemory,
-    ) -> Result<Bytes, TargetStreamEnd> {
+    ) -> Result<EventBatch, TargetStreamEnd> {
         let broken = || TargetStreamEnd::Event(ExchangeEvent::Lost(Fault::Broken));
         let frame = match frame {
             Some(Ok(frame)) => frame,
@@ -224,7 +225,7 @@
         };
         // Trailers contain no events.
         let data = frame.into_data().unwrap_or_default();
-        self.push_events(&data, memory)
+        self.read_events(&data, memory)
             .map_err(TargetStreamEnd::Event)
     }
 
@@ -258,13 +259,30 @@
         }
     }
 
-    /// Passes events on to the caller, and records the pause before them. Returns whether the caller is
-    /// still connected.
-    async fn send_events(&mut self, complete: Bytes, events: &EventSender) -> bool {
-        self.record_pause(self.context.now());
-        self.record_rollout_part();
-        self.context.metrics.events.inc();
-        events.send(Ok(complete)).await.is_ok()
+    /// Passes a batch of events on to the caller, and returns how the stream from the target ends if it cannot go on
+    /// behind them.
+    async fn pass_on(
+        &mut self,
+        batch: EventBatch,
+        events: &EventSender,
+    ) -> Result<(), TargetStreamEnd> {
+        let fault = batch.fault();
+        if batch.has_events() {
+            self.record_pause(self.context.now());
+            self.record_rollout_part();
+            self.context.metrics.events.inc();
+        }
+        if !batch.is_empty() {
+            // The position of the stream changes once nothing can fail any more on the way to the caller's connection.
+            let Ok(slot) = events.reserve().await else {
+                return Err(TargetStreamEnd::CallerGone);
+            };
+            slot.send(Ok(self.request.events.pass_on(batch)));
+        }
+        match fault {
+            Some(error) => Err(TargetStreamEnd::Event(self.record_invalid_event(error))),
+            None => Ok(()),
+        }
     }
 
     fn timeout_end(&self, deadline: Time) -> TargetStreamEnd {
