Take no answer for whole that ends before its request was written

What callers saw: an engine that answered a long upload with 200 and no length, sent a part and closed its side regularly while the upload was still being written; the part was passed on as a complete answer.

Cause: the end of a connection told the end of an answer without a length, whatever the entry itself still had to write. The engine cannot have had the whole request then.

Change: Upload counts what is not written yet of a request, and BodyEnd says what tells the end of an answer. One that ends with its connection before the request is written counts as broken off, also as a stream and with any status.

--- a/crates/cyclamenwharf/src/forward/copy_renewal.rs
+++ b/crates/cyclamenwharf/src/forward/copy_renewal.rs
@@ -16,7 +16,6 @@
 use futures::FutureExt;
 use http::Request;
 use http::StatusCode;
-use http_body_util::Full;
 use log::error;
 use log::info;
 use tokio_util::task::AbortOnDropHandle;
@@ -227,7 +226,7 @@
     let pooled = context.pool.take(context.now(), target, address).await;
     let mut connection: TargetConnection = pooled.map_err(|error| error.to_string())?.connection;
     let answer = connection
-        .send(call.map(Full::new))
+        .send(call)
         .await
         .map_err(|error| error.to_string())?;
     let (head, body) = answer.into_parts();
--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -59,6 +59,7 @@
 mod target_identity;
 mod target_records;
 mod trial_guard;
+mod upload;
 
 pub use forward_settings::BudgetSettings;
 pub use forward_settings::ForwardListen;
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -24,6 +24,7 @@
 use super::exchange_driver::millis;
 use super::response::BufferedResponse;
 use super::send_outcome::ActiveSend;
+use super::send_outcome::BodyEnd;
 use super::send_outcome::EventMemory;
 use super::send_outcome::Reuse;
 use super::send_outcome::SendOutcome;
@@ -38,6 +39,7 @@
 struct ResponseStart {
     head: BufferedResponse,
     body: Incoming,
+    end: BodyEnd,
     reuse: Reuse,
     active: ActiveSend,
     memory: BodyMemory,
@@ -75,6 +77,7 @@
         };
         let start = ResponseStart {
             head,
+            end: BodyEnd::of(&parts.headers, &body),
             body,
             reuse,
             active,
@@ -194,6 +197,7 @@
         let ResponseStart {
             head,
             body,
+            end,
             reuse,
             mut active,
             memory,
@@ -207,6 +211,9 @@
             }
             Err(event) => return SendOutcome::Event(event),
         };
+        if !end.is_whole(&active.connection) {
+            return SendOutcome::Event(self.record_early_end());
+        }
         active.guard.mark_begun();
         match head.status.is_success() {
             true => self.record_completion(&mut active, "a complete answer"),
@@ -254,6 +261,7 @@
         let ResponseStart {
             head,
             mut body,
+            end,
             reuse,
             mut active,
             memory,
@@ -263,6 +271,9 @@
         loop {
             let data = match self.next_data(&mut body, give_up_at).await {
                 Ok(Some(data)) => data,
+                Ok(None) if !end.is_whole(&active.connection) => {
+                    return SendOutcome::Event(self.record_early_end());
+                }
                 // The caller already has the last event, and nothing follows it.
                 Ok(None) if self.request.events.may_end() => {
                     active.guard.mark_begun();
@@ -296,6 +307,7 @@
                     first,
                     body,
                     memory,
+                    end,
                     reuse,
                     active,
                 }));
@@ -339,6 +351,19 @@
         ExchangeEvent::Lost(Fault::Broken)
     }
 
+    /// Records that an answer has ended with its connection before the request was written, and returns the event
+    /// for it.
+    pub(super) fn record_early_end(&mut self) -> ExchangeEvent {
+        let target = self.exchange.placed().map(|placed| placed.target.as_str());
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = target.unwrap_or("none");
+            "the connection to a target ended before the request was written"
+        );
+        self.record_rollout_end(RunEnd::Failed);
+        ExchangeEvent::Lost(Fault::Broken)
+    }
+
     /// Returns the next data of a response, which is empty for trailers, or `None` at its end.
     async fn next_data(
         &self,
--- a/crates/cyclamenwharf/src/forward/send_outcome.rs
+++ b/crates/cyclamenwharf/src/forward/send_outcome.rs
@@ -5,6 +5,9 @@
 use cw_store::BodyMemory;
 use cw_store::HeldMemory;
 use cw_store::OutOfMemory;
+use http::HeaderMap;
+use http::header::TRANSFER_ENCODING;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use super::guards::CopyGuard;
@@ -35,6 +38,7 @@
     /// The remaining body.
     pub(super) body: Incoming,
     pub(super) memory: EventMemory,
+    pub(super) end: BodyEnd,
     /// Whether the connection can be reused after the stream.
     pub(super) reuse: Reuse,
     pub(super) active: ActiveSend,
@@ -85,3 +89,33 @@
     /// Whether an earlier transmission of the same send may have run at the target.
     pub(super) may_have_run: bool,
 }
+
+/// What tells that the body of an answer is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyEnd {
+    /// Its length, or its last chunk.
+    Framed,
+    /// The end of its connection.
+    Connection,
+}
+
+impl BodyEnd {
+    /// Returns what tells the end of the body of an answer.
+    pub(super) fn of(headers: &HeaderMap, body: &Incoming) -> Self {
+        match body.size_hint().exact().is_some() || headers.contains_key(TRANSFER_ENCODING) {
+            true => BodyEnd::Framed,
+            false => BodyEnd::Connection,
+        }
+    }
+
+    /// Returns whether a body that has ended is whole.
+    ///
+    /// A target that closes a connection on which the rest of the request is still to be written has not had the request, so
+    /// the end of the connection tells nothing of the answer. A reset would look the same if writing found out first.
+    pub(super) fn is_whole(self, connection: &TargetConnection) -> bool {
+        match self {
+            BodyEnd::Framed => true,
+            BodyEnd::Connection => connection.has_written_request(),
+        }
+    }
+}
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -15,7 +15,6 @@
 use cw_wire::CachedPrompt;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use log::info;
 
@@ -297,7 +296,7 @@
         }
     }
 
-    fn build_request(&self, now: Time, destination: &Destination) -> Request<Full<Bytes>> {
+    fn build_request(&self, now: Time, destination: &Destination) -> Request<Bytes> {
         let accepted = &self.request;
         let copy = destination
             .placement
@@ -317,7 +316,7 @@
             copy_address: copy,
             resume_from: destination.resume_from.as_ref(),
         };
-        let mut request = Request::new(Full::new(accepted.body.clone()));
+        let mut request = Request::new(accepted.body.clone());
         *request.method_mut() = accepted.parts.method.clone();
         *request.uri_mut() = accepted.parts.uri.clone();
         *request.headers_mut() = self
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -25,7 +25,6 @@
 use super::exchange_driver::ExchangeDriver;
 use super::response::BufferedResponse;
 use super::response::EventBody;
-use super::send_outcome::EventMemory;
 use super::send_outcome::SendOutcome;
 use super::send_outcome::TargetStream;
 
@@ -192,7 +191,7 @@
                 () = events.closed() => return TargetStreamEnd::CallerGone,
                 () = timer.as_mut() => return self.timeout_end(deadline),
             };
-            let batch = match self.events_of(frame, &mut stream.memory) {
+            let batch = match self.events_of(frame, stream) {
                 Ok(batch) => batch,
                 Err(end) => return end,
             };
@@ -207,7 +206,7 @@
     fn events_of(
         &mut self,
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
-        memory: &mut EventMemory,
+        stream: &mut TargetStream,
     ) -> Result<EventBatch, TargetStreamEnd> {
         let broken = || TargetStreamEnd::Event(ExchangeEvent::Lost(Fault::Broken));
         let frame = match frame {
@@ -221,11 +220,14 @@
                 self.record_rollout_end(RunEnd::Failed);
                 return Err(broken());
             }
+            None if !stream.end.is_whole(&stream.active.connection) => {
+                return Err(TargetStreamEnd::Event(self.record_early_end()));
+            }
             None => return Err(TargetStreamEnd::Complete),
         };
         // Trailers contain no events.
         let data = frame.into_data().unwrap_or_default();
-        self.read_events(&data, memory)
+        self.read_events(&data, &mut stream.memory)
             .map_err(TargetStreamEnd::Event)
     }
 
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -8,7 +8,6 @@
 use cw_types::Incarnation;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -22,6 +21,8 @@
 
 use super::head_limit::HeadLimit;
 use super::head_limit::LimitedSocket;
+use super::upload::Upload;
+use super::upload::UploadProgress;
 
 /// The timeout for connecting. Targets are milliseconds away. A lost packet is resent only after a
 /// second, when another target is the better choice.
@@ -79,7 +80,9 @@
     /// The incarnation that has told at this connection what it is. A connection ends with its target, so later
     /// answers on it are of the same incarnation.
     pub(super) verified: Option<Incarnation>,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Upload>,
+    /// How much of the last request has been written.
+    upload: UploadProgress,
     head_limit: HeadLimit,
     _driver: AbortOnDropHandle<()>,
 }
@@ -112,6 +115,7 @@
         Ok(Self {
             verified: None,
             sender,
+            upload: UploadProgress::default(),
             head_limit,
             _driver: AbortOnDropHandle::new(driver),
         })
@@ -131,6 +135,11 @@
         self.sender.ready().await
     }
 
+    /// Returns whether the last request has been written to its end.
+    pub(super) fn has_written_request(&self) -> bool {
+        self.upload.is_complete()
+    }
+
     /// Sends a request.
     ///
     /// # Errors
@@ -139,8 +148,12 @@
     /// request was sent.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Bytes>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        let (head, body) = request.into_parts();
+        let (body, progress) = Upload::new(body);
+        let request = Request::from_parts(head, body);
+        self.upload = progress;
         self.head_limit.start();
         let answer = self.sender.send_request(request).await;
         self.head_limit.lift();
--- a/crates/cyclamenwharf/src/forward/target_identity.rs
+++ b/crates/cyclamenwharf/src/forward/target_identity.rs
@@ -9,7 +9,6 @@
 use cw_store::BodyBuffer;
 use cw_store::BodyMemory;
 use cw_types::Incarnation;
-use http_body_util::Full;
 use log::info;
 
 use super::connection_pool::PooledConnection;
@@ -113,7 +112,7 @@
         memory: &BodyMemory,
     ) -> Result<Option<Incarnation>, String> {
         let call = self.context.dialect.identity_request();
-        let answer = connection.send(call.map(Full::new)).await;
+        let answer = connection.send(call).await;
         let answer = answer.map_err(|error| error.to_string())?;
         let body = BodyBuffer::new(MAX_IDENTITY_BYTES, memory).read(answer.into_body());
         let body = body.await.map_err(|error| error.to_string())?;
