Take nothing for an answer whose status does not end a request

What callers saw: an answer with the status 101 that nobody asked for, or with one from 600 to 999, was passed on as it came. Behind a 101 a caller takes the next bytes for another protocol.

Cause: no place said which statuses an answer may have, and the library's type allows more than HTTP does.

Change: check_final_status says it once, 200 to 599, and is asked where heads of answers come in: connections to targets, the client for the store and the other entries, the agents' client. A send with another status is lost, and not repeated at the same target.

The store's, the entries' and the agents' clients are not tested over a socket for this, only the check itself.

--- a/crates/cw_store/src/http_client.rs
+++ b/crates/cw_store/src/http_client.rs
@@ -22,6 +22,7 @@
 use crate::BodyMemory;
 use crate::StoreError;
 use crate::TransferProgress;
+use crate::check_final_status;
 
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -228,13 +229,15 @@
             .map_err(|error| StoreError::Unavailable {
                 message: error.to_string(),
             })?;
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 let message = format!("cannot connect to {address}: {error}");
                 return StoreError::Unavailable { message };
             }
             outcome_unknown(error)
-        })
+        })?;
+        check_final_status(response.status()).map_err(outcome_unknown)?;
+        Ok(response)
     }
 
     /// Reads a response to its end. `silence` is the longest time between two parts of its body.
--- a/crates/cw_store/src/lib.rs
+++ b/crates/cw_store/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`Dialect`]: the messages of callers, targets and the directory to a forwarding entry.
 //!
 //! What comes from elsewhere may have no end. [`BodyBuffer`] reads each body that is collected, up to a limit of its
-//! own, and [`BodyMemory`] limits what all of them take together.
+//! own, and [`BodyMemory`] limits what all of them take together. [`check_final_status`] tells answers from what is
+//! none.
 //!
 //! Each service is a trait, so that a deployment with other services only adds implementations.
 //! [`EtcdGateway`], [`HttpHostList`] and [`HttpWeightStore`] are the clients in this crate.
@@ -15,6 +16,7 @@
 mod body_memory;
 mod dialect;
 mod etcd;
+mod final_status;
 mod host_list;
 mod http_client;
 mod http_host_list;
@@ -33,6 +35,8 @@
 pub use dialect::TargetRequestHead;
 pub use dialect::TargetResponseHead;
 pub use etcd::EtcdGateway;
+pub use final_status::NoFinalStatus;
+pub use final_status::check_final_status;
 pub use host_list::Host;
 pub use host_list::HostList;
 pub use host_list::HostRole;
--- a/crates/cyclamenwharf/src/agent/target_client.rs
+++ b/crates/cyclamenwharf/src/agent/target_client.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cw_store::BodyBuffer;
 use cw_store::BodyMemory;
+use cw_store::check_final_status;
 use cw_types::AttemptId;
 use http::HeaderMap;
 use http::Method;
@@ -114,14 +115,18 @@
                 message: error.to_string(),
             })?;
         request.headers_mut().extend(headers);
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             let message = error.to_string();
             match error.is_connect() {
                 true if is_refused(&error) => TargetClientError::Refused,
                 true => TargetClientError::Connect { message },
                 false => TargetClientError::Broken { message },
             }
-        })
+        })?;
+        check_final_status(response.status()).map_err(|error| TargetClientError::Broken {
+            message: error.to_string(),
+        })?;
+        Ok(response)
     }
 
     /// Posts JSON and returns the response, whose body is still to be read.
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -30,6 +30,7 @@
 use super::send_outcome::SendOutcome;
 use super::send_outcome::TargetStream;
 use super::sending::Destination;
+use super::target_connection::SendError;
 
 /// The maximum size of the body of an answer that is not a stream. The smallest entries have 88 MB for all
 /// requests, and a target in trouble may send bytes without end.
@@ -372,8 +373,8 @@
     ) -> Result<Option<Bytes>, ExchangeEvent> {
         match self.in_time(give_up_at, body.frame()).await? {
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(error)) => {
-                self.log_break(&error);
+            Some(Err(source)) => {
+                self.log_break(&SendError::Connection { source });
                 Err(ExchangeEvent::Lost(Fault::Broken))
             }
             None => Ok(None),
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -27,6 +27,7 @@
 use super::send_outcome::ActiveSend;
 use super::send_outcome::SendOutcome;
 use super::target_connection::ConnectError;
+use super::target_connection::SendError;
 use super::target_connection::TargetConnection;
 use super::trial_guard::SuspectAdmission;
 use super::trial_guard::TrialGuard;
@@ -263,12 +264,12 @@
     }
 
     /// Logs why the connection to the current target broke.
-    pub(super) fn log_break(&self, error: &hyper::Error) {
+    pub(super) fn log_break(&self, error: &SendError) {
         let target = self.exchange.placed().map(|placed| placed.target.as_str());
         info!(
             request = self.request.head.id.as_str(),
             target_id = target.unwrap_or("none");
-            "the connection to a target failed: {error:?}"
+            "the connection to a target failed: {error}"
         );
     }
 
@@ -284,14 +285,15 @@
 
     /// Returns the action after a connection breaks before the head of the response. `reused` says
     /// whether it had carried a request before.
-    fn after_break(&self, error: &hyper::Error, reused: bool) -> AfterBreak {
+    fn after_break(&self, error: &SendError, reused: bool) -> AfterBreak {
         let may_repeat = self.exchange.plan().repeat != Repeat::Never;
-        match (error.is_canceled(), reused) {
+        match (error.is_unsent(), reused) {
             // Nothing was sent, because the connection had been closed in the meantime.
             (true, true) => AfterBreak::Reconnect,
             (true, false) => AfterBreak::End(ExchangeEvent::NotRun(Fault::Broken)),
-            // Targets drop idle connections without notice, so the target may well be alive.
-            (false, true) if may_repeat => AfterBreak::Repeat,
+            // Targets drop idle connections without notice, so the target may well be alive. One that sends what is no
+            // answer is in trouble.
+            (false, true) if may_repeat && error.is_connection() => AfterBreak::Repeat,
             (false, _) => AfterBreak::End(ExchangeEvent::Lost(Fault::Broken)),
         }
     }
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -27,6 +27,7 @@
 use super::response::EventBody;
 use super::send_outcome::SendOutcome;
 use super::send_outcome::TargetStream;
+use super::target_connection::SendError;
 
 /// The maximum number of writes that are pending for a slow caller, some kilobytes in total for usual events. When
 /// it is reached, reading from the target pauses. Long events count towards the memory of the target's answers.
@@ -211,8 +212,8 @@
         let broken = || TargetStreamEnd::Event(ExchangeEvent::Lost(Fault::Broken));
         let frame = match frame {
             Some(Ok(frame)) => frame,
-            Some(Err(error)) => {
-                self.log_break(&error);
+            Some(Err(source)) => {
+                self.log_break(&SendError::Connection { source });
                 return Err(broken());
             }
             None if self.request.events.ends_mid_event() => {
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_store::NoFinalStatus;
+use cw_store::check_final_status;
 use cw_types::Incarnation;
 use http::Request;
 use http::Response;
@@ -73,6 +75,38 @@
     }
 }
 
+/// A failure to get the head of an answer.
+#[derive(Debug, Snafu)]
+pub(super) enum SendError {
+    /// The connection failed, or what came on it cannot be parsed.
+    #[snafu(display("{source:?}"))]
+    Connection {
+        /// The error of the HTTP/1 connection.
+        source: hyper::Error,
+    },
+    /// The head that came is not that of an answer.
+    #[snafu(display("{source}"))]
+    Status {
+        /// The status in the head.
+        source: NoFinalStatus,
+    },
+}
+
+impl SendError {
+    /// Returns whether the connection failed, rather than what came on it.
+    pub(super) fn is_connection(&self) -> bool {
+        matches!(self, SendError::Connection { .. })
+    }
+
+    /// Returns whether no part of the request was sent.
+    pub(super) fn is_unsent(&self) -> bool {
+        match self {
+            SendError::Connection { source } => source.is_canceled(),
+            SendError::Status { .. } => false,
+        }
+    }
+}
+
 /// A connection for one request at a time. Dropping it closes the connection, which cancels the
 /// request.
 #[derive(Debug)]
@@ -144,12 +178,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks. [`hyper::Error::is_canceled`] tells that no part of the
-    /// request was sent.
+    /// Fails if the connection breaks, or brings something else than an answer.
     pub(super) async fn send(
         &mut self,
         request: Request<Bytes>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
+    ) -> Result<Response<Incoming>, SendError> {
         let (head, body) = request.into_parts();
         let (body, progress) = Upload::new(body);
         let request = Request::from_parts(head, body);
@@ -157,7 +190,9 @@
         self.head_limit.start();
         let answer = self.sender.send_request(request).await;
         self.head_limit.lift();
-        answer
+        let answer = answer.context(ConnectionSnafu)?;
+        check_final_status(answer.status()).context(StatusSnafu)?;
+        Ok(answer)
     }
 }
 
