Keep connections on which a request is still being written

What engines saw: one that answers before it has read a long body, keeps the connection and reads on later found the connection reset within half a second of its answer.

Cause: the pool kept only connections that are ready for another request. One whose request is still being written is not ready, and was closed by the regular check, or as the next request looked for a connection.

Change: a connection stays until it has ended or its idle time is over, and is used again once it is ready.

Evidence: early_answers::the_rest_of_an_upload_follows_an_early_answer, whose engines read on 1.2 s after the answer: 3 of 3 fail before, pass now.

--- a/crates/cyclamenwharf/src/forward/connection_pool.rs
+++ b/crates/cyclamenwharf/src/forward/connection_pool.rs
@@ -38,6 +38,14 @@
     until: Time,
 }
 
+impl IdleConnection {
+    /// Returns whether the connection stays in the pool. It need not be ready: a target may answer before it has read
+    /// the request, whose rest is still being written then.
+    fn is_kept(&self, now: Time) -> bool {
+        now < self.until && !self.connection.is_closed()
+    }
+}
+
 /// The idle connections by target, and the memory that the answers of each target may take.
 #[derive(Debug)]
 pub(super) struct ConnectionPool {
@@ -116,7 +124,7 @@
     pub(super) fn close_expired(&self, now: Time, keep: impl Fn(&TargetId) -> bool) {
         let mut idle = self.lock();
         for connections in idle.values_mut() {
-            connections.retain(|idle| now < idle.until && idle.connection.is_ready());
+            connections.retain(|idle| idle.is_kept(now));
         }
         idle.retain(|id, connections| keep(id) && !connections.is_empty());
         let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
@@ -138,11 +146,13 @@
     fn take_idle(&self, now: Time, id: &TargetId) -> Option<TargetConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(id)?;
-        connections.retain(|idle| now < idle.until && idle.connection.is_ready());
-        let is_too_recent = connections.front()?.since + REUSE_DELAY > now;
+        connections.retain(|idle| idle.is_kept(now));
+        let mut ready = connections.iter();
+        let ready = ready.position(|idle| idle.connection.is_ready())?;
+        let is_too_recent = connections[ready].since + REUSE_DELAY > now;
         match is_too_recent {
             true => None,
-            false => connections.pop_front().map(|idle| idle.connection),
+            false => connections.remove(ready).map(|idle| idle.connection),
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/target_connection.rs
+++ b/crates/cyclamenwharf/src/forward/target_connection.rs
@@ -155,6 +155,11 @@
         })
     }
 
+    /// Returns whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether a request can be sent now.
     pub(super) fn is_ready(&self) -> bool {
         self.sender.is_ready()
