Count each crash under a part with which no request has run on

Cause: crashes within 300 ms were one occasion for every part, so that the loss of a zone does not count against a part that all requests share. A bound that is counted in moments does not bound sends.

Change: the parts with which a request has run on are remembered. They are counted as before; for any other part each crash counts until its requests are on trial, and it is tried again once instead of twice.

A check is replaced: a_part_that_many_requests_share_is_not_refused_after _mass_losses asked that a part stays clear with which no request had ever run on, which nothing tells from one that crashes targets. A request runs on first now, and the check asks for the same. a_new_part_is_tried_after _a_mass_loss asks that a new part is on trial, not refused, and cleared by the first trial.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -220,6 +220,7 @@
         let mut cleared = Vec::new();
         for suspect in keys.into().iter() {
             let crashes = self.ledger.crash_count(suspect);
+            self.ledger.record_sound(suspect);
             if self.ledger.clear(suspect) {
                 self.trials.clear(suspect);
                 let announcement = Announcement::new(now);
@@ -401,6 +402,7 @@
         let requests = news.cleared.iter().copied().map(Suspect::Request);
         let parts = news.cleared_parts.iter().copied().map(Suspect::Part);
         for suspect in requests.chain(parts) {
+            self.ledger.record_sound(suspect);
             is_new |= self.ledger.clear(suspect);
             self.trials.clear(suspect);
             // It is not announced again, but a late message must not suspect it again either.
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -60,6 +60,7 @@
 mod slowness;
 mod software_filter;
 mod software_history;
+mod sound_parts;
 mod standing_queues;
 mod start_estimate;
 mod stream_life;
--- a/crates/cw_policy/src/forward/suspect_ledger.rs
+++ b/crates/cw_policy/src/forward/suspect_ledger.rs
@@ -10,8 +10,10 @@
 
 use cw_types::Time;
 use cw_types::ZoneId;
+use cw_wire::PartHash;
 use cw_wire::Suspect;
 
+use super::sound_parts::SoundParts;
 use super::suspect_keys::SuspectKeys;
 use crate::CrashId;
 
@@ -45,19 +47,25 @@
 /// them within this time.
 const NEAR_TIME: Duration = Duration::from_millis(300);
 
-/// The number of occasions from which requests with a part of a prompt are on probation. Crashes within
-/// [`NEAR_TIME`] are one occasion for a part: many requests share it, and all of them are lost in a mass failure.
-/// Requests that share it
-/// would wait for each other, so it is the last one before the part is refused.
+/// The number of occasions from which requests with a part of a prompt are on probation. Requests that share it would
+/// wait for each other, so it is the last one before the part is refused.
+///
+/// For a sound part, with which a request has run on before, crashes within [`NEAR_TIME`] are one occasion: many requests
+/// share it, and all of them are lost in a mass failure. For any other part each crash is one until probation, since a
+/// group of requests would end as many targets each time otherwise.
 const PART_PROBATION: usize = 4;
 
 /// The number of occasions from which requests with a part are refused, unless something that they do not have
 /// was in flight at all of the crashes. The platform's rules count the requests after the fifth.
 const PART_REFUSING: usize = 5;
 
-/// The number of occasions from which requests with a part are refused in any case. The rules allow three requests
+/// The number of occasions from which requests with a sound part are refused in any case. The rules allow three requests
 /// after the fifth crash, so one remains for an entry that learns of a crash late.
-const PART_LIMIT: usize = 7;
+const SOUND_PART_LIMIT: usize = 7;
+
+/// The same number for a part with which no request has run on. Its fifth crash may be one of a group, which is the
+/// fourth occasion.
+const PART_LIMIT: usize = 6;
 
 /// The time from the last crash after which a refused part is tried again. A part that was in flight by chance is
 /// cleared then, and is not refused for as long as crashes are kept.
@@ -100,6 +108,8 @@
     repeated: BTreeSet<Suspect>,
     /// The refused parts that are tried again.
     retrials: BTreeSet<Suspect>,
+    /// The parts with which a request has run on, whether they were in flight at a crash or not.
+    sound: SoundParts,
 }
 
 impl SuspectLedger {
@@ -152,6 +162,13 @@
         true
     }
 
+    /// Records that a request has run on, so that the parts of its prompt do not crash targets.
+    pub(super) fn record_sound(&mut self, suspect: Suspect) {
+        if let Suspect::Part(part) = suspect {
+            self.sound.insert(part);
+        }
+    }
+
     /// Returns the standing of a request, the worst one of its keys.
     pub(super) fn standing(&self, keys: &SuspectKeys) -> Standing {
         let standings = keys.iter().map(|suspect| self.standing_of(suspect, keys));
@@ -172,7 +189,15 @@
     pub(super) fn is_refused(&self, suspect: Suspect) -> bool {
         match suspect {
             Suspect::Request(_) => self.weight(suspect) >= REFUSING_WEIGHT,
-            Suspect::Part(_) => self.occasions(suspect) >= PART_LIMIT,
+            Suspect::Part(part) => self.occasions(suspect) >= self.part_limit(part),
+        }
+    }
+
+    /// Returns the number of occasions from which requests with a part are refused in any case.
+    fn part_limit(&self, part: PartHash) -> usize {
+        match self.sound.contains(part) {
+            true => SOUND_PART_LIMIT,
+            false => PART_LIMIT,
         }
     }
 
@@ -225,20 +250,29 @@
     /// Returns the number of crashes that count for the standing of a suspect, no more than decide about it.
     fn occasions(&self, suspect: Suspect) -> usize {
         let crashes = self.by_suspect.get(&suspect).map_or(&[][..], Vec::as_slice);
-        if crashes.len() < 2 || matches!(suspect, Suspect::Request(_)) {
+        let Suspect::Part(part) = suspect else {
             return crashes.len();
-        }
-        let mut began: Vec<Time> = Vec::with_capacity(PART_LIMIT);
+        };
+        // The number up to which each crash is an occasion of its own.
+        let singly = match self.sound.contains(part) {
+            true => 1,
+            false => PART_PROBATION,
+        };
+        let mut count = 0;
+        let mut began: Vec<Time> = Vec::new();
         for (_, at) in crashes {
-            let is_same = |began: &Time| is_near(*began, *at);
-            if !began.iter().any(is_same) {
+            let is_same = began.iter().any(|began| is_near(*began, *at));
+            if !is_same {
                 began.push(*at);
             }
-            if began.len() >= PART_LIMIT {
+            if !is_same || count < singly {
+                count += 1;
+            }
+            if count >= SOUND_PART_LIMIT {
                 break;
             }
         }
-        began.len()
+        count
     }
 
     /// Returns whether any request was in flight at enough crashes for probation.
--- a/crates/cw_policy/tests/forward/crashing_parts.rs
+++ b/crates/cw_policy/tests/forward/crashing_parts.rs
@@ -47,6 +47,13 @@
     tracker.record_crash(at(millis), &target, incarnation, &name("z0"));
 }
 
+/// Lets a request run on at an engine that goes on.
+fn run_on(tracker: &mut CrashTracker, millis: u64, keys: &SuspectKeys) {
+    let (target, incarnation) = (engine(1, 0), Incarnation(1));
+    let send = tracker.record_send(at(millis), &target, incarnation, keys.clone());
+    tracker.record_run_on(at(millis + 400), &target, send, keys.clone());
+}
+
 /// Returns a tracker after `count` crashes, one a second, under requests with these parts.
 fn tracker_after(count: u64, parts: &[PartHash]) -> CrashTracker {
     let mut tracker = CrashTracker::default();
@@ -104,6 +111,7 @@
 fn a_part_that_many_requests_share_is_not_refused_after_mass_losses() {
     let mut tracker = CrashTracker::default();
     let mut standings = BTreeSet::new();
+    run_on(&mut tracker, 1000, &keys(0, &[SHARED]));
 
     for round in 0..10 {
         let start = 2000 * (round + 1);
@@ -113,14 +121,79 @@
         }
         let request = keys(10_000 + round, &[SHARED]);
         standings.insert(tracker.standing(request.clone()));
-        let (target, incarnation) = (engine(1, 0), Incarnation(1));
-        let send = tracker.record_send(at(start + 600), &target, incarnation, request.clone());
-        tracker.record_run_on(at(start + 1000), &target, send, request);
+        run_on(&mut tracker, start + 600, &request);
     }
 
     assert_eq!(standings, BTreeSet::from([Standing::Clear]));
 }
 
+/// Guards against refusing a part with which no request has run on yet, because all requests that share it were lost with many
+/// targets at once: one of them is tried, and clears it.
+#[rstest]
+fn a_new_part_is_tried_after_a_mass_loss() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..100 {
+        crash(
+            &mut tracker,
+            1000 + number,
+            number,
+            &keys(number, &[SHARED]),
+        );
+    }
+    let request = keys(1000, &[SHARED]);
+
+    let before = tracker.standing(request.clone());
+    run_on(&mut tracker, 1600, &request);
+    let after = tracker.standing(keys(1001, &[SHARED]));
+
+    assert_eq!((before, after), (Standing::Probation, Standing::Clear));
+}
+
+/// Guards against groups of requests with a part that crashes targets: the crashes of a group counted once, so that each
+/// group ended as many targets as the one before.
+#[rstest]
+#[case(6, 7000)]
+#[case(6, 12_000)]
+#[case(2, 7000)]
+#[case(20, 500)]
+fn groups_of_requests_with_a_crashing_part_reach_few_targets(
+    #[case] size: u64,
+    #[case] period: u64,
+) {
+    let mut tracker = CrashTracker::default();
+    let mut crashes = 0;
+    let mut late = 0;
+    for group in 0..40 {
+        let now = 1000 + group * period;
+        tracker.expire(at(now));
+        // All requests of a group are decided on before the first crash is known, but those on trial.
+        let standing = tracker.standing(keys(1000 * group, &[SHARED, CRASHING]));
+        let sent = match standing {
+            Standing::Clear => size,
+            Standing::Probation => 1,
+            Standing::Refused => 0,
+        };
+        if crashes >= COUNTED_CRASHES {
+            late += sent;
+        }
+        for number in 0..sent {
+            let request = keys(1000 * group + number, &[SHARED, CRASHING]);
+            crash(&mut tracker, now + number, crashes, &request);
+            crashes += 1;
+        }
+        run_on(
+            &mut tracker,
+            now + 250,
+            &keys(1000 * group + 999, &[SHARED]),
+        );
+    }
+
+    assert!(
+        late <= MAX_LATE_SENDS,
+        "{late} late sends, {crashes} crashes"
+    );
+}
+
 /// Guards against a part that is refused for good although it was in flight by chance: it is tried again, and the
 /// number of all trials is bounded.
 #[rstest]
