Remember that a target is leaving when it is not listed any more

Cause: what the answers of a target say was recorded with its record only. This one had been removed before its answers said that it leaves.

Change: Departures also keeps the incarnation of a target that says so while it is not listed.

Run: the tests of the fleet in cw_policy.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -292,10 +292,10 @@
     }
 
     /// Records that an incarnation of a target has said itself that it is leaving, which its record may
-    /// not say yet. Returns whether that is new.
+    /// not say yet, or not any more. Returns whether that is new.
     pub fn record_leaving(&mut self, now: Time, id: &TargetId, incarnation: Incarnation) -> bool {
         let Some(member) = self.members.get_mut(id) else {
-            return false;
+            return self.departures.record_unlisted(now, id, incarnation);
         };
         let is_new = member.listing.incarnation() == incarnation && !member.listing.leaving;
         member.listing.leaving |= is_new;
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -184,6 +184,32 @@
     assert_eq!(fleet.usability(at(4), &engine(0, 0)), expected);
 }
 
+/// Guards against a leaving target that takes requests again: its record was removed before its answers said that it is
+/// leaving, and an older copy of the directory lists it again.
+#[rstest]
+#[case::as_before(Some(1), Usability::Leaving)]
+#[case::started_again(Some(2), Usability::Usable)]
+fn a_target_that_says_that_it_leaves_after_its_removal_stays_out_of_use(
+    #[case] started: Option<u64>,
+    #[case] expected: Usability,
+) {
+    let mut fleet = fleet(1, 2);
+    fleet.record_removal(at(1), &engine(0, 0));
+
+    let is_new = fleet.record_leaving(at(2), &engine(0, 0), Incarnation(1));
+    let is_repeated = fleet.record_leaving(at(3), &engine(0, 0), Incarnation(1));
+    fleet.record_listing(
+        at(4),
+        Listing {
+            started,
+            ..listing(0, 0)
+        },
+    );
+
+    assert!(is_new && !is_repeated);
+    assert_eq!(fleet.usability(at(5), &engine(0, 0)), expected);
+}
+
 #[test]
 fn a_restart_under_the_same_id_resets_the_state() {
     let mut fleet = fleet(1, 2);
