Take a record without the start of its target for none

Cause: a record that does not tell the start was compared with one that does, and the difference counted as a restart, which is not leaving.

Change: a record that lacks the start which its target has told before, or with which it has left, counts as removed, like bytes that cannot be read, until the target's own next record.

--- a/crates/cw_policy/src/forward/departures.rs
+++ b/crates/cw_policy/src/forward/departures.rs
@@ -89,6 +89,15 @@
         known.is_some_and(|(departed, _)| departed.is_start_of(listing))
     }
 
+    /// Returns whether it is known when the target with an id that has left had started.
+    pub(super) fn knows_start(&self, id: &TargetId) -> bool {
+        match self.departed.get(id) {
+            Some((Departed::Listed(listing), _)) => listing.started.is_some(),
+            Some((Departed::Unlisted(_), _)) => true,
+            None => false,
+        }
+    }
+
     /// Forgets old departures.
     pub(super) fn expire(&mut self, now: Time) {
         self.departed
--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -126,8 +126,22 @@
 
     // ---- The directory ----
 
+    /// Returns whether a record lacks the time of the start that the target has told before. It comes from another writer then,
+    /// and does not tell which start of the target it is about.
+    pub fn lacks_start(&self, listing: &Listing) -> bool {
+        let known = self.members.get(&listing.id);
+        let is_start_known = known.is_some_and(|member| member.listing.started.is_some())
+            || self.departures.knows_start(&listing.id);
+        listing.started.is_none() && is_start_known
+    }
+
     /// Records that the directory lists a target. Returns whether the state changed.
+    ///
+    /// A record that lacks the start of its target names no target to use, so it counts as removed.
     pub fn record_listing(&mut self, now: Time, listing: Listing) -> bool {
+        if self.lacks_start(&listing) {
+            return self.record_removal(now, &listing.id);
+        }
         let service = listing.service.clone();
         let is_change = self.apply_listing(now, listing);
         if is_change {
--- a/crates/cw_policy/tests/forward/fleet.rs
+++ b/crates/cw_policy/tests/forward/fleet.rs
@@ -210,6 +210,50 @@
     assert_eq!(fleet.usability(at(5), &engine(0, 0)), expected);
 }
 
+/// Guards against a leaving target that takes requests again, since a record of another writer that does not tell its start
+/// counted for a restart.
+#[rstest]
+#[case::listed(false)]
+#[case::removed(true)]
+fn a_record_without_the_start_does_not_make_a_leaving_target_usable(#[case] is_removed: bool) {
+    let mut fleet = fleet(1, 2);
+    let foreign = Listing {
+        started: None,
+        ..listing(0, 0)
+    };
+    fleet.record_leaving(at(1), &engine(0, 0), Incarnation(1));
+    if is_removed {
+        fleet.record_removal(at(2), &engine(0, 0));
+    }
+
+    // A read of all targets brings the record again.
+    fleet.record_listing(at(3), foreign.clone());
+    fleet.record_listing(at(4), foreign);
+    let meanwhile = fleet.usability(at(5), &engine(0, 0));
+    fleet.record_listing(at(6), listing(0, 0));
+
+    assert_eq!(meanwhile, Usability::Unlisted);
+    assert_eq!(fleet.usability(at(7), &engine(0, 0)), Usability::Leaving);
+}
+
+/// Guards against a record of another writer that replaces the one of a sound target: it names no target to use, and the next
+/// record of the target itself holds.
+#[test]
+fn a_record_without_the_start_counts_as_removed_until_the_next_one() {
+    let mut fleet = fleet(1, 2);
+    let foreign = Listing {
+        started: None,
+        ..listing(0, 0)
+    };
+
+    fleet.record_listing(at(1), foreign);
+    let meanwhile = fleet.usability(at(2), &engine(0, 0));
+    fleet.record_listing(at(3), listing(0, 0));
+
+    assert_eq!(meanwhile, Usability::Unlisted);
+    assert!(fleet.is_usable(at(4), &engine(0, 0)));
+}
+
 #[test]
 fn a_restart_under_the_same_id_resets_the_state() {
     let mut fleet = fleet(1, 2);
--- a/crates/cyclamenwharf/src/forward/target_records.rs
+++ b/crates/cyclamenwharf/src/forward/target_records.rs
@@ -51,6 +51,14 @@
     revision: i64,
 ) {
     match context.dialect.parse_listing(id.as_str(), value) {
+        Ok(listing) if state.fleet.lacks_start(&listing) => {
+            warn!(
+                target_id = id.as_str(),
+                revision = revision;
+                "the record of a target lacks the time of its start; it counts as removed"
+            );
+            state.fleet.record_removal(now, id);
+        }
         Ok(listing) => {
             record_restart(context, now, state, &listing);
             if state.fleet.record_listing(now, listing.clone()) {
