Take any text for the software version of a target

Cause: a version was a name, with a list of characters of ours. Any other one counted as unknown, which equals no other one.

Change: a SoftwareVersion is a label of 1 to 128 bytes, which is compared and never interpreted.

Names of routes, services, tenants and zones keep the list of characters.

--- a/crates/cw_types/src/name.rs
+++ b/crates/cw_types/src/name.rs
@@ -38,8 +38,16 @@
     }
 }
 
+/// Checks a label that other programs assign, which may have any characters.
+fn check_label(text: &str) -> Result<(), NameError> {
+    match text.len() {
+        1..=MAX_NAME_BYTES => Ok(()),
+        length => Err(NameError::Length { length }),
+    }
+}
+
 macro_rules! names {
-    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+    ($check:ident: $($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -56,7 +64,7 @@
             type Err = NameError;
 
             fn from_str(text: &str) -> Result<Self, NameError> {
-                check_name(text)?;
+                $check(text)?;
                 Ok(Self(text.to_owned()))
             }
         }
@@ -65,7 +73,7 @@
             type Error = NameError;
 
             fn try_from(text: String) -> Result<Self, NameError> {
-                check_name(&text)?;
+                $check(&text)?;
                 Ok(Self(text))
             }
         }
@@ -84,7 +92,13 @@
     )*};
 }
 
-names! {
+names! { check_label:
+    /// The version of a target's own software, not of a model that it serves. It is compared and never
+    /// interpreted, so each release tool may write it in its own way, such as `1.4.2+cu121`.
+    SoftwareVersion;
+}
+
+names! { check_name:
     /// The id of a target: a model engine or a plain service, together with its agent.
     TargetId;
     /// The id of a host: a machine, or a process slot on it.
@@ -103,8 +117,6 @@
     ModelName;
     /// The name of a model version.
     VersionName;
-    /// The version of a target's own software, not of a model that it serves.
-    SoftwareVersion;
     /// The name of an adapter (LoRA) of a model version.
     AdapterName;
     /// The name of a priority class.
