Write shared state again that the store has lost

What operators could see: after the store had come back from an older copy, the state that entries share there, such as the evidence against requests that crash engines, stayed as in the copy until its next change. With the loss of all entries before that it was gone.

Cause: what had been written once counted as written. It is the class of the lost events: a state says that something is done which is not, or not any more.

Change: KeyValueStore::has_kept says whether the service has kept what it had at a revision. State that was written at a revision of an earlier era is written again.

--- a/crates/cw_store/src/key_value_store.rs
+++ b/crates/cw_store/src/key_value_store.rs
@@ -97,6 +97,12 @@
 
 /// A key-value service with compare-and-swap, leases and watches.
 pub trait KeyValueStore: Send + Sync {
+    /// Returns whether the service has kept all that it had at an earlier one of its revisions until a later one. One that
+    /// has come back from an older copy since then has not.
+    fn has_kept(&self, _earlier: StoreRevision, _later: StoreRevision) -> bool {
+        true
+    }
+
     /// Returns the value of a key, or `None` if the key does not exist.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>>;
 
--- a/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
+++ b/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
@@ -42,6 +42,10 @@
         self.written.clone_from(&self.offered);
     }
 
+    fn forget_written(&mut self) {
+        self.written = CrashNews::default();
+    }
+
     /// The evidence is read before the first configuration lets requests in.
     fn is_restored_at_start(&self) -> bool {
         false
--- a/crates/cyclamenwharf/src/forward/recent_run_state.rs
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -94,6 +94,10 @@
         self.written.clone_from(&self.offered);
     }
 
+    fn forget_written(&mut self) {
+        self.written = None;
+    }
+
     /// The runs are read before the first configuration lets requests in.
     fn is_restored_at_start(&self) -> bool {
         false
--- a/crates/cyclamenwharf/src/forward/state_store.rs
+++ b/crates/cyclamenwharf/src/forward/state_store.rs
@@ -39,6 +39,9 @@
     /// Records that the value that was returned last is written.
     fn record_written(&mut self);
 
+    /// Forgets what is written, as the service may have lost it.
+    fn forget_written(&mut self);
+
     /// Returns whether each entry reads the key at its start. Otherwise only the entry that writes it does.
     fn is_restored_at_start(&self) -> bool;
 
@@ -72,6 +75,7 @@
                 is_restored = self.log_failure(result);
             }
             if is_restored && is_writer {
+                self.check_written(revision);
                 let result = self.write_changes(&mut revision).await;
                 self.log_failure(result);
             }
@@ -82,6 +86,16 @@
         }
     }
 
+    /// Writes the value anew if the service has come back from an older copy since it was written.
+    fn check_written(&mut self, written_at: Option<StoreRevision>) {
+        let newest = StoreRevision(self.context.state().directory_log.newest());
+        if let Some(written_at) = written_at
+            && !self.store.has_kept(written_at, newest)
+        {
+            self.state.forget_written();
+        }
+    }
+
     /// Logs and counts a failure. Returns whether the call succeeded.
     fn log_failure(&self, result: Result<(), StoreError>) -> bool {
         match result {
