Doubt restored runs after the store has gone back

Cause: the directory and what the entries had persisted came from the same older copy and agreed, and a new entry could not tell that.

Change: the persisted value names the newest revision that was known as it was written. If the store has gone back since, or has no value, what is restored counts after the time in which targets register again (2 s); streams that are taken up before are refused with that time.

--- a/crates/cw_policy/src/forward/fleet.rs
+++ b/crates/cw_policy/src/forward/fleet.rs
@@ -76,7 +76,7 @@
 /// The targets that the directory lists, with their state as seen by this entry.
 #[derive(Clone, Debug)]
 pub struct Fleet {
-    limits: FleetLimits,
+    pub(super) limits: FleetLimits,
     record_trust: RecordTrust,
     pub(super) members: BTreeMap<TargetId, Member>,
     departures: Departures,
--- a/crates/cw_policy/tests/forward/software_history.rs
+++ b/crates/cw_policy/tests/forward/software_history.rs
@@ -158,3 +158,27 @@
     assert!(fleet.had_several(&service));
     assert!(!started(&[(0, "v1")], EarlierSoftware::Unknown).had_several(&service));
 }
+
+/// Guards against streams that are joined from two versions: the directory and what was persisted have both come back from a
+/// copy that is older than the second version.
+#[test]
+fn an_older_copy_is_certain_once_targets_had_time_to_register() {
+    let mut joined = started(&[(0, "v1")], only("v1"));
+    let mut alone = joined.clone();
+
+    for fleet in [&mut joined, &mut alone] {
+        fleet.doubt_restored(at(115));
+    }
+    let at_once = [found(&joined, 120), found(&alone, 120)];
+    let delay = alone.restored_delay(at(120));
+    joined.record_listing(at(900), versioned(1, "v2"));
+    for fleet in [&mut joined, &mut alone] {
+        fleet.confirm_targets(at(1500));
+    }
+
+    assert_eq!(at_once, [None, None]);
+    assert_eq!(delay, Some(Duration::from_millis(1995)));
+    assert_eq!(found(&joined, 2200), None);
+    assert_eq!(found(&alone, 2200), Some(version("v1")));
+    assert_eq!(alone.restored_delay(at(2200)), None);
+}
--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -10,6 +10,7 @@
 use cw_policy::forward::ReadStep;
 use cw_policy::forward::Topic;
 use cw_store::StoreError;
+use cw_store::StoreRevision;
 use cw_store::TransferProgress;
 use log::info;
 use log::warn;
@@ -183,7 +184,7 @@
         };
         let others = async {
             if !is_first {
-                return;
+                return None;
             }
             // The service may have come back from an older copy, which the others know better.
             let queries = futures::future::join3(
@@ -191,12 +192,15 @@
                 self.restore_recent_runs(),
                 self.query_at_start(),
             );
-            if tokio::time::timeout(START_TIMEOUT, queries).await.is_err() {
+            let Ok(((), restored, ())) = tokio::time::timeout(START_TIMEOUT, queries).await else {
                 info!("what is asked for before the first configuration did not all come in time");
-            }
+                return None;
+            };
+            restored
         };
-        let ((read, ended), ()) = futures::future::join(read, others).await;
+        let ((read, ended), restored) = futures::future::join(read, others).await;
         let (items, revision) = read?;
+        self.check_restored(restored, revision);
         self.record_success();
         if is_first {
             let restore = self.restore_rollouts(&items);
@@ -242,20 +246,38 @@
     }
 
     /// Reads which software began the streams that callers may take up at once, before the first configuration
-    /// lets requests in.
-    async fn restore_recent_runs(&self) {
+    /// lets requests in. Returns the revision at which that was written, `None` if it is not known.
+    async fn restore_recent_runs(&self) -> Option<StoreRevision> {
         match self.store.get(RUNS_KEY).await {
             Ok(None) => {
                 let now = self.context.now();
                 let mut state = self.context.state();
                 state.fleet.restore_software(now, EarlierSoftware::Nothing);
+                // A service that has come back from an older copy may have lost the key.
+                Some(StoreRevision::default())
             }
-            Ok(Some(item)) => {
-                if let Err(error) = restore_runs(&self.context, &item.value) {
-                    warn!("failed to decode the recent runs: {error}");
-                }
+            Ok(Some(item)) => restore_runs(&self.context, &item.value)
+                .inspect_err(|error| warn!("failed to decode the recent runs: {error}"))
+                .ok(),
+            Err(error) => {
+                info!("failed to read the recent runs: {error}");
+                None
             }
-            Err(error) => info!("failed to read the recent runs: {error}"),
+        }
+    }
+
+    /// Doubts what was restored if the service has come back from an older copy since it was written.
+    fn check_restored(&self, written_at: Option<StoreRevision>, newest: StoreRevision) {
+        if let Some(written_at) = written_at
+            && !self.store.has_kept(written_at, newest)
+        {
+            let now = self.context.now();
+            self.context.state().fleet.doubt_restored(now);
+            info!(
+                written_at = written_at.0,
+                revision = newest.0;
+                "the key-value service has come back from an older copy; the restored runs count once targets had time to register"
+            );
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/recent_run_state.rs
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -8,6 +8,7 @@
 use cw_macro::data;
 use cw_policy::forward::EarlierSoftware;
 use cw_policy::forward::PersistedOrigins;
+use cw_store::StoreRevision;
 use cw_wire::CachedPrompt;
 use cw_wire::SoftwareHash;
 use cw_wire::StreamOrigin;
@@ -47,6 +48,10 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default)]
     life: Option<Duration>,
+    /// The newest revision of the key-value service that was known when the value was written, `None` from entries of
+    /// an earlier version.
+    #[serde(default)]
+    as_of: Option<StoreRevision>,
 }
 
 /// The runs that were read and written last.
@@ -85,7 +90,13 @@
         self.log_cut(runs.origins.len(), left_out);
         self.offered = (runs.only.is_some()).then_some(runs);
         match &self.offered {
-            Some(runs) if self.offered != self.written => encode(runs).map(Some),
+            Some(runs) if self.offered != self.written => {
+                // The revision rises with each write, so it is no change of the runs.
+                let newest = context.state().directory_log.newest();
+                let mut runs = runs.clone();
+                runs.as_of = Some(StoreRevision(newest));
+                encode(&runs).map(Some)
+            }
             _ => Ok(None),
         }
     }
@@ -109,16 +120,20 @@
     }
 
     fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
-        restore_runs(context, value)
+        restore_runs(context, value).map(drop)
     }
 }
 
-/// Adds the runs that entries before a restart have written.
+/// Adds the runs that entries before a restart have written, and returns the revision of the key-value service that they
+/// knew then.
 ///
 /// # Errors
 ///
 /// Fails if the value cannot be decoded.
-pub(super) fn restore_runs(context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
+pub(super) fn restore_runs(
+    context: &ForwardContext,
+    value: &[u8],
+) -> Result<StoreRevision, WireError> {
     let runs = match decode::<RecentRuns>(value) {
         Ok(runs) => runs,
         // Entries of an earlier version write the prompts alone.
@@ -150,7 +165,7 @@
     for origin in runs.origins {
         state.origins.record_told(now, origin);
     }
-    Ok(())
+    Ok(runs.as_of.unwrap_or_default())
 }
 
 /// Returns the runs to persist, and the number of streams that are left out.
@@ -174,6 +189,7 @@
         origins,
         only,
         life: Some(life),
+        as_of: None,
     };
     (runs, left_out)
 }
