Count crashes singly only where no one request explains them

What callers saw: sound requests were refused as crashing that share a part with one request that crashes engines, at entries which had started since and had seen no sound request run on.

Cause: counts each crash under a part with which no request has run on. A request that crashes engines and is sent several times at once made its parts look like that.

Change: where one request was in flight at all crashes of a part, they are counted by moments, as before.

--- a/crates/cw_policy/src/forward/suspect_ledger.rs
+++ b/crates/cw_policy/src/forward/suspect_ledger.rs
@@ -10,7 +10,6 @@
 
 use cw_types::Time;
 use cw_types::ZoneId;
-use cw_wire::PartHash;
 use cw_wire::Suspect;
 
 use super::sound_parts::SoundParts;
@@ -50,22 +49,22 @@
 /// The number of occasions from which requests with a part of a prompt are on probation. Requests that share it would
 /// wait for each other, so it is the last one before the part is refused.
 ///
-/// For a sound part, with which a request has run on before, crashes within [`NEAR_TIME`] are one occasion: many requests
-/// share it, and all of them are lost in a mass failure. For any other part each crash is one until probation, since a
-/// group of requests would end as many targets each time otherwise.
+/// Crashes within [`NEAR_TIME`] are one occasion: many requests share a part, and all of them are lost in a mass failure. Where
+/// nothing else explains them, each crash is one until probation, since a group of requests would end as many targets
+/// each time otherwise: no request with the part has run on, and none was in flight at all of the crashes.
 const PART_PROBATION: usize = 4;
 
 /// The number of occasions from which requests with a part are refused, unless something that they do not have
 /// was in flight at all of the crashes. The platform's rules count the requests after the fifth.
 const PART_REFUSING: usize = 5;
 
-/// The number of occasions from which requests with a sound part are refused in any case. The rules allow three requests
+/// The number of occasions from which requests with a part are refused in any case. The rules allow three requests
 /// after the fifth crash, so one remains for an entry that learns of a crash late.
-const SOUND_PART_LIMIT: usize = 7;
+const PART_LIMIT: usize = 7;
 
-/// The same number for a part with which no request has run on. Its fifth crash may be one of a group, which is the
+/// The same number for a part whose crashes nothing else explains. Its fifth crash may be one of a group, which is the
 /// fourth occasion.
-const PART_LIMIT: usize = 6;
+const LONE_PART_LIMIT: usize = 6;
 
 /// The time from the last crash after which a refused part is tried again. A part that was in flight by chance is
 /// cleared then, and is not refused for as long as crashes are kept.
@@ -189,16 +188,32 @@
     pub(super) fn is_refused(&self, suspect: Suspect) -> bool {
         match suspect {
             Suspect::Request(_) => self.weight(suspect) >= REFUSING_WEIGHT,
-            Suspect::Part(part) => self.occasions(suspect) >= self.part_limit(part),
+            Suspect::Part(_) => {
+                let limit = match self.is_lone(suspect) {
+                    true => LONE_PART_LIMIT,
+                    false => PART_LIMIT,
+                };
+                self.occasions(suspect) >= limit
+            }
         }
     }
 
-    /// Returns the number of occasions from which requests with a part are refused in any case.
-    fn part_limit(&self, part: PartHash) -> usize {
-        match self.sound.contains(part) {
-            true => SOUND_PART_LIMIT,
-            false => PART_LIMIT,
-        }
+    /// Returns whether nothing else explains the crashes of a part: no request with it has run on, and no request was in
+    /// flight at all of them.
+    fn is_lone(&self, part: Suspect) -> bool {
+        let Suspect::Part(hash) = part else {
+            return false;
+        };
+        let is_request = |other: &&Suspect| matches!(other, Suspect::Request(_));
+        let mut crashes = self.crashes_of(part);
+        let Some(first) = crashes.next().filter(|_| !self.sound.contains(hash)) else {
+            return false;
+        };
+        let mut common: BTreeSet<&Suspect> = first.suspects.iter().filter(is_request).collect();
+        crashes.any(|crash| {
+            common.retain(|other| crash.suspects.contains(other));
+            common.is_empty()
+        })
     }
 
     /// Returns whether a suspect was in flight at enough crashes for probation.
@@ -250,13 +265,13 @@
     /// Returns the number of crashes that count for the standing of a suspect, no more than decide about it.
     fn occasions(&self, suspect: Suspect) -> usize {
         let crashes = self.by_suspect.get(&suspect).map_or(&[][..], Vec::as_slice);
-        let Suspect::Part(part) = suspect else {
+        if crashes.len() < 2 || matches!(suspect, Suspect::Request(_)) {
             return crashes.len();
-        };
+        }
         // The number up to which each crash is an occasion of its own.
-        let singly = match self.sound.contains(part) {
-            true => 1,
-            false => PART_PROBATION,
+        let singly = match self.is_lone(suspect) {
+            true => PART_PROBATION,
+            false => 1,
         };
         let mut count = 0;
         let mut began: Vec<Time> = Vec::new();
@@ -268,7 +283,7 @@
             if !is_same || count < singly {
                 count += 1;
             }
-            if count >= SOUND_PART_LIMIT {
+            if count >= PART_LIMIT {
                 break;
             }
         }
--- a/crates/cw_policy/tests/forward/crashing_parts.rs
+++ b/crates/cw_policy/tests/forward/crashing_parts.rs
@@ -149,6 +149,20 @@
     assert_eq!((before, after), (Standing::Probation, Standing::Clear));
 }
 
+/// Guards against refusing sound requests that share a part with one request that crashes targets: it was sent several times at
+/// once, and an entry that has started since has seen no sound request run on.
+#[test]
+fn a_part_of_one_crashing_request_is_not_refused_for_its_crashes() {
+    let mut tracker = CrashTracker::default();
+    let crashing = keys(1, &[SHARED]);
+    for (number, millis) in [1000, 1010, 1020, 1030, 2000, 3000].into_iter().enumerate() {
+        crash(&mut tracker, millis, number as u64, &crashing);
+    }
+
+    assert_eq!(tracker.standing(keys(2, &[SHARED])), Standing::Clear);
+    assert_eq!(tracker.standing(crashing), Standing::Refused);
+}
+
 /// Guards against groups of requests with a part that crashes targets: the crashes of a group counted once, so that each
 /// group ended as many targets as the one before.
 #[rstest]
