Check restored runs whichever other queries time out

By reading: at the start of an entry three queries shared one timeout, and the revision of the restored runs was dropped if another entry did not answer in it. The runs counted then although the store had gone back.

Change: the restored runs have a timeout of their own.

--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -187,16 +187,16 @@
                 return None;
             }
             // The service may have come back from an older copy, which the others know better.
-            let queries = futures::future::join3(
-                self.restore_crash_evidence(),
-                self.restore_recent_runs(),
-                self.query_at_start(),
-            );
-            let Ok(((), restored, ())) = tokio::time::timeout(START_TIMEOUT, queries).await else {
+            let queries =
+                futures::future::join(self.restore_crash_evidence(), self.query_at_start());
+            let queries = tokio::time::timeout(START_TIMEOUT, queries);
+            // Another entry that does not answer must not hide what the service has answered.
+            let restored = tokio::time::timeout(START_TIMEOUT, self.restore_recent_runs());
+            let (queries, restored) = futures::future::join(queries, restored).await;
+            if queries.is_err() || restored.is_err() {
                 info!("what is asked for before the first configuration did not all come in time");
-                return None;
-            };
-            restored
+            }
+            restored.ok().flatten()
         };
         let ((read, ended), restored) = futures::future::join(read, others).await;
         let (items, revision) = read?;
