Review case 12: streams are broken off while the other engines rest for two seconds

An engine crashes; the other two of its version fill up and turn requests away with Retry-After: 2. The entries break off the lost streams at once and refuse to take them up, although they wait elsewhere for as long as the deadline lasts.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Streams wait for a slot at an engine that starts again as another version meanwhile. It needs the build of
-# deploy/system.toml and of review/build-3.sh. Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
+# Streams wait for a slot at an engine that starts again as another version meanwhile.
+# It needs the build of deploy/system.toml and of review/build-3.sh.
+# Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u -m
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
--- a/review/standins-3/case_slot_wait.rs
+++ b/review/standins-3/case_slot_wait.rs
@@ -36,6 +36,7 @@
         reading: Duration::from_millis(200),
         pause: Duration::from_millis(100),
         events: 140,
+        rest: 0,
     }
 }
 
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -34,6 +34,8 @@
     pub pause: Duration,
     /// The number of events of a stream.
     pub events: u64,
+    /// The `Retry-After` in seconds with which it turns requests away while its slots are taken; 0 for none.
+    pub rest: u64,
 }
 
 /// One incarnation of an engine.
@@ -80,22 +82,28 @@
 
     /// Writes the record of the engine to the store.
     pub fn register(&self, store: &Store) {
+        let version = format!("\"version\":\"{}\",", self.spec.version);
+        self.write_record(store, &version);
+    }
+
+    /// Writes the record of the engine as another writer that does not know versions.
+    pub fn register_without_version(&self, store: &Store) {
+        self.write_record(store, "");
+    }
+
+    fn write_record(&self, store: &Store, version: &str) {
         let EngineSpec {
-            id,
-            service,
-            version,
-            slots,
-            ..
+            id, service, slots, ..
         } = &self.spec;
         let (address, born) = (self.address, self.born);
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"hall-odet\",\
-             \"version\":\"{version}\",\"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\
+             {version}\"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\
              \"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"sequence\":1,\"born\":{born}}}"
         );
         store.put(&format!("servers/{id}"), &value);
-        self.record.line(format!("registered {id} version={version} born={born}"));
+        self.record.line(format!("record of {id}: {value}"));
     }
 
     /// Names a limit in all answers from now on.
@@ -185,7 +193,12 @@
             return connection.answer("421 Misdirected Request", &headers, b"");
         }
         if self.running() >= self.spec.slots {
-            let headers = format!("{common}X-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\n");
+            let rest = match self.spec.rest {
+                0 => String::new(),
+                rest => format!("Retry-After: {rest}\r\n"),
+            };
+            self.record.line(format!("turned away {id} at {own} {}", rest.trim()));
+            let headers = format!("{common}X-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\n{rest}");
             return connection.answer("503 Service Unavailable", &headers, b"");
         }
         let after: u64 = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -25,6 +25,10 @@
     pub last: u64,
     pub is_whole: bool,
     pub has_begun: bool,
+    /// Whether the client took up its stream.
+    pub is_taken_up: bool,
+    /// Whether a taken up stream went on.
+    pub went_on: bool,
     /// Whether an event is missing or came twice.
     pub is_disordered: bool,
 }
@@ -53,6 +57,8 @@
         last: 0,
         is_whole: false,
         has_begun: false,
+        is_taken_up: false,
+        went_on: false,
         is_disordered: false,
     };
     let mut first_try = None;
@@ -81,6 +87,8 @@
         record.line(format!("send {id} to {entry} after={}", stream.last));
         let mut last = stream.last;
         let mut is_disordered = false;
+        let is_take_up = stream.last > 0;
+        stream.is_taken_up |= is_take_up;
         let answer = attempt.run(|event, _| {
             is_disordered |= event != last + 1;
             last = event;
@@ -88,6 +96,7 @@
         record.line(describe(&id, &answer));
         stream.is_disordered |= is_disordered;
         stream.last = last;
+        stream.went_on |= is_take_up && answer.status == 200;
         if !answer.events.is_empty() && first_try.is_none() {
             first_try = Some(id.clone());
             stream.has_begun = true;
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -206,7 +206,7 @@
     }
 
     /// Copies the logs of the entries to a folder, for a look at a failure.
-    pub fn keep_logs(&self, folder: &str) {
+    fn keep_logs(&self, folder: &str) {
         for entry in &self.entries {
             let _ = fs::copy(&entry.log, format!("{folder}/{}.log", entry.name));
         }
@@ -215,6 +215,9 @@
 
 impl Drop for World {
     fn drop(&mut self) {
+        if let Ok(folder) = std::env::var("KEEP_LOGS") {
+            self.keep_logs(&folder);
+        }
         self.entries.clear();
         let _ = fs::remove_dir_all(&self.folder);
     }
