--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,8 @@
 //! run. With `TROUBLE=0` in the environment it plays the same without the disruption.
 
 mod case_foreign_entry;
+mod case_hot_request;
+mod case_idle_clients;
 mod case_rest;
 mod case_slot_wait;
 mod client;
@@ -38,6 +40,8 @@
     record.line(format!("case {case}, disruption: {has_trouble}"));
     let result = match case.as_str() {
         "foreign-entry" => case_foreign_entry::run(&record, has_trouble),
+        "hot-request" => case_hot_request::run(&record, has_trouble),
+        "idle-clients" => case_idle_clients::run(&record, has_trouble),
         "rest" => case_rest::run(&record, has_trouble),
         "slot-wait" => case_slot_wait::run(&record, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -81,7 +81,7 @@
             id: &id,
             deadline: left,
             headers: &format!("{usage}{prefix}{resumes}"),
-            body: "draft the settlement",
+            body: &format!("draft the settlement of {}", plan.name),
             after: stream.last,
         };
         record.line(format!("send {id} to {entry} after={}", stream.last));
