Review: an address of its own for each process of the stand-ins

Two scripts that ran side by side could be given the same free port; one run in ten ended with 2. Case 13 leaves less room at the engines.

--- a/review/standins-3/case_foreign_entry.rs
+++ b/review/standins-3/case_foreign_entry.rs
@@ -86,7 +86,10 @@
         clients.push(start(format!("b{number}"), 1));
         sleep(PERIOD);
     }
-    let streams: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let streams: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     let new = &streams[STREAMS..];
     let begun = new.iter().filter(|stream| stream.has_begun).count();
     let taken_up = streams.iter().filter(|stream| stream.is_taken_up).count();
@@ -98,7 +101,9 @@
         streams.len()
     ));
     if begun * 2 < new.len() || taken_up < 12 {
-        return Err(io::Error::other("too few streams have begun or were taken up"));
+        return Err(io::Error::other(
+            "too few streams have begun or were taken up",
+        ));
     }
     let share_begun = begun as f64 / new.len() as f64;
     let share_went_on = went_on as f64 / taken_up as f64;
--- a/review/standins-3/case_hot_request.rs
+++ b/review/standins-3/case_hot_request.rs
@@ -52,7 +52,10 @@
         .filter(|(at, _)| *at >= from && *at < to)
         .map(|(_, status)| *status)
         .collect();
-    (sent.len(), sent.iter().filter(|status| **status == 200).count())
+    (
+        sent.len(),
+        sent.iter().filter(|status| **status == 200).count(),
+    )
 }
 
 /// Returns whether the rule held.
@@ -121,8 +124,14 @@
         }
     }
     sleep(Duration::from_secs(4));
-    let (sent, served) = count(&tries, Instant::now() - Duration::from_secs(2), Instant::now());
-    record.line(format!("before the final fault, in two seconds: sent={sent} served={served}"));
+    let (sent, served) = count(
+        &tries,
+        Instant::now() - Duration::from_secs(2),
+        Instant::now(),
+    );
+    record.line(format!(
+        "before the final fault, in two seconds: sent={sent} served={served}"
+    ));
     let fault = Instant::now();
     record.line("the final fault: all processes of the system are killed");
     world.entries.iter_mut().for_each(|entry| entry.kill());
@@ -146,7 +155,9 @@
          later than recoverS after it: sent={sent_after} served={served_after}"
     ));
     if served_before * 4 < sent_before || sent_after < 20 {
-        return Err(io::Error::other("too few requests were served before, or sent after"));
+        return Err(io::Error::other(
+            "too few requests were served before, or sent after",
+        ));
     }
     Ok(served_after * 4 >= sent_after)
 }
--- a/review/standins-3/case_idle_clients.rs
+++ b/review/standins-3/case_idle_clients.rs
@@ -84,7 +84,8 @@
                 for number in 0..CLIENTS / THREADS {
                     let due = began + PERIOD * number as u32;
                     sleep(due.saturating_duration_since(Instant::now()));
-                    let Ok((status, connection)) = ask(entry, &format!("c{thread}-{number}")) else {
+                    let Ok((status, connection)) = ask(entry, &format!("c{thread}-{number}"))
+                    else {
                         continue;
                     };
                     *served.lock().expect("no thread panics") += usize::from(status == 200);
@@ -97,7 +98,10 @@
     });
     let kept = kept.into_inner().expect("no thread panics");
     let served = served.into_inner().expect("no thread panics");
-    record.line(format!("clients={CLIENTS} served={served} connections left open={}", kept.len()));
+    record.line(format!(
+        "clients={CLIENTS} served={served} connections left open={}",
+        kept.len()
+    ));
     if served < 2900 {
         return Err(io::Error::other("too few clients were served"));
     }
@@ -123,14 +127,20 @@
                         after: 0,
                     };
                     let answer = attempt.run(|_, _| {});
-                    record.line(format!("answer {id} status={} end={:?}", answer.status, answer.end));
+                    record.line(format!(
+                        "answer {id} status={} end={:?}",
+                        answer.status, answer.end
+                    ));
                     answers += usize::from(answer.end == End::Whole);
                 }
                 answers
             })
         })
         .collect();
-    let answers: usize = clients.into_iter().filter_map(|client| client.join().ok()).sum();
+    let answers: usize = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .sum();
     let ready = ready && world.entries[0].is_ready();
     record.line(format!(
         "{LATE_CLIENTS} clients tried for {} ms: answers={answers}; the entry says that it is ready: {ready}",
--- a/review/standins-3/case_rest.rs
+++ b/review/standins-3/case_rest.rs
@@ -23,7 +23,7 @@
 const STREAMS: usize = 200;
 
 /// The new streams until the engine ends, counted from the next version on.
-const STREAMS_UNTIL_CRASH: usize = 8;
+const STREAMS_UNTIL_CRASH: usize = 5;
 
 fn spec(number: usize, version: &str) -> EngineSpec {
     EngineSpec {
@@ -82,7 +82,10 @@
         clients.push(streams::start(plan, record));
         sleep(PERIOD);
     }
-    let streams: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let streams: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     let new = &streams[crashed_at..];
     let begun = new.iter().filter(|stream| stream.has_begun).count();
     let taken_up = streams.iter().filter(|stream| stream.is_taken_up).count();
--- a/review/standins-3/case_slot_wait.rs
+++ b/review/standins-3/case_slot_wait.rs
@@ -100,7 +100,10 @@
             engines.push(engine?);
         }
     }
-    let streams: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let streams: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     let begun = streams.iter().filter(|stream| stream.has_begun).count();
     let whole = streams.iter().filter(|stream| stream.is_whole).count();
     let mixed: Vec<&str> = streams
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -75,7 +75,9 @@
         connection.write(self.request().as_bytes())?;
         let set_timeout = |connection: &Connection| {
             let left = due.saturating_duration_since(Instant::now());
-            connection.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            connection
+                .stream
+                .set_read_timeout(Some(left.max(Duration::from_millis(1))))
         };
         set_timeout(&connection)?;
         let closed = || io::Error::from(io::ErrorKind::UnexpectedEof);
@@ -100,7 +102,9 @@
             while let Some(end) = text.find("\n\n") {
                 let event: String = text.drain(..end + 2).collect();
                 let field = |name| event.lines().find_map(|line: &str| line.strip_prefix(name));
-                let id = field("id:").and_then(|id| id.trim().parse().ok()).unwrap_or(0);
+                let id = field("id:")
+                    .and_then(|id| id.trim().parse().ok())
+                    .unwrap_or(0);
                 let data = field("data:").unwrap_or("").trim().to_owned();
                 on_event(id, &data);
                 answer.events.push((id, data));
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -18,6 +18,7 @@
 
 use crate::http::Connection;
 use crate::http::Head;
+use crate::http::own_ip;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -60,7 +61,7 @@
         address: Option<SocketAddr>,
         record: &Arc<Record>,
     ) -> io::Result<Arc<Self>> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from((own_ip(), 0));
         let listener = TcpListener::bind(address.unwrap_or(any))?;
         listener.set_nonblocking(true)?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -111,7 +112,8 @@
         let limit = (requests_a_second * 1000.0) as u64;
         self.limit.store(limit, Ordering::Relaxed);
         let id = &self.spec.id;
-        self.record.line(format!("{id} names Server-Limit {requests_a_second}"));
+        self.record
+            .line(format!("{id} names Server-Limit {requests_a_second}"));
     }
 
     /// Ends the process of the engine: its port closes and its connections break.
@@ -133,7 +135,9 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, TcpStream>> {
-        self.connections.lock().expect("no thread panics with the connections")
+        self.connections
+            .lock()
+            .expect("no thread panics with the connections")
     }
 
     fn accept(self: Arc<Self>, listener: &TcpListener) {
@@ -188,8 +192,12 @@
             return connection.answer("400 Bad Request", &headers, b"");
         };
         let own = &self.spec.id;
-        if head.header("x-expect-instance").is_some_and(|other| other != own) {
-            let headers = format!("X-Not-Executed: 1\r\nX-Instance-Id: {own}\r\nX-Attempt-Id: {id}\r\n");
+        if head
+            .header("x-expect-instance")
+            .is_some_and(|other| other != own)
+        {
+            let headers =
+                format!("X-Not-Executed: 1\r\nX-Instance-Id: {own}\r\nX-Attempt-Id: {id}\r\n");
             return connection.answer("421 Misdirected Request", &headers, b"");
         }
         if self.running() >= self.spec.slots {
@@ -197,11 +205,15 @@
                 0 => String::new(),
                 rest => format!("Retry-After: {rest}\r\n"),
             };
-            self.record.line(format!("turned away {id} at {own} {}", rest.trim()));
+            self.record
+                .line(format!("turned away {id} at {own} {}", rest.trim()));
             let headers = format!("{common}X-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\n{rest}");
             return connection.answer("503 Service Unavailable", &headers, b"");
         }
-        let after: u64 = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let after: u64 = head
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         self.record.line(format!(
             "run {id} {path} body={body} at {own} version={} after={after}",
             self.spec.version
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -33,6 +33,13 @@
     }
 }
 
+/// Returns a loopback address that no other process uses, so that a port which was free stays free.
+pub fn own_ip() -> [u8; 4] {
+    let pid = std::process::id();
+    let part = |number: u32| 1 + (number % 250) as u8;
+    [127, part(pid / 250), part(pid), 1]
+}
+
 /// A part of a body.
 #[derive(Debug)]
 pub enum Part {
--- a/review/standins-3/json.rs
+++ b/review/standins-3/json.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -85,8 +85,8 @@
             b'{' => self.map(),
             b'[' => self.list(),
             b'"' => self.text().map(Json::Text),
-            b't' => self.word("true", Json::Bool(true)),
-            b'f' => self.word("false", Json::Bool(false)),
+            b't' => self.word("true", Json::Bool),
+            b'f' => self.word("false", Json::Bool),
             b'n' => self.word("null", Json::Null),
             _ => self.number(),
         }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use crate::http::Connection;
+use crate::http::own_ip;
 use crate::http::query;
 use crate::json::Json;
 use crate::json::base64;
@@ -51,7 +52,7 @@
 impl Store {
     /// Starts the store on a free port.
     pub fn start() -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(SocketAddr::from((own_ip(), 0)))?;
         let state = State {
             revision: 100,
             items: BTreeMap::new(),
@@ -105,14 +106,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes an item as a server does.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.lock();
-        state.revision += 1;
-        state.remove(key);
-        self.changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(Some(head)) = connection.read_head() {
@@ -161,7 +154,10 @@
             Some(item) => {
                 let fields = item.fields(&key);
                 let revision = state.revision;
-                ("200 OK", format!("{{{fields},\"storeRevision\":{revision}}}"))
+                (
+                    "200 OK",
+                    format!("{{{fields},\"storeRevision\":{revision}}}"),
+                )
             }
             None => ("404 Not Found", "{}".to_owned()),
         }
@@ -180,7 +176,8 @@
         let more = found.len() > PAGE;
         let page = found[..found.len().min(PAGE)].join(",");
         let revision = state.revision;
-        let json = format!("{{\"items\":[{page}],\"morePages\":{more},\"storeRevision\":{revision}}}");
+        let json =
+            format!("{{\"items\":[{page}],\"morePages\":{more},\"storeRevision\":{revision}}}");
         ("200 OK", json)
     }
 
@@ -226,7 +223,10 @@
         }
         if !is_met {
             let items = conflicts.join(",");
-            return ("412 Precondition Failed", format!("{{\"items\":[{items}]}}"));
+            return (
+                "412 Precondition Failed",
+                format!("{{\"items\":[{items}]}}"),
+            );
         }
         let writes = list("writes");
         let lease_of = |write: &Json| write.get("lease").and_then(Json::number).unwrap_or(0);
--- a/review/standins-3/streams.rs
+++ b/review/standins-3/streams.rs
@@ -73,7 +73,10 @@
             _ => String::new(),
         };
         let usage = "X-Model: m\r\nX-Token-Usage: 1460,900\r\n";
-        let prefix = format!("X-Prefix-Hash: 5c1e07a2:200,{:08x}:1260\r\n", hash(&plan.name));
+        let prefix = format!(
+            "X-Prefix-Hash: 5c1e07a2:200,{:08x}:1260\r\n",
+            hash(&plan.name)
+        );
         let attempt = Try {
             entry: *entry,
             method: "POST",
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -14,6 +13,7 @@
 use std::time::Instant;
 
 use crate::http::Connection;
+use crate::http::own_ip;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -40,16 +40,6 @@
 }
 
 impl Entry {
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
-        let signal = format!("-{name}");
-        Command::new("kill").args([signal, self.pid().to_string()]).status().map(drop)
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -62,30 +52,17 @@
         Ok(())
     }
 
-    /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
     pub fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let second = Duration::from_secs(1);
             let mut connection = Connection::connect(self.health, second)?;
             connection.stream.set_read_timeout(Some(second))?;
-            connection.write(b"GET /readyz HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n")?;
+            connection
+                .write(b"GET /readyz HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n")?;
             Ok(connection.read_head()?.map_or(0, |head| head.status()))
         };
         ask().is_ok_and(|status| status == 200)
     }
-
-    /// Returns the resident memory of the process in kilobytes.
-    pub fn memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().next());
-        number.and_then(|number| number.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Entry {
@@ -144,8 +121,20 @@
                       \"sticky\":true,\"resumable\":true,\"gapTargetMs\":700";
         let plain = "\"timeoutMs\":1000,\"latencyTargetMs\":150,\"priority\":2,\"maxAttempts\":2";
         let routes = [
-            route("r-px5pa2y", STREAM_PATH, "streaming", stream, STREAM_SERVICE),
-            route("r-un5afe1", UNSAFE_PATH, "non_idempotent", plain, PLAIN_SERVICE),
+            route(
+                "r-px5pa2y",
+                STREAM_PATH,
+                "streaming",
+                stream,
+                STREAM_SERVICE,
+            ),
+            route(
+                "r-un5afe1",
+                UNSAFE_PATH,
+                "non_idempotent",
+                plain,
+                PLAIN_SERVICE,
+            ),
             route("r-5afe002", SAFE_PATH, "idempotent", plain, PLAIN_SERVICE),
         ];
         let services = format!(
@@ -225,16 +214,12 @@
 
 /// Returns addresses whose ports are free, for UDP too.
 fn free_addresses() -> io::Result<[SocketAddr; 4]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
+    let any = SocketAddr::from((own_ip(), 0));
+    let bind = || TcpListener::bind(any);
     let listeners = [bind()?, bind()?, bind()?, bind()?];
-    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
+    let mut addresses = [any; 4];
     for (address, listener) in addresses.iter_mut().zip(&listeners) {
         *address = listener.local_addr()?;
     }
     Ok(addresses)
 }
-
-/// Returns whether something accepts connections at an address.
-pub fn is_listening(address: SocketAddr) -> bool {
-    TcpStream::connect_timeout(&address, Duration::from_millis(300)).is_ok()
-}
