Review case 12: after a drill and a power loss streams go on at another version

The store comes back from a copy that is older than a second software version, and the engines of that version are lost with the power. The entries trust the older value that they had persisted after two seconds, and each stream that the second version had begun goes on at the first.

Those of the repeated request and of the resting engines become 13 and 14.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Clients leave their connections open and idle, until the entry takes no new one.
+# An engine crashes while the other engines of its version want no requests for two seconds.
 # It needs the build of deploy/system.toml and of review/build-3.sh.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u -m
@@ -10,7 +10,7 @@
   exit 2
 fi
 # All processes of the case are in one process group, which is ended.
-target/review-3/standins idle-clients "$here/record.txt" &
+target/review-3/standins rest "$here/record.txt" &
 group=$!
 (sleep 110; kill -KILL -- "-$group") 2>/dev/null &
 watchdog=$!
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,9 +3,9 @@
 //! `standins CASE RECORD` plays a case. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
 //! run. With `TROUBLE=0` in the environment it plays the same without the disruption.
 
+mod case_drill;
 mod case_foreign_entry;
 mod case_hot_request;
-mod case_idle_clients;
 mod case_rest;
 mod case_slot_wait;
 mod client;
@@ -39,9 +39,9 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(format!("case {case}, disruption: {has_trouble}"));
     let result = match case.as_str() {
+        "drill" => case_drill::run(&record, has_trouble),
         "foreign-entry" => case_foreign_entry::run(&record, has_trouble),
         "hot-request" => case_hot_request::run(&record, has_trouble),
-        "idle-clients" => case_idle_clients::run(&record, has_trouble),
         "rest" => case_rest::run(&record, has_trouble),
         "slot-wait" => case_slot_wait::run(&record, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
