Choose the target of a request anew after each wait for a slot

What callers saw: streams whose engine was lost waited for a slot at another engine that names a limit.

Cause: the choice was made before the wait and used after it with fewer questions. place_at asked whether the id is usable and open to a roll-out; the placement took the incarnation and software that the target had by then.

The property test on kept slots needs the new type; it fails in 6 of 6 cases if may_use_slot asks only what place_at asked.

Change: a kept slot names the incarnation, and after the wait ExchangeDriver::place chooses again with all of its questions; the slot stands only for the target's taking the request at that time. The deadline and the standing as a suspect are asked again too. A slot that is not used is given back, where the limit shrank before. Before a send the software is compared beside the incarnation, and a roll-out is asked again.

--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -58,11 +58,13 @@
     }
 }
 
-/// When a request may be sent to a target.
+/// When a request may be sent to an incarnation of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Slot {
     /// The target.
     pub target: TargetId,
+    /// The incarnation of the target that takes the request. A later one may have another software version.
+    pub incarnation: Incarnation,
     /// When the request may be sent.
     pub at: Time,
     /// Whether the slot can be kept for one request. A target that wants no requests until then takes
@@ -179,10 +181,17 @@
             .filter(|member| self.is_candidate(now, member, requirements));
         let slots = usable.filter_map(|member| Some((member.limit.next_slot(now)?, member)));
         let (at, member) = slots.min_by_key(|(at, _)| *at)?;
-        Some(Slot {
-            target: member.listing.id.clone(),
-            at,
-            is_exclusive: member.limit.is_paced(),
+        Some(member.slot(at))
+    }
+
+    /// Returns whether a request may be sent in a slot that was kept for it. What it requires of a target is asked
+    /// again, since the target may have changed since then.
+    pub fn may_use_slot(&self, now: Time, requirements: &Requirements<'_>, slot: &Slot) -> bool {
+        let member = self.members.get(&slot.target);
+        member.is_some_and(|member| {
+            member.listing.incarnation() == slot.incarnation
+                && self.is_candidate(now, member, requirements)
+                && member.limit.rest_until() <= slot.at
         })
     }
 
@@ -210,6 +219,22 @@
         member.map_or(now, |member| member.limit.take_slot(now))
     }
 
+    /// Keeps the next slot at a target for a request, `None` if the directory does not list the target.
+    pub fn keep_slot(&mut self, now: Time, id: &TargetId) -> Option<Slot> {
+        let member = self.members.get_mut(id)?;
+        let at = member.limit.take_slot(now);
+        Some(member.slot(at))
+    }
+
+    /// Gives back a slot that was kept for a request and not used.
+    pub fn return_slot(&mut self, slot: &Slot) {
+        let member = self.members.get_mut(&slot.target);
+        let member = member.filter(|member| member.listing.incarnation() == slot.incarnation);
+        if let Some(member) = member.filter(|_| slot.is_exclusive) {
+            member.limit.return_slot();
+        }
+    }
+
     /// Divides the limits of the targets whose services are selected.
     pub(super) fn divide_limits(&mut self, now: Time, is_selected: impl Fn(&ServiceName) -> bool) {
         let has_report = |member: &Member| {
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -8,6 +8,7 @@
 use cw_wire::TargetShare;
 
 use super::Listing;
+use super::Slot;
 use super::entry_ranking::Nearness;
 use super::pace::Pace;
 use super::pace::PaceLoad;
@@ -312,6 +313,16 @@
         self.limit.next_slot(now).is_some_and(|at| at <= now)
     }
 
+    /// Returns the slot of this incarnation at a time.
+    pub(super) fn slot(&self, at: Time) -> Slot {
+        Slot {
+            target: self.listing.id.clone(),
+            incarnation: self.listing.incarnation(),
+            at,
+            is_exclusive: self.limit.is_paced(),
+        }
+    }
+
     /// Returns the load of this entry at the target.
     pub(super) fn share(&self) -> TargetShare {
         TargetShare {
--- a/crates/cw_policy/src/forward/placement.rs
+++ b/crates/cw_policy/src/forward/placement.rs
@@ -144,12 +144,14 @@
         self.placement(target, keeper)
     }
 
-    /// Returns whether a request may still be sent to the target of a placement: the directory lists the same incarnation, and
-    /// it has not begun to leave.
+    /// Returns whether a request may still be sent to the target of a placement: the directory lists the same incarnation
+    /// with the same software, and it has not begun to leave.
     pub fn is_still_open(&self, placement: &Placement) -> bool {
         let member = self.members.get(&placement.target);
         member.is_some_and(|member| {
-            !member.listing.leaving && member.listing.incarnation() == placement.incarnation
+            !member.listing.leaving
+                && member.listing.incarnation() == placement.incarnation
+                && member.software == placement.software
         })
     }
 
@@ -209,11 +211,7 @@
     ) -> impl Iterator<Item = &'a Member> {
         self.members
             .values()
-            .filter(|member| {
-                member.listing.service == *requirements.service && !member.listing.leaving
-            })
-            .filter(|member| !requirements.excluded.contains(&member.listing.id))
-            .filter(|member| requirements.fits_software(member.software))
+            .filter(|member| requirements.may_run_at(member))
             .filter(move |member| member.has_slot(now))
     }
 
@@ -224,13 +222,7 @@
         member: &Member,
         requirements: &Requirements<'_>,
     ) -> bool {
-        let listing = &member.listing;
-        listing.service == *requirements.service
-            && !listing.leaving
-            && !requirements.excluded.contains(&listing.id)
-            && requirements.fits_software(member.software)
-            && member.backoff_until <= now
-            && !member.replaced
+        requirements.may_run_at(member) && member.backoff_until <= now && !member.replaced
     }
 
     /// Returns the eligible target with the lowest cost among those that `accept` selects.
@@ -297,6 +289,16 @@
 }
 
 impl Requirements<'_> {
+    /// Returns whether the request may run at a target, whenever the target takes it. Each choice of a target asks
+    /// this, also the one after a wait.
+    fn may_run_at(&self, member: &Member) -> bool {
+        let listing = &member.listing;
+        listing.service == *self.service
+            && !listing.leaving
+            && !self.excluded.contains(&listing.id)
+            && self.fits_software(member.software)
+    }
+
     /// Returns whether a target with this software may take the request.
     fn fits_software(&self, software: SoftwareHash) -> bool {
         match self.software {
--- a/crates/cw_policy/src/forward/target_limit.rs
+++ b/crates/cw_policy/src/forward/target_limit.rs
@@ -114,6 +114,11 @@
         self.rest_until = self.rest_until.max(now + rest.min(MAX_REST));
     }
 
+    /// Returns the end of the time in which the target wants no requests from this entry.
+    pub(super) fn rest_until(&self) -> Time {
+        self.rest_until
+    }
+
     /// Returns whether the target takes one request after the other.
     pub(super) fn is_paced(&self) -> bool {
         self.pace.is_some()
@@ -143,4 +148,13 @@
         pace.next_at = pace.next_at.max(earliest) + interval;
         slot
     }
+
+    /// Gives back a slot that was not used, so that another request does not wait for the one after it.
+    pub(super) fn return_slot(&mut self) {
+        if let Some(pace) = &mut self.pace
+            && let Some(interval) = pace.interval
+        {
+            pace.next_at = pace.next_at.before(interval);
+        }
+    }
 }
--- a/crates/cw_policy/tests/forward/main.rs
+++ b/crates/cw_policy/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod fixtures;
 mod fleet;
 mod freshness;
+mod kept_slots;
 mod late_knowledge;
 mod lost_work;
 mod pace;
--- a/crates/cyclamenwharf/src/forward/guards.rs
+++ b/crates/cyclamenwharf/src/forward/guards.rs
@@ -6,6 +6,7 @@
 use cw_policy::forward::Demand;
 use cw_policy::forward::SendEnd;
 use cw_policy::forward::SendId;
+use cw_policy::forward::Slot;
 use cw_policy::forward::SuspectKeys;
 use cw_types::Incarnation;
 use cw_types::TargetId;
@@ -140,6 +141,43 @@
     }
 }
 
+/// A slot that is kept at a target for one request. It is given back unless the request is sent.
+pub(super) struct SlotGuard {
+    context: Arc<ForwardContext>,
+    slot: Slot,
+    is_used: bool,
+}
+
+impl SlotGuard {
+    /// Keeps the next slot at a target, `None` if the directory does not list the target any more.
+    pub(super) fn acquire(context: &Arc<ForwardContext>, target: &TargetId) -> Option<Self> {
+        let now = context.now();
+        let slot = context.state().fleet.keep_slot(now, target)?;
+        Some(Self {
+            context: Arc::clone(context),
+            slot,
+            is_used: false,
+        })
+    }
+
+    pub(super) fn slot(&self) -> &Slot {
+        &self.slot
+    }
+
+    /// Records that the request is on its way to the target.
+    pub(super) fn mark_used(&mut self) {
+        self.is_used = true;
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.context.state().fleet.return_slot(&self.slot);
+        }
+    }
+}
+
 /// Counts the memory of a run's copy in the load of the target that keeps it.
 pub(super) struct CopyGuard {
     context: Arc<ForwardContext>,
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -36,7 +36,7 @@
 pub(super) enum PlacementChoice {
     /// Send to this target. The flag says whether it resumes from a copy there.
     Send(Placement, bool),
-    /// Send to a target that is at its limit when it takes the request, in a slot kept for it.
+    /// Keep this slot at a target that is at its limit, and choose again when it takes the request.
     Wait(Slot),
     /// No target is available.
     NoTarget,
@@ -49,7 +49,16 @@
 impl ExchangeDriver {
     /// Selects the target of the next send. A trial (`is_trial`) waits for one apart from other requests that may
     /// crash it.
-    fn place(&self, now: Time, resume: &Resume, is_trial: bool) -> PlacementChoice {
+    ///
+    /// After a wait the choice is made anew, since targets, versions and roll-outs may have changed. All that `kept`, the
+    /// slot that the request has waited for, stands for is that its target takes the request then.
+    pub(super) fn place(
+        &self,
+        now: Time,
+        resume: &Resume,
+        is_trial: bool,
+        kept: Option<&Slot>,
+    ) -> PlacementChoice {
         let context = Arc::clone(&self.context);
         let mut state = context.state();
         let state = &mut *state;
@@ -60,7 +69,7 @@
             return PlacementChoice::VersionGone;
         }
         let filter = self.choose_side(now, state);
-        let choice = self.place_within(now, state, resume, is_trial, filter);
+        let choice = self.place_within(now, state, resume, is_trial, filter, kept);
         if !matches!(
             choice,
             PlacementChoice::NoTarget | PlacementChoice::Crowded(_)
@@ -68,7 +77,7 @@
             return choice;
         }
         match self.other_side(now, state, filter) {
-            Some(filter) => self.place_within(now, state, resume, is_trial, filter),
+            Some(filter) => self.place_within(now, state, resume, is_trial, filter, kept),
             None => choice,
         }
     }
@@ -81,6 +90,7 @@
         resume: &Resume,
         is_trial: bool,
         filter: SoftwareFilter,
+        kept: Option<&Slot>,
     ) -> PlacementChoice {
         let origin = self.exchange.origin();
         let avoided = state.crashes.targets_to_avoid(self.keys.clone());
@@ -110,27 +120,33 @@
             let keeper = state
                 .fleet
                 .select_keeper(now, &requirements, target, &mut state.rng);
-            let target = target.clone();
-            state.fleet.take_slot(now, &target);
-            return match state.fleet.placement(target, keeper) {
+            return match state.fleet.placement(target.clone(), keeper) {
                 Some(placement) => PlacementChoice::Send(placement, true),
                 None => PlacementChoice::NoTarget,
             };
         }
-        let apart = self.place_apart(now, state, avoided, filter);
-        let placement = match apart {
+        let kept = kept.filter(|slot| {
+            let is_open = state.fleet.may_use_slot(now, &requirements, slot);
+            is_open && !(is_trial && avoided.contains(&slot.target))
+        });
+        if let Some(slot) = kept.filter(|slot| slot.at <= now) {
+            return self.place_in(now, &requirements, slot, state);
+        }
+        let choice = match self.place_apart(now, state, avoided, filter) {
+            Some(placement) => self.admit(now, &requirements, placement, state),
             None if is_trial => return PlacementChoice::NoTarget,
-            None => state.fleet.place(now, &requirements, &mut state.rng),
-            apart => apart,
-        };
-        let Some(placement) = placement else {
-            return self.wait_for_slot(now, &requirements, state);
+            None => match state.fleet.place(now, &requirements, &mut state.rng) {
+                Some(placement) => self.admit(now, &requirements, placement, state),
+                None if kept.is_some() => PlacementChoice::NoTarget,
+                None => self.wait_for_slot(now, &requirements, state),
+            },
         };
-        let choice = self.admit(now, &requirements, placement, state);
-        if let PlacementChoice::Send(placement, _) = &choice {
-            state.fleet.take_slot(now, &placement.target);
+        match (choice, kept) {
+            (PlacementChoice::NoTarget | PlacementChoice::Crowded(_), Some(slot)) => {
+                PlacementChoice::Wait(slot.clone())
+            }
+            (choice, _) => choice,
         }
-        choice
     }
 
     /// Selects a target that is none of those to be avoided.
@@ -148,45 +164,25 @@
         state.fleet.place(now, &requirements, &mut state.rng)
     }
 
-    /// Selects the target of the next send, and waits while all are at the limits that they name, if
-    /// one takes the request in time.
-    pub(super) async fn place_in_turn(
+    /// Returns the placement at a target that takes the request in a slot that was kept for it.
+    fn place_in(
         &self,
         now: Time,
-        resume: &Resume,
-        is_trial: bool,
+        requirements: &Requirements<'_>,
+        slot: &Slot,
+        state: &mut ForwardState,
     ) -> PlacementChoice {
-        let mut now = now;
-        loop {
-            match self.place(now, resume, is_trial) {
-                PlacementChoice::Wait(slot) => {
-                    tokio::time::sleep_until(self.context.clock.instant(slot.at)).await;
-                    now = self.context.now();
-                    if let Some(placement) = self.place_at(now, &slot.target) {
-                        return PlacementChoice::Send(placement, false);
-                    }
-                }
-                choice => return choice,
-            }
-        }
-    }
-
-    /// Returns the placement at a target that has kept a slot, unless it cannot be used any more.
-    fn place_at(&self, now: Time, target: &TargetId) -> Option<Placement> {
-        let context = Arc::clone(&self.context);
-        let mut state = context.state();
-        let state = &mut *state;
-        if !state.fleet.is_usable(now, target) || !self.may_use(now, state, target) {
-            return None;
-        }
-        let requirements = self.requirements(now, state, self.exchange.excluded());
+        let target = &slot.target;
         let keeper = match requirements.wants_copy {
             true => state
                 .fleet
-                .select_keeper(now, &requirements, target, &mut state.rng),
+                .select_keeper(now, requirements, target, &mut state.rng),
             false => None,
         };
-        state.fleet.placement(target.clone(), keeper)
+        match state.fleet.placement(target.clone(), keeper) {
+            Some(placement) => PlacementChoice::Send(placement, false),
+            None => PlacementChoice::NoTarget,
+        }
     }
 
     /// Returns the decision for a request that no target takes now. A request that could not be sent
@@ -211,7 +207,6 @@
         if let Some(slot) = slot.filter(|slot| slot.is_exclusive)
             && wait <= longest.mul_f64(SLOT_WAIT_SHARE)
         {
-            state.fleet.take_slot(now, &slot.target);
             return PlacementChoice::Wait(slot);
         }
         info!(
--- a/crates/cyclamenwharf/src/forward/rollout_choice.rs
+++ b/crates/cyclamenwharf/src/forward/rollout_choice.rs
@@ -37,6 +37,15 @@
         // The smallest draw goes to the new version at any share above zero.
         self.rollouts.choose_side(now, service, 0.0) != SideChoice::Old
     }
+
+    /// Returns whether anything may be sent to the version before the ordered one, whose targets stop as soon as the
+    /// roll-out is completed.
+    fn is_old_open(&self, now: Time, service: &ServiceName) -> bool {
+        let view = self.rollouts.view(now, service);
+        let is_completed = view.is_some_and(|view| view.stage == Some(RolloutStage::Completed));
+        // The largest draw goes to the version before at any share below one.
+        !is_completed || self.rollouts.choose_side(now, service, 1.0) != SideChoice::New
+    }
 }
 
 impl ExchangeDriver {
@@ -68,15 +77,19 @@
             .then(|| state.rollouts.filter(service, SideChoice::Old))
     }
 
-    /// Returns whether the request may be sent to a target again, or after a wait.
+    /// Returns whether a roll-out lets the request go to a target that was chosen a while ago.
     pub(super) fn may_use(&self, now: Time, state: &ForwardState, target: &TargetId) -> bool {
         let service = &self.request.service;
         let Some(ordered) = state.ordered_software(service) else {
             return true;
         };
-        state.fleet.software(target) != Some(ordered)
-            || state.is_new_open(now, service)
-            || self.exchange.origin().is_some() && !self.is_version_closed(now, state)
+        if self.exchange.origin().is_some() {
+            return !self.is_version_closed(now, state);
+        }
+        match state.fleet.software(target) == Some(ordered) {
+            true => state.is_new_open(now, service),
+            false => state.is_old_open(now, service),
+        }
     }
 
     /// Returns whether the stream was begun by a version that gets nothing any more: one that was found bad, or the
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -1,6 +1,7 @@
 //! Performs one send of a request, from the choice of the target to the outcome.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cw_policy::forward::CopyName;
@@ -22,6 +23,7 @@
 use super::exchange_driver::ExchangeDriver;
 use super::guards::CopyGuard;
 use super::guards::RequestGuard;
+use super::guards::SlotGuard;
 use super::loss_check::record_crash;
 use super::placement_choice::PlacementChoice;
 use super::send_outcome::ActiveSend;
@@ -32,6 +34,10 @@
 use super::trial_guard::SuspectAdmission;
 use super::trial_guard::TrialGuard;
 
+/// The longest time after which a request that waits for a slot looks for another target. One may have started or
+/// recovered meanwhile.
+const SLOT_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
 /// The target of a send, with the copy that it resumes from and the time limit.
 pub(super) struct Destination {
     pub(super) placement: Placement,
@@ -42,6 +48,17 @@
     pub(super) give_up_at: Option<Time>,
 }
 
+/// The target that was selected for a send.
+struct ChosenTarget {
+    placement: Placement,
+    /// Whether the target resumes from a copy.
+    resumed: bool,
+    /// The slot in which the target takes the request.
+    slot: Option<SlotGuard>,
+    /// The trial, if the request may be sent only on trial.
+    trial: Option<TrialGuard>,
+}
+
 /// The action after a connection breaks before the answer.
 enum AfterBreak {
     /// Send the request to the same target on a new connection, since no part of it was sent.
@@ -55,36 +72,17 @@
 impl ExchangeDriver {
     /// Sends the request once.
     pub(super) async fn send(&mut self, resume: &Resume) -> SendOutcome {
-        let now = self.context.now();
-        let deadline = self.exchange.plan().deadline;
-        if now >= deadline {
-            return SendOutcome::Event(ExchangeEvent::Expired);
-        }
-        let trial = match self.admit_suspect().await {
-            SuspectAdmission::Free => None,
-            SuspectAdmission::Trial(trial) => Some(trial),
-            SuspectAdmission::Busy => {
-                return SendOutcome::Event(ExchangeEvent::TrialInProgress);
-            }
-            SuspectAdmission::Refused => {
-                return SendOutcome::Event(ExchangeEvent::CrashesTargets);
-            }
-        };
-        let now = self.context.now();
-        let (placement, resumed) = match self.place_in_turn(now, resume, trial.is_some()).await {
-            PlacementChoice::Send(placement, resumed) => (placement, resumed),
-            PlacementChoice::Wait(_) | PlacementChoice::NoTarget => {
-                return SendOutcome::Event(ExchangeEvent::NoTarget);
-            }
-            PlacementChoice::VersionGone => {
-                return SendOutcome::Event(ExchangeEvent::VersionGone);
-            }
-            PlacementChoice::Crowded(after) => {
-                self.retry_after = Some(after);
-                return SendOutcome::Event(ExchangeEvent::Crowded);
-            }
+        let chosen = match self.choose(resume).await {
+            Ok(chosen) => chosen,
+            Err(event) => return SendOutcome::Event(event),
         };
         let now = self.context.now();
+        let ChosenTarget {
+            placement,
+            resumed,
+            slot,
+            trial,
+        } = chosen;
         let Some(address) = self.address(&placement.target) else {
             return SendOutcome::Event(ExchangeEvent::NoTarget);
         };
@@ -95,12 +93,60 @@
             address,
             resume_from,
         };
-        match self.transmit(now, &destination, trial).await {
+        match self.transmit(&destination, slot, trial).await {
             Ok((active, response)) => self.receive(&destination, active, response).await,
             Err(event) => SendOutcome::Event(event),
         }
     }
 
+    /// Selects the target of the next send, and waits while all are at the limits that they name, if one takes the
+    /// request in time. All questions are asked again after each wait.
+    async fn choose(&mut self, resume: &Resume) -> Result<ChosenTarget, ExchangeEvent> {
+        let deadline = self.exchange.plan().deadline;
+        let mut kept: Option<SlotGuard> = None;
+        loop {
+            if self.context.now() >= deadline {
+                return Err(ExchangeEvent::Expired);
+            }
+            let trial = match self.admit_suspect().await {
+                SuspectAdmission::Free => None,
+                SuspectAdmission::Trial(trial) => Some(trial),
+                SuspectAdmission::Busy => return Err(ExchangeEvent::TrialInProgress),
+                SuspectAdmission::Refused => return Err(ExchangeEvent::CrashesTargets),
+            };
+            let now = self.context.now();
+            let slot = kept.as_ref().map(SlotGuard::slot);
+            match self.place(now, resume, trial.is_some(), slot) {
+                PlacementChoice::Send(placement, resumed) => {
+                    let kept = kept.filter(|kept| kept.slot().target == placement.target);
+                    let slot =
+                        kept.or_else(|| SlotGuard::acquire(&self.context, &placement.target));
+                    return Ok(ChosenTarget {
+                        placement,
+                        resumed,
+                        slot,
+                        trial,
+                    });
+                }
+                PlacementChoice::Wait(slot) => {
+                    // A trial that waits would hold up the other requests of its suspect.
+                    drop(trial);
+                    kept = kept
+                        .filter(|kept| *kept.slot() == slot)
+                        .or_else(|| SlotGuard::acquire(&self.context, &slot.target));
+                    let check_at = (now + SLOT_CHECK_PERIOD).min(slot.at).min(deadline);
+                    tokio::time::sleep_until(self.context.clock.instant(check_at)).await;
+                }
+                PlacementChoice::NoTarget => return Err(ExchangeEvent::NoTarget),
+                PlacementChoice::VersionGone => return Err(ExchangeEvent::VersionGone),
+                PlacementChoice::Crowded(after) => {
+                    self.retry_after = Some(after);
+                    return Err(ExchangeEvent::Crowded);
+                }
+            }
+        }
+    }
+
     /// Records that the request is sent to a target, and returns the time after which the send is given up
     /// without an answer.
     fn record_placement(
@@ -148,8 +194,8 @@
     /// Sends the request, and returns the head of the response.
     async fn transmit(
         &mut self,
-        now: Time,
         destination: &Destination,
+        mut slot: Option<SlotGuard>,
         trial: Option<TrialGuard>,
     ) -> Result<(ActiveSend, Response<Incoming>), ExchangeEvent> {
         let id = &destination.placement.target;
@@ -159,6 +205,7 @@
         let mut guard = RequestGuard::acquire(&self.context, id, demand, trial);
         let keeper = destination.placement.keeper.as_ref();
         let copy_guard = keeper.map(|keeper| CopyGuard::acquire(&self.context, keeper, demand));
+        let now = self.context.now();
         let pooled = self.context.pool.take(now, id, destination.address).await;
         let pooled = pooled.map_err(|error| self.on_unreachable(id, &error))?;
         let mut may_have_run = false;
@@ -171,6 +218,9 @@
                 let event = ExchangeEvent::NotSent(Fault::Leaving);
                 return Err(event.after_earlier_run(may_have_run));
             }
+            if let Some(slot) = &mut slot {
+                slot.mark_used();
+            }
             guard.mark_sent(destination.placement.incarnation, &self.keys);
             self.record_rollout_transmission();
             let request = self.build_request(now, destination);
@@ -207,10 +257,12 @@
         }
     }
 
-    /// Returns whether the target still takes requests, which may have changed while it was connected to.
+    /// Returns whether the target still takes the request, which may have changed while it was connected to.
     fn is_still_open(&self, destination: &Destination) -> bool {
+        let now = self.context.now();
         let state = self.context.state();
-        state.fleet.is_still_open(&destination.placement)
+        let placement = &destination.placement;
+        state.fleet.is_still_open(placement) && self.may_use(now, &state, &placement.target)
     }
 
     /// Connects to the target again after a connection has broken.
