Give targets the time that is left when a request is sent

The time from which the deadline of a target is counted was read before the connection was made and the target was asked what it is, up to half a second and a connection time-out earlier, so targets were given more time than their callers had left (BUDGET allows half a second). A request whose deadline passed meanwhile was sent.

Change: build_request reads the time itself, and returns no request behind the deadline. That ends the send as not sent, with a fault of its own that says nothing of the target.

Run: streams::a_target_is_given_the_time_that_is_left_when_the_request_is_sent failed before (15 s given at an engine that takes 150 ms to say what it is) and passes. The exchange tests and clippy pass.

--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -65,6 +65,8 @@
     Replaced,
     /// The target has begun to leave since it was chosen.
     Leaving,
+    /// The deadline of the request passed before it could be sent, which says nothing of the target.
+    Late,
 }
 
 impl Fault {
@@ -74,7 +76,7 @@
             Fault::Unreachable | Fault::Silent | Fault::Replaced => 2.0,
             Fault::Broken => 1.0,
             Fault::Failed | Fault::Full => 0.5,
-            Fault::Leaving => 0.0,
+            Fault::Leaving | Fault::Late => 0.0,
         }
     }
 
--- a/crates/cw_policy/tests/forward/exchange.rs
+++ b/crates/cw_policy/tests/forward/exchange.rs
@@ -302,6 +302,18 @@
     assert_eq!(step, ExchangeStep::Refuse(ErrorKind::TargetFailed));
 }
 
+/// Guards against a request that is counted as run although its deadline passed while a connection for it was made.
+#[rstest]
+#[case(Repeat::Never)]
+#[case(Repeat::Resume)]
+fn a_request_that_expires_before_it_is_sent_has_not_run(#[case] repeat: Repeat) {
+    let mut exchange = sent(repeat);
+
+    let step = exchange.on_event(at(25_000), ExchangeEvent::NotSent(Fault::Late), denied);
+
+    assert_eq!(step, ExchangeStep::Refuse(ErrorKind::Expired));
+}
+
 /// Guards against giving up a request while its prompt is read: a prompt of 14,000 tokens takes
 /// longer to read than the fraction of the objective that other requests get.
 #[test]
--- a/crates/cyclamenwharf/src/forward/exchange_driver.rs
+++ b/crates/cyclamenwharf/src/forward/exchange_driver.rs
@@ -437,5 +437,6 @@
         Fault::Full => "full",
         Fault::Replaced => "replaced",
         Fault::Leaving => "leaving",
+        Fault::Late => "late",
     }
 }
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -218,12 +218,15 @@
                 let event = ExchangeEvent::NotSent(Fault::Leaving);
                 return Err(event.after_earlier_run(may_have_run));
             }
+            let Some(request) = self.build_request(destination) else {
+                let event = ExchangeEvent::NotSent(Fault::Late);
+                return Err(event.after_earlier_run(may_have_run));
+            };
             if let Some(slot) = &mut slot {
                 slot.mark_used();
             }
             guard.mark_sent(destination.placement.incarnation, &self.keys);
             self.record_rollout_transmission();
-            let request = self.build_request(now, destination);
             let error = match self
                 .in_time(destination.give_up_at, connection.send(request))
                 .await?
@@ -350,7 +353,12 @@
         }
     }
 
-    fn build_request(&self, now: Time, destination: &Destination) -> Request<Bytes> {
+    /// Returns the request as it is sent now, unless its deadline has passed.
+    fn build_request(&self, destination: &Destination) -> Option<Request<Bytes>> {
+        let remaining = self.context.now().until(self.exchange.plan().deadline);
+        if remaining.is_zero() {
+            return None;
+        }
         let accepted = &self.request;
         let copy = destination
             .placement
@@ -362,7 +370,7 @@
             id: &accepted.head.id,
             target: &destination.placement.target,
             workspace: accepted.admitted.workspace.as_ref(),
-            remaining: now.until(self.exchange.plan().deadline),
+            remaining,
             priority: (accepted.memory)
                 .map(|_| (accepted.config).engine_priority(&accepted.service, rank)),
             last_event: accepted.events.last(),
@@ -377,6 +385,6 @@
             .context
             .dialect
             .target_headers(&accepted.parts.headers, &send);
-        request
+        Some(request)
     }
 }
