Let streams that were accepted wait for targets that rest or are full

What callers saw: an engine crashed while the other engines of its version turned requests away with Retry-After: 2.

Cause: an ending that is right for a new request was applied to one that was accepted. There were three notions of accepted (this exchange has passed something on; it was sent; the caller has a part); the end of a rest asked none of them, and a stream that is taken up counted as new for half of the decisions.

A stream of which the caller has a part waits for the end of a rest while its caller does. Behind a rest a target gets one request each 20 ms from an entry until it has run one, so that few are turned away again; new requests come later. Streams that full targets turn away keep to the budget and look less and less often.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -11,6 +11,7 @@
 use super::Fault;
 use super::Placement;
 use super::Precedence;
+use super::Progress;
 use super::Repeat;
 use super::RunCopy;
 
@@ -22,6 +23,20 @@
 /// of a short request, after which a slot is free.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(15);
 
+/// The maximum delay before a stream of which the caller has a part is placed again, after it has found targets full time and again.
+/// A run of a stream lasts for seconds, so that a slot is free soon enough.
+const MAX_FULL_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// The fraction of the objective that a new request waits for a slot of a target that takes it later. The answer must
+/// still come in time. The fraction is the same of the time that is left to a request that has been sent before.
+const SLOT_WAIT_SHARE: f64 = 0.25;
+
+/// How long callers of streams wait for the next event, by the users' platform: the longest of this time, this many
+/// objectives and this many of the longest pauses.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: f64 = 4.0;
+const PATIENCE_PAUSES: f64 = 8.0;
+
 /// The delay before a request asks again for a trial while another one is in progress. Each question is a call
 /// to another entry.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -158,8 +173,10 @@
 /// A send that waits for a part of the budget.
 #[derive(Clone, Debug)]
 struct UnpaidSend {
-    /// When the budget was first found to be spent.
-    since: Time,
+    /// When the send is given up.
+    until: Time,
+    /// The delay before the budget is asked again.
+    pause: Duration,
     /// The state from which the request resumes.
     resume: Resume,
 }
@@ -240,6 +257,38 @@
         self.runs + self.refused
     }
 
+    /// Returns how far the request has come.
+    pub fn progress(&self) -> Progress {
+        match (self.begun, self.origin) {
+            (true, _) => Progress::Begun,
+            // What this exchange has not begun was begun by an earlier try.
+            (false, Some(_)) => Progress::TakenUp,
+            (false, None) if self.sends() > 0 => Progress::Sent,
+            (false, None) => Progress::New,
+        }
+    }
+
+    /// Returns how long the request waits for a slot of a target that takes it later. The caller has got nothing since
+    /// `silent_since`, and the target needs up to `reading` for the prompt.
+    pub fn longest_slot_wait(&self, now: Time, silent_since: Time, reading: Duration) -> Duration {
+        let left = now.until(self.plan.deadline);
+        match self.progress() {
+            Progress::New => self.plan.objective.mul_f64(SLOT_WAIT_SHARE),
+            Progress::Sent => left.mul_f64(SLOT_WAIT_SHARE),
+            Progress::TakenUp | Progress::Begun => {
+                let patience = now.until(silent_since + self.caller_patience());
+                left.min(patience).saturating_sub(reading)
+            }
+        }
+    }
+
+    /// Returns how long the caller of a stream waits for the next event.
+    fn caller_patience(&self) -> Duration {
+        let objectives = self.plan.objective.mul_f64(PATIENCE_OBJECTIVES);
+        let pauses = self.max_pause().mul_f64(PATIENCE_PAUSES);
+        MIN_CALLER_PATIENCE.max(objectives).max(pauses)
+    }
+
     /// Returns whether another engine should keep a copy of the run.
     pub fn wants_copy(&self) -> bool {
         self.plan.repeat == Repeat::Resume
@@ -383,9 +432,9 @@
     /// Returns whether the request may wait for a target: not for long, unless its caller already has the
     /// beginning of the answer.
     fn may_wait(&self, now: Time) -> bool {
-        match self.begun {
-            true => now < self.plan.deadline,
-            false => {
+        match self.progress() {
+            Progress::TakenUp | Progress::Begun => now < self.plan.deadline,
+            Progress::New | Progress::Sent => {
                 let objective = self.plan.objective;
                 let usual = objective.mul_f64(WAIT_SHARE);
                 let longest = self.plan.precedence.longest_wait(objective, usual);
@@ -398,11 +447,17 @@
         if self.may_wait(now) {
             // The excluded targets may have recovered.
             self.excluded.clear();
-            return ExchangeStep::Wait(FULL_RETRY_DELAY);
+            return ExchangeStep::Wait(self.full_retry_delay());
         }
         self.end(ErrorKind::NoTarget)
     }
 
+    /// Returns the delay before the request is placed again. It grows with the refusals that a stream has met with.
+    fn full_retry_delay(&self) -> Duration {
+        let delay = FULL_RETRY_DELAY.saturating_mul(self.refused.max(1));
+        delay.min(MAX_FULL_RETRY_DELAY)
+    }
+
     fn on_not_run(
         &mut self,
         now: Time,
@@ -415,8 +470,16 @@
         if now >= self.plan.deadline {
             return self.end(ErrorKind::Expired);
         }
-        let allowed = spend();
-        if !self.begun && (self.refused >= MAX_REFUSALS || !allowed) {
+        if self.progress().has_part() {
+            // The stream can still go on when there is budget again.
+            let unpaid = UnpaidSend {
+                until: self.plan.deadline,
+                pause: MAX_FULL_RETRY_DELAY,
+                resume: Resume::default(),
+            };
+            return self.send_again(now, unpaid, spend);
+        }
+        if self.refused >= MAX_REFUSALS || !spend() {
             let kind = match fault {
                 Fault::Full => ErrorKind::Overloaded,
                 _ => ErrorKind::NoTarget,
@@ -436,7 +499,7 @@
         }
         let objective = self.plan.objective;
         let is_late = !objective.is_zero() && now.since(self.plan.arrived) >= objective;
-        if !self.begun && is_late {
+        if !self.progress().has_part() && is_late {
             return self.end(ErrorKind::NoTarget);
         }
         ExchangeStep::Send(Resume::default())
@@ -452,15 +515,27 @@
         if spend() {
             return ExchangeStep::Send(unpaid.resume);
         }
-        let limit = match self.begun {
-            true => self.max_pause().mul_f64(BUDGET_WAIT_SHARE),
-            false => self.plan.objective.mul_f64(WAIT_SHARE),
-        };
-        if !self.has_lenders || now.since(unpaid.since) >= limit {
+        if now >= unpaid.until {
             return self.end(ErrorKind::TargetFailed);
         }
+        let pause = unpaid.pause;
         self.unpaid = Some(unpaid);
-        ExchangeStep::AskBudget(BUDGET_RETRY_DELAY)
+        ExchangeStep::AskBudget(pause)
+    }
+
+    /// Returns a send of a request that a target has lost. It waits for the budget only while other entries may lend a part
+    /// of theirs, and not for long.
+    fn lost_send(&self, now: Time, resume: Resume) -> UnpaidSend {
+        let longest = match (self.has_lenders, self.begun) {
+            (false, _) => Duration::ZERO,
+            (true, true) => self.max_pause().mul_f64(BUDGET_WAIT_SHARE),
+            (true, false) => self.plan.objective.mul_f64(WAIT_SHARE),
+        };
+        UnpaidSend {
+            until: now + longest,
+            pause: BUDGET_RETRY_DELAY,
+            resume,
+        }
     }
 
     fn on_budget_asked(&mut self, now: Time, spend: impl FnOnce() -> bool) -> ExchangeStep {
@@ -480,10 +555,7 @@
         if now >= self.plan.deadline {
             return self.end(ErrorKind::Expired);
         }
-        let unpaid = UnpaidSend {
-            since: now,
-            resume: Resume::default(),
-        };
+        let unpaid = self.lost_send(now, Resume::default());
         self.send_again(now, unpaid, spend)
     }
 
@@ -502,10 +574,7 @@
         if self.runs >= self.plan.attempts {
             return self.end(ErrorKind::TargetFailed);
         }
-        let unpaid = UnpaidSend {
-            since: now,
-            resume: Resume { copy },
-        };
+        let unpaid = self.lost_send(now, Resume { copy });
         self.send_again(now, unpaid, spend)
     }
 
--- a/crates/cw_policy/src/forward/limit_shares.rs
+++ b/crates/cw_policy/src/forward/limit_shares.rs
@@ -67,9 +67,10 @@
     pub incarnation: Incarnation,
     /// When the request may be sent.
     pub at: Time,
-    /// Whether the slot can be kept for one request. A target that wants no requests until then takes
-    /// any number afterwards, so that all that wait for it would be sent at once.
-    pub is_exclusive: bool,
+    /// Whether the target names a limit, of which the slot is a part.
+    pub is_paced: bool,
+    /// Whether the target wants no requests until then.
+    pub after_rest: bool,
 }
 
 impl Fleet {
@@ -133,6 +134,16 @@
         }
     }
 
+    /// Records that an incarnation of a target has run a request that was sent at `sent_at`. If it has wanted no requests before
+    /// that, it takes any number now.
+    pub fn record_run(&mut self, id: &TargetId, incarnation: Incarnation, sent_at: Time) {
+        if let Some(member) = self.members.get_mut(id)
+            && member.listing.incarnation() == incarnation
+        {
+            member.limit.record_run(sent_at);
+        }
+    }
+
     /// Returns what to tell the other entries of the limits of targets.
     pub fn limit_notices(&self, now: Time) -> Vec<LimitNotice> {
         let members = self.limited.iter().filter_map(|id| self.members.get(id));
@@ -181,7 +192,7 @@
             .filter(|member| self.is_candidate(now, member, requirements));
         let slots = usable.filter_map(|member| Some((member.limit.next_slot(now)?, member)));
         let (at, member) = slots.min_by_key(|(at, _)| *at)?;
-        Some(member.slot(at))
+        Some(member.slot(now, at))
     }
 
     /// Returns whether a request may be sent in a slot that was kept for it. What it requires of a target is asked
@@ -223,15 +234,15 @@
     pub fn keep_slot(&mut self, now: Time, id: &TargetId) -> Option<Slot> {
         let member = self.members.get_mut(id)?;
         let at = member.limit.take_slot(now);
-        Some(member.slot(at))
+        Some(member.slot(now, at))
     }
 
     /// Gives back a slot that was kept for a request and not used.
     pub fn return_slot(&mut self, slot: &Slot) {
         let member = self.members.get_mut(&slot.target);
         let member = member.filter(|member| member.listing.incarnation() == slot.incarnation);
-        if let Some(member) = member.filter(|_| slot.is_exclusive) {
-            member.limit.return_slot();
+        if let Some(member) = member {
+            member.limit.return_slot(slot);
         }
     }
 
--- a/crates/cw_policy/src/forward/member.rs
+++ b/crates/cw_policy/src/forward/member.rs
@@ -316,12 +316,13 @@
     }
 
     /// Returns the slot of this incarnation at a time.
-    pub(super) fn slot(&self, at: Time) -> Slot {
+    pub(super) fn slot(&self, now: Time, at: Time) -> Slot {
         Slot {
             target: self.listing.id.clone(),
             incarnation: self.listing.incarnation(),
             at,
-            is_exclusive: self.limit.is_paced(),
+            is_paced: self.limit.is_paced(),
+            after_rest: self.limit.rest_until() > now,
         }
     }
 
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -25,7 +25,7 @@
 //! - [`ConnectionClose`]: when a process that ends closes a caller's connection.
 //! - [`CrashTracker`]: the requests that may crash the targets that run them, and whether they may be sent
 //!   ([`Standing`]).
-//! - [`Exchange`]: the state machine of one request.
+//! - [`Exchange`]: the state machine of one request, whose waits and ends go by its [`Progress`].
 //! - [`EventStream`]: splits a target's bytes into events and keeps them in order. It hands out an [`EventBatch`] and
 //!   counts its events when they are passed on.
 
@@ -50,6 +50,7 @@
 mod peers;
 mod placement;
 mod precedence;
+mod progress;
 mod prompt_locations;
 mod rank;
 mod rank_demand;
@@ -114,6 +115,7 @@
 pub use placement::Placement;
 pub use placement::Requirements;
 pub use precedence::Precedence;
+pub use progress::Progress;
 pub use prompt_locations::PromptLocationLimits;
 pub use prompt_locations::PromptLocations;
 pub use rank::Rank;
--- a/crates/cw_policy/src/forward/target_limit.rs
+++ b/crates/cw_policy/src/forward/target_limit.rs
@@ -6,6 +6,8 @@
 use cw_types::Rate;
 use cw_types::Time;
 
+use super::Slot;
+
 /// The rate at which a target is tried that takes fewer requests, so that the end of its limit is
 /// noticed.
 const MIN_RATE: Rate = Rate(0.2);
@@ -24,6 +26,10 @@
 /// The number of requests that an entry may save up while it sends none, beside the next one.
 const BURST: u32 = 1;
 
+/// The time between two requests to a target that has wanted none for a while and has run none since. A target that is
+/// still full says so in less time, so that few requests are sent to it in vain.
+const RETURN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What a target has reported of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct LimitReport {
@@ -50,6 +56,8 @@
     pace: Option<Pace>,
     /// The end of the time in which the target wants no requests from this entry.
     rest_until: Time,
+    /// When the next request may be sent after that time, until the target has run one since.
+    return_at: Option<Time>,
 }
 
 impl TargetLimit {
@@ -112,6 +120,14 @@
     /// Records that the target wants no requests from this entry for a time.
     pub(super) fn record_rest(&mut self, now: Time, rest: Duration) {
         self.rest_until = self.rest_until.max(now + rest.min(MAX_REST));
+        self.return_at = self.return_at.max(Some(self.rest_until));
+    }
+
+    /// Records that the target has run a request that was sent at `sent_at`.
+    pub(super) fn record_run(&mut self, sent_at: Time) {
+        if sent_at >= self.rest_until {
+            self.return_at = None;
+        }
     }
 
     /// Returns the end of the time in which the target wants no requests from this entry.
@@ -127,34 +143,57 @@
     /// Returns when this entry may send the next request, `None` if the other entries use the whole
     /// limit.
     pub(super) fn next_slot(&self, now: Time) -> Option<Time> {
-        let earliest = now.max(self.rest_until);
+        let earliest = self.earliest(now);
         match self.pace {
             None => Some(earliest),
             Some(pace) => pace.interval.map(|_| pace.next_at.max(earliest)),
         }
     }
 
+    /// Returns the first time at which the target wants a request, whatever limit it names.
+    fn earliest(&self, now: Time) -> Time {
+        let returns_at = self.return_at.unwrap_or_default();
+        now.max(self.rest_until).max(returns_at)
+    }
+
     /// Uses the next slot, and returns its time.
     pub(super) fn take_slot(&mut self, now: Time) -> Time {
-        let now = now.max(self.rest_until);
-        let Some(pace) = &mut self.pace else {
-            return now;
-        };
-        let Some(interval) = pace.interval else {
-            return now;
+        let earliest = self.earliest(now);
+        let slot = match &mut self.pace {
+            Some(pace) => pace.take_slot(earliest),
+            None => earliest,
         };
-        let slot = pace.next_at.max(now);
-        let earliest = now.before(interval * BURST);
-        pace.next_at = pace.next_at.max(earliest) + interval;
+        if let Some(return_at) = &mut self.return_at {
+            *return_at = slot + RETURN_INTERVAL;
+        }
         slot
     }
 
     /// Gives back a slot that was not used, so that another request does not wait for the one after it.
-    pub(super) fn return_slot(&mut self) {
-        if let Some(pace) = &mut self.pace
+    pub(super) fn return_slot(&mut self, slot: &Slot) {
+        if slot.is_paced
+            && let Some(pace) = &mut self.pace
             && let Some(interval) = pace.interval
         {
             pace.next_at = pace.next_at.before(interval);
         }
+        if let Some(return_at) = &mut self.return_at
+            && slot.at >= self.rest_until
+        {
+            *return_at = return_at.before(RETURN_INTERVAL).max(self.rest_until);
+        }
+    }
+}
+
+impl Pace {
+    /// Uses the next slot from a time on, and returns its time.
+    fn take_slot(&mut self, from: Time) -> Time {
+        let Some(interval) = self.interval else {
+            return from;
+        };
+        let slot = self.next_at.max(from);
+        let earliest = from.before(interval * BURST);
+        self.next_at = self.next_at.max(earliest) + interval;
+        slot
     }
 }
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cw_policy::forward::Placement;
+use cw_policy::forward::Progress;
 use cw_policy::forward::Requirements;
 use cw_policy::forward::Resume;
 use cw_policy::forward::RunCopy;
@@ -24,10 +25,6 @@
 use super::exchange_driver::millis;
 use super::forward_context::ForwardState;
 
-/// The fraction of the objective that a request waits for a target that is at its limit. The answer
-/// must still come in time.
-const SLOT_WAIT_SHARE: f64 = 0.25;
-
 /// The range of the delay after which callers are told to come back, as a multiple of the time until a
 /// target takes a request.
 const RETURN_SPREAD: std::ops::Range<f64> = 1.0..1.5;
@@ -185,28 +182,24 @@
         }
     }
 
-    /// Returns the decision for a request that no target takes now. A request that could not be sent
-    /// within [`SLOT_WAIT_SHARE`] of its objective is refused at once, unless it was accepted before.
+    /// Returns the decision for a request that no target takes now. One that could not be sent in time is refused at
+    /// once. New requests do not wait for the end of the time in which targets want none, and leave the first slots behind
+    /// it to those that were accepted.
     fn wait_for_slot(
         &self,
         now: Time,
         requirements: &Requirements<'_>,
         state: &mut ForwardState,
     ) -> PlacementChoice {
-        let plan = self.exchange.plan();
         let slot = state.fleet.next_slot(now, requirements);
         let interval = state.fleet.slot_interval(now, requirements);
         let next = slot.as_ref().map(|slot| now.until(slot.at));
         let Some(wait) = next.or(interval) else {
             return PlacementChoice::NoTarget;
         };
-        let longest = match self.exchange.sends() > 0 || self.request.events.last().is_some() {
-            true => now.until(plan.deadline),
-            false => plan.objective,
-        };
-        if let Some(slot) = slot.filter(|slot| slot.is_exclusive)
-            && wait <= longest.mul_f64(SLOT_WAIT_SHARE)
-        {
+        let is_new = self.exchange.progress() == Progress::New;
+        let slot = slot.filter(|slot| slot.is_paced || !slot.after_rest || !is_new);
+        if let Some(slot) = slot.filter(|_| wait <= self.longest_slot_wait(now, state)) {
             return PlacementChoice::Wait(slot);
         }
         info!(
@@ -220,6 +213,14 @@
         PlacementChoice::Crowded(wait.mul_f64(spread))
     }
 
+    fn longest_slot_wait(&self, now: Time, state: &ForwardState) -> Duration {
+        let prompt = self.request.head.demand.prompt;
+        let service = &self.request.service;
+        let reading = state.run_times.max_prompt_time(service, prompt);
+        let silent_since = self.last_event_at.unwrap_or(self.exchange.plan().arrived);
+        (self.exchange).longest_slot_wait(now, silent_since, reading.unwrap_or_default())
+    }
+
     /// Returns the decision for a request at the selected `placement`, which may be too busy to
     /// start it in time. A request that was sent before, or whose caller already has the beginning
     /// of its answer, is always sent: it was accepted, and a late answer is better than none.
@@ -231,8 +232,8 @@
         state: &mut ForwardState,
     ) -> PlacementChoice {
         let plan = self.exchange.plan();
-        let is_accepted = self.exchange.sends() > 0 || self.request.events.last().is_some();
-        if requirements.demand.prompt == 0 || is_accepted {
+        let is_new = self.exchange.progress() == Progress::New;
+        if requirements.demand.prompt == 0 || !is_new {
             return PlacementChoice::Send(placement, false);
         }
         let ForwardState {
--- a/crates/cyclamenwharf/src/forward/receiving.rs
+++ b/crates/cyclamenwharf/src/forward/receiving.rs
@@ -126,6 +126,11 @@
         }
         // A late response to another request tells an old load, and a refusal has effects of its own.
         let is_run = self.is_own(answer) && !answer.not_executed;
+        if is_run {
+            let (target, incarnation) = (&placement.target, placement.incarnation);
+            let mut state = self.context.state();
+            state.fleet.record_run(target, incarnation, self.sent_at);
+        }
         if let Some(load) = answer.load.filter(|_| is_run) {
             let now = self.context.now();
             let mut state = self.context.state();
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -10,6 +10,7 @@
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
+use cw_policy::forward::Slot;
 use cw_store::TargetRequestHead;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -21,6 +22,7 @@
 
 use super::connection_pool::PooledConnection;
 use super::exchange_driver::ExchangeDriver;
+use super::exchange_driver::millis;
 use super::guards::CopyGuard;
 use super::guards::RequestGuard;
 use super::guards::SlotGuard;
@@ -131,9 +133,10 @@
                 PlacementChoice::Wait(slot) => {
                     // A trial that waits would hold up the other requests of its suspect.
                     drop(trial);
-                    kept = kept
-                        .filter(|kept| *kept.slot() == slot)
-                        .or_else(|| SlotGuard::acquire(&self.context, &slot.target));
+                    kept = match kept {
+                        Some(kept) if *kept.slot() == slot => Some(kept),
+                        _ => self.keep_slot(now, &slot),
+                    };
                     let check_at = (now + SLOT_CHECK_PERIOD).min(slot.at).min(deadline);
                     tokio::time::sleep_until(self.context.clock.instant(check_at)).await;
                 }
@@ -147,6 +150,19 @@
         }
     }
 
+    /// Keeps a slot, in which the request waits for a target.
+    fn keep_slot(&self, now: Time, slot: &Slot) -> Option<SlotGuard> {
+        info!(
+            request = self.request.head.id.as_str(),
+            target_id = slot.target.as_str(),
+            after_ms = millis(now.until(slot.at)),
+            after_rest = u64::from(slot.after_rest),
+            progress:? = self.exchange.progress();
+            "a request waits for a target that takes it later"
+        );
+        SlotGuard::acquire(&self.context, &slot.target)
+    }
+
     /// Records that the request is sent to a target, and returns the time after which the send is given up
     /// without an answer.
     fn record_placement(
