Take any text for a software version, also an empty or a long one

Cause: a label had 1 to 128 bytes, and a version that is no label counted as unknown, which equals no other one. Any text can be compared as it stands.

Change: a label may be empty and has up to 4,096 bytes.

--- a/crates/cw_types/src/name.rs
+++ b/crates/cw_types/src/name.rs
@@ -10,6 +10,9 @@
 /// The maximum length of a name, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
+/// The maximum length of a label, in bytes. Messages between processes have a few labels each.
+const MAX_LABEL_BYTES: usize = 4096;
+
 /// The error for text that is not a valid name.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum NameError {
@@ -19,6 +22,12 @@
         /// The length of the text, in bytes.
         length: usize,
     },
+    /// The label is longer than 4096 bytes.
+    #[snafu(display("a label has at most {MAX_LABEL_BYTES} bytes, this one has {length}"))]
+    LabelLength {
+        /// The length of the text, in bytes.
+        length: usize,
+    },
     /// The name has a character other than `a-z`, `A-Z`, `0-9`, `.`, `_`, `-`, `:` and `@`.
     #[snafu(display("the character {found:?} is not allowed in a name"))]
     Character {
@@ -38,11 +47,11 @@
     }
 }
 
-/// Checks a label that other programs assign, which may have any characters.
+/// Checks a label that other programs assign, which may have any characters, or none.
 fn check_label(text: &str) -> Result<(), NameError> {
     match text.len() {
-        1..=MAX_NAME_BYTES => Ok(()),
-        length => Err(NameError::Length { length }),
+        0..=MAX_LABEL_BYTES => Ok(()),
+        length => Err(NameError::LabelLength { length }),
     }
 }
 
