--- a/crates/cyclamenwharf/src/main.rs
+++ b/crates/cyclamenwharf/src/main.rs
@@ -191,7 +191,12 @@
             store: Arc::new(PlatformStore::new(settings.store)),
         };
         let entry = Forwarder::start(settings, parts).map_err(|e| e.to_string())?;
-        info!(callers = entry.callers.to_string(); "the forwarding entry has started");
+        info!(
+            callers = entry.callers.to_string(),
+            version = env!("CARGO_PKG_VERSION"),
+            commit = env!("CYCLAMENWHARF_COMMIT");
+            "the forwarding entry has started"
+        );
         end.recv().await;
         info!("the forwarding entry is draining");
         entry.drain().await;
