Take a record without a version for one that names no target

What callers saw: the records of five of six engines came from another writer for 1.5 s and lacked the version.

Cause: a record without a promised field was read as one with an unknown value, and a version was made up for this start of the target, which no target has once its record is whole again.

Change: the version of a Listing is no option any more, so a record without one can't be read and counts as removed until the target's own next one.

--- a/crates/cw_policy/src/forward/listing.rs
+++ b/crates/cw_policy/src/forward/listing.rs
@@ -23,8 +23,8 @@
     pub zone: ZoneId,
     /// The maximum number of concurrent requests.
     pub slots: u32,
-    /// The version of the target's software, `None` if it is not known.
-    pub version: Option<SoftwareVersion>,
+    /// The version of the target's software.
+    pub version: SoftwareVersion,
     /// Whether the target is draining and accepts no new requests.
     pub leaving: bool,
     /// The Unix time at which the target started, in milliseconds. A different time under the same
@@ -46,10 +46,7 @@
 
     /// Returns the hash of the software that this incarnation runs.
     pub fn software(&self) -> SoftwareHash {
-        match &self.version {
-            Some(version) => SoftwareHash::of_version(&self.service, version),
-            None => SoftwareHash::of_incarnation(&self.service, &self.id, self.incarnation()),
-        }
+        SoftwareHash::of_version(&self.service, &self.version)
     }
 
     /// Returns whether `other` describes the same start of the same target, if both tell when that was, whatever else
--- a/crates/cw_wire/src/stream_origin.rs
+++ b/crates/cw_wire/src/stream_origin.rs
@@ -1,10 +1,8 @@
 //! The software version that began a stream, as entries tell it to each other.
 
 use cw_macro::data;
-use cw_types::Incarnation;
 use cw_types::ServiceName;
 use cw_types::SoftwareVersion;
-use cw_types::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::Serializer;
@@ -24,17 +22,6 @@
     pub fn of_version(service: &ServiceName, version: &SoftwareVersion) -> Self {
         Self(hash_texts([service.as_str(), "version", version.as_str()]))
     }
-
-    /// Returns the hash of a target whose version is not known. No other target, and no other incarnation of this
-    /// one, has it.
-    pub fn of_incarnation(
-        service: &ServiceName,
-        target: &TargetId,
-        incarnation: Incarnation,
-    ) -> Self {
-        let number = incarnation.0.to_string();
-        Self(hash_texts([service.as_str(), target.as_str(), &number]))
-    }
 }
 
 fn hash_texts(texts: [&str; 3]) -> u64 {
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -14,7 +14,6 @@
 use cw_policy::forward::SoftwareFilter;
 use cw_policy::forward::StartEstimate;
 use cw_policy::forward::Topic;
-use cw_types::SoftwareVersion;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::TargetHash;
@@ -326,7 +325,7 @@
             after = self.request.events.last().unwrap_or_default(),
             resumes = self.request.head.first_attempt.as_deref().unwrap_or("none"),
             software = state.fleet.listing(&placement.target).map_or("none", |listing| {
-                listing.version.as_ref().map_or("unknown", SoftwareVersion::as_str)
+                listing.version.as_str()
             }),
             load:? = load,
             found:? = self.backlog,
