Let nothing of an earlier era of the store decide a version

What callers saw: a second version came after the store had been copied; all machines lost power, the store came back from the copy, and the engines of the second version did not.

Cause: what was persisted before the copy counted as certain once targets had had time to register. Targets that are lost for good do not register, so their silence says nothing.

Change: after a drill and the loss of all entries the persisted versions count as unknown. What the value lists of single streams holds, for callers that name their attempt; a listed request may have begun again since. The others are refused until one version has served for as long as streams last, as at running entries.

The new case of the socket test failed before and passes. The unit test of the trust after 2 s had the fault as its last assertion; it now asks that nothing is certain before the longest life of a stream.

--- a/crates/cw_policy/src/forward/software_history.rs
+++ b/crates/cw_policy/src/forward/software_history.rs
@@ -127,8 +127,6 @@
     earlier: EarlierSoftware,
     /// When `earlier` was read.
     restored_at: Time,
-    /// From when `earlier` is certain.
-    certain_at: Time,
     /// The number of changes of the set of versions.
     changes: u64,
 }
@@ -188,7 +186,7 @@
     fn restored(&self, now: Time, service: &ServiceName) -> Option<SoftwareHash> {
         let software = self.services.get(service)?.first()?;
         let is_known = self.earlier.is_only(software) && self.is_confirmed(now);
-        (is_known && now >= self.certain_at).then_some(software)
+        is_known.then_some(software)
     }
 
     /// Returns the versions that alone have begun all streams of their services that are no older than `longest`.
@@ -247,16 +245,10 @@
     }
 
     /// Records that the directory has come back from an older copy since what was restored had been written. The copy
-    /// may also lack a version that has come since then, so nothing is certain until targets have had time to
-    /// register again.
-    pub fn doubt_restored(&mut self, now: Time) {
-        self.software.certain_at = now + self.limits.relist_grace;
-    }
-
-    /// Returns the time until what was restored is certain, `None` if it is now.
-    pub fn restored_delay(&self, now: Time) -> Option<Duration> {
-        let certain_at = self.software.certain_at;
-        (now < certain_at).then(|| now.until(certain_at))
+    /// lacks the versions that have come since then, and their targets may be lost, so that nothing tells of them. What
+    /// began earlier streams is not known.
+    pub fn doubt_restored(&mut self) {
+        self.software.earlier = EarlierSoftware::Unknown;
     }
 
     /// Returns the software that has begun all streams of a service by what entries before this one have persisted.
--- a/crates/cw_policy/src/forward/stream_origins.rs
+++ b/crates/cw_policy/src/forward/stream_origins.rs
@@ -131,6 +131,14 @@
         known?.software
     }
 
+    /// Records that the requests which are known may have begun streams of other versions as well. Callers that name no
+    /// attempt are not recognized by them any more.
+    pub fn doubt_requests(&mut self) {
+        for known in self.requests.values_mut() {
+            known.software = None;
+        }
+    }
+
     /// Returns whether streams of several versions answer the request of a caller that names no attempt.
     pub fn is_split(&self, now: Time, stream: Option<StreamHash>, request: Fingerprint) -> bool {
         let known = match stream {
--- a/crates/cw_policy/tests/forward/software_history.rs
+++ b/crates/cw_policy/tests/forward/software_history.rs
@@ -160,25 +160,44 @@
 }
 
 /// Guards against streams that are joined from two versions: the directory and what was persisted have both come back from a
-/// copy that is older than the second version.
+/// copy that is older than the second version, whose targets do not register again.
 #[test]
-fn an_older_copy_is_certain_once_targets_had_time_to_register() {
+fn an_older_copy_does_not_tell_what_has_begun_streams() {
     let mut joined = started(&[(0, "v1")], only("v1"));
     let mut alone = joined.clone();
 
     for fleet in [&mut joined, &mut alone] {
-        fleet.doubt_restored(at(115));
+        fleet.doubt_restored();
     }
     let at_once = [found(&joined, 120), found(&alone, 120)];
-    let delay = alone.restored_delay(at(120));
     joined.record_listing(at(900), versioned(1, "v2"));
-    for fleet in [&mut joined, &mut alone] {
-        fleet.confirm_targets(at(1500));
+    let lives = u64::try_from(STREAM_LIFE.as_millis()).unwrap();
+    let mut early = Vec::new();
+    for now in (1000..lives + 1000).step_by(500) {
+        for fleet in [&mut joined, &mut alone] {
+            fleet.confirm_targets(at(now));
+            early.extend((now < lives).then(|| found(fleet, now)));
+            let persisted = fleet.only_versions(at(now), STREAM_LIFE);
+            assert!(now >= lives || persisted.is_empty(), "{persisted:?}");
+        }
     }
 
     assert_eq!(at_once, [None, None]);
-    assert_eq!(delay, Some(Duration::from_millis(1995)));
-    assert_eq!(found(&joined, 2200), None);
-    assert_eq!(found(&alone, 2200), Some(version("v1")));
-    assert_eq!(alone.restored_delay(at(2200)), None);
+    assert!(early.iter().all(Option::is_none), "{early:?}");
+    assert_eq!(found(&joined, lives + 600), None);
+    assert_eq!(
+        found(&alone, lives + 600),
+        Some(version("v1")),
+        "no stream is older"
+    );
+}
+
+/// Guards against the same at a first start: the key may have been lost with the directory.
+#[test]
+fn a_lost_key_does_not_tell_that_no_stream_has_begun() {
+    let mut fleet = started(&[(0, "v1")], EarlierSoftware::Nothing);
+
+    fleet.doubt_restored();
+
+    assert_eq!(found(&fleet, 120), None);
 }
--- a/crates/cw_policy/tests/forward/stream_origins.rs
+++ b/crates/cw_policy/tests/forward/stream_origins.rs
@@ -101,6 +101,21 @@
     assert!(origins.is_empty());
 }
 
+/// Guards against a request that is taken for its listed stream although it has begun again at another version since.
+#[test]
+fn a_doubted_request_is_recognized_by_its_attempt_only() {
+    let mut origins = StreamOrigins::default();
+    let known = origin("a1", "v1");
+    origins.record_told(at(0), known);
+
+    origins.doubt_requests();
+
+    let by_attempt = origins.find(at(10), Some(known.stream), known.request);
+    assert_eq!(by_attempt, Some(known.software));
+    assert_eq!(origins.find(at(10), None, known.request), None);
+    assert!(origins.is_split(at(10), None, known.request));
+}
+
 #[test]
 fn targets_with_the_same_version_have_the_same_software() {
     let restarted = Listing {
--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -271,12 +271,13 @@
         if let Some(written_at) = written_at
             && !self.store.has_kept(written_at, newest)
         {
-            let now = self.context.now();
-            self.context.state().fleet.doubt_restored(now);
+            let mut state = self.context.state();
+            state.fleet.doubt_restored();
+            state.origins.doubt_requests();
             info!(
                 written_at = written_at.0,
                 revision = newest.0;
-                "the key-value service has come back from an older copy; the restored runs count once targets had time to register"
+                "the key-value service has come back from an older copy; it does not tell which versions have begun streams"
             );
         }
     }
--- a/crates/cyclamenwharf/src/forward/stream_take_up.rs
+++ b/crates/cyclamenwharf/src/forward/stream_take_up.rs
@@ -43,8 +43,6 @@
         };
         let Some(software) = known else {
             self.record_take_up("unknown");
-            let now = self.context.now();
-            self.retry_after = self.context.state().fleet.restored_delay(now);
             return TakeUp::Refused(ExchangeEvent::OriginUnknown);
         };
         self.exchange.take_up(software);
