Choose the target of a send in a file of its own

The choice of a target with its waits moves to chosen_target.rs, without a change but for the order of two fields.

--- a/crates/cyclamenwharf/src/forward/mod.rs
+++ b/crates/cyclamenwharf/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod body_shares;
 mod budget_loans;
 mod caller_api;
+mod chosen_target;
 mod connection_pool;
 mod copy_renewal;
 mod crash_evidence_state;
--- a/crates/cyclamenwharf/src/forward/sending.rs
+++ b/crates/cyclamenwharf/src/forward/sending.rs
@@ -1,7 +1,6 @@
 //! Performs one send of a request, from the choice of the target to the outcome.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cw_policy::forward::CopyName;
@@ -10,7 +9,6 @@
 use cw_policy::forward::Placement;
 use cw_policy::forward::Repeat;
 use cw_policy::forward::Resume;
-use cw_policy::forward::Slot;
 use cw_store::TargetRequestHead;
 use cw_types::TargetId;
 use cw_types::Time;
@@ -20,26 +18,20 @@
 use hyper::body::Incoming;
 use log::info;
 
+use super::chosen_target::ChosenTarget;
 use super::connection_pool::PooledConnection;
 use super::exchange_driver::ExchangeDriver;
-use super::exchange_driver::millis;
 use super::guards::CopyGuard;
 use super::guards::RequestGuard;
 use super::guards::SlotGuard;
 use super::loss_check::record_crash;
-use super::placement_choice::PlacementChoice;
 use super::send_outcome::ActiveSend;
 use super::send_outcome::SendOutcome;
 use super::target_connection::ConnectError;
 use super::target_connection::SendError;
 use super::target_connection::TargetConnection;
-use super::trial_guard::SuspectAdmission;
 use super::trial_guard::TrialGuard;
 
-/// The longest time after which a request that waits for a slot looks for another target. One may have started or
-/// recovered meanwhile.
-const SLOT_CHECK_PERIOD: Duration = Duration::from_millis(250);
-
 /// The target of a send, with the copy that it resumes from and the time limit.
 pub(super) struct Destination {
     pub(super) placement: Placement,
@@ -50,17 +42,6 @@
     pub(super) give_up_at: Option<Time>,
 }
 
-/// The target that was selected for a send.
-struct ChosenTarget {
-    placement: Placement,
-    /// Whether the target resumes from a copy.
-    resumed: bool,
-    /// The slot in which the target takes the request.
-    slot: Option<SlotGuard>,
-    /// The trial, if the request may be sent only on trial.
-    trial: Option<TrialGuard>,
-}
-
 /// The action after a connection breaks before the answer.
 enum AfterBreak {
     /// Send the request to the same target on a new connection, since no part of it was sent.
@@ -101,68 +82,6 @@
         }
     }
 
-    /// Selects the target of the next send, and waits while all are at the limits that they name, if one takes the
-    /// request in time. All questions are asked again after each wait.
-    async fn choose(&mut self, resume: &Resume) -> Result<ChosenTarget, ExchangeEvent> {
-        let deadline = self.exchange.plan().deadline;
-        let mut kept: Option<SlotGuard> = None;
-        loop {
-            if self.context.now() >= deadline {
-                return Err(ExchangeEvent::Expired);
-            }
-            let trial = match self.admit_suspect().await {
-                SuspectAdmission::Free => None,
-                SuspectAdmission::Trial(trial) => Some(trial),
-                SuspectAdmission::Busy => return Err(ExchangeEvent::TrialInProgress),
-                SuspectAdmission::Refused => return Err(ExchangeEvent::CrashesTargets),
-            };
-            let now = self.context.now();
-            let slot = kept.as_ref().map(SlotGuard::slot);
-            match self.place(now, resume, trial.is_some(), slot) {
-                PlacementChoice::Send(placement, resumed) => {
-                    let kept = kept.filter(|kept| kept.slot().target == placement.target);
-                    let slot =
-                        kept.or_else(|| SlotGuard::acquire(&self.context, &placement.target));
-                    return Ok(ChosenTarget {
-                        placement,
-                        resumed,
-                        slot,
-                        trial,
-                    });
-                }
-                PlacementChoice::Wait(slot) => {
-                    // A trial that waits would hold up the other requests of its suspect.
-                    drop(trial);
-                    kept = match kept {
-                        Some(kept) if *kept.slot() == slot => Some(kept),
-                        _ => self.keep_slot(now, &slot),
-                    };
-                    let check_at = (now + SLOT_CHECK_PERIOD).min(slot.at).min(deadline);
-                    tokio::time::sleep_until(self.context.clock.instant(check_at)).await;
-                }
-                PlacementChoice::NoTarget => return Err(ExchangeEvent::NoTarget),
-                PlacementChoice::VersionGone => return Err(ExchangeEvent::VersionGone),
-                PlacementChoice::Crowded(after) => {
-                    self.retry_after = Some(after);
-                    return Err(ExchangeEvent::Crowded);
-                }
-            }
-        }
-    }
-
-    /// Keeps a slot, in which the request waits for a target.
-    fn keep_slot(&self, now: Time, slot: &Slot) -> Option<SlotGuard> {
-        info!(
-            request = self.request.head.id.as_str(),
-            target_id = slot.target.as_str(),
-            after_ms = millis(now.until(slot.at)),
-            after_rest = u64::from(slot.after_rest),
-            progress:? = self.exchange.progress();
-            "a request waits for a target that takes it later"
-        );
-        SlotGuard::acquire(&self.context, &slot.target)
-    }
-
     /// Records that the request is sent to a target, and returns the time after which the send is given up
     /// without an answer.
     fn record_placement(
