Let a stream wait for a slot only if it can end in time

Cause: the longest wait left time for the prompt only, not for the events that the caller lacks.

Change: RunTimes also keeps the mean number of events of whole runs, and the wait ends early enough for the mean rest of a run. Runs that a caller has taken up no longer count as whole runs.

--- a/crates/cw_policy/src/forward/exchange.rs
+++ b/crates/cw_policy/src/forward/exchange.rs
@@ -269,15 +269,24 @@
     }
 
     /// Returns how long the request waits for a slot of a target that takes it later. The caller has got nothing since
-    /// `silent_since`, and the target needs up to `reading` for the prompt.
-    pub fn longest_slot_wait(&self, now: Time, silent_since: Time, reading: Duration) -> Duration {
+    /// `silent_since`. A stream of which it has a part needs up to `reading` for the prompt and then about `rest` for the
+    /// events that it lacks.
+    pub fn longest_slot_wait(
+        &self,
+        now: Time,
+        silent_since: Time,
+        reading: Duration,
+        rest: Duration,
+    ) -> Duration {
         let left = now.until(self.plan.deadline);
         match self.progress() {
             Progress::New => self.plan.objective.mul_f64(SLOT_WAIT_SHARE),
             Progress::Sent => left.mul_f64(SLOT_WAIT_SHARE),
             Progress::TakenUp | Progress::Begun => {
                 let patience = now.until(silent_since + self.caller_patience());
-                left.min(patience).saturating_sub(reading)
+                left.saturating_sub(rest)
+                    .min(patience)
+                    .saturating_sub(reading)
             }
         }
     }
--- a/crates/cw_policy/src/forward/run_times.rs
+++ b/crates/cw_policy/src/forward/run_times.rs
@@ -21,6 +21,8 @@
     per_queued: Option<f64>,
     /// The time from the first event to the last, in seconds.
     run: Option<f64>,
+    /// The number of events.
+    events: Option<f64>,
 }
 
 /// The mean times of runs by service, measured on this entry's own requests.
@@ -48,10 +50,12 @@
         }
     }
 
-    /// Records the time of a complete answer from its first event to its last.
-    pub fn record_run(&mut self, service: &ServiceName, time: Duration) {
+    /// Records the time of a complete answer from its first event to its last, and the number of its events.
+    pub fn record_run(&mut self, service: &ServiceName, time: Duration, events: u64) {
         let times = self.services.entry(service.clone()).or_default();
         update_mean(&mut times.run, time, 1);
+        let mean = times.events.get_or_insert(events as f64);
+        *mean += NEWEST_WEIGHT * (events as f64 - *mean);
     }
 
     /// Returns the maximum expected time for reading a prompt, `None` before the first sample.
@@ -82,6 +86,16 @@
         Some(Duration::from_secs_f64(run))
     }
 
+    /// Returns how long the rest of a run takes on average that has sent `events` events, zero before the first sample.
+    pub fn rest_time(&self, service: &ServiceName, events: u64) -> Duration {
+        let times = self.services.get(service).copied().unwrap_or_default();
+        let (Some(run), Some(mean)) = (times.run, times.events) else {
+            return Duration::ZERO;
+        };
+        let rest = (1.0 - events as f64 / mean.max(1.0)).max(0.0);
+        Duration::from_secs_f64(run * rest)
+    }
+
     /// Drops the times of the services for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&ServiceName) -> bool) {
         self.services.retain(|name, _| keep(name));
--- a/crates/cw_policy/tests/forward/progress.rs
+++ b/crates/cw_policy/tests/forward/progress.rs
@@ -9,6 +9,7 @@
 use cw_policy::forward::Fault;
 use cw_policy::forward::Progress;
 use cw_policy::forward::Repeat;
+use cw_policy::forward::RunTimes;
 use cw_types::ErrorKind;
 use cw_types::Time;
 use rstest::rstest;
@@ -16,6 +17,7 @@
 use crate::fixtures::at;
 use crate::fixtures::engine;
 use crate::fixtures::listing;
+use crate::fixtures::name;
 use crate::fixtures::placement;
 use crate::fixtures::plan;
 
@@ -166,7 +168,8 @@
 fn a_request_waits_for_a_slot_by_its_progress(#[case] progress: Progress, #[case] expected: u64) {
     let exchange = exchange_at(progress);
 
-    let longest = exchange.longest_slot_wait(at(LATE), at(0), Duration::from_secs(1));
+    let (reading, rest) = (Duration::from_secs(1), Duration::from_secs(3));
+    let longest = exchange.longest_slot_wait(at(LATE), at(0), reading, rest);
 
     assert_eq!(longest, Duration::from_millis(expected));
 }
@@ -180,11 +183,33 @@
     });
     exchange.take_up(listing(0, 0).software());
 
-    let longest = exchange.longest_slot_wait(at(LATE), at(LATE), Duration::from_millis(400));
+    let reading = Duration::from_millis(400);
+    let longest = exchange.longest_slot_wait(at(LATE), at(LATE), reading, Duration::ZERO);
 
     assert_eq!(longest, Duration::from_millis(600));
 }
 
+/// Guards against a stream that waits for a slot and is broken off at its deadline all the same, while one that could have ended
+/// in time waits behind it.
+#[rstest]
+#[case(0, 10_000)]
+#[case(70, 15_000)]
+#[case(140, 18_000)]
+#[case(200, 18_000)]
+fn a_stream_waits_for_a_slot_only_if_it_can_end_in_time(#[case] events: u64, #[case] until: u64) {
+    let mut times = RunTimes::default();
+    let service = name("engines");
+    let before = times.rest_time(&service, events);
+    times.record_run(&service, Duration::from_secs(10), 140);
+    let exchange = exchange_at(Progress::Begun);
+
+    let rest = times.rest_time(&service, events);
+    let longest = exchange.longest_slot_wait(at(LATE), at(LATE), Duration::ZERO, rest);
+
+    assert_eq!(before, Duration::ZERO);
+    assert_eq!(longest, Duration::from_millis(until));
+}
+
 /// Guards against a stream that is sent to full targets time and again: it was sent every 15 ms, whatever the budget.
 #[rstest]
 #[case(true)]
--- a/crates/cw_policy/tests/forward/start_estimate.rs
+++ b/crates/cw_policy/tests/forward/start_estimate.rs
@@ -279,7 +279,7 @@
 #[test]
 fn memory_that_must_be_freed_first_delays_the_start() {
     let (mut fleet, mut times) = measured_fleet(1);
-    times.record_run(&name("engines"), Duration::from_secs(10));
+    times.record_run(&name("engines"), Duration::from_secs(10), 140);
     for _ in 0..18 {
         fleet.record_send(at(0), &engine(0, 0), DEMAND);
         fleet.record_start(at(0), &engine(0, 0), DEMAND);
--- a/crates/cyclamenwharf/src/forward/placement_choice.rs
+++ b/crates/cyclamenwharf/src/forward/placement_choice.rs
@@ -215,9 +215,11 @@
     fn longest_slot_wait(&self, now: Time, state: &ForwardState) -> Duration {
         let prompt = self.request.head.demand.prompt;
         let service = &self.request.service;
+        let events = self.request.events.last().unwrap_or_default();
         let reading = state.run_times.max_prompt_time(service, prompt);
+        let rest = state.run_times.rest_time(service, events);
         let silent_since = self.last_event_at.unwrap_or(self.exchange.plan().arrived);
-        (self.exchange).longest_slot_wait(now, silent_since, reading.unwrap_or_default())
+        (self.exchange).longest_slot_wait(now, silent_since, reading.unwrap_or_default(), rest)
     }
 
     /// Returns the decision for a request at the selected `placement`, which may be too busy to
--- a/crates/cyclamenwharf/src/forward/streaming.rs
+++ b/crates/cyclamenwharf/src/forward/streaming.rs
@@ -244,12 +244,14 @@
             .is_some_and(|first| CrashTracker::has_run_on(first, last_received))
     }
 
-    /// Records the duration of a run, from its first event to its last, if a single target ran it.
+    /// Records the duration of a run, from its first event to its last, if a single target ran all of it.
     fn record_run(&self) {
-        if let (1, Some(first)) = (self.exchange.sends(), self.target_started_at) {
+        let is_whole = self.request.head.last_event.unwrap_or_default() == 0;
+        if let (1, true, Some(first)) = (self.exchange.sends(), is_whole, self.target_started_at) {
             let time = self.context.now().since(first);
+            let events = self.request.events.last().unwrap_or_default();
             let mut state = self.context.state();
-            state.run_times.record_run(&self.request.service, time);
+            (state.run_times).record_run(&self.request.service, time, events);
         }
     }
 
