Keep the logs of a soak with findings

As before, it could not be traced, since the logs of the entries had been dropped with the run.

Change: CW_SOAK_LOGS names a directory for the logs of the processes of a run with findings, and the departures that were judged are printed.

--- a/crates/cyclamenwharf/tests/real_process/process.rs
+++ b/crates/cyclamenwharf/tests/real_process/process.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -169,6 +170,11 @@
         }
     }
 
+    /// Copies the log of the process to a file.
+    pub(crate) fn keep_log(&self, file: &Path) {
+        std::fs::copy(self.directory.path().join("log"), file).expect("a writable directory");
+    }
+
     /// Returns the last lines of the log that name a request.
     pub(crate) fn log_of(&self, request: &str) -> String {
         let log = std::fs::read_to_string(self.directory.path().join("log")).unwrap_or_default();
--- a/crates/cyclamenwharf/tests/real_process/soak.rs
+++ b/crates/cyclamenwharf/tests/real_process/soak.rs
@@ -2,6 +2,7 @@
 //! overlap, while callers use their connections until the process is gone. It is judged by what callers and engines see.
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -193,6 +194,20 @@
         }
     }
 
+    /// Keeps the logs of the processes of a run with findings, with the departures that were judged.
+    async fn keep_logs(&self, seed: u64) {
+        let Ok(directory) = std::env::var("CW_SOAK_LOGS") else {
+            return;
+        };
+        for (number, entry) in self.entries.iter().enumerate() {
+            let file = Path::new(&directory).join(format!("seed-{seed}-entry-{number}.log"));
+            entry.process.lock().await.keep_log(&file);
+        }
+        for left in self.departures.lock().expect("a lock").iter() {
+            println!("{} left {:?} ago", left.engine, left.acked.elapsed());
+        }
+    }
+
     /// Plays a run, and returns what was found.
     async fn play(self: Arc<Self>, seed: u64) -> Vec<String> {
         let mut callers = Vec::new();
@@ -581,7 +596,8 @@
 
 /// Guards against requests that real processes lose: by a signal, a restart, a process that stands still, or a fault beside.
 ///
-/// `CW_SOAK_SEED` and `CW_SOAK_COUNT` choose other runs, and `CW_SOAK_PROGRAM` another program.
+/// `CW_SOAK_SEED` and `CW_SOAK_COUNT` choose other runs, and `CW_SOAK_PROGRAM` another program. The logs of the processes of a run
+/// with findings are kept in the directory `CW_SOAK_LOGS`, if there is one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn each_accepted_request_gets_one_whole_answer_or_a_refusal() {
     let number = |name: &str, default: u64| {
@@ -594,6 +610,9 @@
         let soak = Arc::new(Soak::start(seed).await);
         let found = Arc::clone(&soak).play(seed).await;
         println!("seed {seed}, {:?}: {} findings", soak.troubles, found.len());
+        if !found.is_empty() {
+            soak.keep_logs(seed).await;
+        }
         findings.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
     }
     assert!(findings.is_empty(), "{}", findings.join("\n\n"));
