Let a revision tell the era that it belongs to

Whether the key-value service has come back from an older copy between two revisions could only be asked of the client of the service (KeyValueStore::has_kept), so whoever keeps a revision could not judge it later. No behaviour changes.

--- a/crates/cw_store/src/key_value_store.rs
+++ b/crates/cw_store/src/key_value_store.rs
@@ -9,13 +9,9 @@
 use futures::stream::BoxStream;
 use snafu::Snafu;
 
+use crate::StoreRevision;
 use crate::TransferProgress;
 
-/// A revision of the key-value service, which increases with each change.
-#[data(Copy, Default, Eq, Hash, PartialOrd, Ord)]
-#[serde(transparent)]
-pub struct StoreRevision(pub i64);
-
 /// The id of a lease: the service deletes the keys attached to a lease when it expires.
 #[data(Copy, Eq, Hash, PartialOrd, Ord)]
 #[serde(transparent)]
@@ -97,12 +93,6 @@
 
 /// A key-value service with compare-and-swap, leases and watches.
 pub trait KeyValueStore: Send + Sync {
-    /// Returns whether the service has kept all that it had at an earlier one of its revisions until a later one. One that
-    /// has come back from an older copy since then has not.
-    fn has_kept(&self, _earlier: StoreRevision, _later: StoreRevision) -> bool {
-        true
-    }
-
     /// Returns the value of a key, or `None` if the key does not exist.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>>;
 
--- a/crates/cw_types/src/lib.rs
+++ b/crates/cw_types/src/lib.rs
@@ -57,6 +57,7 @@
 pub use number::Incarnation;
 pub use number::Revision;
 pub use number::SchemaVersion;
+pub use number::StoreEra;
 pub use number::TokenCount;
 pub use number::TokenId;
 pub use number::TokenIndex;
--- a/crates/cw_types/src/number.rs
+++ b/crates/cw_types/src/number.rs
@@ -51,6 +51,8 @@
     Incarnation(u64);
     /// A revision of the configuration.
     Revision(u64);
+    /// A number that rises each time the key-value service comes back from an older copy, 0 for a service that tells none.
+    StoreEra(u32);
     /// A version of the schema of a record kind.
     SchemaVersion(u32);
     /// A number of tokens.
--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -269,7 +269,7 @@
     /// Doubts what was restored if the service has come back from an older copy since it was written.
     fn check_restored(&self, written_at: Option<StoreRevision>, newest: StoreRevision) {
         if let Some(written_at) = written_at
-            && !self.store.has_kept(written_at, newest)
+            && written_at.era() < newest.era()
         {
             let mut state = self.context.state();
             state.fleet.doubt_restored();
--- a/crates/cyclamenwharf/src/forward/state_store.rs
+++ b/crates/cyclamenwharf/src/forward/state_store.rs
@@ -90,7 +90,7 @@
     fn check_written(&mut self, written_at: Option<StoreRevision>) {
         let newest = StoreRevision(self.context.state().directory_log.newest());
         if let Some(written_at) = written_at
-            && !self.store.has_kept(written_at, newest)
+            && written_at.era() < newest.era()
         {
             self.state.forget_written();
         }
