Judge what was persisted by its era whenever it is asked for

Cause: an entry that starts reads the key of the recent runs twice, before its first configuration and as the entry that writes shared state. A check behind the first read concluded that a value of an earlier era does not hold (Fleet::doubt_restored), and the second read, if its answer came after that, replaced the conclusion by the value again. The check was also missing where the read of the configuration failed, or another entry gave the configuration sooner.

Change: what is read keeps the era in which it was written (RestoredSoftware, and the records of StreamOrigins) and is judged when it is asked for, against the newest era that the entry knows of. Several readings are merged, the later era first. An absent key counts only together with a read of the configuration. An era that begins while an entry runs is a gap in its view of the targets. Nothing is persisted before the targets are known, and a value that lists streams of an earlier era counts as written in it. The log names the reading and both eras.

--- a/crates/cw_policy/src/forward/software_history.rs
+++ b/crates/cw_policy/src/forward/software_history.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use cw_types::ServiceName;
+use cw_types::StoreEra;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::SoftwareHash;
 
 use super::Fleet;
+use super::RestoredSoftware;
 
 /// The longest time without a confirmation of the targets in which no version can have come and gone unseen. The
 /// record of a target that stops lasts for longer.
@@ -95,38 +97,19 @@
     }
 }
 
-/// What began streams before this entry started, as far as the entries before it have persisted that.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum EarlierSoftware {
-    /// It is not known.
-    #[default]
-    Unknown,
-    /// No stream has begun before.
-    Nothing,
-    /// Each of these versions was the only one of its service for longer than any stream lives.
-    Only(BTreeSet<SoftwareHash>),
-}
-
-impl EarlierSoftware {
-    /// Returns whether no other version of the service of this software has begun a stream before.
-    fn is_only(&self, software: SoftwareHash) -> bool {
-        match self {
-            EarlierSoftware::Unknown => false,
-            EarlierSoftware::Nothing => true,
-            EarlierSoftware::Only(known) => known.contains(&software),
-        }
-    }
-}
-
 /// The software of the targets of all services.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SoftwareHistories {
     services: BTreeMap<ServiceName, SoftwareHistory>,
     /// As of when the targets were last known to be complete, `None` before the first time.
     confirmed_at: Option<Time>,
-    earlier: EarlierSoftware,
-    /// When `earlier` was read.
-    restored_at: Time,
+    /// The newest known era of the key-value service, `None` before the first one.
+    era: Option<StoreEra>,
+    /// What entries before this one have persisted, `None` if it has not been read.
+    restored: Option<RestoredSoftware>,
+    /// Whether changes of the targets may have been missed since this entry first knew them. What was persisted says
+    /// nothing of these.
+    has_gap: bool,
     /// The number of changes of the set of versions.
     changes: u64,
 }
@@ -151,18 +134,36 @@
         history.record(now, sizes);
     }
 
+    /// Records the era of the key-value service. Returns whether the service has come back from an older copy since this entry
+    /// knew it.
+    ///
+    /// The records of targets that had come since the copy are gone, so that a version may have come and gone unseen.
+    fn record_era(&mut self, now: Time, era: StoreEra) -> bool {
+        let is_new = self.era.is_some_and(|known| known < era);
+        self.era = self.era.max(Some(era));
+        if is_new && !(self.confirmed_at.is_none() && self.services.is_empty()) {
+            self.record_gap(now);
+        }
+        is_new
+    }
+
     /// Records that all changes of the targets before a time are known.
-    pub(super) fn confirm(&mut self, as_of: Time) {
-        let before = self.confirmed_at.unwrap_or(self.restored_at);
-        if as_of.since(before) > MAX_GAP {
-            self.earlier = EarlierSoftware::Unknown;
-            for history in self.services.values_mut() {
-                history.forget(as_of);
-            }
+    fn confirm(&mut self, as_of: Time) {
+        let restored_at = (self.restored.as_ref()).map(|restored| restored.read_at);
+        let before = self.confirmed_at.or(restored_at);
+        if before.is_some_and(|before| as_of.since(before) > MAX_GAP) {
+            self.record_gap(as_of);
         }
         self.confirmed_at = self.confirmed_at.max(Some(as_of));
     }
 
+    fn record_gap(&mut self, now: Time) {
+        self.has_gap = true;
+        for history in self.services.values_mut() {
+            history.forget(now);
+        }
+    }
+
     fn is_confirmed(&self, now: Time) -> bool {
         self.confirmed_at
             .is_some_and(|confirmed_at| now.since(confirmed_at) <= MAX_GAP)
@@ -185,24 +186,28 @@
     /// Returns the software that has begun all streams of a service by what entries before this one have persisted.
     fn restored(&self, now: Time, service: &ServiceName) -> Option<SoftwareHash> {
         let software = self.services.get(service)?.first()?;
-        let is_known = self.earlier.is_only(software) && self.is_confirmed(now);
-        is_known.then_some(software)
+        let era = self.era.unwrap_or_default();
+        let is_only = (self.restored.as_ref()).is_some_and(|known| known.is_only(software, era));
+        (is_only && !self.has_gap && self.is_confirmed(now)).then_some(software)
     }
 
-    /// Returns the versions that alone have begun all streams of their services that are no older than `longest`.
-    ///
-    /// Before the targets are known, these are the ones from before the start.
-    fn all_only(&self, now: Time, longest: Duration) -> BTreeSet<SoftwareHash> {
-        if let (None, EarlierSoftware::Only(known)) = (self.confirmed_at, &self.earlier) {
-            return known.clone();
+    /// Returns whether the targets of any service have several versions.
+    fn is_any_mixed(&self) -> bool {
+        self.services.values().any(SoftwareHistory::is_mixed)
+    }
+
+    /// Returns the versions that alone have begun all streams of their services that are no older than `longest`, `None`
+    /// as long as the targets are not known.
+    fn all_only(&self, now: Time, longest: Duration) -> Option<BTreeSet<SoftwareHash>> {
+        if self.confirmed_at.is_none() && !self.is_any_mixed() {
+            return None;
         }
         let services = self.services.keys();
-        services
-            .filter_map(|service| {
-                let only = self.only(now, service, longest);
-                only.or_else(|| self.restored(now, service))
-            })
-            .collect()
+        let versions = services.filter_map(|service| {
+            let only = self.only(now, service, longest);
+            only.or_else(|| self.restored(now, service))
+        });
+        Some(versions.collect())
     }
 }
 
@@ -222,11 +227,23 @@
         self.software.record(now, service, sizes);
     }
 
-    /// Records that all changes of the targets before a time are known.
-    pub fn confirm_targets(&mut self, as_of: Time) {
+    /// Records that all changes of the targets before a time are known, in an era of the key-value service.
+    pub fn confirm_targets(&mut self, as_of: Time, era: StoreEra) {
+        self.software.record_era(as_of, era);
         self.software.confirm(as_of);
     }
 
+    /// Records the era of the key-value service. Returns whether the service has come back from an older copy since this entry
+    /// knew it.
+    pub fn record_store_era(&mut self, now: Time, era: StoreEra) -> bool {
+        self.software.record_era(now, era)
+    }
+
+    /// Returns the newest known era of the key-value service.
+    pub fn store_era(&self) -> StoreEra {
+        self.software.era.unwrap_or_default()
+    }
+
     /// Returns the software that has begun all streams of a service that are no older than `longest`, `None` if
     /// several versions have, or if that is not certain.
     pub fn only_software(
@@ -238,17 +255,13 @@
         self.software.only(now, service, longest)
     }
 
-    /// Records what began streams before this entry started.
-    pub fn restore_software(&mut self, now: Time, earlier: EarlierSoftware) {
-        self.software.earlier = earlier;
-        self.software.restored_at = now;
-    }
-
-    /// Records that the directory has come back from an older copy since what was restored had been written. The copy
-    /// lacks the versions that have come since then, and their targets may be lost, so that nothing tells of them. What
-    /// began earlier streams is not known.
-    pub fn doubt_restored(&mut self) {
-        self.software.earlier = EarlierSoftware::Unknown;
+    /// Adds a reading of what entries before this one have persisted. It may be read more than once, and late.
+    pub fn restore_software(&mut self, read: RestoredSoftware) {
+        let restored = &mut self.software.restored;
+        *restored = Some(match restored.take() {
+            Some(known) => known.and(read),
+            None => read,
+        });
     }
 
     /// Returns the software that has begun all streams of a service by what entries before this one have persisted.
@@ -264,15 +277,15 @@
         history.is_some_and(|history| history.first().is_none())
     }
 
-    /// Returns the versions that alone have begun all streams of their services that are no older than `longest`.
-    pub fn only_versions(&self, now: Time, longest: Duration) -> BTreeSet<SoftwareHash> {
+    /// Returns the versions that alone have begun all streams of their services that are no older than `longest`, `None`
+    /// as long as the targets are not known, so that what was persisted earlier says more.
+    pub fn only_versions(&self, now: Time, longest: Duration) -> Option<BTreeSet<SoftwareHash>> {
         self.software.all_only(now, longest)
     }
 
     /// Returns whether the targets of any service have several versions.
     pub fn is_any_mixed(&self) -> bool {
-        let mut histories = self.software.services.values();
-        histories.any(SoftwareHistory::is_mixed)
+        self.software.is_any_mixed()
     }
 
     /// Returns a number that rises whenever a version comes or goes.
--- a/crates/cw_policy/src/forward/stream_origins.rs
+++ b/crates/cw_policy/src/forward/stream_origins.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cw_types::StoreEra;
 use cw_types::Time;
 use cw_wire::Fingerprint;
 use cw_wire::SoftwareHash;
@@ -43,6 +44,8 @@
     pub origins: Vec<StreamOrigin>,
     /// The number of streams that may be in progress and are left out. They are the oldest, which are the most likely to have ended.
     pub left_out: usize,
+    /// The earliest era of the key-value service in which any of the streams was persisted before, `None` if none was.
+    pub written_in: Option<StoreEra>,
 }
 
 /// What is known of a stream or a request.
@@ -51,6 +54,16 @@
     /// The software that began it, `None` if several did.
     software: Option<SoftwareHash>,
     at: Time,
+    /// The era of the key-value service in which it was persisted, `None` if entries have told it. A request that was
+    /// persisted in an earlier era may have begun again at another version since.
+    written_in: Option<StoreEra>,
+}
+
+impl Known {
+    /// Returns whether the key-value service has come back from an older copy since this was persisted.
+    fn is_outdated(&self, era: StoreEra) -> bool {
+        self.written_in.is_some_and(|written_in| written_in < era)
+    }
 }
 
 /// The software that began each stream, from this entry's own streams and those of other entries.
@@ -63,6 +76,8 @@
     order: VecDeque<(Time, StreamOrigin, bool)>,
     /// The longest life of a stream.
     life: Duration,
+    /// The newest known era of the key-value service.
+    era: StoreEra,
     /// The number of records that were dropped before their time, since there were too many.
     dropped: u64,
 }
@@ -93,18 +108,45 @@
     /// Records which software began a stream that this entry passes on. Returns whether it is the first
     /// to contradict an earlier one.
     pub fn record_own(&mut self, now: Time, origin: StreamOrigin) -> bool {
-        self.record(now, origin, true)
+        self.record(now, origin, true, None)
     }
 
-    /// Records what another entry tells of a stream, or what was told before a restart. Returns whether it is
-    /// the first to contradict an earlier one.
+    /// Records what another entry tells of a stream. Returns whether it is the first to contradict an earlier one.
     pub fn record_told(&mut self, now: Time, origin: StreamOrigin) -> bool {
-        self.record(now, origin, false)
+        self.record(now, origin, false, None)
     }
 
-    fn record(&mut self, now: Time, origin: StreamOrigin, is_own: bool) -> bool {
-        let is_split = merge(&mut self.streams, origin.stream, origin.software, now)
-            | merge(&mut self.requests, origin.request, origin.software, now);
+    /// Records what entries before this one have persisted of a stream, in an era of the key-value service. Returns
+    /// whether it is the first to contradict an earlier one.
+    pub fn record_restored(
+        &mut self,
+        now: Time,
+        origin: StreamOrigin,
+        written_in: StoreEra,
+    ) -> bool {
+        self.record(now, origin, false, Some(written_in))
+    }
+
+    /// Records the era of the key-value service. The software of a stream holds in any, while requests that were persisted
+    /// in an earlier one may have begun again at another version, and do not tell it any more.
+    pub fn record_era(&mut self, era: StoreEra) {
+        self.era = self.era.max(era);
+    }
+
+    fn record(
+        &mut self,
+        now: Time,
+        origin: StreamOrigin,
+        is_own: bool,
+        written_in: Option<StoreEra>,
+    ) -> bool {
+        let known = Known {
+            software: Some(origin.software),
+            at: now,
+            written_in,
+        };
+        let is_split = merge(&mut self.streams, origin.stream, known)
+            | merge(&mut self.requests, origin.request, known);
         self.order.push_back((now, origin, is_own));
         while self.order.len() > self.limits.capacity {
             let oldest = self.order.front().map(|(at, ..)| *at);
@@ -123,30 +165,23 @@
         stream: Option<StreamHash>,
         request: Fingerprint,
     ) -> Option<SoftwareHash> {
-        let known = match stream {
-            Some(stream) => self.streams.get(&stream),
-            None => self.requests.get(&request),
-        };
-        let known = known.filter(|known| now.since(known.at) <= self.ttl());
-        known?.software
+        let known = self.known(now, stream, request)?;
+        (known.software).filter(|_| stream.is_some() || !known.is_outdated(self.era))
     }
 
-    /// Records that the requests which are known may have begun streams of other versions as well. Callers that name no
-    /// attempt are not recognized by them any more.
-    pub fn doubt_requests(&mut self) {
-        for known in self.requests.values_mut() {
-            known.software = None;
-        }
+    /// Returns whether streams of several versions answer the request of a caller that names no attempt, or may do so.
+    pub fn is_split(&self, now: Time, stream: Option<StreamHash>, request: Fingerprint) -> bool {
+        let is_outdated = |known: &Known| stream.is_none() && known.is_outdated(self.era);
+        self.known(now, stream, request)
+            .is_some_and(|known| known.software.is_none() || is_outdated(known))
     }
 
-    /// Returns whether streams of several versions answer the request of a caller that names no attempt.
-    pub fn is_split(&self, now: Time, stream: Option<StreamHash>, request: Fingerprint) -> bool {
+    fn known(&self, now: Time, stream: Option<StreamHash>, request: Fingerprint) -> Option<&Known> {
         let known = match stream {
             Some(stream) => self.streams.get(&stream),
             None => self.requests.get(&request),
         };
-        let known = known.filter(|known| now.since(known.at) <= self.ttl());
-        known.is_some_and(|known| known.software.is_none())
+        known.filter(|known| now.since(known.at) <= self.ttl())
     }
 
     /// Returns the streams of this entry that were recorded after `since`, newest first.
@@ -163,7 +198,14 @@
         let mut origins: Vec<_> = recent.map(|(origin, _)| origin).collect();
         let left_out = origins.len().saturating_sub(self.limits.persisted);
         origins.truncate(self.limits.persisted);
-        PersistedOrigins { origins, left_out }
+        let requests = origins.iter();
+        let requests = requests.filter_map(|origin| self.requests.get(&origin.request));
+        let written_in = requests.filter_map(|known| known.written_in).min();
+        PersistedOrigins {
+            origins,
+            left_out,
+            written_in,
+        }
     }
 
     fn recorded_since(&self, since: Time) -> impl Iterator<Item = (StreamOrigin, bool)> {
@@ -207,20 +249,14 @@
 }
 
 /// Adds a record. Two that contradict each other leave nothing to go by. Returns whether they are the first to do so.
-fn merge<K: Ord>(
-    known: &mut BTreeMap<K, Known>,
-    key: K,
-    software: SoftwareHash,
-    now: Time,
-) -> bool {
-    let known = known.entry(key).or_insert(Known {
-        software: Some(software),
-        at: now,
-    });
-    let is_split = known.software.is_some_and(|before| before != software);
+fn merge<K: Ord>(all: &mut BTreeMap<K, Known>, key: K, new: Known) -> bool {
+    let known = all.entry(key).or_insert(new);
+    let is_split = known.software.is_some() && known.software != new.software;
     if is_split {
         known.software = None;
     }
-    known.at = known.at.max(now);
+    known.at = known.at.max(new.at);
+    let eras = [known.written_in, new.written_in];
+    known.written_in = eras.into_iter().flatten().min();
     is_split
 }
--- a/crates/cw_policy/tests/forward/stream_origins.rs
+++ b/crates/cw_policy/tests/forward/stream_origins.rs
@@ -15,6 +15,7 @@
 use cw_policy::forward::StreamOrigins;
 use cw_types::ErrorKind;
 use cw_types::Incarnation;
+use cw_types::StoreEra;
 use cw_wire::CrashNews;
 use cw_wire::Fingerprint;
 use cw_wire::OutstandingWork;
@@ -101,19 +102,30 @@
     assert!(origins.is_empty());
 }
 
-/// Guards against a request that is taken for its listed stream although it has begun again at another version since.
-#[test]
-fn a_doubted_request_is_recognized_by_its_attempt_only() {
+/// Guards against a request that is taken for its listed stream although it has begun again at another version since the
+/// copy from which the key-value service has come back, in whichever order the list and the era are learned.
+#[rstest]
+#[case::list_first(false)]
+#[case::era_first(true)]
+fn a_request_of_an_earlier_era_is_recognized_by_its_attempt_only(#[case] is_era_first: bool) {
     let mut origins = StreamOrigins::default();
     let known = origin("a1", "v1");
-    origins.record_told(at(0), known);
 
-    origins.doubt_requests();
+    if is_era_first {
+        origins.record_era(StoreEra(2));
+    }
+    origins.record_restored(at(0), known, StoreEra(1));
+    origins.record_era(StoreEra(2));
+    origins.record_restored(at(5), known, StoreEra(2));
+    origins.record_told(at(6), origin("b1", "v1"));
 
     let by_attempt = origins.find(at(10), Some(known.stream), known.request);
     assert_eq!(by_attempt, Some(known.software));
     assert_eq!(origins.find(at(10), None, known.request), None);
     assert!(origins.is_split(at(10), None, known.request));
+    let mut later = origins.clone();
+    later.set_life(STREAM_LIFE);
+    assert_eq!(later.to_persist(at(10)).written_in, Some(StoreEra(1)));
 }
 
 #[test]
@@ -140,7 +152,7 @@
     let mut fleet = Fleet::new(FleetLimits::default());
     fleet.record_listing(at(0), listing(0, 0));
     for second in 0..=31 {
-        fleet.confirm_targets(at(second * 1000));
+        fleet.confirm_targets(at(second * 1000), StoreEra::default());
     }
     let early = only(&fleet, 29_000);
     let later = only(&fleet, 31_000);
@@ -153,7 +165,7 @@
     let mixed = only(&fleet, 31_200);
     fleet.apply_removal(at(31_300), &second_version.id, true);
     let after = only(&fleet, 31_400);
-    fleet.confirm_targets(at(70_000));
+    fleet.confirm_targets(at(70_000), StoreEra::default());
     let gap = only(&fleet, 70_000);
 
     assert_eq!(later, Some(listing(0, 0).software()));
@@ -322,7 +334,7 @@
                 };
                 entry.fleet.receive_peer(at(now), &message);
             }
-            entry.fleet.confirm_targets(at(now));
+            entry.fleet.confirm_targets(at(now), StoreEra::default());
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
+++ b/crates/cyclamenwharf/src/forward/crash_evidence_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cw_store::Versioned;
 use cw_wire::CrashNews;
 use cw_wire::WireError;
 use cw_wire::decode;
@@ -55,8 +56,8 @@
         context.crashes_changed.notified().boxed()
     }
 
-    fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
-        restore_evidence(context, value)
+    fn restore(&mut self, context: &ForwardContext, item: &Versioned) -> Result<(), WireError> {
+        restore_evidence(context, &item.value)
     }
 }
 
--- a/crates/cyclamenwharf/src/forward/directory_check.rs
+++ b/crates/cyclamenwharf/src/forward/directory_check.rs
@@ -4,13 +4,11 @@
 use std::time::Duration;
 
 use cw_policy::budget::Backoff;
-use cw_policy::forward::EarlierSoftware;
 use cw_policy::forward::FreshnessStep;
 use cw_policy::forward::ReadPatience;
 use cw_policy::forward::ReadStep;
 use cw_policy::forward::Topic;
 use cw_store::StoreError;
-use cw_store::StoreRevision;
 use cw_store::TransferProgress;
 use log::info;
 use log::warn;
@@ -21,6 +19,7 @@
 use super::directory_sync::DirectorySync;
 use super::exchange_driver::millis;
 use super::recent_run_state::RUNS_KEY;
+use super::recent_run_state::restore_no_runs;
 use super::recent_run_state::restore_runs;
 
 /// The delay after failed calls. The service charges for failed calls too, and its data must be
@@ -41,6 +40,17 @@
 /// other entries for a newer configuration. It refuses all requests meanwhile, and some may not answer.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// What a read of the recent runs has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunsRead {
+    /// There are some, which are restored.
+    Restored,
+    /// There are none, as far as the service still knows in the era of its answers.
+    Absent,
+    /// They were not read.
+    Unknown,
+}
+
 impl DirectorySync {
     /// Asks the service whenever the knowledge of this entry is too old, or older than that of another one.
     pub(super) async fn keep_fresh(&self) {
@@ -184,7 +194,7 @@
         };
         let others = async {
             if !is_first {
-                return None;
+                return RunsRead::Unknown;
             }
             // The service may have come back from an older copy, which the others know better.
             let queries =
@@ -196,11 +206,13 @@
             if queries.is_err() || restored.is_err() {
                 info!("what is asked for before the first configuration did not all come in time");
             }
-            restored.ok().flatten()
+            restored.unwrap_or(RunsRead::Unknown)
         };
-        let ((read, ended), restored) = futures::future::join(read, others).await;
+        let ((read, ended), runs) = futures::future::join(read, others).await;
         let (items, revision) = read?;
-        self.check_restored(restored, revision);
+        if runs == RunsRead::Absent {
+            restore_no_runs(&self.context, revision);
+        }
         self.record_success();
         if is_first {
             let restore = self.restore_rollouts(&items);
@@ -246,42 +258,26 @@
     }
 
     /// Reads which software began the streams that callers may take up at once, before the first configuration
-    /// lets requests in. Returns the revision at which that was written, `None` if it is not known.
-    async fn restore_recent_runs(&self) -> Option<StoreRevision> {
+    /// lets requests in.
+    async fn restore_recent_runs(&self) -> RunsRead {
         match self.store.get(RUNS_KEY).await {
-            Ok(None) => {
-                let now = self.context.now();
-                let mut state = self.context.state();
-                state.fleet.restore_software(now, EarlierSoftware::Nothing);
-                // A service that has come back from an older copy may have lost the key.
-                Some(StoreRevision::default())
+            Ok(None) => RunsRead::Absent,
+            Ok(Some(item)) => {
+                match restore_runs(&self.context, &item, "before the first configuration") {
+                    Ok(()) => RunsRead::Restored,
+                    Err(error) => {
+                        warn!("failed to decode the recent runs: {error}");
+                        RunsRead::Unknown
+                    }
+                }
             }
-            Ok(Some(item)) => restore_runs(&self.context, &item.value)
-                .inspect_err(|error| warn!("failed to decode the recent runs: {error}"))
-                .ok(),
             Err(error) => {
                 info!("failed to read the recent runs: {error}");
-                None
+                RunsRead::Unknown
             }
         }
     }
 
-    /// Doubts what was restored if the service has come back from an older copy since it was written.
-    fn check_restored(&self, written_at: Option<StoreRevision>, newest: StoreRevision) {
-        if let Some(written_at) = written_at
-            && written_at.era() < newest.era()
-        {
-            let mut state = self.context.state();
-            state.fleet.doubt_restored();
-            state.origins.doubt_requests();
-            info!(
-                written_at = written_at.0,
-                revision = newest.0;
-                "the key-value service has come back from an older copy; it does not tell which versions have begun streams"
-            );
-        }
-    }
-
     pub(super) fn apply_crash_evidence(&self, source: &str, value: &[u8]) {
         if let Err(error) = restore_evidence(&self.context, value) {
             warn!(
--- a/crates/cyclamenwharf/src/forward/directory_query.rs
+++ b/crates/cyclamenwharf/src/forward/directory_query.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cw_policy::forward::Topic;
+use cw_store::StoreRevision;
 use cw_store::TransferProgress;
 use cw_wire::DirectorySnapshot;
 use cw_wire::DirectoryUpdate;
@@ -280,6 +281,7 @@
         };
         let now = self.context.now();
         let mut state = self.context.state();
+        state.record_era(now, StoreRevision(snapshot.newest));
         if !state.directory_log.accepts_read(snapshot.newest) {
             info!(
                 entry = entry,
--- a/crates/cyclamenwharf/src/forward/directory_sync.rs
+++ b/crates/cyclamenwharf/src/forward/directory_sync.rs
@@ -118,12 +118,14 @@
 
     /// Records that all changes up to a revision are known, which the service had as its newest as of a time.
     pub(super) fn confirm(&self, as_of: Time, revision: StoreRevision) {
+        let now = self.context.now();
         let mut state = self.context.state();
+        state.record_era(now, revision);
         match self.topic {
             Topic::Config => state.config_revision = Some(revision),
             Topic::Targets => {
                 state.directory_log.record_known(revision.0);
-                state.fleet.confirm_targets(as_of);
+                state.fleet.confirm_targets(as_of, revision.era());
             }
         }
         state.freshness(self.topic).confirm(as_of);
--- a/crates/cyclamenwharf/src/forward/forward_context.rs
+++ b/crates/cyclamenwharf/src/forward/forward_context.rs
@@ -146,6 +146,19 @@
         self.directory_log.newest() > 0 && self.fleet.service_with(software).is_none()
     }
 
+    /// Records the era of the key-value service, by a revision that the service or another entry has told.
+    pub(super) fn record_era(&mut self, now: Time, revision: StoreRevision) {
+        let (before, era) = (self.fleet.store_era(), revision.era());
+        self.origins.record_era(era);
+        if self.fleet.record_store_era(now, era) {
+            info!(
+                before = before.0,
+                era = era.0;
+                "the key-value service has come back from an older copy"
+            );
+        }
+    }
+
     /// Returns whether another entry has a newer configuration in force than this one.
     pub(super) fn is_config_behind(&self) -> bool {
         self.config_version() < self.fleet.newest_config()
--- a/crates/cyclamenwharf/src/forward/peer_exchange.rs
+++ b/crates/cyclamenwharf/src/forward/peer_exchange.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cw_policy::forward::Topic;
+use cw_store::StoreRevision;
 use cw_types::HostId;
 use cw_types::Incarnation;
 use cw_types::Time;
@@ -255,7 +256,8 @@
         if let Some(as_of) = targets_at {
             state.directory_log.record_known(update.known);
             state.freshness(Topic::Targets).confirm_told(as_of);
-            state.fleet.confirm_targets(as_of);
+            let era = StoreRevision(update.known).era();
+            state.fleet.confirm_targets(as_of, era);
         }
     }
 
--- a/crates/cyclamenwharf/src/forward/recent_run_state.rs
+++ b/crates/cyclamenwharf/src/forward/recent_run_state.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use cw_macro::data;
 use cw_policy::forward::EarlierSoftware;
-use cw_policy::forward::PersistedOrigins;
+use cw_policy::forward::RestoredSoftware;
 use cw_store::StoreRevision;
+use cw_store::Versioned;
+use cw_types::StoreEra;
 use cw_wire::CachedPrompt;
 use cw_wire::SoftwareHash;
 use cw_wire::StreamOrigin;
@@ -88,14 +90,16 @@
     fn changed_value(&mut self, context: &ForwardContext) -> Result<Option<Bytes>, WireError> {
         let (runs, left_out) = recent_runs(context);
         self.log_cut(runs.origins.len(), left_out);
-        self.offered = (runs.only.is_some()).then_some(runs);
+        // The revision rises with each write, so it is no change of the runs.
+        let as_of = runs.as_of;
+        self.offered = (runs.only.is_some()).then_some(RecentRuns {
+            as_of: None,
+            ..runs
+        });
         match &self.offered {
             Some(runs) if self.offered != self.written => {
-                // The revision rises with each write, so it is no change of the runs.
-                let newest = context.state().directory_log.newest();
-                let mut runs = runs.clone();
-                runs.as_of = Some(StoreRevision(newest));
-                encode(&runs).map(Some)
+                let runs = runs.clone();
+                encode(&RecentRuns { as_of, ..runs }).map(Some)
             }
             _ => Ok(None),
         }
@@ -119,53 +123,74 @@
         context.software_changed.notified().boxed()
     }
 
-    fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError> {
-        restore_runs(context, value).map(drop)
+    fn restore(&mut self, context: &ForwardContext, item: &Versioned) -> Result<(), WireError> {
+        restore_runs(context, item, "as the writer")
     }
 }
 
-/// Adds the runs that entries before a restart have written, and returns the revision of the key-value service that they
-/// knew then.
+/// Adds the runs that entries before this one have written. `reading` says in the log which of the readings of the key
+/// this is.
 ///
 /// # Errors
 ///
 /// Fails if the value cannot be decoded.
 pub(super) fn restore_runs(
     context: &ForwardContext,
-    value: &[u8],
-) -> Result<StoreRevision, WireError> {
-    let runs = match decode::<RecentRuns>(value) {
+    item: &Versioned,
+    reading: &str,
+) -> Result<(), WireError> {
+    let runs = match decode::<RecentRuns>(&item.value) {
         Ok(runs) => runs,
         // Entries of an earlier version write the prompts alone.
         Err(_) => RecentRuns {
-            prompts: decode(value)?,
+            prompts: decode(&item.value)?,
             ..RecentRuns::default()
         },
     };
+    let written_in = runs.as_of.unwrap_or_default().era();
     info!(
+        reading = reading,
         prompts = runs.prompts.len(),
         streams = runs.origins.len(),
         only:? = runs.only,
-        life:? = runs.life;
+        life:? = runs.life,
+        written_in = written_in.0,
+        era = item.modified.era().0;
         "restored the recent runs"
     );
     let now = context.now();
     let mut state = context.state();
+    state.record_era(now, item.modified);
     if let Some(life) = runs.life {
         state.stream_life.record_earlier(now, life);
     }
     if let Some(only) = runs.only {
-        state
-            .fleet
-            .restore_software(now, EarlierSoftware::Only(only));
+        state.fleet.restore_software(RestoredSoftware {
+            software: EarlierSoftware::Only(only),
+            written_in,
+            read_at: now,
+        });
     }
     for prompt in runs.prompts {
         state.peer_prompts.record(now, prompt);
     }
     for origin in runs.origins {
-        state.origins.record_told(now, origin);
+        state.origins.record_restored(now, origin, written_in);
     }
-    Ok(runs.as_of.unwrap_or_default())
+    Ok(())
+}
+
+/// Records that no runs are persisted as of a revision. In any era but the first, the service may have lost them.
+pub(super) fn restore_no_runs(context: &ForwardContext, revision: StoreRevision) {
+    info!(era = revision.era().0; "no recent runs are persisted");
+    let now = context.now();
+    let mut state = context.state();
+    state.record_era(now, revision);
+    state.fleet.restore_software(RestoredSoftware {
+        software: EarlierSoftware::Nothing,
+        written_in: StoreEra::default(),
+        read_at: now,
+    });
 }
 
 /// Returns the runs to persist, and the number of streams that are left out.
@@ -178,18 +203,22 @@
     let mut prompts = state.own_prompts.recorded_since(since);
     prompts.extend(state.peer_prompts.recorded_since(since));
     prompts.truncate(MAX_PROMPTS);
-    let PersistedOrigins { origins, left_out } = state.origins.to_persist(now);
+    let persisted = state.origins.to_persist(now);
     // As long as no stream has begun, the value that entries before this one have left, or its absence, says so.
-    let has_begun = !(prompts.is_empty() && origins.is_empty());
+    let has_begun = !(prompts.is_empty() && persisted.origins.is_empty());
     let is_mixed = state.fleet.is_any_mixed();
     let only = state.fleet.only_versions(now, life);
-    let only = (has_begun || is_mixed || !only.is_empty()).then_some(only);
+    let only = only.filter(|only| has_begun || is_mixed || !only.is_empty());
+    let newest = StoreRevision(state.directory_log.newest());
+    // A value that names streams of an earlier era is of that era, so that the next reader does not go by their requests.
+    let written_in = persisted.written_in.unwrap_or(newest.era());
+    let as_of = newest.min(StoreRevision::latest_of(written_in));
     let runs = RecentRuns {
         prompts,
-        origins,
+        origins: persisted.origins,
         only,
         life: Some(life),
-        as_of: None,
+        as_of: Some(as_of),
     };
-    (runs, left_out)
+    (runs, persisted.left_out)
 }
--- a/crates/cyclamenwharf/src/forward/state_store.rs
+++ b/crates/cyclamenwharf/src/forward/state_store.rs
@@ -11,6 +11,7 @@
 use cw_store::StoreError;
 use cw_store::StoreRevision;
 use cw_store::Swap;
+use cw_store::Versioned;
 use cw_wire::WireError;
 use futures::future::BoxFuture;
 use log::warn;
@@ -48,12 +49,13 @@
     /// Completes when the state has changed so much that it should be written at once.
     fn urgent_change<'a>(&'a self, context: &'a ForwardContext) -> BoxFuture<'a, ()>;
 
-    /// Adds what entries before a restart have written.
+    /// Adds what entries before this one have written. It may be read several times, and late, so it must not replace
+    /// what is known better.
     ///
     /// # Errors
     ///
     /// Fails if the value cannot be decoded.
-    fn restore(&mut self, context: &ForwardContext, value: &[u8]) -> Result<(), WireError>;
+    fn restore(&mut self, context: &ForwardContext, item: &Versioned) -> Result<(), WireError>;
 }
 
 /// Reads the key of a state at startup, and writes it if this entry is the writer.
@@ -113,7 +115,7 @@
         let Some(item) = self.store.get(self.state.key()).await? else {
             return Ok(());
         };
-        if let Err(error) = self.state.restore(&self.context, &item.value) {
+        if let Err(error) = self.state.restore(&self.context, &item) {
             let key = self.state.key();
             warn!(key = key; "failed to decode shared state: {error}");
         }
--- a/crates/cyclamenwharf/src/forward/target_records.rs
+++ b/crates/cyclamenwharf/src/forward/target_records.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use cw_policy::forward::DirectoryUpdateStep;
 use cw_policy::forward::Listing;
+use cw_store::StoreRevision;
 use cw_types::TargetId;
 use cw_types::Time;
 use cw_wire::DirectoryChange;
@@ -127,6 +128,7 @@
     state: &mut ForwardState,
     update: &DirectoryUpdate,
 ) -> AppliedUpdate {
+    state.record_era(now, StoreRevision(update.known.max(update.newest)));
     match state.directory_log.receive(now, update) {
         DirectoryUpdateStep::Nothing => AppliedUpdate::Complete,
         DirectoryUpdateStep::Missing => AppliedUpdate::Missing,
