List a stream once that was read again

The value has room for 16,384 streams and leaves out the oldest, which are refused after the loss of all entries although nothing was short.

Cause: StreamOrigins keeps the records in the order in which they were made, and did not look whether one that is restored is there. Change: a stream that is restored again adds what it says to the record that is known, and makes it no newer.

--- a/crates/cw_policy/src/forward/stream_origins.rs
+++ b/crates/cw_policy/src/forward/stream_origins.rs
@@ -140,13 +140,20 @@
         is_own: bool,
         written_in: Option<StoreEra>,
     ) -> bool {
+        // What was persisted may be read again, which makes it no newer.
+        let is_again = written_in.is_some()
+            && self.streams.contains_key(&origin.stream)
+            && self.requests.contains_key(&origin.request);
         let known = Known {
             software: Some(origin.software),
-            at: now,
+            at: if is_again { Time::default() } else { now },
             written_in,
         };
         let is_split = merge(&mut self.streams, origin.stream, known)
             | merge(&mut self.requests, origin.request, known);
+        if is_again {
+            return is_split;
+        }
         self.order.push_back((now, origin, is_own));
         while self.order.len() > self.limits.capacity {
             let oldest = self.order.front().map(|(at, ..)| *at);
--- a/crates/cw_policy/tests/forward/stream_origins.rs
+++ b/crates/cw_policy/tests/forward/stream_origins.rs
@@ -128,6 +128,27 @@
     assert_eq!(later.to_persist(at(10)).written_in, Some(StoreEra(1)));
 }
 
+/// Guards against a value that grows with each read of it: a stream that was read twice was listed twice.
+#[test]
+fn a_stream_that_is_read_again_is_listed_once() {
+    let mut origins = StreamOrigins::default();
+    origins.set_life(STREAM_LIFE);
+    let known = origin("a1", "v1");
+
+    for now in [1, 2000] {
+        origins.record_restored(at(now), known, StoreEra(1));
+    }
+
+    let persisted = origins.to_persist(at(3000));
+    assert_eq!(persisted.origins, [known]);
+    assert_eq!(
+        origins.find(at(3000), None, known.request),
+        Some(known.software)
+    );
+    origins.expire(at(70_000));
+    assert!(origins.is_empty());
+}
+
 #[test]
 fn targets_with_the_same_version_have_the_same_software() {
     let restarted = Listing {
