Know the order of a roll-out again after the store has gone back

A roll-out in progress would begin anew.

Cause: a higher revision of an order replaces a lower one, and the revision has the era of the store above its own number, so that each order in the store had a higher one after the return. The state in the store names the order by the lower one and did not fit it, and the writer held state and status for written although the store may have lost them.

Change: an order for the same version and duration in a later era is the one that is known (RolloutOrder::is_again), and a state under the revision of another era belongs to it. The writer forgets what lay in the store in an earlier era, and an end is told and written again.

--- a/crates/cw_policy/src/rollout/rollouts.rs
+++ b/crates/cw_policy/src/rollout/rollouts.rs
@@ -62,6 +62,13 @@
         let service = order.service.clone();
         let mut step = OrderStep::Begun;
         if let Some(known) = self.services.get_mut(&service) {
+            if order.is_again(&known.order) {
+                known.renew(now, order.revision);
+                if let Some(state) = state_found {
+                    self.receive_state(now, &state);
+                }
+                return OrderStep::Again;
+            }
             if known.order.revision >= order.revision {
                 if let Some(state) = state_found {
                     self.receive_state(now, &state);
@@ -93,16 +100,12 @@
     /// Records a state that was read from the store, or that the store has just acknowledged. Returns whether it is
     /// newer than the one that was known.
     pub fn receive_state(&mut self, now: Time, state: &RolloutState) -> bool {
+        let state = &self.renewed(now, state);
         let known = self.services.get(&state.service);
         let known = known.map(|rollout| rollout.order.revision);
         if known < Some(state.order) {
             // An entry that has not read the order yet keeps to it as well.
-            let order = RolloutOrder {
-                service: state.service.clone(),
-                target: state.target.clone(),
-                duration: state.duration,
-                revision: state.order,
-            };
+            let order = RolloutOrder::of_state(state);
             (self.services).insert(state.service.clone(), ServiceRollout::new(now, order));
         }
         let Some(rollout) = self.services.get_mut(&state.service) else {
@@ -119,6 +122,20 @@
         true
     }
 
+    /// Returns a state under the later revision of its order, where this entry knows the order in another era of the store.
+    fn renewed(&mut self, now: Time, state: &RolloutState) -> RolloutState {
+        let mut state = state.clone();
+        let order = RolloutOrder::of_state(&state);
+        if let Some(known) = self.services.get_mut(&state.service) {
+            if order.is_again(&known.order) {
+                known.renew(now, order.revision);
+            } else if known.order.is_again(&order) {
+                state.order = known.order.revision;
+            }
+        }
+        state
+    }
+
     /// Records what another entry reports about a roll-out. Returns whether its state is newer than the one that was known.
     pub fn receive_notice(
         &mut self,
--- a/crates/cw_policy/src/rollout/service_rollout.rs
+++ b/crates/cw_policy/src/rollout/service_rollout.rs
@@ -43,6 +43,8 @@
     pub(super) started_at: Time,
     /// When this entry learned of the order.
     pub(super) known_at: Time,
+    /// When the order was last found in a later era of the store, `None` if it was not.
+    renewed_at: Option<Time>,
     /// When this entry, or one whose messages arrive, last reached the store.
     pub(super) contact_at: Time,
     pub(super) own: RolloutEvidence,
@@ -73,6 +75,7 @@
             decided_at: now,
             started_at: now,
             known_at: now,
+            renewed_at: None,
             contact_at: now,
             own: RolloutEvidence::default(),
             others: EvidenceTable::default(),
@@ -88,6 +91,15 @@
         }
     }
 
+    /// Goes on under a revision of the order in a later era of the store, which may lack what has become of it.
+    pub(super) fn renew(&mut self, now: Time, revision: u64) {
+        self.order.revision = revision;
+        if let Some(state) = &mut self.state {
+            state.order = revision;
+        }
+        self.renewed_at = Some(now);
+    }
+
     /// Returns the stage, `None` before the first state.
     pub(super) fn stage(&self) -> Option<RolloutStage> {
         self.state.as_ref().map(|state| state.stage)
@@ -208,7 +220,8 @@
 
     /// Returns what to tell the other entries, `None` if the roll-out has ended long ago.
     pub(super) fn notice(&self, now: Time) -> Option<RolloutNotice> {
-        if self.is_ended() && now.since(self.decided_at) > SETTLE_TIME {
+        let told_from = self.renewed_at.max(Some(self.decided_at));
+        if self.is_ended() && told_from.is_some_and(|from| now.since(from) > SETTLE_TIME) {
             return None;
         }
         let state = self.state.clone().map(|state| RolloutState {
--- a/crates/cw_policy/tests/rollout/cases.rs
+++ b/crates/cw_policy/tests/rollout/cases.rs
@@ -10,8 +10,11 @@
 use cw_policy::rollout::Rollouts;
 use cw_policy::rollout::SideChoice;
 use cw_types::ServiceName;
+use cw_types::StoreEra;
+use cw_types::StoreRevision;
 use cw_wire::RolloutStage;
 use cw_wire::RolloutState;
+use rstest::rstest;
 
 use crate::world::at;
 use crate::world::name;
@@ -105,6 +108,69 @@
     );
 }
 
+/// Returns a revision of the store as an order names it.
+fn revision(era: u32, number: i64) -> u64 {
+    StoreRevision::new(StoreEra(era), number).0.cast_unsigned()
+}
+
+/// Guards against a bad version that is tried again since the store has come back from an older copy: the same order has a
+/// higher revision there, and what was persisted of it names the lower one.
+#[rstest]
+#[case::state_first(true)]
+#[case::order_first(false)]
+fn an_order_that_is_listed_again_in_a_later_era_does_not_begin_again(#[case] is_state_first: bool) {
+    let mut rollouts = rollouts();
+    let ended = state(revision(1, 50), 2, RolloutStage::RolledBack, 0);
+    let again = order(revision(2, 7), 60);
+
+    let step = match is_state_first {
+        true => {
+            rollouts.receive_state(at(0), &ended);
+            rollouts.record_order(at(20_000), again, None)
+        }
+        false => rollouts.record_order(at(20_000), again, Some(ended.clone())),
+    };
+    let told = rollouts.notices(at(20_000));
+    // An entry that has not noticed the return tells the state under the earlier revision.
+    rollouts.receive_state(at(20_100), &ended);
+
+    let side = rollouts.choose_side(at(20_200), &service(), 0.0);
+    assert_eq!(side, SideChoice::Old);
+    let stage = rollouts.view(at(20_200), &service()).unwrap().stage;
+    assert_eq!(stage, Some(RolloutStage::RolledBack));
+    let expected = match is_state_first {
+        true => OrderStep::Again,
+        false => OrderStep::Begun,
+    };
+    assert_eq!(step, expected);
+    let told = told.first().and_then(|notice| notice.state.as_ref());
+    assert_eq!(
+        told.map(|state| state.order),
+        Some(revision(2, 7)),
+        "it may be lost"
+    );
+}
+
+/// Guards against an order that is taken for an earlier one: the operators may give the same one again, or another one.
+#[test]
+fn a_later_order_begins_also_in_a_later_era() {
+    let mut rollouts = rollouts();
+    rollouts.record_order(at(0), order(revision(1, 50), 60), None);
+    rollouts.receive_state(
+        at(0),
+        &state(revision(1, 50), 2, RolloutStage::RolledBack, 0),
+    );
+
+    let same = rollouts.record_order(at(10), order(revision(1, 60), 60), None);
+    let other = rollouts.record_order(at(20), order(revision(2, 7), 30), None);
+
+    assert_eq!(same, OrderStep::Begun);
+    assert!(
+        matches!(other, OrderStep::Begun | OrderStep::Replaces(_)),
+        "{other:?}"
+    );
+}
+
 /// Answers messages that were held up.
 #[test]
 fn an_older_state_and_one_after_the_end_are_ignored() {
--- a/crates/cw_types/src/lib.rs
+++ b/crates/cw_types/src/lib.rs
@@ -23,6 +23,7 @@
 mod record;
 mod schema;
 mod snapshot;
+mod store_revision;
 mod time;
 
 pub use byte_size::ByteSize;
@@ -83,4 +84,5 @@
 pub use schema::readable_schemas;
 pub use snapshot::Change;
 pub use snapshot::Snapshot;
+pub use store_revision::StoreRevision;
 pub use time::Time;
--- a/crates/cw_store/src/store_revision.rs
+++ b/crates/cw_types/src/store_revision.rs
@@ -1,7 +1,7 @@
 //! Revisions of the key-value service.
 
+use crate::StoreEra;
 use cw_macro::data;
-use cw_types::StoreEra;
 
 /// The number of bits of the service's own number in a [`StoreRevision`].
 const NUMBER_BITS: u32 = 48;
--- a/crates/cyclamenwharf/src/forward/rollout_writer.rs
+++ b/crates/cyclamenwharf/src/forward/rollout_writer.rs
@@ -11,6 +11,7 @@
 use cw_store::StoreRevision;
 use cw_store::Swap;
 use cw_types::ServiceName;
+use cw_types::StoreEra;
 use cw_types::Time;
 use cw_wire::RolloutStage;
 use cw_wire::RolloutState;
@@ -55,6 +56,19 @@
     next_try: Time,
 }
 
+impl Keys {
+    /// Forgets what lay in the service in an earlier era, since it may have come back from a copy that lacks it.
+    fn forget_before(&mut self, era: StoreEra) {
+        let is_older = |revision: StoreRevision| revision.era() < era;
+        if self.state.is_some_and(is_older) {
+            self.rank = None;
+        }
+        if self.status.is_some_and(is_older) {
+            self.value = None;
+        }
+    }
+}
+
 /// What became of the write of a state.
 enum Written {
     /// It lies in the service.
@@ -99,6 +113,8 @@
     /// Writes what was decided, puts it into force, and writes what follows from the state in force.
     async fn write(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let now = self.context.now();
+        let era = self.context.state().fleet.store_era();
+        self.keys(service).forget_before(era);
         let next = {
             let mut state = self.context.state();
             let next = state.rollout_writes.remove(service);
