Try a request that was lost with all engines at one moment

Cause: a crash weighs two if the request alone explains it, and five refuse. A request that is in flight at three engines explains the loss of all of them, so it was refused without a trial, and nothing that could clear it was sent.

Change: a send knows whether the request had been lost at another target before, and crashes are told with it. A request that was only lost at one moment is tried again after 10 s, once at a time; a further crash refuses it for good.

--- a/crates/cw_policy/src/forward/crash_tracker.rs
+++ b/crates/cw_policy/src/forward/crash_tracker.rs
@@ -27,6 +27,7 @@
 use cw_wire::TrialCall;
 use cw_wire::TrialEnd;
 
+use super::lost_sends::LostSends;
 use super::suspect_keys::SuspectKeys;
 use super::suspect_ledger::Standing;
 use super::suspect_ledger::SuspectCrash;
@@ -140,8 +141,13 @@
         incarnation: Incarnation,
         keys: impl Into<SuspectKeys>,
     ) -> SendId {
-        self.sends
-            .record_send(now, target, incarnation, keys.into())
+        let keys = keys.into();
+        let is_lost = |suspect| {
+            matches!(suspect, Suspect::Request(_))
+                && (self.ledger.crash_count(suspect) > 0 || self.sends.has_unanswered(suspect))
+        };
+        let is_repeat = keys.iter().any(is_lost);
+        (self.sends).record_send(now, target, incarnation, keys, is_repeat)
     }
 
     /// Records the end of a send.
@@ -197,13 +203,14 @@
         incarnation: Incarnation,
         zone: &ZoneId,
     ) -> BTreeSet<Suspect> {
-        let suspects = self.sends.take_suspects(target, incarnation);
+        let lost = self.sends.take_lost(target, incarnation);
+        let suspects = lost.suspects.clone();
         if !suspects.is_empty() {
             let crash = SuspectCrash {
                 id: crash_id(target, incarnation),
                 zone: zone.clone(),
                 at: ledger_time(now),
-                suspects: suspects.clone(),
+                lost,
             };
             self.add(now, crash);
         }
@@ -351,7 +358,7 @@
             };
             if announced < MAX_ANNOUNCED && announcement.is_due(now) {
                 news.crashes.push(notice(now, crash, |_| true));
-                announced += crash.suspects.len();
+                announced += crash.lost.suspects.len();
             }
         }
         announcements.retain(|_, announcement| !announcement.is_over());
@@ -459,18 +466,24 @@
         };
         let requests = notice.suspects.iter().copied().map(Suspect::Request);
         let told = requests.chain(notice.parts.iter().copied().map(Suspect::Part));
-        let mut suspects: BTreeSet<_> = told.filter(|suspect| !is_cleared(suspect)).collect();
-        let own = self.sends.take_suspects(&notice.target, notice.incarnation);
-        let has_own = !own.is_empty();
-        suspects.extend(own);
-        if suspects.is_empty() {
+        let repeats: BTreeSet<Suspect> = (notice.repeats.iter().copied())
+            .map(Suspect::Request)
+            .collect();
+        let mut lost = LostSends::default();
+        for suspect in told.filter(|suspect| !is_cleared(suspect)) {
+            lost.insert(suspect, repeats.contains(&suspect));
+        }
+        let own = self.sends.take_lost(&notice.target, notice.incarnation);
+        let has_own = !own.suspects.is_empty();
+        lost.merge(&own);
+        if lost.suspects.is_empty() {
             return false;
         }
         let crash = SuspectCrash {
             id: crash_id(&notice.target, notice.incarnation),
             zone: notice.zone.clone(),
             at,
-            suspects,
+            lost,
         };
         match has_own {
             true => self.add(now, crash),
@@ -492,15 +505,20 @@
 /// Returns the message about a crash, with the suspects that are to be told.
 fn notice(now: Time, crash: &SuspectCrash, is_told: impl Fn(Suspect) -> bool) -> CrashNotice {
     let told = crash
+        .lost
         .suspects
         .iter()
         .copied()
         .filter(|other| is_told(*other));
     let mut suspects = Vec::new();
+    let mut repeats = Vec::new();
     let mut parts: Vec<PartHash> = Vec::new();
     for suspect in told {
         match suspect {
-            Suspect::Request(request) => suspects.push(request),
+            Suspect::Request(request) => {
+                suspects.push(request);
+                repeats.extend(crash.lost.repeats.contains(&suspect).then_some(request));
+            }
             Suspect::Part(part) => parts.push(part),
         }
     }
@@ -510,6 +528,7 @@
         incarnation: crash.id.incarnation,
         age: ledger_time(now).since(crash.at),
         suspects,
+        repeats,
         parts,
     }
 }
--- a/crates/cw_policy/src/forward/mod.rs
+++ b/crates/cw_policy/src/forward/mod.rs
@@ -45,6 +45,7 @@
 mod freshness;
 mod limit_shares;
 mod listing;
+mod lost_sends;
 mod member;
 mod pace;
 mod peers;
--- a/crates/cw_policy/src/forward/suspect_ledger.rs
+++ b/crates/cw_policy/src/forward/suspect_ledger.rs
@@ -12,6 +12,7 @@
 use cw_types::ZoneId;
 use cw_wire::Suspect;
 
+use super::lost_sends::LostSends;
 use super::sound_parts::SoundParts;
 use super::suspect_keys::SuspectKeys;
 use crate::CrashId;
@@ -66,9 +67,9 @@
 /// fourth occasion.
 const LONE_PART_LIMIT: usize = 6;
 
-/// The time from the last crash after which a refused part is tried again. A part that was in flight by chance is
-/// cleared then, and is not refused for as long as crashes are kept.
-const PART_RETRIAL_TIME: Duration = Duration::from_secs(10);
+/// The time from the last crash after which a refused part is tried again, and a refused request that was only lost at one
+/// moment. One that was in flight by chance is cleared then, and is not refused for as long as crashes are kept.
+const RETRIAL_TIME: Duration = Duration::from_secs(10);
 
 /// A crash of a target, and the suspects that were in flight at it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,8 +80,8 @@
     pub(super) zone: ZoneId,
     /// When it happened.
     pub(super) at: Time,
-    /// The suspects that were in flight and had not run on.
-    pub(super) suspects: BTreeSet<Suspect>,
+    /// What was in flight.
+    pub(super) lost: LostSends,
 }
 
 /// The standing of a request, by the crashes since it last ran on.
@@ -105,7 +106,7 @@
     by_suspect: BTreeMap<Suspect, Vec<(u64, Time)>>,
     /// The suspects with enough crashes for probation, so that the usual request is not compared with any.
     repeated: BTreeSet<Suspect>,
-    /// The refused parts that are tried again.
+    /// The refused suspects that are tried again.
     retrials: BTreeSet<Suspect>,
     /// The parts with which a request has run on, whether they were in flight at a crash or not.
     sound: SoundParts,
@@ -115,12 +116,12 @@
     /// Adds a crash, or the suspects of a known one that are not known yet. Returns whether anything in it
     /// is new.
     pub(super) fn record(&mut self, crash: SuspectCrash) -> bool {
-        if crash.suspects.len() > MAX_SUSPECTS {
+        if crash.lost.suspects.len() > MAX_SUSPECTS {
             return false;
         }
         let number = self.number_of(&crash.id);
         let mut is_new = false;
-        for suspect in &crash.suspects {
+        for suspect in &crash.lost.suspects {
             let numbers = self.by_suspect.entry(*suspect).or_default();
             if !numbers.iter().any(|(known, _)| *known == number) {
                 numbers.push((number, crash.at));
@@ -128,13 +129,13 @@
                 self.retrials.remove(suspect);
             }
         }
-        let suspects = crash.suspects.clone();
+        let suspects = crash.lost.suspects.clone();
         match self.crashes.entry(number) {
             Entry::Vacant(vacant) => {
                 vacant.insert(crash);
                 is_new = true;
             }
-            Entry::Occupied(mut known) => known.get_mut().suspects.extend(crash.suspects),
+            Entry::Occupied(mut known) => known.get_mut().lost.merge(&crash.lost),
         }
         for suspect in suspects {
             if !self.is_repeated(suspect) && self.occasions(suspect) >= probation_occasions(suspect)
@@ -155,7 +156,7 @@
         };
         for (number, _) in numbers {
             if let Some(crash) = self.crashes.get_mut(&number) {
-                crash.suspects.remove(&suspect);
+                crash.lost.remove(suspect);
             }
         }
         true
@@ -187,7 +188,9 @@
     /// Returns whether a suspect is refused whatever else its requests have in common.
     pub(super) fn is_refused(&self, suspect: Suspect) -> bool {
         match suspect {
-            Suspect::Request(_) => self.weight(suspect) >= REFUSING_WEIGHT,
+            Suspect::Request(_) => {
+                self.weight(suspect) >= REFUSING_WEIGHT && !self.retrials.contains(&suspect)
+            }
             Suspect::Part(_) => {
                 let limit = match self.is_lone(suspect) {
                     true => LONE_PART_LIMIT,
@@ -209,9 +212,10 @@
         let Some(first) = crashes.next().filter(|_| !self.sound.contains(hash)) else {
             return false;
         };
-        let mut common: BTreeSet<&Suspect> = first.suspects.iter().filter(is_request).collect();
+        let mut common: BTreeSet<&Suspect> =
+            first.lost.suspects.iter().filter(is_request).collect();
         crashes.any(|crash| {
-            common.retain(|other| crash.suspects.contains(other));
+            common.retain(|other| crash.lost.suspects.contains(other));
             common.is_empty()
         })
     }
@@ -243,10 +247,14 @@
         let Some(first) = crashes.next() else {
             return false;
         };
-        let others = first.suspects.iter().filter(|other| !keys.contains(other));
+        let others = first
+            .lost
+            .suspects
+            .iter()
+            .filter(|other| !keys.contains(other));
         let mut common: BTreeSet<Suspect> = others.copied().collect();
         for crash in crashes {
-            common.retain(|other| crash.suspects.contains(other));
+            common.retain(|other| crash.lost.suspects.contains(other));
         }
         !common.is_empty()
     }
@@ -338,11 +346,15 @@
         };
         match self.is_refused(part) {
             true => now.until(last + RETENTION),
-            false => now.until(last + PART_RETRIAL_TIME),
+            false => now.until(last + RETRIAL_TIME),
         }
     }
 
     fn request_time_left(&self, now: Time, suspect: Suspect) -> Duration {
+        if self.is_one_moment(suspect) {
+            let last = self.crashes_of(suspect).map(|crash| crash.at).max();
+            return last.map_or(Duration::ZERO, |at| now.until(at + RETRIAL_TIME));
+        }
         let crashes = self.weighted_crashes(suspect);
         let mut weights: Vec<(Time, usize)> =
             crashes.map(|(crash, weight)| (crash.at, weight)).collect();
@@ -386,11 +398,15 @@
     fn start_retrials(&mut self, now: Time) {
         let is_due = |suspect: &Suspect| {
             let last = self.crashes_of(*suspect).map(|crash| crash.at).max();
-            last.is_some_and(|at| now.since(at) >= PART_RETRIAL_TIME)
+            last.is_some_and(|at| now.since(at) >= RETRIAL_TIME)
+        };
+        let may_be_tried = |suspect: &Suspect| match suspect {
+            Suspect::Part(_) => true,
+            Suspect::Request(_) => self.is_one_moment(*suspect),
         };
-        let parts = self.repeated.iter().copied();
-        let parts = parts.filter(|suspect| matches!(suspect, Suspect::Part(_)));
-        let due: Vec<Suspect> = parts.filter(is_due).collect();
+        let suspects = self.repeated.iter().copied();
+        let due = suspects.filter(|suspect| is_due(suspect) && may_be_tried(suspect));
+        let due: Vec<Suspect> = due.collect();
         self.retrials.extend(due);
     }
 
@@ -400,12 +416,33 @@
     }
 
     fn weight_at(&self, crash: &SuspectCrash, suspect: Suspect) -> usize {
-        match self.is_explained_by(crash, suspect) {
+        match self.is_explained_by(crash, suspect) && !self.is_together(crash, suspect) {
             true => FULL_WEIGHT,
             false => LEAST_WEIGHT,
         }
     }
 
+    /// Returns whether all crashes of a request happened together, so that one cause may explain them. It is sent once at a time
+    /// after that, and each further crash is one of a send after a loss.
+    fn is_one_moment(&self, request: Suspect) -> bool {
+        let crashes = self.crashes_of(request);
+        let singly = crashes.filter(|crash| !self.is_together(crash, request));
+        singly.count() == 1
+    }
+
+    /// Returns whether a target with the request crashed at about the same time as another one before, and the request ran at
+    /// both side by side. One cause may have ended both, so that they explain no more together than one does. A request that is
+    /// sent again after a loss shows something with each crash.
+    fn is_together(&self, crash: &SuspectCrash, suspect: Suspect) -> bool {
+        let is_repeat = |crash: &SuspectCrash| crash.lost.repeats.contains(&suspect);
+        let order = |crash: &SuspectCrash| (crash.at, crash.id.clone());
+        let mut others = self.crashes_of(suspect);
+        !is_repeat(crash)
+            && others.any(|other| {
+                is_near(other.at, crash.at) && !is_repeat(other) && order(other) < order(crash)
+            })
+    }
+
     /// Returns whether nothing but a request explains a crash: no other one that was in flight has been lost
     /// as often, and no target that did not run it crashed at about the same time. The parts of its prompt were
     /// in flight whenever it was, so they say nothing.
@@ -413,11 +450,11 @@
         let count = self.crash_count(suspect);
         let is_other =
             |other: &&Suspect| **other != suspect && matches!(other, Suspect::Request(_));
-        let mut others = crash.suspects.iter().filter(is_other);
+        let mut others = crash.lost.suspects.iter().filter(is_other);
         let is_only_one = others.all(|other| self.crash_count(*other) < count);
         let crashes = self.crashes.values();
         let mut near = crashes.filter(|other| is_near(other.at, crash.at));
-        is_only_one && near.all(|other| other.suspects.contains(&suspect))
+        is_only_one && near.all(|other| other.lost.suspects.contains(&suspect))
     }
 
     /// Returns the number of a crash, a new one if the crash is not known yet.
@@ -439,7 +476,7 @@
     fn make_room(&mut self) {
         let is_repeated = |suspect: &Suspect| self.repeated.contains(suspect);
         let mut crashes = self.crashes.iter();
-        let single = crashes.find(|(_, crash)| !crash.suspects.iter().any(is_repeated));
+        let single = crashes.find(|(_, crash)| !crash.lost.suspects.iter().any(is_repeated));
         match single.map(|(number, _)| *number) {
             Some(number) => self.remove(number),
             None => self.remove_oldest(),
@@ -457,7 +494,7 @@
             return;
         };
         self.numbers.remove(&crash.id);
-        for suspect in crash.suspects {
+        for suspect in crash.lost.suspects {
             if let Some(numbers) = self.by_suspect.get_mut(&suspect) {
                 numbers.retain(|(other, _)| *other != number);
                 if numbers.is_empty() {
--- a/crates/cw_policy/src/forward/target_sends.rs
+++ b/crates/cw_policy/src/forward/target_sends.rs
@@ -1,7 +1,6 @@
 //! The requests that this entry has sent to each target and that may still run there.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cw_types::Incarnation;
@@ -9,6 +8,7 @@
 use cw_types::Time;
 use cw_wire::Suspect;
 
+use super::lost_sends::LostSends;
 use super::suspect_keys::SuspectKeys;
 use crate::CurrentIncarnation;
 use crate::IncarnationOrder;
@@ -37,6 +37,8 @@
 struct Send {
     keys: SuspectKeys,
     sent_at: Time,
+    /// Whether the request had been lost at another target when it was sent.
+    is_repeat: bool,
     /// Whether the request has run past the moment at which one that crashes its target ends it.
     ran_on: bool,
 }
@@ -55,6 +57,7 @@
 #[derive(Clone, Debug)]
 struct UnansweredSend {
     keys: SuspectKeys,
+    is_repeat: bool,
     ended_at: Time,
 }
 
@@ -73,6 +76,7 @@
         target: &TargetId,
         incarnation: Incarnation,
         keys: SuspectKeys,
+        is_repeat: bool,
     ) -> SendId {
         let id = SendId(self.next);
         self.next += 1;
@@ -80,6 +84,7 @@
         let send = Send {
             keys,
             sent_at: now,
+            is_repeat,
             ran_on: false,
         };
         match sends.incarnation.observe(incarnation) {
@@ -110,6 +115,7 @@
             SendEnd::Unanswered if !send.ran_on => {
                 let unanswered = UnansweredSend {
                     keys: send.keys,
+                    is_repeat: send.is_repeat,
                     ended_at: now,
                 };
                 sends.unanswered.insert(id, unanswered);
@@ -151,23 +157,32 @@
         }
     }
 
-    /// Removes and returns the suspects that may have crashed an incarnation of a target: those of the requests
-    /// that were in flight there and had not run on.
-    pub(super) fn take_suspects(
-        &mut self,
-        target: &TargetId,
-        incarnation: Incarnation,
-    ) -> BTreeSet<Suspect> {
+    /// Returns whether a send of a request ended without an answer, after which its target has not answered any other.
+    pub(super) fn has_unanswered(&self, request: Suspect) -> bool {
+        let mut unanswered = (self.targets.values()).flat_map(|sends| sends.unanswered.values());
+        unanswered.any(|send| send.keys.contains(&request))
+    }
+
+    /// Removes and returns the sends that may have crashed an incarnation of a target: those that were in flight there
+    /// and had not run on.
+    pub(super) fn take_lost(&mut self, target: &TargetId, incarnation: Incarnation) -> LostSends {
+        let mut lost = LostSends::default();
         match self.targets.get(target) {
             Some(sends) if sends.incarnation.get() == incarnation => {}
-            _ => return BTreeSet::new(),
+            _ => return lost,
         }
         let sends = self.targets.remove(target).unwrap_or_default();
         let in_flight = sends.in_flight.into_values().filter(|send| !send.ran_on);
-        let in_flight = in_flight.map(|send| send.keys);
-        let unanswered = sends.unanswered.into_values().map(|send| send.keys);
-        let keys: Vec<SuspectKeys> = in_flight.chain(unanswered).collect();
-        keys.iter().flat_map(SuspectKeys::iter).collect()
+        let in_flight = in_flight.map(|send| (send.keys, send.is_repeat));
+        let unanswered = sends.unanswered.into_values();
+        let unanswered = unanswered.map(|send| (send.keys, send.is_repeat));
+        for (keys, is_repeat) in in_flight.chain(unanswered) {
+            for suspect in keys.iter() {
+                let is_request = matches!(suspect, Suspect::Request(_));
+                lost.insert(suspect, is_repeat && is_request);
+            }
+        }
+        lost
     }
 
     /// Drops the ends that are too old to be the cause of a crash that is found now.
--- a/crates/cw_policy/tests/forward/crash_tracker.rs
+++ b/crates/cw_policy/tests/forward/crash_tracker.rs
@@ -404,3 +404,125 @@
         prop_assert_eq!(receiver.crash_count(CRASHING), received.len());
     }
 }
+
+/// Guards against a sound request that is refused for as long as crashes are kept, since all engines of its service were lost
+/// together: its callers poll it, so that it was in flight at each of them, and nothing is sent that could clear it.
+#[rstest]
+#[case::one_entry(1)]
+#[case::several_entries(4)]
+fn a_request_that_runs_at_all_engines_that_are_lost_together_is_tried(#[case] entries: usize) {
+    let polled = Fingerprint(7);
+    let mut entries = vec![CrashTracker::default(); entries];
+    let mut sends = Vec::new();
+    for poll in 0..12 {
+        let (entry, number) = (poll % entries.len(), poll % 3);
+        let target = engine(number, 0);
+        let sent = entries[entry].record_send(at(1000), &target, Incarnation(1), polled);
+        sends.push((entry, target, sent));
+    }
+
+    for (entry, target, sent) in sends {
+        entries[entry].record_end(at(1050), &target, sent, SendEnd::Unanswered);
+    }
+    for entry in 0..entries.len() {
+        for number in 0..3 {
+            let now = at(1051 + 10 * number);
+            let zone = usize::try_from(number).unwrap();
+            let zone_name = name(&format!("z{zone}"));
+            entries[entry].record_crash(now, &engine(zone, 0), Incarnation(1), &zone_name);
+        }
+        let news = entries[entry].news(at(1075));
+        for other in entries.iter_mut() {
+            other.receive(at(1076), &news);
+        }
+    }
+
+    for entry in &entries {
+        assert_eq!(entry.crash_count(polled), 3);
+        assert_eq!(entry.standing(polled), Standing::Probation);
+    }
+}
+
+/// Guards against a crashing request that ends a fourth engine, since it was sent again so soon that its crashes pass for
+/// a loss of all engines together.
+#[rstest]
+#[case::at_one_entry(1)]
+#[case::at_several_entries(3)]
+fn a_request_that_is_sent_again_at_once_is_refused_at_its_third_crash(#[case] count: usize) {
+    let mut entries = vec![CrashTracker::default(); count];
+    for number in 0..3 {
+        let now = at(1000 + 20 * number as u64);
+        crash(&mut entries[number % count], now, number, 0, &[CRASHING.0]);
+        let news = entries[number % count].news(now);
+        for other in entries.iter_mut() {
+            other.receive(now, &news);
+        }
+    }
+
+    assert!(entries.iter().all(|entry| entry.is_refused(CRASHING)));
+}
+
+/// Returns a tracker of an entry at which `engines` engines were lost together, each with several sends of one request.
+fn tracker_after_common_loss(engines: usize, polled: Fingerprint) -> CrashTracker {
+    let mut tracker = CrashTracker::default();
+    let targets = || (0..engines).map(|number| engine(number % 3, number));
+    let sent: Vec<_> = targets()
+        .chain(targets())
+        .map(|target| {
+            let send = tracker.record_send(at(1000), &target, Incarnation(1), polled);
+            (target, send)
+        })
+        .collect();
+    for (target, send) in sent {
+        tracker.record_end(at(1050), &target, send, SendEnd::Unanswered);
+    }
+    for (number, target) in targets().enumerate() {
+        let zone = name(&format!("z{}", number % 3));
+        tracker.record_crash(at(1060 + number as u64), &target, Incarnation(1), &zone);
+    }
+    tracker
+}
+
+/// Guards against the same where a service has more engines than crashes decide: the request is refused at once, and was
+/// refused for as long as crashes are kept.
+#[test]
+fn a_request_that_runs_at_many_engines_that_are_lost_together_is_tried_later() {
+    let polled = Fingerprint(7);
+    let mut tracker = tracker_after_common_loss(12, polled);
+
+    let at_once = tracker.is_refused(polled);
+    let left = tracker.refusal_time_left(at(2000), polled);
+    tracker.expire(at(9000));
+    let early = tracker.is_refused(polled);
+    tracker.expire(at(11_100));
+
+    assert!(at_once && early);
+    assert!(left <= Duration::from_secs(10), "{left:?}");
+    assert_eq!(tracker.standing(polled), Standing::Probation);
+    let mut next = CrashTracker::default();
+    next.receive(at(100), &tracker.evidence(at(11_100)));
+    next.expire(at(200));
+    assert_eq!(
+        next.standing(polled),
+        Standing::Probation,
+        "after a restart"
+    );
+}
+
+/// Guards against a request that crashes engines and is tried again and again, since it crashed several at one moment first.
+#[test]
+fn a_request_that_crashes_an_engine_when_it_is_tried_later_is_refused_for_good() {
+    let mut tracker = tracker_after_common_loss(6, CRASHING);
+    tracker.expire(at(11_100));
+    crash(&mut tracker, at(11_200), 0, 50, &[CRASHING.0]);
+
+    let mut refused = Vec::new();
+    for second in 12..300 {
+        tracker.expire(at(1000 * second));
+        refused.push(tracker.is_refused(CRASHING));
+    }
+
+    assert!(refused.iter().all(|refused| *refused));
+    let left = tracker.refusal_time_left(at(300_000), CRASHING);
+    assert!(left > Duration::from_secs(60), "{left:?}");
+}
--- a/crates/cw_wire/src/crash_notice.rs
+++ b/crates/cw_wire/src/crash_notice.rs
@@ -23,6 +23,10 @@
     pub age: Duration,
     /// The requests that were in flight.
     pub suspects: Vec<Fingerprint>,
+    /// Those of them that the sender sent there only after they had been lost at another target. Entries of earlier versions
+    /// do not tell them.
+    #[serde(default)]
+    pub repeats: Vec<Fingerprint>,
     /// The parts of their prompts that other requests may share. Entries of earlier versions do not tell them.
     #[serde(default)]
     pub parts: Vec<PartHash>,
--- a/crates/cw_wire/tests/versions.rs
+++ b/crates/cw_wire/tests/versions.rs
@@ -43,6 +43,7 @@
         incarnation: Incarnation(7),
         age: Duration::from_millis(30),
         suspects: vec![Fingerprint(1)],
+        repeats: vec![Fingerprint(1)],
         parts: vec![PartHash(2)],
     };
 
@@ -52,6 +53,7 @@
     let to_earlier: EarlierNotice = cw_wire::decode(&to_earlier).expect("an earlier notice");
 
     assert_eq!(to_present.suspects, earlier.suspects);
+    assert!(to_present.repeats.is_empty());
     assert!(to_present.parts.is_empty());
     assert_eq!(to_earlier.suspects, earlier.suspects);
     assert!(to_earlier.send_ages.is_empty());
