--- a/crates/cw_policy/src/forward/restored_software.rs
+++ b/crates/cw_policy/src/forward/restored_software.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Returns whether no other version of the service of this software has begun a stream before, as of an era. Since the
-    /// service has come back from an older copy, others may have, and their targets may be lost.
+    /// Returns whether no other version of the service of this software has begun a stream before, as of an era. In a later
+    /// era than that of the value others may have, whose targets are lost with all that told of them.
     pub(super) fn is_only(&self, software: SoftwareHash, era: StoreEra) -> bool {
         self.written_in >= era && self.software.is_only(software)
     }
