List why entries tell each other of one crash without end, with a test

The test shows the cause without a network: an entry that hears of a crash takes what it has sent after it for suspects, too, and tells the crash again.

--- a/crates/cw_policy/tests/forward/crash_tracker.rs
+++ b/crates/cw_policy/tests/forward/crash_tracker.rs
@@ -526,3 +526,39 @@
     let left = tracker.refusal_time_left(at(300_000), CRASHING);
     assert!(left > Duration::from_secs(60), "{left:?}");
 }
+
+/// Guards against evidence that entries tell each other without end: each took what it had sent after a crash for its suspects,
+/// and told the crash again, as long as the target was in use.
+#[test]
+fn a_crash_is_not_told_again_for_what_was_sent_after_it() {
+    const ENTRIES: usize = 4;
+    let mut entries = vec![CrashTracker::default(); ENTRIES];
+    let (target, incarnation) = (engine(0, 0), Incarnation(1));
+    crash(&mut entries[0], at(1000), 0, 0, &[OTHER]);
+
+    let mut last_told = at(0);
+    for round in 0..100 {
+        let now = at(1050 + 50 * round);
+        let mut sent = Vec::new();
+        for (number, entry) in entries.iter_mut().enumerate() {
+            let request = Fingerprint(1000 + 10 * round + number as u64);
+            sent.push(entry.record_send(now, &target, incarnation, request));
+        }
+        for number in 0..ENTRIES {
+            let news = entries[number].news(now);
+            if !news.crashes.is_empty() {
+                last_told = now;
+            }
+            for other in entries.iter_mut() {
+                other.receive(now, &news);
+            }
+        }
+        for (entry, send) in entries.iter_mut().zip(sent) {
+            entry.record_end(now, &target, send, SendEnd::Answered);
+        }
+    }
+
+    let told_for = last_told.since(at(1000));
+    let longest = CrashTracker::announcement_time() + Duration::from_millis(200);
+    assert!(told_for <= longest, "{told_for:?}");
+}
