--- a/crates/cw_policy/src/forward/restored_software.rs
+++ b/crates/cw_policy/src/forward/restored_software.rs
@@ -64,7 +64,7 @@
     }
 
     /// Returns whether no other version of the service of this software has begun a stream before, as of an era. In a later
-    /// era than that of the value others may have, whose targets are lost with all that told of them.
+    /// era than that of the value others may have, and the service may have lost the records of their targets.
     pub(super) fn is_only(&self, software: SoftwareHash, era: StoreEra) -> bool {
         self.written_in >= era && self.software.is_only(software)
     }
